--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Run a whole fleet on one machine: for the demo, the tests and the measurements."""
--- /dev/null
+++ b/radishtally/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Stand beside one upstream: admit, queue, run and keep answers."""
--- /dev/null
+++ b/radishtally/agent/const.py
@@ -0,0 +1,30 @@
+"""Constants of the agent."""
+
+from typing import Final
+
+FLUSH_SECONDS: Final = 0.02
+"""Time over which parts of one answer are put together."""
+EXPIRE_SECONDS: Final = 0.05
+"""Time between looks at queued work that can't be met any more."""
+IDLE_WAKE_SECONDS: Final = 0.5
+ORPHAN_SECONDS: Final = 5.0
+"""Time that work without a key goes on after the link to its entry is gone."""
+RETAIN_SECONDS: Final = 120.0
+"""Time that an ended answer is kept for a repeat of its idempotency key."""
+UNKEYED_RETAIN_SECONDS: Final = 10.0
+TOMBSTONE_SECONDS: Final = 120.0
+"""Longer than any offer may be under way."""
+MAX_RETAINED_BYTES: Final = 8 * 1024 * 1024
+STATE_SECONDS: Final = 0.5
+"""Time between looks at the engine's state."""
+UPSTREAM_CONNECT_SECONDS: Final = 2.0
+SERVICE_LATENCY_START: Final = 0.05
+"""Seconds that a service call is taken to last until one has been seen."""
+LATENCY_WEIGHT: Final = 0.1
+REASON_LEAVING: Final = "leaving"
+REASON_CANCELLED: Final = "cancelled"
+REASON_NOT_READY: Final = "upstream not ready"
+REASON_NOT_MET: Final = "deadline can't be met"
+REASON_KEY_REUSED: Final = "key reused"
+REASON_STOPPED: Final = "agent stopped"
+LEAVING_RETRY_SECONDS: Final = 1.0
--- /dev/null
+++ b/radishtally/agent/engine.py
@@ -0,0 +1,261 @@
+"""Speak to a model engine."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+import aiohttp
+import msgspec
+from expression import Error, Ok, Result
+
+from radishtally.agent import events
+from radishtally.agent.const import UPSTREAM_CONNECT_SECONDS
+from radishtally.agent.sse import Done, read_parts
+from radishtally.links.messages import CHAT, PREFILL, KvRef, Offer
+from radishtally.outcome import Fault, Ran
+
+CALL_TIMEOUT: Final = aiohttp.ClientTimeout(total=2.0)
+STREAM_TIMEOUT: Final = aiohttp.ClientTimeout(
+    total=None, sock_connect=UPSTREAM_CONNECT_SECONDS
+)
+NOT_FOUND: Final = 404
+MAX_LINE_BYTES: Final = 1024 * 1024
+PATHS: Final = {True: "/v1/chat/completions", False: "/v1/completions"}
+
+
+class EngineState(msgspec.Struct):
+    """Hold the engine's own word of what it is."""
+
+    role: str
+    model: str
+    version: str
+    adapters: tuple[str, ...]
+    changing: bool
+    incarnation: str
+    fencing: int
+    max_batch: int
+    prefill_tokens_per_second: float
+    decode_seconds_per_token: float
+
+
+class Engine:
+    """Run work at one engine and pass orders on."""
+
+    def __init__(
+        self, host: str, url: str, report: Callable[[events.Event], None]
+    ) -> None:
+        self._host = host
+        self._url = url
+        self._report = report
+        self._session = aiohttp.ClientSession(
+            read_bufsize=MAX_LINE_BYTES, connector=aiohttp.TCPConnector(limit=0)
+        )
+        self._tasks: dict[tuple[str, int], asyncio.Task] = {}
+
+    async def close(self) -> None:
+        """End all work and connections."""
+        for task in self._tasks.values():
+            task.cancel()
+        await self._session.close()
+
+    async def read_state(self) -> Result[EngineState, Fault]:
+        """Ask the engine what it is."""
+        try:
+            async with self._session.get(
+                f"{self._url}/state", timeout=CALL_TIMEOUT
+            ) as response:
+                body = await response.read()
+            return Ok(msgspec.json.decode(body, type=EngineState))
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return Error(Fault(repr(error), self._url))
+        except msgspec.MsgspecError as error:
+            return Error(Fault(str(error), self._url))
+
+    async def order(self, body: dict[str, Any]) -> Result[tuple[int, Any], Fault]:
+        """Give an order; tell the status and the engine's words."""
+        try:
+            async with self._session.post(
+                f"{self._url}/orders", json=body, timeout=CALL_TIMEOUT
+            ) as response:
+                return Ok((response.status, await response.json()))
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            return Error(Fault(repr(error), self._url))
+
+    def run(self, offer: Offer) -> None:
+        """Begin work; what comes of it is reported as events."""
+        name = offer.work.request, offer.attempt
+        task = asyncio.create_task(self._run(offer))
+        self._tasks[name] = task
+        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+
+    def abort(self, request: str, attempt: int) -> None:
+        """End work without an outcome."""
+        task = self._tasks.pop((request, attempt), None)
+        if task is not None:
+            task.cancel()
+        self._keep(self._cancel(request, attempt))
+
+    def export(self, request: str, attempt: int) -> None:
+        """End work in good order and keep its KV cache for another engine."""
+        task = self._tasks.pop((request, attempt), None)
+        self._keep(self._export(request, attempt, task))
+
+    def _keep(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        name = "", id(task)
+        self._tasks[name] = task
+        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+
+    async def _run(self, offer: Offer) -> None:
+        name = offer.work.request, offer.attempt
+        ran = Ran.NO
+        started = time.monotonic()
+        try:
+            kv = await self._import_kv(offer.kv)
+            body = make_engine_body(offer, kv)
+            headers = {"X-Request-Id": make_engine_id(*name)}
+            path = PATHS[offer.work.kind == CHAT]
+            async with self._session.post(
+                self._url + path, json=body, headers=headers, timeout=STREAM_TIMEOUT
+            ) as response:
+                if response.status != 200:
+                    for event in await _explain_refusal(name, response):
+                        self._report(event)
+                    return
+                ran = Ran.UNKNOWN
+                await self._read(name, response, started)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            self._report(events.Failed(*name, Ran.NO, repr(error)))
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            ran = Ran.UNKNOWN if not isinstance(error, ValueError) else ran
+            self._report(events.Failed(*name, ran, repr(error)))
+
+    async def _read(
+        self, name: tuple[str, int], response: aiohttp.ClientResponse, started: float
+    ) -> None:
+        reason, prompt_tokens, output_tokens = None, 0, 0
+        async for part in read_parts(response.content):
+            if isinstance(part, Done):
+                break
+            if part.text:
+                self._report(events.Produced(*name, part.text.encode(), 1))
+            reason = part.finish_reason or reason
+            if part.usage is not None:
+                prompt_tokens = part.usage.prompt_tokens
+                output_tokens = part.usage.completion_tokens
+        # A stream that ends without a reason was cut, however proper its end looks.
+        if reason is None:
+            self._report(
+                events.Failed(*name, Ran.UNKNOWN, "the engine's stream was cut")
+            )
+            return
+        seconds = time.monotonic() - started
+        counts = prompt_tokens, output_tokens
+        self._report(events.Completed(*name, 200, reason, *counts, (), seconds))
+
+    async def _import_kv(self, kv: KvRef | None) -> str | None:
+        """Fetch a KV cache; without it the engine prefills the prompt itself."""
+        if kv is None:
+            return None
+        try:
+            async with self._session.get(f"{kv.url}/kv/{kv.handle}") as response:
+                if response.status != 200:
+                    return None
+                blob = await response.read()
+            async with self._session.post(
+                f"{self._url}/kv/import", params={"handle": kv.handle}, data=blob
+            ) as response:
+                return kv.handle if response.status == 200 else None
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+
+    async def _export(
+        self, request: str, attempt: int, task: asyncio.Task | None
+    ) -> None:
+        kv = None
+        body = {"request_id": make_engine_id(request, attempt)}
+        try:
+            async with self._session.post(
+                f"{self._url}/kv/export", json=body, timeout=CALL_TIMEOUT
+            ) as response:
+                if response.status == 200:
+                    said = await response.json()
+                    handle, tokens = str(said["handle"]), int(said["tokens"])
+                    kv = KvRef(self._host, self._url, handle, tokens)
+        except (aiohttp.ClientError, OSError, TimeoutError, KeyError, ValueError):
+            kv = None
+        if task is not None:
+            task.cancel()
+            await self._cancel(request, attempt)
+        self._report(events.Exported(request, attempt, kv))
+
+    async def _cancel(self, request: str, attempt: int) -> None:
+        name = make_engine_id(request, attempt)
+        try:
+            async with self._session.post(
+                f"{self._url}/v1/requests/{name}/cancel", timeout=CALL_TIMEOUT
+            ):
+                pass
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return
+
+
+def make_engine_id(request: str, attempt: int) -> str:
+    """Name an attempt to the engine."""
+    return f"{request}-{attempt}"
+
+
+def make_engine_body(offer: Offer, kv_handle: str | None) -> dict[str, Any]:
+    """Make the body of the engine's request from the caller's and what is done."""
+    work = offer.work
+    body = msgspec.json.decode(work.body)
+    body["stream"] = True
+    body["stream_options"] = {"include_usage": True}
+    body["priority"] = work.priority
+    body["max_tokens"] = max(1, work.max_tokens - offer.tokens_done)
+    body.pop("max_completion_tokens", None)
+    transfer: dict[str, Any] = {}
+    if kv_handle is not None:
+        transfer["handle"] = kv_handle
+    if offer.stage == PREFILL:
+        body["max_tokens"] = 1
+        transfer["export"] = True
+    if transfer:
+        body["kv_transfer_params"] = transfer
+    if offer.done:
+        _add_done(body, offer)
+    return body
+
+
+def _add_done(body: dict[str, Any], offer: Offer) -> None:
+    done = offer.done.decode()
+    if offer.work.kind == CHAT:
+        body["messages"] = [*body["messages"], {"role": "assistant", "content": done}]
+        body["continue_final_message"] = True
+        body["add_generation_prompt"] = False
+        return
+    body["prompt"] = body["prompt"] + done
+    body["continue_from"] = len(done)
+
+
+async def _explain_refusal(
+    name: tuple[str, int], response: aiohttp.ClientResponse
+) -> list[events.Event]:
+    body = await response.read()
+    status = response.status
+    if status >= 500:
+        # Only a refusal that says so is taken as "did not start".
+        ran = Ran.NO if b"not_started" in body else Ran.UNKNOWN
+        return [events.Failed(*name, ran, f"engine answered {status}")]
+    if status == NOT_FOUND:
+        return [events.Failed(*name, Ran.NO, "model or adapter not loaded")]
+    # The request itself is at fault: another engine would say the same.
+    return [events.Completed(*name, status, _read_message(body), 0, 0, (), 0.0)]
+
+
+def _read_message(body: bytes) -> str:
+    try:
+        return str(msgspec.json.decode(body)["error"]["message"])
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return "the engine refused the request"
--- /dev/null
+++ b/radishtally/agent/orders.py
@@ -0,0 +1,238 @@
+"""Carry out the planner's plans and the operators' drains for one host."""
+
+import asyncio
+import time
+from functools import singledispatchmethod
+from typing import Any, Final, Protocol
+
+from eliot import log_message
+
+from radishtally.agent import events
+from radishtally.agent.engine import Engine, EngineState
+from radishtally.audit.store import AuditLog
+from radishtally.authority import orders
+from radishtally.authority.orders import OrderCore, OrderTerms
+from radishtally.authority.plan import name_drain, read_drain_row
+from radishtally.authority.plans import Plans
+from radishtally.platform.core import Table
+
+DRAIN_REASON: Final = "drained by an operator"
+CHANGE_REASON: Final = "change of the engine"
+DRAIN_POLL_SECONDS: Final = 10.0
+DEFAULT_DRAIN_SECONDS: Final = 20.0
+TAKEN_STATUSES: Final = (200, 202)
+STALE_STATUS: Final = 409
+BUSY_STATUS: Final = 423
+
+
+class Work(Protocol):
+    """Be what the orders need of the agent."""
+
+    def handle(self, event: events.Event) -> None:
+        """Take an event for the core."""
+
+    def find_drain_seconds(self) -> float:
+        """Give the time that running answers get before they are handed over."""
+
+
+class DrainFollower:
+    """Follow whether the operators want the host to take no work."""
+
+    def __init__(self, host: str, table: Table, agent: Work) -> None:
+        self._host = host
+        self._table = table
+        self._agent = agent
+        self._drained = False
+        self._hinted = asyncio.Event()
+
+    def hint(self) -> None:
+        """Read the row at once."""
+        self._hinted.set()
+
+    async def run(self) -> None:
+        """Read the row from time to time; with the store away, keep its last word."""
+        while True:
+            self._hinted.clear()
+            read = await self._table.get(name_drain(self._host))
+            if read.is_ok():
+                drain = read_drain_row(read.ok) if read.ok is not None else None
+                self._take(drain is not None and drain.drained)
+            try:
+                await asyncio.wait_for(self._hinted.wait(), DRAIN_POLL_SECONDS)
+            except TimeoutError:
+                continue
+
+    def _take(self, drained: bool) -> None:
+        if drained == self._drained:
+            return
+        self._drained = drained
+        log_message("host:drain", drained=drained)
+        if not drained:
+            self._agent.handle(events.Undrain(DRAIN_REASON))
+            return
+        seconds = self._agent.find_drain_seconds()
+        self._agent.handle(events.Drain(DRAIN_REASON, seconds))
+
+
+class OrderDriver:
+    """Drive the order core of one engine."""
+
+    def __init__(
+        self,
+        host: str,
+        place: str,
+        plans: Plans,
+        engine: Engine,
+        audit: AuditLog,
+        agent: Work,
+    ) -> None:
+        self._host = host
+        self._place = place
+        self._plans = plans
+        self._engine = engine
+        self._audit = audit
+        self._agent = agent
+        self._core = OrderCore(host, OrderTerms())
+        self._timer: asyncio.TimerHandle | None = None
+        self._calls: set[asyncio.Task] = set()
+        self._waits_for_drain = False
+
+    @property
+    def changing(self) -> bool:
+        """Tell whether the engine changes, or an order to it is under way."""
+        return self._core.changing
+
+    def start(self) -> None:
+        """Bring the engine to what the plan wants from now on."""
+        self._handle(orders.Tick())
+
+    def stop(self) -> None:
+        """Give no more orders; one that was sent is not taken back."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for call in list(self._calls):
+            call.cancel()
+
+    def hint(self) -> None:
+        """Read the plan at once."""
+        self._handle(orders.HintReceived())
+
+    def drained(self) -> None:
+        """Say that the engine has no work left."""
+        if self._waits_for_drain:
+            self._waits_for_drain = False
+            self._handle(orders.Drained())
+
+    def _handle(self, event: orders.Event) -> None:
+        for command in self._core.handle(event, time.monotonic()):
+            self._execute(command)
+
+    @singledispatchmethod
+    def _execute(self, command: orders.Command) -> None:
+        raise TypeError(f"no way to carry out {type(command)}")
+
+    @_execute.register
+    def _(self, command: orders.ReadPlan) -> None:
+        self._call(self._read_plan())
+
+    @_execute.register
+    def _(self, command: orders.ReadEngine) -> None:
+        self._call(self._read_engine())
+
+    @_execute.register
+    def _(self, command: orders.StartDrain) -> None:
+        self._waits_for_drain = True
+        seconds = self._agent.find_drain_seconds()
+        self._agent.handle(events.Drain(CHANGE_REASON, seconds))
+
+    @_execute.register
+    def _(self, command: orders.EndDrain) -> None:
+        self._waits_for_drain = False
+        self._agent.handle(events.Undrain(CHANGE_REASON))
+
+    @_execute.register
+    def _(self, command: orders.SendOrder) -> None:
+        self._call(self._send_order(command))
+
+    @_execute.register
+    def _(self, command: orders.Record) -> None:
+        self._audit.record(
+            self._host,
+            command.what,
+            self._host,
+            command.cause,
+            command.before,
+            command.after,
+        )
+
+    @_execute.register
+    def _(self, command: orders.WakeAt) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        delay = max(0.0, command.time - time.monotonic())
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay, self._handle, orders.Tick())
+
+    def _call(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _read_plan(self) -> None:
+        asked_at = time.monotonic()
+        plan = await self._plans.read_plan(self._place)
+        if plan.is_error():
+            self._handle(orders.PlanUnreadable())
+            return
+        self._handle(orders.PlanRead(plan.ok, asked_at))
+
+    async def _read_engine(self) -> None:
+        asked_at = time.monotonic()
+        state = await self._engine.read_state()
+        if state.is_error():
+            self._handle(orders.EngineUnreachable())
+            return
+        self._handle(orders.EngineRead(_describe(state.ok), asked_at))
+
+    async def _send_order(self, order: orders.SendOrder) -> None:
+        outcome, highest = await self._try_order(order)
+        log_message("engine:order", order=order.order_id, outcome=outcome)
+        self._handle(orders.OrderAnswered(order.order_id, outcome, highest))
+
+    async def _try_order(self, order: orders.SendOrder) -> tuple[str, int]:
+        # The process may have been paused since it decided: a plan that was fresh
+        # then need not be the plan in force now.
+        if time.monotonic() > order.send_before:
+            return orders.NOT_SENT, 0
+        body = {
+            "order_id": order.order_id,
+            "fencing": order.fencing,
+            "kind": order.kind,
+            "role": order.wanted.role,
+            "model": order.wanted.model,
+            "version": order.wanted.version,
+            "adapter": order.adapter,
+        }
+        answer = await self._engine.order(body)
+        if answer.is_error():
+            return orders.UNCLEAR, 0
+        status, said = answer.ok
+        if status in TAKEN_STATUSES:
+            return orders.TAKEN, 0
+        if status == STALE_STATUS:
+            return orders.STALE, int(said.get("highest", 0))
+        if status == BUSY_STATUS:
+            return orders.BUSY, 0
+        return orders.REJECTED, 0
+
+
+def _describe(state: EngineState) -> orders.Engine:
+    return orders.Engine(
+        state.role,
+        state.model,
+        state.version,
+        state.adapters,
+        state.changing,
+        state.incarnation,
+        state.fencing,
+    )
--- /dev/null
+++ b/radishtally/agent/service.py
@@ -0,0 +1,111 @@
+"""Speak to a plain service."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Final
+
+import aiohttp
+
+from radishtally.agent import events
+from radishtally.agent.const import UPSTREAM_CONNECT_SECONDS
+from radishtally.links.messages import Offer
+from radishtally.outcome import Ran
+
+ATTR_KEY: Final = "Idempotency-Key"
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
+PASSED_BACK: Final = frozenset({"content-type", "etag", "last-modified", "location"})
+DATA_BYTES: Final = 65_536
+
+
+class Service:
+    """Run calls at one service."""
+
+    def __init__(self, url: str, report: Callable[[events.Event], None]) -> None:
+        self._url = url
+        self._report = report
+        self._tasks: dict[tuple[str, int], asyncio.Task] = {}
+        # A connection that is kept open may be closed by the service just as a call
+        # goes out on it; whether the call ran can't be told then. A new connection
+        # that fails surely carried nothing.
+        self._session = aiohttp.ClientSession(
+            auto_decompress=False,
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        )
+
+    async def close(self) -> None:
+        """End all calls and connections."""
+        for task in self._tasks.values():
+            task.cancel()
+        await self._session.close()
+
+    async def is_up(self) -> bool:
+        """Tell whether the service takes connections."""
+        host, port = self._url.split("://", 1)[1].split("/", 1)[0].rsplit(":", 1)
+        try:
+            async with asyncio.timeout(UPSTREAM_CONNECT_SECONDS):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
+    def run(self, offer: Offer) -> None:
+        """Begin a call; what comes of it is reported as events."""
+        name = offer.work.request, offer.attempt
+        task = asyncio.create_task(self._run(offer))
+        self._tasks[name] = task
+        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+
+    def abort(self, request: str, attempt: int) -> None:
+        """End a call that may be run again."""
+        task = self._tasks.pop((request, attempt), None)
+        if task is not None:
+            task.cancel()
+
+    async def _run(self, offer: Offer) -> None:
+        work = offer.work
+        name = work.request, offer.attempt
+        started = time.monotonic()
+        headers = dict(work.headers)
+        headers["X-Request-Id"] = work.request
+        headers[ATTR_KEY] = work.key or work.request
+        timeout = aiohttp.ClientTimeout(
+            total=max(offer.budget, 1.0) if work.idempotent else None,
+            sock_connect=UPSTREAM_CONNECT_SECONDS,
+        )
+        try:
+            async with self._session.request(
+                work.method,
+                f"{self._url}/{work.path.lstrip('/')}",
+                data=work.body or None,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                await self._read(name, response, started)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            self._report(events.Failed(*name, Ran.NO, repr(error)))
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            self._report(events.Failed(*name, Ran.UNKNOWN, repr(error)))
+
+    async def _read(
+        self, name: tuple[str, int], response: aiohttp.ClientResponse, started: float
+    ) -> None:
+        size = 0
+        async for data in response.content.iter_chunked(DATA_BYTES):
+            size += len(data)
+            if size > MAX_ANSWER_BYTES:
+                text = f"the service's answer is over {MAX_ANSWER_BYTES} bytes"
+                self._report(events.Failed(*name, Ran.UNKNOWN, text))
+                return
+            self._report(events.Produced(*name, data, 0))
+        headers = tuple(
+            (str(key), value)
+            for key, value in response.headers.items()
+            if key.lower() in PASSED_BACK
+        )
+        seconds = time.monotonic() - started
+        self._report(
+            events.Completed(*name, response.status, "", 0, 0, headers, seconds)
+        )
--- /dev/null
+++ b/radishtally/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Record who changed what, when and why."""
--- /dev/null
+++ b/radishtally/authority/holder.py
@@ -0,0 +1,144 @@
+"""Contend for the planner lease at the table."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from functools import singledispatchmethod
+from typing import Any, Final
+
+from radishtally.authority.lease import (
+    Command,
+    Event,
+    Gained,
+    LeaseCore,
+    LeaseTerms,
+    LostLease,
+    ReadFailed,
+    ReadLease,
+    Resign,
+    RowRead,
+    Tick,
+    WakeAt,
+    WriteLease,
+    WriteSettled,
+)
+from radishtally.platform.core import Check, Table
+from radishtally.platform.settle import transact_settled
+
+CALL_PART: Final = 0.25
+"""Part of the lease time that one call to the table may take."""
+RESIGN_SECONDS: Final = 1.0
+
+
+class LeaseHolder:
+    """Drive the lease of one place for this process."""
+
+    def __init__(
+        self,
+        table: Table,
+        place: str,
+        host: str,
+        incarnation: str,
+        terms: LeaseTerms | None = None,
+        *,
+        on_gained: Callable[[int], None],
+        on_lost: Callable[[str], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._table = table
+        self._terms = terms or LeaseTerms()
+        self._core = LeaseCore(place, host, incarnation, self._terms)
+        self._on_gained = on_gained
+        self._on_lost = on_lost
+        self._clock = clock
+        self._timer: asyncio.TimerHandle | None = None
+        self._calls: set[asyncio.Task[None]] = set()
+
+    @property
+    def fencing(self) -> int | None:
+        """Give the fencing number if the lease is held now."""
+        return self._core.fencing if self.holds() else None
+
+    def holds(self) -> bool:
+        """Tell whether an order may be given now; ask before each one."""
+        return self._core.holds(self._clock())
+
+    def make_check(self) -> Check | None:
+        """Form the check that binds a transaction to the lease as held now."""
+        return self._core.make_check(self._clock())
+
+    def start(self) -> None:
+        """Contend from now on."""
+        self._handle(Tick())
+
+    async def stop(self) -> None:
+        """Give the lease up, so that a successor need not wait for it to lapse."""
+        self._handle(Resign())
+        if self._calls:
+            await asyncio.wait(self._calls, timeout=RESIGN_SECONDS)
+        if self._timer is not None:
+            self._timer.cancel()
+        for call in self._calls:
+            call.cancel()
+        await asyncio.gather(*self._calls, return_exceptions=True)
+
+    def _handle(self, event: Event) -> None:
+        for command in self._core.handle(event, self._clock()):
+            self._execute(command)
+
+    @singledispatchmethod
+    def _execute(self, command: Command) -> None:
+        raise TypeError(f"unknown command {command!r}")
+
+    @_execute.register
+    def _(self, command: ReadLease) -> None:
+        self._call(self._read(command))
+
+    @_execute.register
+    def _(self, command: WriteLease) -> None:
+        self._call(self._write(command))
+
+    @_execute.register
+    def _(self, command: Gained) -> None:
+        self._on_gained(command.fencing)
+
+    @_execute.register
+    def _(self, command: LostLease) -> None:
+        self._on_lost(command.cause)
+
+    @_execute.register
+    def _(self, command: WakeAt) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        delay = max(0.0, command.time - self._clock())
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay, self._handle, Tick())
+
+    def _call(self, work: Coroutine[Any, Any, None]) -> None:
+        call = asyncio.create_task(work)
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+
+    async def _read(self, command: ReadLease) -> None:
+        asked_at = self._clock()
+        try:
+            async with asyncio.timeout(self._terms.granted * CALL_PART):
+                result = await self._table.get(command.key)
+        except TimeoutError:
+            self._handle(ReadFailed())
+            return
+        if result.is_error():
+            self._handle(ReadFailed())
+            return
+        self._handle(RowRead(result.ok, asked_at))
+
+    async def _write(self, command: WriteLease) -> None:
+        deadline = self._clock() + self._terms.granted * CALL_PART
+        outcome = await transact_settled(
+            self._table,
+            [command.put],
+            command.write_id,
+            deadline=deadline,
+            clock=self._clock,
+        )
+        self._handle(WriteSettled(command.write_id, outcome))
--- /dev/null
+++ b/radishtally/authority/plans.py
@@ -0,0 +1,213 @@
+"""Keep plans and drains in the table."""
+
+import itertools
+import time
+from collections.abc import Callable
+from typing import Final, NamedTuple, Protocol
+
+from radishtally.audit.core import make_audit_put
+from radishtally.authority.plan import (
+    DRAIN,
+    Drain,
+    Plan,
+    Wanted,
+    encode_record,
+    follow_plan,
+    make_drain_writes,
+    make_plan_writes,
+    name_drain,
+    name_plan,
+    read_drain_row,
+    read_plan_row,
+)
+from radishtally.outcome import Error, Ok, Result
+from radishtally.platform.core import (
+    ABSENT,
+    Check,
+    Conflict,
+    Put,
+    ReadError,
+    Row,
+    Table,
+    TableError,
+    Write,
+)
+from radishtally.platform.settle import transact_settled
+
+WRITE_SECONDS: Final = 2.0
+ATTEMPTS: Final = 3
+"""Tries of a transaction that meets a renewal of our own lease, or another's edit."""
+DRAIN_ROWS: Final = 10_000
+
+
+class NotHeld(NamedTuple):
+    """Say that the lease is not held, so nothing was written."""
+
+
+class Superseded(NamedTuple):
+    """Say that another plan stands than the one that was built on."""
+
+    current: Plan | None
+
+
+PlanError = NotHeld | Superseded | TableError | ReadError
+
+
+class Lease(Protocol):
+    """Tell whether the planner lease is held, as the lease's holder does."""
+
+    @property
+    def fencing(self) -> int | None:
+        """Give the fencing number if the lease is held now."""
+
+    def make_check(self) -> Check | None:
+        """Form the check that binds a transaction to the lease as held now."""
+
+
+def _read_wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+class Plans:
+    """Read and write plans and drains for one process."""
+
+    def __init__(
+        self,
+        table: Table,
+        host: str,
+        incarnation: str,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        clock_ms: Callable[[], int] = _read_wall_ms,
+    ) -> None:
+        self._table = table
+        self._host = host
+        self._incarnation = incarnation
+        self._clock = clock
+        self._clock_ms = clock_ms
+        self._numbers = itertools.count(1)
+
+    async def read_plan(self, place: str) -> Result[Plan | None, ReadError]:
+        """Read the plan in force."""
+        result = await self._table.get(name_plan(place))
+        return result.map(_read_plan)
+
+    async def write_plan(
+        self,
+        place: str,
+        previous: Plan | None,
+        wanted: dict[str, Wanted],
+        cause: str,
+        lease: Lease,
+    ) -> Result[Plan, PlanError]:
+        """Put a plan in force that was built on the previous one."""
+        fencing = lease.fencing
+        result: Result[Plan, PlanError] = Error(NotHeld())
+        for _ in range(ATTEMPTS):
+            if fencing is None or lease.fencing != fencing:
+                return Error(NotHeld())
+            result = await self._try_plan(place, previous, wanted, cause, lease)
+            if result.is_ok() or not isinstance(result.error, Conflict):
+                return result
+        return result
+
+    async def read_drains(self) -> Result[dict[str, Drain], ReadError]:
+        """Read the drains of all hosts that ever had one."""
+        result = await self._table.query(DRAIN, limit=DRAIN_ROWS)
+        return result.map(_read_drains)
+
+    async def write_drain(
+        self, host: str, drained: bool, who: str, cause: str
+    ) -> Result[Drain, TableError | ReadError]:
+        """Drain a host or take the drain back."""
+        drain = Drain(host, drained, who, cause)
+        result: Result[Drain, TableError | ReadError] = Ok(drain)
+        for _ in range(ATTEMPTS):
+            result = await self._try_drain(drain)
+            if result.is_ok() or not isinstance(result.error, Conflict):
+                return result
+        return result
+
+    async def _try_plan(
+        self,
+        place: str,
+        previous: Plan | None,
+        wanted: dict[str, Wanted],
+        cause: str,
+        lease: Lease,
+    ) -> Result[Plan, PlanError]:
+        read = await self._table.get(name_plan(place))
+        if read.is_error():
+            return read
+        current = _read_plan(read.ok)
+        if current != previous:
+            return Error(Superseded(current))
+        # Asked for after the read, which can last: a process may be paused at any line.
+        check, fencing = lease.make_check(), lease.fencing
+        if check is None or fencing is None:
+            return Error(NotHeld())
+        plan = follow_plan(place, previous, fencing, cause, wanted)
+        rev = ABSENT if read.ok is None else read.ok.rev
+        audit = self._audit_plan(previous, plan)
+        result = await self._transact(make_plan_writes(plan, rev, check, audit))
+        return result.map(lambda _: plan)
+
+    async def _try_drain(self, drain: Drain) -> Result[Drain, TableError | ReadError]:
+        read = await self._table.get(name_drain(drain.host))
+        if read.is_error():
+            return read
+        audit = self._audit_drain(read.ok, drain)
+        result = await self._transact(make_drain_writes(drain, read.ok, audit))
+        return result.map(lambda _: drain)
+
+    async def _transact(self, writes: list[Write]) -> Result[None, TableError]:
+        write_id = f"{self._incarnation}-plans-{next(self._numbers)}"
+        deadline = self._clock() + WRITE_SECONDS
+        return await transact_settled(
+            self._table, writes, write_id, deadline=deadline, clock=self._clock
+        )
+
+    def _audit_plan(self, previous: Plan | None, plan: Plan) -> Put:
+        before = _list_changes(plan, previous)
+        after = _list_changes(previous, plan)
+        number = f"{self._incarnation}-{plan.number}"
+        return make_audit_put(
+            self._clock_ms(),
+            self._host,
+            "plan",
+            plan.place,
+            plan.cause,
+            before,
+            {**after, "number": plan.number, "fencing": plan.fencing},
+            number,
+        )
+
+    def _audit_drain(self, row: Row | None, drain: Drain) -> Put:
+        before = {} if row is None else dict(row.value)
+        number = f"{self._incarnation}-{next(self._numbers)}"
+        return make_audit_put(
+            self._clock_ms(),
+            drain.who,
+            "drain" if drain.drained else "undrain",
+            drain.host,
+            drain.cause,
+            before,
+            encode_record(drain),
+            number,
+        )
+
+
+def _read_plan(row: Row | None) -> Plan | None:
+    return None if row is None else read_plan_row(row)
+
+
+def _read_drains(rows: list[Row]) -> dict[str, Drain]:
+    drains = [read_drain_row(row) for row in rows]
+    return {drain.host: drain for drain in drains}
+
+
+def _list_changes(base: Plan | None, plan: Plan | None) -> dict[str, object]:
+    """Give only the hosts that differ, since a plan names all hosts of a place."""
+    known = {} if base is None else base.wanted
+    hosts = {} if plan is None else plan.wanted
+    return {h: w._asdict() for h, w in hosts.items() if known.get(h) != w}
--- /dev/null
+++ b/radishtally/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Run calls that are not idempotent at most once."""
--- /dev/null
+++ b/radishtally/claims/store.py
@@ -0,0 +1,180 @@
+"""Claim idempotency keys at the table."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from functools import singledispatchmethod
+from typing import Any, Final
+
+import eliot
+
+from radishtally.claims.core import (
+    Answer,
+    CallFinished,
+    CallReleased,
+    ClaimAsked,
+    ClaimCore,
+    ClaimOutcome,
+    ClaimTerms,
+    Command,
+    Event,
+    Granted,
+    GroupSettled,
+    OutcomeLost,
+    ReadRow,
+    RowRead,
+    RowUnread,
+    SendGroup,
+    Tick,
+    WakeAt,
+)
+from radishtally.claims.record import Claim, StoredAnswer
+from radishtally.platform.core import Table
+
+CLAIM_SECONDS: Final = 2.0
+"""Time after which a claim that is not clearly ours is refused."""
+KEEP_SECONDS: Final = 24 * 3600
+"""Time for which a key is remembered."""
+STOP_SECONDS: Final = 2.0
+STOP_POLL_SECONDS: Final = 0.02
+
+_Asked = tuple[Claim, asyncio.Future[ClaimOutcome]]
+
+
+class ClaimStore:
+    """Claim keys for one process; `holder` is new with every start of it."""
+
+    def __init__(
+        self,
+        table: Table,
+        holder: str,
+        terms: ClaimTerms | None = None,
+        *,
+        seconds: float = CLAIM_SECONDS,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._table = table
+        self._core = ClaimCore(holder, terms or ClaimTerms())
+        self._seconds = seconds
+        self._clock = clock
+        self._wall = wall
+        self._asked: dict[int, _Asked] = {}
+        self._callers = 0
+        self._calls: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self.lost = 0
+
+    @property
+    def waiting(self) -> int:
+        """Count the rows that are not settled yet."""
+        return self._core.waiting
+
+    def start(self) -> None:
+        """Begin; claims may be asked for from now on."""
+        self._handle(Tick())
+
+    async def stop(self) -> None:
+        """Wait a while for outcomes to reach the table, then end."""
+        until = self._clock() + STOP_SECONDS
+        while self._core.waiting and self._clock() < until:
+            await asyncio.sleep(STOP_POLL_SECONDS)
+        if self._timer is not None:
+            self._timer.cancel()
+        for call in self._calls:
+            call.cancel()
+        await asyncio.gather(*self._calls, return_exceptions=True)
+
+    async def claim(
+        self, team: str, key: str, request: str, body_hash: str
+    ) -> ClaimOutcome:
+        """Ask to run a call; only Granted allows it."""
+        claim = Claim(team, key, request, body_hash)
+        future: asyncio.Future[ClaimOutcome] = asyncio.Future()
+        self._callers += 1
+        caller = self._callers
+        self._asked[caller] = claim, future
+        deadline = self._clock() + self._seconds
+        expires = int(self._wall()) + KEEP_SECONDS
+        self._handle(ClaimAsked(caller, claim, deadline, expires))
+        try:
+            return await future
+        except asyncio.CancelledError:
+            # The caller went away after the claim was granted and before it was told.
+            if not future.cancelled() and isinstance(future.result(), Granted):
+                self._handle(CallReleased(claim))
+            raise
+
+    def finish(
+        self,
+        team: str,
+        key: str,
+        request: str,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> None:
+        """Keep the answer of a call that was granted, for its repeats."""
+        claim = Claim(team, key, request, "")
+        self._handle(CallFinished(claim, StoredAnswer(status, headers, body)))
+
+    def release(self, team: str, key: str, request: str) -> None:
+        """Take a claim back whose call surely did not run and won't."""
+        self._handle(CallReleased(Claim(team, key, request, "")))
+
+    def _handle(self, event: Event) -> None:
+        for command in self._core.handle(event, self._clock()):
+            self._execute(command)
+
+    @singledispatchmethod
+    def _execute(self, command: Command) -> None:
+        raise TypeError(f"unknown command {command!r}")
+
+    @_execute.register
+    def _(self, command: SendGroup) -> None:
+        self._call(self._send(command))
+
+    @_execute.register
+    def _(self, command: ReadRow) -> None:
+        self._call(self._read(command))
+
+    @_execute.register
+    def _(self, command: Answer) -> None:
+        claim, future = self._asked.pop(command.caller)
+        if not future.done():
+            future.set_result(command.outcome)
+            return
+        if isinstance(command.outcome, Granted):
+            # The caller went away before the claim was granted.
+            asyncio.get_running_loop().call_soon(self._handle, CallReleased(claim))
+
+    @_execute.register
+    def _(self, command: OutcomeLost) -> None:
+        self.lost += 1
+        eliot.log_message(
+            "claims:outcome-lost", request=command.request, cause=command.cause
+        )
+
+    @_execute.register
+    def _(self, command: WakeAt) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        delay = max(0.0, command.time - self._clock())
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay, self._handle, Tick())
+
+    def _call(self, work: Coroutine[Any, Any, None]) -> None:
+        call = asyncio.create_task(work)
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+
+    async def _send(self, command: SendGroup) -> None:
+        outcome = await self._table.transact(list(command.puts), command.write_id)
+        self._handle(GroupSettled(command.write_id, outcome))
+
+    async def _read(self, command: ReadRow) -> None:
+        result = await self._table.get(command.key)
+        if result.is_error():
+            self._handle(RowUnread(command.key))
+            return
+        self._handle(RowRead(command.key, result.ok))
--- /dev/null
+++ b/radishtally/command/__init__.py
@@ -0,0 +1,1 @@
+"""Let operators look at the system and change it."""
--- /dev/null
+++ b/radishtally/daemon.py
@@ -0,0 +1,55 @@
+"""Start one process of the system: `radishtallyd --settings FILE`."""
+
+import asyncio
+import sys
+
+import fire
+import uvloop
+
+from radishtally.logs import start_logging
+from radishtally.settings.config import Settings
+from radishtally.settings.core import read_settings
+
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+
+
+def run(settings: str) -> None:
+    """Run the daemon described in a settings file.
+
+    Parameters
+    ----------
+    settings : str
+        Path of a file in JSON with comments.
+    """
+    outcome = read_settings(settings)
+    if outcome.is_error():
+        print(f"radishtallyd: {outcome.error}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    start_logging(outcome.ok.host)
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_make_daemon(outcome.ok).run())
+    except OSError as error:
+        print(f"radishtallyd: {error}", file=sys.stderr)
+        sys.exit(EXIT_ADDRESS)
+
+
+def _make_daemon(settings: Settings):  # noqa: ANN202
+    # The agent must stay small, so the entry's libraries are imported only by entries.
+    if settings.role == "agent":
+        from radishtally.agent.daemon import AgentDaemon
+
+        return AgentDaemon(settings)
+    from radishtally.entry.daemon import EntryDaemon
+
+    return EntryDaemon(settings)
+
+
+def main() -> None:
+    """Read the command line."""
+    fire.Fire(run, name="radishtallyd")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/radishtally/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Bring every configuration that was accepted into force in every process."""
--- /dev/null
+++ b/radishtally/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Take callers' requests, route them, and stream their answers back."""
--- /dev/null
+++ b/radishtally/entry/const.py
@@ -0,0 +1,33 @@
+"""Constants of the entry."""
+
+from typing import Final
+
+OFFER_SECONDS: Final = 1.0
+"""Longest time that an agent may leave an offer without a word."""
+CANCEL_SECONDS: Final = 2.0
+"""Longest wait for the word that a withdrawn attempt did not start."""
+RELINK_SECONDS: Final = 1.0
+"""Time that a lost link gets to come back before an answer goes on elsewhere."""
+CALL_RELINK_SECONDS: Final = 4.0
+"""The same for a call that may not run twice: only its agent knows the outcome."""
+OUTCOME_SECONDS: Final = 60.0
+"""Time that the outcome of a call that may not run twice is awaited for its claim,
+after the caller has been told that it is not known."""
+MAX_OFFERS: Final = 4
+"""Agents that one request is offered to before it is refused."""
+MAX_ATTEMPTS: Final = 8
+ACK_BYTES: Final = 65_536
+MIN_RETRY_AFTER: Final = 0.5
+DEFAULT_RETRY_AFTER: Final = 1.0
+MAX_RETRY_AFTER: Final = 60.0
+STORE_RETRY_AFTER: Final = 2.0
+
+CODE_OVERLOADED: Final = "overloaded"
+CODE_NO_UPSTREAM: Final = "no_upstream"
+CODE_DEADLINE: Final = "deadline_exceeded"
+CODE_KEY_REUSED: Final = "idempotency_key_reused"
+CODE_UNCLEAR: Final = "outcome_unknown"
+CODE_STORE_AWAY: Final = "store_unavailable"
+CODE_CORRUPT: Final = "answer_corrupt"
+CODE_LOST: Final = "upstream_lost"
+CODE_RETRY_BUDGET: Final = "retry_budget_spent"
--- /dev/null
+++ b/radishtally/entry/daemon.py
@@ -0,0 +1,275 @@
+"""Run the entry's core: turn callers and links into events, commands into calls."""
+
+import asyncio
+import hashlib
+import random
+import socket
+import time
+from functools import singledispatchmethod
+
+from eliot import log_message
+
+from radishtally.authority.plans import Plans
+from radishtally.claims.core import (
+    ClaimOutcome,
+    Granted,
+    KeyReused,
+    Repeated,
+    StoreAway,
+    UnknownOutcome,
+)
+from radishtally.claims.store import ClaimStore
+from radishtally.configuration.store import ConfigurationStore
+from radishtally.entry import const, events
+from radishtally.entry.callers import Directory, TokenRatio
+from radishtally.entry.core import EntryCore, handle_event
+from radishtally.entry.explain import Steps
+from radishtally.entry.http import make_app
+from radishtally.entry.members import Members
+from radishtally.entry.operators import add_operator_routes
+from radishtally.entry.planning import Planning
+from radishtally.entry.replies import Part, Replies
+from radishtally.entry.watch import Watcher
+from radishtally.limits.retries import RetryBudget
+from radishtally.links.hub import Callbacks
+from radishtally.links.messages import Hello, Leaving, Load, Message, Work
+from radishtally.outcome import Ran, Refusal
+from radishtally.process import Process, Waker
+from radishtally.settings.config import Settings
+
+
+class EntryDaemon:
+    """Hold one entry's parts together."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.process = Process(settings)
+        self.process.on_configuration = self._configure
+        self.directory: Directory | None = None
+        self.ratio = TokenRatio()
+        self.steps = Steps()
+        self.replies = Replies()
+        self.core = EntryCore(settings.host, settings.place, random.Random())
+        self.waker = Waker(lambda: self.handle(events.Tick()))
+        hub = self.process.make_hub(
+            Callbacks(self._link_up, self._link_down, self._receive, self._is_busy)
+        )
+        self.members = Members(settings, hub, self.core)
+        self.configurations = ConfigurationStore(
+            self.process.table, self.process.objects
+        )
+        holder = f"{settings.host}:{self.process.incarnation}"
+        self.claims = ClaimStore(self.process.table, holder)
+        self.plans = Plans(self.process.table, settings.host, self.process.incarnation)
+        self.planning = Planning(
+            settings,
+            self.process.incarnation,
+            self.process.table,
+            self.plans,
+            self.process.audit,
+            hub,
+        )
+        self.watcher = Watcher(self)
+        self._started: dict[str, float] = {}
+        self._closed = False
+
+    async def run(self) -> None:
+        """Serve until a planned stop."""
+        self.process.catch_signals()
+        await self.process.hub.start(self.settings.address)
+        self.process.audit.start()
+        self.claims.start()
+        self.watcher.start()
+        self.planning.start()
+        server = await self._serve_http()
+        log_message("entry:ready", address=self.settings.http_address)
+        await self.process.stopping.wait()
+        await self.planning.stop()
+        await self._leave(server)
+        self.waker.stop()
+        await self.watcher.stop()
+        await self.claims.stop()
+        await self.process.unload()
+
+    async def _serve_http(self) -> asyncio.AbstractServer:
+        app = make_app(self, self.settings.host)
+        add_operator_routes(app, self)
+        # sanic's own runner would start further processes; its server alone runs on
+        # our loop.
+        ip, port = self.settings.http_address.rsplit(":", 1)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((ip, int(port)))
+        server = await app.create_server(sock=listener, return_asyncio_server=True)
+        await server.startup()
+        await server.start_serving()
+        return server
+
+    async def _leave(self, server: asyncio.AbstractServer) -> None:
+        """Leave in good order: red to the balancer, then closed, then out."""
+        log_message("entry:leaving", open=len(self.replies))
+        await asyncio.sleep(self.settings.ready_delay)
+        self._closed = True
+        server.close()
+        until = time.monotonic() + self.settings.stop_seconds
+        while len(self.replies) and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        if len(self.replies):
+            log_message("entry:stopped_with_work", open=len(self.replies))
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send requests here."""
+        return self.directory is not None and not self.process.stopping.is_set()
+
+    def is_closed(self) -> bool:
+        """Tell whether new requests are refused, as the process stops."""
+        return self._closed
+
+    def open(self, work: Work, timeout: float, streamed: bool) -> asyncio.Queue[Part]:
+        """Bring a request in."""
+        now = time.monotonic()
+        self._started[work.request] = now
+        queue = self.replies.open(work.request)
+        self.process.metrics.incr("requests")
+        log_message("request:arrived", request=work.request, team=work.team)
+        self.steps.note(work.request, f"arrived from team {work.team}")
+        self.handle(events.Arrived(work, now + timeout, streamed))
+        return queue
+
+    def close(self, request: str, done: bool) -> None:
+        """Say that the caller has its answer, or is gone."""
+        self.replies.close(request)
+        seconds = time.monotonic() - self._started.pop(request, time.monotonic())
+        self.process.metrics.timing("answer", seconds * 1000)
+        log_message("request:closed", request=request, seconds=round(seconds, 4))
+        if not done:
+            self.steps.note(request, "the caller closed its connection")
+            self.handle(events.CallerGone(request))
+
+    def handle(self, event: events.Event) -> None:
+        """Give the core an event and carry out its commands."""
+        for command in handle_event(event, self.core, time.monotonic()):
+            self._execute(command)
+        self.waker.wake_at(self.core.next_wake())
+
+    @singledispatchmethod
+    def _execute(self, command: events.Command) -> None:
+        raise TypeError(f"no way to carry out {type(command)}")
+
+    @_execute.register
+    def _(self, command: events.Send) -> None:
+        self.process.hub.send(command.host, command.message)
+
+    @_execute.register
+    def _(self, command: events.Claim) -> None:
+        self.process.spawn(self._claim(command.work))
+
+    @_execute.register
+    def _(self, command: events.Release) -> None:
+        work = command.work
+        self.claims.release(work.team, work.key, work.request)
+
+    @_execute.register
+    def _(self, command: events.Settle) -> None:
+        work = command.work
+        outcome = command.status, command.headers, command.body
+        self.claims.finish(work.team, work.key, work.request, *outcome)
+
+    @_execute.register
+    def _(self, command: events.Deliver) -> None:
+        self.replies.put(command)
+
+    @_execute.register
+    def _(self, command: events.Finish) -> None:
+        self.steps.note(command.request, "answered whole")
+        self.process.metrics.incr("answered")
+        self.replies.put(command)
+
+    @_execute.register
+    def _(self, command: events.Refuse) -> None:
+        refusal = command.refusal
+        log_message(
+            "request:refused",
+            request=command.request,
+            code=refusal.code,
+            ran=refusal.ran,
+        )
+        self.steps.note(command.request, f"refused: {refusal.code}, ran {refusal.ran}")
+        self.process.metrics.incr(f"refused.{refusal.code}")
+        self.replies.put(command)
+
+    @_execute.register
+    def _(self, command: events.Note) -> None:
+        self.steps.note(command.request, command.text)
+
+    async def _claim(self, work: Work) -> None:
+        outcome = await self.claims.claim(
+            work.team, work.key, work.request, hash_call(work)
+        )
+        self.handle(_read_claim(outcome, work.request))
+
+    def _configure(self) -> None:
+        current = self.process.keeper.current
+        self.directory = Directory(current.configuration)
+        policy = current.configuration.policy
+        self.core.budget = RetryBudget(policy.retry_budget)
+        self.members.configure(current.configuration)
+        self.planning.configure(current.configuration)
+
+    def _link_up(self, hello: Hello) -> None:
+        self.process.note_peer(hello.host, hello.revision)
+        self.members.link_up(hello)
+        self.handle(events.LinkUp(hello))
+
+    def _link_down(self, host: str, reason: str) -> None:
+        self.process.keeper.forget_peer(host)
+        self.members.link_down(host)
+        self.handle(events.LinkDown(host))
+
+    def _receive(self, host: str, message: Message) -> None:
+        self.members.heard(host)
+        if self.process.handle_shared(host, message):
+            return
+        if isinstance(message, Leaving):
+            self.members.left(host, message.reason)
+            return
+        if isinstance(message, Load) and host in self.core.hosts:
+            known = self.core.hosts[host]
+            self.planning.report(known.upstream, known.place, message)
+        self.handle(events.Received(host, message))
+
+    def _is_busy(self, host: str) -> bool:
+        return self.core.is_busy(host)
+
+
+def hash_call(work: Work) -> str:
+    """Hash what a repeat of an idempotency key must have in common."""
+    digest = hashlib.sha256(f"{work.method}\0{work.upstream}\0{work.path}\0".encode())
+    digest.update(work.body)
+    return digest.hexdigest()
+
+
+def _read_claim(outcome: ClaimOutcome, request: str) -> events.Event:
+    """Say what the outcome of a claim means for its request."""
+    match outcome:
+        case Granted():
+            return events.Granted(request)
+        case Repeated(answer) if answer.body_kept:
+            return events.Repeated(
+                request, answer.status, tuple(map(tuple, answer.headers)), answer.body
+            )
+        case Repeated():
+            text = "the call ran before; its answer was too large to be kept"
+            refusal = Refusal(409, const.CODE_UNCLEAR, text, Ran.UNKNOWN)
+        case UnknownOutcome():
+            text = "a call with this key was begun before; its outcome is not known"
+            refusal = Refusal(409, const.CODE_UNCLEAR, text, Ran.UNKNOWN)
+        case KeyReused():
+            text = "the idempotency key was used with another request"
+            refusal = Refusal(422, const.CODE_KEY_REUSED, text)
+        case StoreAway():
+            text = "the call can't be made safe while the store is away"
+            refusal = Refusal(
+                503, const.CODE_STORE_AWAY, text, Ran.NO, const.STORE_RETRY_AFTER
+            )
+    return events.Denied(request, refusal)
--- /dev/null
+++ b/radishtally/entry/hosts.py
@@ -0,0 +1,45 @@
+"""Follow the upstreams' hosts as one entry sees them."""
+
+from dataclasses import dataclass, field
+
+from radishtally.limits.breaker import Breaker
+from radishtally.links.messages import Load
+from radishtally.routing.core import Candidate
+
+
+@dataclass(slots=True)
+class KnownHost:
+    """Hold what the entry knows of one host."""
+
+    host: str
+    place: str
+    upstream: str
+    live: bool = False
+    """Whether the membership has it as live."""
+    incarnation: str = ""
+    load: Load | None = None
+    load_at: float = 0.0
+    in_flight: int = 0
+    reported_in_flight: int = 0
+    breaker: Breaker = field(default_factory=Breaker)
+
+    def note_load(self, load: Load, now: float) -> None:
+        """Take a load report."""
+        self.load = load
+        self.load_at = now
+        self.reported_in_flight = self.in_flight
+
+    def describe(self, now: float) -> Candidate:
+        """Describe the host to the routing."""
+        return Candidate(
+            self.host,
+            self.place,
+            self.load,
+            now - self.load_at if self.load else 0.0,
+            self.in_flight,
+            self.reported_in_flight,
+        )
+
+    def is_usable(self, now: float) -> bool:
+        """Tell whether new work may be offered here."""
+        return self.live and self.breaker.allows(now)
--- /dev/null
+++ b/radishtally/entry/members.py
@@ -0,0 +1,99 @@
+"""Keep the entry's links and its core in step with the membership."""
+
+import time
+
+from eliot import log_message
+
+from radishtally.configuration.config import Configuration
+from radishtally.entry.core import EntryCore
+from radishtally.links.hub import LinkHub
+from radishtally.links.messages import Hello
+from radishtally.membership import core as membership
+from radishtally.membership.core import LIVE, Membership, handle
+from radishtally.platform.core import ENTRY, ListedHost
+from radishtally.settings.config import Settings
+
+
+class Members:
+    """Drive the membership of one entry."""
+
+    def __init__(self, settings: Settings, hub: LinkHub, core: EntryCore) -> None:
+        self.membership = Membership()
+        self._settings = settings
+        self._hub = hub
+        self._core = core
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take the hosts that a configuration names."""
+        servers = tuple(
+            membership.Server(host, server.place, name)
+            for name, upstream in configuration.upstreams.items()
+            for host, server in upstream.servers.items()
+        )
+        self._take(membership.Configured(servers))
+        self._refresh_all()
+
+    def listed(self, hosts: list[ListedHost]) -> None:
+        """Take the platform's list."""
+        self._take(membership.Listed(tuple(hosts)))
+        self._refresh_all()
+
+    def link_up(self, hello: Hello) -> None:
+        """Take a new link."""
+        self._take(membership.LinkUp(hello.host, hello.incarnation))
+        self._refresh(hello.host)
+
+    def link_down(self, host: str) -> None:
+        """Take the loss of a link."""
+        self._take(membership.LinkDown(host))
+
+    def heard(self, host: str) -> None:
+        """Take a sign of life."""
+        self._take(membership.Heard(host))
+
+    def left(self, host: str, reason: str) -> None:
+        """Take a host's own word that it leaves."""
+        self._take(membership.Left(host, reason))
+
+    def tick(self) -> None:
+        """Let time pass."""
+        self._take(membership.Tick())
+
+    def _take(self, event: object) -> None:
+        for change in handle(event, self.membership, time.monotonic()):
+            if isinstance(change, membership.StateChanged):
+                log_message(
+                    "member:changed",
+                    member=change.host,
+                    before=change.before,
+                    after=change.after,
+                    cause=change.cause,
+                )
+            self._refresh(change.host)
+
+    def _refresh_all(self) -> None:
+        for host in list(self.membership.members):
+            self._refresh(host)
+
+    def _refresh(self, host: str) -> None:
+        """Bring the link and the core's view of one host up to date."""
+        member = self.membership.members.get(host)
+        if member is None:
+            self._hub.forget(host)
+            self._core.forget_host(host)
+            return
+        self._dial(host, member.upstream, member.address)
+        if member.upstream in ("", ENTRY):
+            return
+        configured = self.membership.configured or {}
+        live = member.state == LIVE and configured.get(host) == member.upstream
+        self._core.set_host(host, member.place, member.upstream, live)
+
+    def _dial(self, host: str, upstream: str, address: str) -> None:
+        address = self._settings.dial.get(host, address)
+        if not address or host == self._settings.host:
+            return
+        # Two entries need one link between them; the one whose name comes first dials.
+        if upstream == ENTRY and host < self._settings.host:
+            return
+        self._hub.dial(host, address)
--- /dev/null
+++ b/radishtally/entry/openai.py
@@ -0,0 +1,201 @@
+"""Read OpenAI-shaped requests and write OpenAI-shaped answers."""
+
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from radishtally.links.messages import CHAT, COMPLETION, Finished
+from radishtally.outcome import Error, Ok, Refusal, Result
+
+DEFAULT_MAX_TOKENS: Final = 256
+CODE_BAD_REQUEST: Final = "invalid_request"
+DONE_EVENT: Final = b"data: [DONE]\n\n"
+NOT_SERVED: Final = ("tools", "functions", "logprobs", "top_logprobs", "audio")
+"""Parameters whose answers are more than text, which can't be passed on whole."""
+
+ERROR_TYPES: Final = {
+    400: "invalid_request_error",
+    401: "authentication_error",
+    403: "permission_error",
+    404: "not_found_error",
+    413: "invalid_request_error",
+    422: "invalid_request_error",
+    429: "rate_limit_error",
+}
+
+
+class ChatMessage(msgspec.Struct):
+    """Hold one message; parts other than text are left to the engine."""
+
+    role: str
+    content: str | list[dict[str, Any]] | None = None
+
+
+class StreamOptions(msgspec.Struct):
+    """Hold what the caller wants of a stream."""
+
+    include_usage: bool = False
+
+
+class GenerationBody(msgspec.Struct):
+    """Hold the fields of a request that the system itself looks at."""
+
+    model: str
+    messages: list[ChatMessage] | None = None
+    prompt: str | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    n: int | None = None
+
+
+class Generation(NamedTuple):
+    """Describe a checked request for generated text."""
+
+    kind: str
+    model: str
+    text: str
+    """Prompt as plain text, for estimates and the prefix."""
+    max_tokens: int | None
+    streamed: bool
+    usage_wanted: bool
+
+
+class Answer(NamedTuple):
+    """Name what the parts of one answer have in common."""
+
+    request: str
+    kind: str
+    model: str
+    created: int
+
+
+_DECODER: Final = msgspec.json.Decoder(GenerationBody)
+
+
+def parse_generation(body: bytes, kind: str) -> Result[Generation, Refusal]:
+    """Check the body of a chat or completion request."""
+    try:
+        read = _DECODER.decode(body)
+        loose = msgspec.json.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Error(Refusal(400, CODE_BAD_REQUEST, f"body: {error}"))
+    fault = _find_fault(read, loose, kind)
+    if fault:
+        return Error(Refusal(400, CODE_BAD_REQUEST, fault))
+    text = _join_messages(read.messages) if kind == CHAT else read.prompt
+    wanted = read.max_completion_tokens or read.max_tokens
+    usage = read.stream_options is not None and read.stream_options.include_usage
+    return Ok(Generation(kind, read.model, text, wanted, read.stream, usage))
+
+
+def _find_fault(read: GenerationBody, loose: dict[str, Any], kind: str) -> str:
+    if kind == CHAT and not read.messages:
+        return "messages: expected at least one message"
+    if kind == COMPLETION and not read.prompt:
+        return "prompt: expected a text that is not empty"
+    if read.n not in (None, 1):
+        return "n: expected 1, more answers at once are not served"
+    wanted = read.max_completion_tokens or read.max_tokens
+    if wanted is not None and wanted < 1:
+        return "max_tokens: expected at least 1"
+    unserved = [name for name in NOT_SERVED if loose.get(name)]
+    return f"{unserved[0]}: not served" if unserved else ""
+
+
+def _join_messages(messages: list[ChatMessage]) -> str:
+    return "\n".join(_read_text(message) for message in messages)
+
+
+def _read_text(message: ChatMessage) -> str:
+    if isinstance(message.content, str):
+        return message.content
+    parts = message.content or []
+    return "\n".join(str(part.get("text", "")) for part in parts)
+
+
+def format_whole(answer: Answer, body: bytes, end: Finished) -> bytes:
+    """Write a whole answer."""
+    text = body.decode()
+    choice: dict[str, Any] = {"index": 0, "finish_reason": end.finish_reason}
+    if answer.kind == CHAT:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    whole = _format_frame(answer, streamed=False)
+    whole["choices"] = [choice]
+    whole["usage"] = _format_usage(end)
+    return msgspec.json.encode(whole)
+
+
+def format_part(answer: Answer, text: str, first: bool) -> bytes:
+    """Write one event of a streamed answer."""
+    frame = _format_frame(answer, streamed=True)
+    frame["choices"] = [_format_choice(answer, text, None, first)]
+    return format_event(frame)
+
+
+def format_end(answer: Answer, end: Finished, usage_wanted: bool) -> bytes:
+    """Write the events that end a whole streamed answer."""
+    frame = _format_frame(answer, streamed=True)
+    frame["choices"] = [_format_choice(answer, "", end.finish_reason, False)]
+    events = format_event(frame)
+    if usage_wanted:
+        counts = _format_frame(answer, streamed=True)
+        counts["choices"] = []
+        counts["usage"] = _format_usage(end)
+        events += format_event(counts)
+    return events + DONE_EVENT
+
+
+def format_refusal(refusal: Refusal) -> dict[str, Any]:
+    """Write a refusal as OpenAI's clients read it."""
+    return {
+        "error": {
+            "message": refusal.message,
+            "type": ERROR_TYPES.get(refusal.status, "server_error"),
+            "param": None,
+            "code": refusal.code,
+            "ran": refusal.ran,
+            "retry_after": refusal.retry_after,
+        }
+    }
+
+
+def format_event(value: dict[str, Any]) -> bytes:
+    """Write one server-sent event."""
+    return b"data: " + msgspec.json.encode(value) + b"\n\n"
+
+
+def _format_frame(answer: Answer, streamed: bool) -> dict[str, Any]:
+    name = "text_completion"
+    if answer.kind == CHAT:
+        name = "chat.completion.chunk" if streamed else "chat.completion"
+    return {
+        "id": answer.request,
+        "object": name,
+        "created": answer.created,
+        "model": answer.model,
+    }
+
+
+def _format_choice(
+    answer: Answer, text: str, reason: str | None, first: bool
+) -> dict[str, Any]:
+    choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
+    if answer.kind != CHAT:
+        choice["text"] = text
+        return choice
+    choice["delta"] = {"content": text} if text else {}
+    if first:
+        choice["delta"]["role"] = "assistant"
+    return choice
+
+
+def _format_usage(end: Finished) -> dict[str, int]:
+    return {
+        "prompt_tokens": end.prompt_tokens,
+        "completion_tokens": end.output_tokens,
+        "total_tokens": end.prompt_tokens + end.output_tokens,
+    }
--- /dev/null
+++ b/radishtally/entry/operators.py
@@ -0,0 +1,313 @@
+"""Serve operators over HTTP."""
+
+import asyncio
+import hmac
+import time
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+from sanic import Request, Sanic
+from sanic.response import HTTPResponse
+
+from radishtally.configuration.head import Raced
+from radishtally.configuration.store import ApplyError
+from radishtally.entry.http import respond_json
+from radishtally.links.messages import Hint
+from radishtally.outcome import Fault
+from radishtally.platform.core import Conflict, Invalid, Unavailable, Unclear
+
+if TYPE_CHECKING:
+    from radishtally.entry.daemon import EntryDaemon
+
+BOOTSTRAP: Final = "bootstrap"
+"""Operator who holds the peer key; valid until a configuration is in force."""
+MAX_WAIT_SECONDS: Final = 60.0
+POLL_SECONDS: Final = 0.02
+
+
+class ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold a change of the configuration folder."""
+
+    base: int
+    files: dict[str, str | None]
+    cause: str
+
+
+class DrainBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold a drain or its end."""
+
+    drained: bool
+    cause: str
+
+
+def add_operator_routes(app: Sanic, entry: "EntryDaemon") -> None:
+    """Add what operators may ask for."""
+    app.ctx.entry = entry
+    base = "/operators/v1"
+    app.add_route(_status, f"{base}/status")
+    app.add_route(_read_configuration, f"{base}/configuration")
+    app.add_route(_apply, f"{base}/configuration", methods=["POST"])
+    app.add_route(_confirm, f"{base}/configuration/confirmed")
+    app.add_route(_history, f"{base}/configuration/history")
+    app.add_route(_drain, f"{base}/hosts/<host:str>/drain", methods=["POST"])
+    app.add_route(_audit, f"{base}/audit")
+    app.add_route(_explain_request, f"{base}/explain/request/<request_id:str>")
+    app.add_route(_explain_host, f"{base}/explain/host/<host:str>")
+    app.add_route(_explain_place, f"{base}/explain/place/<place:str>")
+    app.register_middleware(_authorize, "request")
+
+
+async def _authorize(request: Request) -> HTTPResponse | None:
+    if not request.path.startswith("/operators/"):
+        return None
+    request.ctx.operator = _find_operator(request)
+    if request.ctx.operator is None:
+        return _respond_error(401, "the operator's key is not known")
+    return None
+
+
+def _find_operator(request: Request) -> str | None:
+    entry = request.app.ctx.entry
+    if entry.directory is not None:
+        return entry.directory.find_operator(request.headers)
+    key = request.headers.get("authorization", "").partition(" ")[2]
+    expected = entry.settings.peer_key
+    return BOOTSTRAP if hmac.compare_digest(key.encode(), expected.encode()) else None
+
+
+def _respond_error(status: int, message: str, **more: Any) -> HTTPResponse:
+    return respond_json({"error": {"message": message, **more}}, status)
+
+
+@singledispatch
+def _respond_fault(error: object) -> HTTPResponse:
+    return _respond_error(500, str(error))
+
+
+@_respond_fault.register
+def _(error: Fault) -> HTTPResponse:
+    return _respond_error(422, str(error), kind="refused")
+
+
+@_respond_fault.register
+def _(error: Raced) -> HTTPResponse:
+    return _respond_error(
+        409, str(error), kind="raced", file=error.name, by=error.author
+    )
+
+
+@_respond_fault.register
+def _(error: Unavailable) -> HTTPResponse:
+    text = f"the platform's store is away, nothing was changed: {error.message}"
+    return _respond_error(503, text, kind="unavailable")
+
+
+@_respond_fault.register
+def _(error: Unclear) -> HTTPResponse:
+    text = f"the change may have been made, look at the history: {error.message}"
+    return _respond_error(504, text, kind="unclear")
+
+
+@_respond_fault.register
+def _(error: Invalid) -> HTTPResponse:
+    return _respond_error(500, error.message, kind="invalid")
+
+
+@_respond_fault.register
+def _(error: Conflict) -> HTTPResponse:
+    return _respond_error(409, "somebody else changed it just now", kind="raced")
+
+
+async def _status(request: Request) -> HTTPResponse:
+    entry: EntryDaemon = request.app.ctx.entry
+    keeper = entry.process.keeper
+    now = time.monotonic()
+    members = entry.members.membership.members
+    return respond_json(
+        {
+            "entry": entry.settings.host,
+            "place": entry.settings.place,
+            "revision": keeper.revision,
+            "open_requests": len(entry.core.requests),
+            "planner": entry.planning.describe(),
+            "audit": {
+                "waiting": entry.process.audit.waiting,
+                "dropped": entry.process.audit.dropped,
+            },
+            "hosts": {
+                name: {
+                    "place": member.place,
+                    "upstream": member.upstream,
+                    "state": member.find_state(now),
+                    "revision": keeper.peers.get(name),
+                    **_describe_load(entry, name),
+                }
+                for name, member in sorted(members.items())
+            },
+        }
+    )
+
+
+def _describe_load(entry: "EntryDaemon", host: str) -> dict[str, Any]:
+    known = entry.core.hosts.get(host)
+    if known is None or known.load is None:
+        return {}
+    load = known.load
+    return {
+        "role": load.role,
+        "model": load.model,
+        "version": load.version,
+        "adapters": load.adapters,
+        "queued": load.queued,
+        "running": load.running,
+        "slots": load.slots,
+        "wait": round(load.wait, 3),
+        "draining": load.draining,
+        "in_flight_from_here": known.in_flight,
+        "load_age": round(time.monotonic() - known.load_at, 2),
+    }
+
+
+async def _read_configuration(request: Request) -> HTTPResponse:
+    current = request.app.ctx.entry.process.keeper.current
+    if current is None:
+        return respond_json({"revision": 0, "files": {}})
+    return respond_json({"revision": current.revision, "files": current.files})
+
+
+async def _apply(request: Request) -> HTTPResponse:
+    entry: EntryDaemon = request.app.ctx.entry
+    try:
+        change = msgspec.json.decode(request.body, type=ChangeBody)
+    except msgspec.MsgspecError as error:
+        return _respond_error(400, f"body: {error}")
+    if not change.cause.strip():
+        return _respond_error(400, "cause: expected a reason for the change")
+    operator = request.ctx.operator
+    head = await entry.configurations.apply(
+        change.files, change.base, operator, change.cause
+    )
+    if head.is_error():
+        error: ApplyError = head.error
+        return _respond_fault(error)
+    await entry.watcher.read_head()
+    return respond_json({"revision": head.ok.revision, "changed": head.ok.changed})
+
+
+async def _confirm(request: Request) -> HTTPResponse:
+    """Wait until a revision is in force everywhere and say who is behind."""
+    entry: EntryDaemon = request.app.ctx.entry
+    try:
+        revision = int(request.args.get("revision", "0"))
+        seconds = min(float(request.args.get("seconds", "6")), MAX_WAIT_SECONDS)
+    except ValueError:
+        return _respond_error(400, "revision, seconds: expected numbers")
+    started = time.monotonic()
+    behind = _find_behind(entry, revision)
+    while behind and time.monotonic() - started < seconds:
+        await asyncio.sleep(POLL_SECONDS)
+        behind = _find_behind(entry, revision)
+    taken = round(time.monotonic() - started, 3)
+    return respond_json({"revision": revision, "behind": behind, "seconds": taken})
+
+
+def _find_behind(entry: "EntryDaemon", revision: int) -> list[str]:
+    """Name the hosts that have not confirmed, those out of reach among them."""
+    keeper = entry.process.keeper
+    behind = set(keeper.find_behind(revision))
+    behind |= set(entry.members.membership.members) - set(keeper.peers)
+    behind.discard(entry.settings.host)
+    if keeper.revision < revision:
+        behind.add(entry.settings.host)
+    return sorted(behind)
+
+
+async def _history(request: Request) -> HTTPResponse:
+    entry: EntryDaemon = request.app.ctx.entry
+    heads = await entry.configurations.read_history(_read_limit(request))
+    if heads.is_error():
+        return _respond_fault(heads.error)
+    return respond_json(
+        [
+            {
+                "revision": head.revision,
+                "author": head.author,
+                "cause": head.cause,
+                "at_ms": head.at_ms,
+                "changed": head.changed,
+            }
+            for head in heads.ok
+        ]
+    )
+
+
+async def _drain(request: Request, host: str) -> HTTPResponse:
+    entry: EntryDaemon = request.app.ctx.entry
+    try:
+        body = msgspec.json.decode(request.body, type=DrainBody)
+    except msgspec.MsgspecError as error:
+        return _respond_error(400, f"body: {error}")
+    if host not in entry.members.membership.members:
+        return _respond_error(404, f"host {host!r} is not known")
+    drain = await entry.plans.write_drain(
+        host, body.drained, request.ctx.operator, body.cause
+    )
+    if drain.is_error():
+        return _respond_fault(drain.error)
+    # The row is what counts; the hint only saves the agent's wait for its next look.
+    entry.process.hub.send(host, Hint("drain", host))
+    return respond_json({"host": host, "drained": body.drained})
+
+
+async def _audit(request: Request) -> HTTPResponse:
+    entry: EntryDaemon = request.app.ctx.entry
+    subject = request.args.get("subject")
+    entries = await entry.process.audit.read(_read_limit(request), subject)
+    if entries.is_error():
+        return _respond_fault(entries.error)
+    return respond_json([one._asdict() for one in entries.ok])
+
+
+def _read_limit(request: Request) -> int:
+    text = request.args.get("limit", "20")
+    return max(1, min(int(text), 1000)) if text.isdigit() else 20
+
+
+async def _explain_request(request: Request, request_id: str) -> HTTPResponse:
+    steps = request.app.ctx.entry.steps.read(request_id)
+    if not steps:
+        text = f"request {request_id!r} is not remembered at this entry"
+        return _respond_error(404, text)
+    return respond_json(
+        {"request": request_id, "steps": [step._asdict() for step in steps]}
+    )
+
+
+async def _explain_host(request: Request, host: str) -> HTTPResponse:
+    entry: EntryDaemon = request.app.ctx.entry
+    member = entry.members.membership.members.get(host)
+    if member is None:
+        return _respond_error(404, f"host {host!r} is not known")
+    now = time.monotonic()
+    known = entry.core.hosts.get(host)
+    return respond_json(
+        {
+            "host": host,
+            "state": member.find_state(now),
+            "usable": known is not None and known.is_usable(now),
+            "left_out_after_failures": known is not None
+            and not known.breaker.allows(now),
+            "whose_fault": entry.members.membership.judge(host, now),
+            "plan": entry.planning.describe_host(host),
+            **_describe_load(entry, host),
+        }
+    )
+
+
+async def _explain_place(request: Request, place: str) -> HTTPResponse:
+    entry: EntryDaemon = request.app.ctx.entry
+    current = entry.process.keeper.current
+    if current is None or place not in current.configuration.places:
+        return _respond_error(404, f"place {place!r} is not known")
+    return respond_json(await entry.planning.describe_place(place))
--- /dev/null
+++ b/radishtally/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what is taken in, retried and tried."""
--- /dev/null
+++ b/radishtally/links/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between the system's own processes."""
--- /dev/null
+++ b/radishtally/links/auth.py
@@ -0,0 +1,30 @@
+"""Prove to a peer that a process belongs to the system."""
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+
+from radishtally.links.const import ATTR_HOST, ATTR_INCARNATION, ATTR_TOKEN
+
+
+def make_token(peer_key: str, host: str, incarnation: str) -> str:
+    """Sign the sender's name with the key that all processes share."""
+    name = f"{host}|{incarnation}".encode()
+    return hmac.new(peer_key.encode(), name, hashlib.sha256).hexdigest()
+
+
+def make_metadata(peer_key: str, host: str, incarnation: str) -> dict[str, str]:
+    """Give the metadata that opens a link."""
+    return {
+        ATTR_HOST: host,
+        ATTR_INCARNATION: incarnation,
+        ATTR_TOKEN: make_token(peer_key, host, incarnation),
+    }
+
+
+def is_member(peer_key: str, metadata: Mapping[str, object]) -> bool:
+    """Tell whether the sender knows the shared key."""
+    host = str(metadata.get(ATTR_HOST, ""))
+    incarnation = str(metadata.get(ATTR_INCARNATION, ""))
+    token = str(metadata.get(ATTR_TOKEN, ""))
+    return hmac.compare_digest(token, make_token(peer_key, host, incarnation))
--- /dev/null
+++ b/radishtally/links/link.py
@@ -0,0 +1,164 @@
+"""Exchange messages with one peer over one stream."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from radishtally.links.codec import decode_frame, encode_frame
+from radishtally.links.const import (
+    IDLE_PING_SECONDS,
+    IDLE_SILENCE_SECONDS,
+    MAX_OUTBOX_BYTES,
+    PING_SECONDS,
+    SILENCE_SECONDS,
+)
+from radishtally.links.messages import Chunk, Hello, Message, Offer, Ping, Pong
+
+
+class Stream(Protocol):
+    """Be what grpclib's client and server streams have in common."""
+
+    async def send_message(self, message: Any) -> None:
+        """Send a frame."""
+
+    async def recv_message(self) -> Any:
+        """Receive a frame, or nothing at the stream's end."""
+
+
+class Link:
+    """Hold one stream to a peer, from the exchange of hellos to its end."""
+
+    def __init__(
+        self,
+        stream: Stream,
+        hello: Hello,
+        receive: Callable[["Link", Message], None],
+        is_busy: Callable[[str], bool],
+    ) -> None:
+        self.peer: Hello | None = None
+        self.reason = ""
+        self._stream = stream
+        self._hello = hello
+        self._receive = receive
+        self._is_busy = is_busy
+        self._outbox: list[Message] = []
+        self._outbox_bytes = 0
+        self._sending = False
+        self._wake = asyncio.Event()
+        self._heard = time.monotonic()
+        self._pinged = self._heard
+        self._sequence = 0
+        self._revision = hello.revision
+
+    async def run(self) -> None:
+        """Exchange messages until the link ends; `reason` tells why."""
+        self._outbox.insert(0, self._hello)
+        self._wake.set()
+        tasks = [
+            asyncio.create_task(coroutine)
+            for coroutine in (self._send_all(), self._receive_all(), self._watch())
+        ]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            self.reason = self.reason or _describe_end(done)
+        finally:
+            for task in tasks:
+                task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(*tasks, return_exceptions=True)
+
+    def send(self, message: Message) -> None:
+        """Queue a message; what is queued together goes in one frame."""
+        self._outbox.append(message)
+        self._outbox_bytes += _measure(message)
+        self._wake.set()
+
+    def announce(self, revision: int) -> None:
+        """Tell the peer at once which configuration revision is in force here."""
+        self._revision = revision
+        self.ping()
+
+    def ping(self) -> None:
+        """Ask the peer for a sign of life."""
+        self._sequence += 1
+        self._pinged = time.monotonic()
+        self.send(Ping(self._sequence, self._revision))
+
+    def is_flushed(self) -> bool:
+        """Tell whether everything queued has been handed to the kernel."""
+        return not self._outbox and not self._sending
+
+    def close(self, reason: str) -> None:
+        """End the link."""
+        self.reason = reason
+        self._heard = float("-inf")
+        self._wake.set()
+
+    async def _send_all(self) -> None:
+        while self._heard != float("-inf"):
+            await self._wake.wait()
+            self._wake.clear()
+            # A peer that takes nothing must not take the whole memory with it. The
+            # answers are kept by their agents, so a new link can go on from there.
+            if self._outbox_bytes > MAX_OUTBOX_BYTES:
+                self.reason = "the peer reads too slowly"
+                return
+            if not self._outbox:
+                continue
+            messages, self._outbox, self._outbox_bytes = self._outbox, [], 0
+            self._sending = True
+            await self._stream.send_message(encode_frame(messages))
+            self._sending = False
+
+    async def _receive_all(self) -> None:
+        while (frame := await self._stream.recv_message()) is not None:
+            self._heard = max(self._heard, time.monotonic())
+            outcome = decode_frame(frame)
+            if outcome.is_error():
+                self.reason = str(outcome.error)
+                return
+            for message in outcome.ok:
+                self._take(message)
+
+    def _take(self, message: Message) -> None:
+        if isinstance(message, Hello) and self.peer is None:
+            self.peer = message
+        if self.peer is None:
+            self.close("the peer did not say hello")
+            return
+        if isinstance(message, Ping):
+            self.send(Pong(message.sequence, self._revision))
+        self._receive(self, message)
+
+    async def _watch(self) -> None:
+        # A connection that something between the ends has lost track of gives no
+        # error, only silence: without heartbeats its answers would wait until their
+        # deadlines. A link that is given up here is dialled anew at once.
+        while True:
+            busy = self.peer is not None and self._is_busy(self.peer.host)
+            every = PING_SECONDS if busy else IDLE_PING_SECONDS
+            limit = SILENCE_SECONDS if busy else IDLE_SILENCE_SECONDS
+            now = time.monotonic()
+            if now - self._heard > limit and self._pinged > self._heard:
+                self.reason = self.reason or "silent"
+                return
+            if now - self._pinged >= every:
+                self.ping()
+            await asyncio.sleep(PING_SECONDS / 2)
+
+
+def _measure(message: Message) -> int:
+    if isinstance(message, Chunk):
+        return len(message.data) + 64
+    if isinstance(message, Offer):
+        return len(message.work.body) + len(message.done) + 256
+    return 128
+
+
+def _describe_end(done: set[asyncio.Task]) -> str:
+    for task in done:
+        if task.exception() is not None:
+            return repr(task.exception())
+    return "closed by the peer"
--- /dev/null
+++ b/radishtally/membership/__init__.py
@@ -0,0 +1,1 @@
+"""What a process knows about the hosts."""
--- /dev/null
+++ b/radishtally/planner/__init__.py
@@ -0,0 +1,1 @@
+"""Planning of the engines' roles."""
--- /dev/null
+++ b/radishtally/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform: its table service, object store and host list."""
--- /dev/null
+++ b/radishtally/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the host that a request is offered to."""
--- /dev/null
+++ b/radishtally/routing/core.py
@@ -0,0 +1,266 @@
+"""Choice of the host that work is offered to."""
+
+from collections.abc import Callable, Collection, Iterable, Sequence
+from typing import Final, NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from radishtally.links.messages import DECODE, MIXED, PREFILL, WHOLE, Load
+
+FIRST_FEW: Final = 3
+"""Hosts at the top of the ranking that keep a prefix's KV cache."""
+PREFIX_CHARACTERS: Final = 1_024
+STALE_SECONDS: Final = 10.0
+"""Age from which a reported wait says nothing any more."""
+BALANCE: Final = 1.25
+"""Load over the mean that a host of the first few may have."""
+SPARE_REQUESTS: Final = 2.0
+"""Requests over the mean that are no imbalance, however small the mean."""
+TRIP_SECONDS: Final = 0.003
+"""Round trip between places of a region, about."""
+SPLIT_TOKENS: Final = 1_024
+"""Prompt from which its prefill is worth a host of its own."""
+HANDOVER_SECONDS: Final = 0.1
+"""Cost of moving a KV cache between hosts, about."""
+UNKNOWN_SLOTS: Final = 16
+
+PREFERRED_ROLES: Final[dict[str, tuple[str, ...]]] = {
+    WHOLE: (MIXED, DECODE, PREFILL),
+    PREFILL: (PREFILL, MIXED, DECODE),
+    DECODE: (DECODE, MIXED, PREFILL),
+}
+
+
+class Candidate(NamedTuple):
+    """Describe a host as the entry knows it."""
+
+    host: str
+    place: str
+    load: Load | None
+    """Last load heard of."""
+    load_age: float
+    """Seconds."""
+    in_flight: int
+    """Own requests offered there and not ended."""
+    reported_in_flight: int
+    """Own requests in flight when the load was reported."""
+
+
+class Wanted(NamedTuple):
+    """Describe the work to be offered."""
+
+    stage: str
+    """WHOLE, PREFILL or DECODE."""
+    prefix: int
+    model: str
+    adapter: str
+    prompt_tokens: int
+    max_tokens: int
+    slack: float
+    """Seconds to the deadline."""
+    place: str
+    """Place of the entry."""
+
+
+class Prospect(NamedTuple):
+    """Predict how a request would fare at a candidate."""
+
+    wait: float
+    """Seconds to the start."""
+    finish: float
+    """Seconds to the last token."""
+    occupancy: float
+    """Requests there for each slot."""
+
+
+def hash_prefix(text: str) -> int:
+    """Hash the beginning of a prompt."""
+    return xxh3_64_intdigest(text[:PREFIX_CHARACTERS].encode(errors="surrogatepass"))
+
+
+def rank(hosts: Iterable[str], key: int) -> list[str]:
+    """Rank hosts for a key by rendezvous hashing, best first."""
+    seed = key & 0xFFFF_FFFF_FFFF_FFFF
+    return sorted(
+        hosts, key=lambda host: (xxh3_64_intdigest(host.encode(), seed), host)
+    )
+
+
+def choose(
+    wanted: Wanted, candidates: Iterable[Candidate], tried: Collection[str]
+) -> str | None:
+    """Choose the host to offer the work to next; none if all were tried."""
+    able = [item for item in candidates if may_take(item, wanted)]
+    left = [item for item in able if item.host not in tried]
+    for role in PREFERRED_ROLES[wanted.stage]:
+        host = find_fitting(
+            wanted, [item for item in able if may_be(item, role)], tried
+        )
+        if host is not None:
+            return host
+    # No prediction fits the slack. The agents have the last word, and a prediction may
+    # be out of date, so the work is offered where it would wait least.
+    best = min(
+        left, key=lambda item: (predict(item, wanted).wait, item.host), default=None
+    )
+    return best.host if best is not None else None
+
+
+def find_fitting(
+    wanted: Wanted, candidates: Sequence[Candidate], tried: Collection[str]
+) -> str | None:
+    """Find a host that fits the slack: the first few by rank, then by least wait."""
+    left = {item.host: item for item in candidates if item.host not in tried}
+    prospects = {host: predict(item, wanted) for host, item in left.items()}
+    fitting = {
+        host: prospect.wait
+        for host, prospect in prospects.items()
+        if prospect.finish <= wanted.slack
+    }
+    if not fitting:
+        return None
+    # A hot prefix would pile up on its first host: hosts well over the mean load are
+    # passed over, so that it spills to the next few of its own ranking.
+    bound = find_bound(candidates)
+    for host in rank((item.host for item in candidates), hash_key(wanted))[:FIRST_FEW]:
+        if host in fitting and count_requests(left[host]) <= bound:
+            return host
+    return min(fitting, key=lambda host: (fitting[host], host))
+
+
+def choose_round_robin(
+    wanted: Wanted, candidates: Iterable[Candidate], tried: Collection[str]
+) -> str | None:
+    """Choose the host with the fewest own requests, whatever its load."""
+    left = find_left(wanted, candidates, tried)
+    key = hash_key(wanted)
+    hosts = rank((item.host for item in left), key ^ wanted.prefix)
+    counts = {item.host: item.in_flight for item in left}
+    return min(hosts, key=counts.__getitem__, default=None)
+
+
+def choose_least_reported(
+    wanted: Wanted, candidates: Iterable[Candidate], tried: Collection[str]
+) -> str | None:
+    """Choose the host that last reported the least wait."""
+    left = find_left(wanted, candidates, tried)
+    waits = {item.host: item.load.wait if item.load else 0.0 for item in left}
+    return min(sorted(waits), key=waits.__getitem__, default=None)
+
+
+Choice = Callable[[Wanted, Iterable[Candidate], Collection[str]], str | None]
+
+POLICIES: Final[dict[str, Choice]] = {
+    "rendezvous": choose,
+    "round_robin": choose_round_robin,
+    "least_reported": choose_least_reported,
+}
+
+
+def needs_split(candidates: Iterable[Candidate], wanted: Wanted) -> bool:
+    """Tell whether prefill and decode should go to hosts of their own."""
+    if wanted.prompt_tokens < SPLIT_TOKENS or wanted.max_tokens < 2:
+        return False
+    usable = [item for item in candidates if may_take(item, wanted)]
+    prefill = find_least_wait(usable, wanted, PREFILL)
+    decode = find_least_wait(usable, wanted, DECODE)
+    mixed = find_least_wait(usable, wanted, MIXED)
+    if prefill is None and decode is None:
+        return False
+    prefill = prefill or mixed
+    decode = decode or mixed
+    if prefill is None or decode is None:
+        return False
+    if mixed is None:
+        return True
+    return max(prefill.finish, decode.wait) + HANDOVER_SECONDS < mixed.finish
+
+
+def find_least_wait(
+    candidates: Sequence[Candidate], wanted: Wanted, role: str
+) -> Prospect | None:
+    """Find the best prospect of a prompt's prefill among the hosts of a role."""
+    prompt = wanted._replace(max_tokens=1)
+    prospects = [
+        predict(item, prompt)
+        for item in candidates
+        if item.load is not None and item.load.role == role
+    ]
+    return min(prospects, key=lambda prospect: prospect.wait, default=None)
+
+
+def find_left(
+    wanted: Wanted, candidates: Iterable[Candidate], tried: Collection[str]
+) -> list[Candidate]:
+    """Find the untried candidates of the most fitting role that is left."""
+    usable = [item for item in candidates if may_take(item, wanted)]
+    left = [item for item in usable if item.host not in tried]
+    for role in PREFERRED_ROLES[wanted.stage]:
+        fitting = [item for item in left if may_be(item, role)]
+        if fitting:
+            return fitting
+    return left
+
+
+def may_be(candidate: Candidate, role: str) -> bool:
+    """Tell whether the host has the role, or may have it for all that is known."""
+    return candidate.load is None or candidate.load.role == role
+
+
+def may_take(candidate: Candidate, wanted: Wanted) -> bool:
+    """Tell whether the host may take the work, for all that is known."""
+    load = candidate.load
+    if load is None:
+        return True
+    if load.draining:
+        return False
+    if wanted.adapter:
+        return wanted.adapter in load.adapters
+    return not wanted.model or not load.model or load.model == wanted.model
+
+
+def hash_key(wanted: Wanted) -> int:
+    """Hash what the KV cache of the work depends on."""
+    text = f"{wanted.model}\0{wanted.adapter}\0{wanted.prefix}"
+    return xxh3_64_intdigest(text.encode(errors="surrogatepass"))
+
+
+def find_bound(candidates: Sequence[Candidate]) -> float:
+    """Find the number of requests up to which a host counts as balanced."""
+    mean = sum(map(count_requests, candidates)) / len(candidates)
+    return max(BALANCE * mean, mean + SPARE_REQUESTS)
+
+
+def count_requests(candidate: Candidate) -> int:
+    """Count the requests at a host: those reported, and own ones sent since."""
+    load = candidate.load
+    if load is None or candidate.load_age > STALE_SECONDS:
+        return candidate.in_flight
+    return max(candidate.in_flight, load.queued + load.running + count_new(candidate))
+
+
+def count_new(candidate: Candidate) -> int:
+    """Count own requests that the load can't know of, less those that ended since."""
+    return candidate.in_flight - candidate.reported_in_flight
+
+
+def predict(candidate: Candidate, wanted: Wanted) -> Prospect:
+    """Predict how the work would fare at a host."""
+    load = candidate.load
+    trip = 0.0 if candidate.place == wanted.place else TRIP_SECONDS
+    requests = count_requests(candidate)
+    if load is None:
+        occupancy = requests / UNKNOWN_SLOTS
+        return Prospect(trip + occupancy, trip + occupancy, occupancy)
+    prefill = wanted.prompt_tokens / load.prefill_rate if load.prefill_rate > 0 else 0.0
+    decode = wanted.max_tokens * load.decode_seconds
+    fresh = candidate.load_age <= STALE_SECONDS
+    # Reports lag: a host that was idle a second ago has got what was sent since. Own
+    # requests are known at once and are added to what it reported.
+    wait = load.wait if fresh else 0.0
+    wait += max(0, count_new(candidate)) * prefill
+    slots = max(1, load.slots)
+    over = max(0, requests + 1 - slots)
+    queued = load.queued if fresh else 0
+    wait += max(0, over - queued) * (prefill + decode) / slots
+    return Prospect(trip + wait, trip + wait + prefill + decode, requests / slots)
--- /dev/null
+++ b/radishtally/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read a daemon's settings."""
--- /dev/null
+++ b/radishtally/settings/core.py
@@ -0,0 +1,70 @@
+"""Read and check a daemon's settings file."""
+
+import ipaddress
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Final
+
+from radishtally.configuration.schema import convert, format_path, parse_text
+from radishtally.outcome import Error, Fault, Ok, Result
+from radishtally.settings.config import Settings
+
+MAX_PORT: Final = 65_535
+
+
+def read_settings(path: str | Path) -> Result[Settings, Fault]:
+    """Read the settings from a file in JSON with comments."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except UnicodeDecodeError:
+        return Error(Fault("expected UTF-8 text", str(path)))
+    except OSError as error:
+        return Error(Fault(error.strerror or str(error), str(path)))
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, file: str) -> Result[Settings, Fault]:
+    """Check the settings of one process."""
+    parsed = parse_text(text)
+    if parsed.is_error():
+        return Error(Fault(parsed.error, file))
+    converted = convert(parsed.ok, Settings)
+    if converted.is_error():
+        path, message = converted.error
+        place = f"{file}: {format_path(path)}" if path else file
+        return Error(Fault(message, place))
+    return _check_role(converted.ok, file)
+
+
+def _check_role(settings: Settings, file: str) -> Result[Settings, Fault]:
+    if settings.role == "agent" and settings.upstream is None:
+        return Error(Fault("expected an upstream for an agent", f"{file}: upstream"))
+    if settings.role == "entry" and settings.http_address is None:
+        message = "expected an address for callers of an entry"
+        return Error(Fault(message, f"{file}: http_address"))
+    for path, address in _list_addresses(settings):
+        if not _is_address(address):
+            message = f"expected an IP number and a port, got {address}"
+            return Error(Fault(message, f"{file}: {path}"))
+    return Ok(settings)
+
+
+def _list_addresses(settings: Settings) -> Iterator[tuple[str, str]]:
+    yield "address", settings.address
+    if settings.http_address is not None:
+        yield "http_address", settings.http_address
+    if settings.statsd is not None:
+        yield "statsd", settings.statsd
+    for index, address in enumerate(settings.seeds):
+        yield f"seeds.{index}", address
+    for host, address in settings.dial.items():
+        yield f"dial.{host}", address
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and int(port) <= MAX_PORT
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small in-memory stand-ins for the platform, for tests."""
--- /dev/null
+++ b/standins/common.py
@@ -0,0 +1,161 @@
+"""Start-up, JSON helpers and fault modes that the stand-ins share."""
+
+import argparse
+import asyncio
+import ipaddress
+import signal
+from typing import Any, Final, NotRequired, TypedDict, TypeVar
+
+import msgspec
+import uvloop
+from aiohttp import web
+from aiohttp.typedefs import Handler
+
+BODY_LIMIT: Final = 256 * 1024 * 1024
+SHUTDOWN_SECONDS: Final = 0.5
+T = TypeVar("T")
+STORE_MODES: Final = frozenset({"up", "down", "slow", "lose_reply"})
+SERVICE_MODES: Final = frozenset({"up", "error", "slow", "lose_reply"})
+
+
+class Fault(TypedDict):
+    """Describe the fault that a stand-in shows."""
+
+    mode: str
+    seconds: NotRequired[float]
+    count: NotRequired[int]
+
+
+class FaultGate:
+    """Put a fault mode before the handlers of an application."""
+
+    def __init__(self, modes: frozenset[str]) -> None:
+        self._modes = modes
+        self._fault: Fault = {"mode": "up"}
+
+    def install(self, app: web.Application) -> None:
+        """Add the fault route and the middleware."""
+        app.router.add_post("/_fault", self._set)
+        app.middlewares.append(self._apply)
+
+    async def _set(self, request: web.Request) -> web.Response:
+        fault = await read_json(request, Fault)
+        if fault["mode"] not in self._modes:
+            raise bad_request(f"mode is one of {sorted(self._modes)}")
+        self._fault = fault
+        return reply_json({})
+
+    @web.middleware
+    async def _apply(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        if request.path.startswith("/_"):
+            return await handler(request)
+        fault = self._take()
+        if fault["mode"] == "down":
+            return _close(request)
+        if fault["mode"] == "error":
+            return reply_json({"error": "fault"}, status=500)
+        if fault["mode"] == "slow":
+            await asyncio.sleep(fault.get("seconds", 1.0))
+        response = await handler(request)
+        return _close(request) if fault["mode"] == "lose_reply" else response
+
+    def _take(self) -> Fault:
+        fault = self._fault
+        if "count" not in fault:
+            return fault
+        left = fault["count"] - 1
+        self._fault = {**fault, "count": left} if left > 0 else {"mode": "up"}
+        return fault
+
+
+def _close(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def bad_request(message: str) -> web.HTTPBadRequest:
+    """Build the answer to a body that breaks the contract."""
+    body = msgspec.json.encode({"error": {"code": "bad_request", "message": message}})
+    return web.HTTPBadRequest(body=body, content_type="application/json")
+
+
+async def read_json(request: web.Request, kind: type[T]) -> T:
+    """Decode the body as the given type, or answer 400."""
+    try:
+        return msgspec.json.decode(await request.read(), type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise bad_request(str(error)) from error
+
+
+def reply_json(data: Any, status: int = 200) -> web.Response:
+    """Encode the data as a JSON answer."""
+    body = msgspec.json.encode(data)
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
+def build_parser(description: str) -> argparse.ArgumentParser:
+    """Build a parser with the arguments that every stand-in takes."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--address", default="127.0.0.1", type=_parse_loopback)
+    parser.add_argument("--port", default=0, type=int)
+    return parser
+
+
+def _parse_loopback(text: str) -> str:
+    if not ipaddress.ip_address(text).is_loopback:
+        raise argparse.ArgumentTypeError("stand-ins answer on loopback only")
+    return text
+
+
+def parse_bool(text: str) -> bool:
+    """Parse `true` or `false`."""
+    if text not in ("true", "false"):
+        raise argparse.ArgumentTypeError("true or false")
+    return text == "true"
+
+
+def build_app() -> web.Application:
+    """Build an application that takes large bodies."""
+    return web.Application(client_max_size=BODY_LIMIT)
+
+
+def serve(
+    app: web.Application, address: str, port: int, *, cancel_on_disconnect: bool = False
+) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    uvloop.run(_serve(app, address, port, cancel_on_disconnect))
+
+
+async def _serve(
+    app: web.Application, address: str, port: int, cancel_on_disconnect: bool
+) -> None:
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=cancel_on_disconnect,
+        shutdown_timeout=SHUTDOWN_SECONDS,
+    )
+    await runner.setup()
+    await web.TCPSite(runner, address, port, backlog=1024).start()
+    host, bound_port = runner.addresses[0][:2]
+    print_ready(f"{host}:{bound_port}")
+    await wait_for_stop()
+    await runner.cleanup()
+
+
+def print_ready(address: str, **more: str) -> None:
+    """Print the line that says where the stand-in listens."""
+    line = msgspec.json.encode({"ready": True, "address": address, **more})
+    print(line.decode(), flush=True)
+
+
+async def wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
--- /dev/null
+++ b/tests/audit/test_audit.py
@@ -0,0 +1,116 @@
+"""Test the audit trail."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from radishtally.audit import store
+from radishtally.audit.core import make_audit_put, read_entry
+from radishtally.audit.store import AuditLog
+from radishtally.platform.core import Row
+from tests.common import MemoryTable, run
+
+POLL_SECONDS = 0.005
+
+
+@pytest.fixture
+def table() -> MemoryTable:
+    return MemoryTable()
+
+
+@pytest.fixture
+def log(table: MemoryTable) -> AuditLog:
+    times = iter(range(1000, 100_000))
+    return AuditLog(table, lambda: next(times))
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(POLL_SECONDS)
+
+
+def record(log: AuditLog, subject: str) -> None:
+    log.record("ana", "drain", subject, "disk", {"drained": False}, {"drained": True})
+
+
+async def read_subjects(log: AuditLog, limit: int, **more) -> list[str]:
+    return [entry.subject for entry in (await log.read(limit, **more)).ok]
+
+
+def test_entry_is_read_back_as_recorded() -> None:
+    put = make_audit_put(7, "ana", "drain", "h1", "disk", {"a": 1}, {"a": 2}, "n1")
+    assert put.key.sk == "0000000000007-ana-n1"
+    assert put.expect is None
+    entry = read_entry(Row(put.key, 1, "w", put.value))
+    assert entry._asdict() == put.value
+
+
+def test_entries_are_read_in_order_and_by_subject(
+    log: AuditLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store, "PAGE_ROWS", 2)
+
+    async def play() -> None:
+        for subject in ("h1", "h2", "h1", "h3", "h1"):
+            record(log, subject)
+        assert await log.write_group()
+        assert await read_subjects(log, 2) == ["h1", "h3"]
+        assert await read_subjects(log, 3, newest_first=False) == ["h1", "h2", "h1"]
+        assert await read_subjects(log, 9, subject="h1") == ["h1"] * 3
+        oldest = await read_subjects(log, 2, subject="h1", newest_first=False)
+        assert oldest == ["h1"] * 2
+
+    run(play())
+
+
+@pytest.mark.parametrize("fault", ["lose_replies", "drop_writes"])
+def test_unclear_write_adds_each_entry_once(
+    table: MemoryTable, log: AuditLog, fault: str
+) -> None:
+    async def play() -> None:
+        setattr(table, fault, 1)
+        record(log, "h1")
+        assert not await log.write_group()
+        assert await log.write_group()
+        assert await read_subjects(log, 9) == ["h1"]
+
+    run(play())
+
+
+def test_entries_wait_for_the_store_and_the_surplus_is_counted(
+    table: MemoryTable, log: AuditLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The store is away for long. The oldest entries wait in memory up to the bound,
+    # later ones are dropped and counted, and what waited is written afterwards.
+    monkeypatch.setattr(store, "BUFFERED_ENTRIES", 2)
+    monkeypatch.setattr(store, "RETRY_SECONDS", POLL_SECONDS)
+
+    async def play() -> None:
+        table.down = True
+        log.start()
+        for subject in ("h1", "h2", "h3"):
+            record(log, subject)
+        await asyncio.sleep(0)
+        assert (log.waiting, log.dropped) == (2, 1)
+        table.down = False
+        await wait_for(lambda: log.waiting == 0)
+        assert await read_subjects(log, 9, newest_first=False) == ["h1", "h2"]
+        await log.stop()
+
+    run(play())
+
+
+@pytest.mark.parametrize(("down", "dropped"), [(False, 0), (True, 1)])
+def test_stop_writes_what_is_left(
+    table: MemoryTable, log: AuditLog, down: bool, dropped: int
+) -> None:
+    async def play() -> None:
+        table.down = down
+        log.start()
+        record(log, "h1")
+        await log.stop()
+        assert log.dropped == dropped
+        assert len(table.rows.rows) == 1 - dropped
+
+    run(play())
--- /dev/null
+++ b/tests/authority/test_orders.py
@@ -0,0 +1,483 @@
+"""Test the orders that an agent gives to its engine."""
+
+from typing import NamedTuple
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from radishtally.authority.orders import (
+    BUSY,
+    MODEL,
+    NOT_SENT,
+    REJECTED,
+    ROLE,
+    STALE,
+    TAKEN,
+    UNCLEAR,
+    Command,
+    Drained,
+    EndDrain,
+    Engine,
+    EngineRead,
+    EngineUnreachable,
+    Event,
+    HintReceived,
+    OrderAnswered,
+    OrderCore,
+    OrderTerms,
+    PlanRead,
+    PlanUnreadable,
+    ReadEngine,
+    ReadPlan,
+    Record,
+    SendOrder,
+    StartDrain,
+    Tick,
+    WakeAt,
+)
+from radishtally.authority.plan import Plan, Wanted
+
+HOST = "h1"
+PLACE = "salt-lake"
+TERMS = OrderTerms()
+CHANGE_SECONDS = 3.0
+MIXED = Wanted("mixed", "gown", "1")
+WANTS = (
+    MIXED,
+    Wanted("decode", "gown", "1"),
+    Wanted("prefill", "gown", "2"),
+    Wanted("decode", "gown", "1", ("silk",)),
+)
+
+
+class Wire(NamedTuple):
+    """Hold an order that is on its way to the engine."""
+
+    order: SendOrder
+    sent_at: float
+
+
+class FakeEngine:
+    """Take orders as the interface says."""
+
+    def __init__(self, checks_fencing: bool) -> None:
+        self.checks_fencing = checks_fencing
+        self.state = Engine("mixed", "gown", "1", (), False, "e-0", 0)
+        self.ends_at = 0.0
+        self.next: Engine | None = None
+        self.known: set[str] = set()
+        self.accepted: list[SendOrder] = []
+        self.up = True
+
+    def settle(self, now: float) -> None:
+        if self.next is not None and now >= self.ends_at:
+            self.state = self.next._replace(fencing=self.state.fencing)
+            self.next = None
+
+    def read(self, now: float) -> Engine:
+        self.settle(now)
+        return self.state._replace(changing=self.next is not None)
+
+    def take(self, order: SendOrder, now: float) -> OrderAnswered:
+        self.settle(now)
+        if order.order_id in self.known:
+            return OrderAnswered(order.order_id, TAKEN)
+        if self.next is not None:
+            return OrderAnswered(order.order_id, BUSY)
+        if self.checks_fencing and order.fencing < self.state.fencing:
+            return OrderAnswered(order.order_id, STALE, self.state.fencing)
+        self.state = self.state._replace(fencing=max(order.fencing, self.state.fencing))
+        self.accepted.append(order)
+        self.known.add(order.order_id)
+        self.next = self._change(order)
+        self.ends_at = now + CHANGE_SECONDS
+        return OrderAnswered(order.order_id, TAKEN)
+
+    def _change(self, order: SendOrder) -> Engine:
+        if order.kind == MODEL:
+            model, version = order.wanted.model, order.wanted.version
+            return self.state._replace(model=model, version=version, adapters=())
+        if order.kind == ROLE:
+            return self.state._replace(role=order.wanted.role)
+        adapters = (*self.state.adapters, order.adapter)
+        return self.state._replace(adapters=adapters)
+
+    def crash(self) -> None:
+        """Come back as started at first, with no memory of orders."""
+        number = int(self.state.incarnation[2:]) + 1
+        self.state = Engine("mixed", "gown", "1", (), False, f"e-{number}", 0)
+        self.next = None
+        self.known = set()
+
+
+class World:
+    """Run one agent's core, its engine and the plan row."""
+
+    def __init__(self, checks_fencing: bool = False) -> None:
+        self.now = 0.0
+        self.engine = FakeEngine(checks_fencing)
+        self.core = OrderCore(HOST, TERMS)
+        self.plan: Plan | None = None
+        self.store_up = True
+        self.plan_read_at = float("-inf")
+        self.wires: list[Wire] = []
+        self.in_flight: SendOrder | None = None
+        self.asked: dict[type, float] = {}
+        self.replies: list[Event] = []
+        self.drain = ""
+        self.log: list[Command] = []
+
+    def write_plan(self, wanted: Wanted, fencing: int = 1) -> None:
+        number = 1 if self.plan is None else self.plan.number + 1
+        self.plan = Plan(PLACE, number, fencing, "mix", {HOST: wanted})
+
+    def handle(self, event: Event) -> None:
+        for command in self.core.handle(event, self.now):
+            self.execute(command)
+
+    def execute(self, command: Command) -> None:
+        self.log.append(command)
+        if isinstance(command, ReadPlan | ReadEngine):
+            assert type(command) not in self.asked, "asked twice"
+            self.asked[type(command)] = self.now
+        if isinstance(command, StartDrain):
+            assert self.drain == ""
+            self.drain = "draining"
+        if isinstance(command, EndDrain):
+            assert self.drain != ""
+            self.drain = ""
+        if isinstance(command, SendOrder):
+            assert self.in_flight is None, "two orders in flight"
+            assert self.drain == "drained", "an order would cut requests short"
+            age = self.now - self.plan_read_at
+            assert age < TERMS.fresh, "an order without the plan row just read"
+            self.in_flight = command
+
+    def send(self) -> None:
+        """Put the order on its way, unless the agent was paused for too long."""
+        order = self.in_flight
+        if self.now >= order.send_before:
+            self.answer(OrderAnswered(order.order_id, NOT_SENT))
+            return
+        self.wires.append(Wire(order, self.now))
+
+    def answer(self, event: OrderAnswered) -> None:
+        self.in_flight = None
+        self.handle(event)
+
+    def arrive(self, wire: Wire) -> None:
+        self.wires.remove(wire)
+        newest = max(
+            (o.order_id.split("-")[1] for o in self.engine.accepted), default="0"
+        )
+        count = len(self.engine.accepted)
+        answer = self.engine.take(wire.order, self.now)
+        if len(self.engine.accepted) > count:
+            number = int(wire.order.order_id.split("-")[1])
+            assert number >= int(newest), "an older plan's order undid a newer one"
+        if self.in_flight is not None and self.in_flight.order_id == answer.order_id:
+            self.answer(answer)
+
+    def read_plan(self) -> None:
+        asked_at = self.asked.pop(ReadPlan)
+        if not self.store_up:
+            self.handle(PlanUnreadable())
+            return
+        self.plan_read_at = asked_at
+        self.handle(PlanRead(self.plan, asked_at))
+
+    def read_engine(self) -> None:
+        asked_at = self.asked.pop(ReadEngine)
+        if not self.engine.up:
+            self.handle(EngineUnreachable())
+            return
+        # An engine that answers has read what was sent to it long enough before.
+        for wire in [w for w in self.wires if w.sent_at <= self.now - TERMS.settle]:
+            self.arrive(wire)
+        self.handle(EngineRead(self.engine.read(self.now), asked_at))
+
+    def finish_drain(self) -> None:
+        self.drain = "drained"
+        self.handle(Drained())
+
+    def step(self) -> None:
+        """Do all that can be done at this time."""
+        self.handle(Tick())
+        for _ in range(20):
+            if self.drain == "draining":
+                self.finish_drain()
+            elif ReadEngine in self.asked:
+                self.read_engine()
+            elif ReadPlan in self.asked:
+                self.read_plan()
+            elif self.in_flight is not None and not self.wires:
+                self.send()
+            elif self.wires:
+                self.arrive(self.wires[0])
+            else:
+                return
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.2
+            self.step()
+
+    def restart_agent(self) -> None:
+        """Lose the agent; the host's port lets a new one start only after it."""
+        self.core = OrderCore(HOST, TERMS)
+        self.in_flight = None
+        self.asked = {}
+        self.drain = ""
+
+    def count_orders(self) -> int:
+        return sum(isinstance(command, SendOrder) for command in self.log)
+
+
+@settings(max_examples=300, stateful_step_count=50)
+class OrderMachine(RuleBasedStateMachine):
+    """Lose orders and replies, crash engines half-way, replace agents, change plans.
+
+    What must not be seen: an order of an older plan that takes effect after one of a
+    newer plan, two orders at once, an order to an engine with work, or an engine that
+    never becomes what the plan wants although all faults are over.
+    """
+
+    @initialize(checks=st.booleans())
+    def begin(self, checks: bool) -> None:
+        self.world = World(checks)
+
+    @rule(seconds=st.sampled_from([0.2, 1.0, 2.5, 4.0]))
+    def advance(self, seconds: float) -> None:
+        self.world.now += seconds
+        self.world.handle(Tick())
+
+    @rule(seconds=st.sampled_from([1.0, 4.0, 8.0]))
+    def run_undisturbed(self, seconds: float) -> None:
+        self.world.run(seconds)
+
+    @rule(wanted=st.sampled_from(WANTS), takeover=st.booleans(), hint=st.booleans())
+    def write_plan(self, wanted: Wanted, takeover: bool, hint: bool) -> None:
+        plan = self.world.plan
+        fencing = 1 if plan is None else plan.fencing + takeover
+        self.world.write_plan(wanted, fencing)
+        if hint:
+            self.world.handle(HintReceived())
+
+    @rule()
+    def read_plan(self) -> None:
+        if ReadPlan in self.world.asked:
+            self.world.read_plan()
+
+    @rule()
+    def read_engine(self) -> None:
+        if ReadEngine in self.world.asked:
+            self.world.read_engine()
+
+    @precondition(lambda self: self.world.drain == "draining")
+    @rule()
+    def finish_drain(self) -> None:
+        self.world.finish_drain()
+
+    @precondition(lambda self: self.world.in_flight and not self.world.wires)
+    @rule(unclear=st.booleans())
+    def send(self, unclear: bool) -> None:
+        order = self.world.in_flight
+        self.world.send()
+        if unclear and self.world.in_flight is order:
+            self.world.answer(OrderAnswered(order.order_id, UNCLEAR))
+
+    @precondition(lambda self: self.world.wires)
+    @rule()
+    def arrive(self) -> None:
+        self.world.arrive(self.world.wires[0])
+
+    @precondition(lambda self: self.world.wires)
+    @rule()
+    def lose_order(self) -> None:
+        wire = self.world.wires.pop(0)
+        if self.world.in_flight == wire.order:
+            self.world.answer(OrderAnswered(wire.order.order_id, UNCLEAR))
+
+    @rule()
+    def crash_engine(self) -> None:
+        self.world.engine.crash()
+
+    @rule()
+    def restart_agent(self) -> None:
+        self.world.restart_agent()
+
+    @rule()
+    def switch_store(self) -> None:
+        self.world.store_up = not self.world.store_up
+
+    def teardown(self) -> None:
+        if not hasattr(self, "world") or self.world.plan is None:
+            return
+        world = self.world
+        world.store_up = True
+        world.run(150.0)
+        state, wanted = world.engine.read(world.now), world.plan.wanted[HOST]
+        assert state.role == wanted.role
+        assert (state.model, state.version) == (wanted.model, wanted.version)
+        assert set(wanted.adapters) <= set(state.adapters)
+        assert world.drain == ""
+
+
+TestOrderMachine = OrderMachine.TestCase
+
+
+@pytest.fixture
+def world() -> World:
+    return World()
+
+
+def run_to_order(world: World, wanted: Wanted = WANTS[1]) -> SendOrder:
+    """Run until an order leaves the core, and hold it there."""
+    world.write_plan(wanted)
+    for _ in range(100):
+        world.now += 0.2
+        world.handle(Tick())
+        if ReadEngine in world.asked:
+            world.read_engine()
+        if ReadPlan in world.asked:
+            world.read_plan()
+        if world.drain == "draining":
+            world.finish_drain()
+        if world.in_flight is not None:
+            return world.in_flight
+    raise AssertionError("no order")
+
+
+def test_engine_that_is_as_wanted_gets_no_order(world: World) -> None:
+    world.write_plan(MIXED)
+    world.run(40.0)
+    assert world.count_orders() == 0
+    assert not any(isinstance(command, StartDrain) for command in world.log)
+
+
+def test_order_follows_drain_and_is_recorded(world: World) -> None:
+    world.write_plan(WANTS[1])
+    world.run(20.0)
+    kinds = [type(c) for c in world.log if not isinstance(c, ReadPlan | ReadEngine)]
+    kinds = [kind for kind in kinds if kind is not WakeAt]
+    assert kinds == [StartDrain, SendOrder, Record, EndDrain]
+
+
+def test_first_order_waits_for_orders_of_a_dead_predecessor(world: World) -> None:
+    # An agent dies right after it sent an order by plan 1. Its successor reads plan 2.
+    # Were it to order at once, the old order could arrive after its own and undo it.
+    old = run_to_order(world)
+    world.send()
+    world.restart_agent()
+    begin = world.now
+    new = run_to_order(world, WANTS[2])
+    assert world.now - begin >= TERMS.settle
+    assert [order.order_id for order in world.engine.accepted] == [old.order_id]
+    assert new.order_id != old.order_id
+
+
+def test_plan_that_is_older_than_one_seen_gives_no_order(world: World) -> None:
+    world.write_plan(MIXED, fencing=5)
+    world.run(5.0)
+    world.plan = Plan(PLACE, 1, 4, "late", {HOST: WANTS[1]})
+    world.handle(HintReceived())
+    world.run(60.0)
+    assert world.count_orders() == 0
+
+
+def test_engine_that_saw_a_higher_fencing_number_gets_no_order(world: World) -> None:
+    world.write_plan(WANTS[1], fencing=3)
+    world.engine.state = world.engine.state._replace(fencing=4)
+    world.run(60.0)
+    assert world.count_orders() == 0
+    world.write_plan(WANTS[1], fencing=4)
+    world.run(60.0)
+    assert world.engine.read(world.now).role == "decode"
+
+
+def test_store_away_ends_a_drain_for_an_order(world: World) -> None:
+    # The engine is being emptied when the store goes away. The order can't be given
+    # then, and an engine held empty serves nobody: it takes work again.
+    world.write_plan(WANTS[1])
+    while world.drain != "draining":
+        world.now += 0.2
+        world.handle(Tick())
+        if ReadEngine in world.asked:
+            world.read_engine()
+        if ReadPlan in world.asked:
+            world.read_plan()
+    world.store_up = False
+    world.run(10.0)
+    assert world.drain == ""
+    assert world.count_orders() == 0
+    world.store_up = True
+    world.run(20.0)
+    assert world.engine.read(world.now).role == "decode"
+
+
+def test_order_that_left_too_late_is_not_sent(world: World) -> None:
+    # The agent is paused between its decision and the sending; the plan it read is
+    # old when it wakes. It reads again and orders by the plan in force.
+    order = run_to_order(world)
+    world.now += 60.0
+    world.write_plan(MIXED)
+    world.send()
+    world.run(20.0)
+    assert order not in world.engine.accepted
+    assert world.engine.accepted == []
+    assert world.drain == ""
+
+
+def test_engine_that_crashed_half_way_is_ordered_again(world: World) -> None:
+    world.write_plan(WANTS[1])
+    while not world.engine.accepted:
+        world.run(0.2)
+    world.engine.crash()
+    world.run(30.0)
+    assert world.engine.read(world.now).role == "decode"
+    assert len({order.order_id for order in world.engine.accepted}) == 2
+
+
+def test_repeat_of_an_unclear_order_has_the_same_name(world: World) -> None:
+    first = run_to_order(world)
+    world.answer(OrderAnswered(first.order_id, UNCLEAR))
+    while world.in_flight is None:
+        world.now += 0.2
+        world.handle(Tick())
+        if ReadEngine in world.asked:
+            world.read_engine()
+        if ReadPlan in world.asked:
+            world.read_plan()
+    assert world.in_flight.order_id == first.order_id
+
+
+@pytest.mark.parametrize("failures", [1, 3])
+def test_rejected_order_returns_the_engine_and_backs_off(
+    world: World, failures: int
+) -> None:
+    for _ in range(failures):
+        order = run_to_order(world)
+        world.plan = world.plan._replace(number=1)
+        world.answer(OrderAnswered(order.order_id, REJECTED))
+        assert world.drain == ""
+    failed = [c for c in world.log if isinstance(c, Record)]
+    assert [c.what for c in failed] == ["engine:order-failed"] * failures
+
+
+@pytest.mark.parametrize(
+    ("wanted", "kinds"),
+    [
+        (WANTS[1], [ROLE]),
+        (WANTS[2], [MODEL, ROLE]),
+        (WANTS[3], [ROLE, "adapter"]),
+    ],
+)
+def test_steps_go_one_after_the_other(
+    world: World, wanted: Wanted, kinds: list[str]
+) -> None:
+    world.write_plan(wanted)
+    world.run(40.0)
+    assert [order.kind for order in world.engine.accepted] == kinds
--- /dev/null
+++ b/tests/common.py
@@ -0,0 +1,184 @@
+"""Helpers that the tests share."""
+
+import json
+import os
+import select
+import subprocess
+import sys
+import urllib.request
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any, Final, NamedTuple, TypeVar
+
+import uvloop
+
+from radishtally.outcome import Error, Ok, Result
+from radishtally.platform.core import (
+    ABSENT,
+    Conflict,
+    Delete,
+    Key,
+    Put,
+    ReadError,
+    Row,
+    TableError,
+    Unavailable,
+    Unclear,
+    Write,
+)
+from radishtally.platform.table import compute_revision
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+START_SECONDS: Final = 60.0
+
+T = TypeVar("T")
+
+
+class StandIn(NamedTuple):
+    """Hold a stand-in that runs as a child process."""
+
+    address: str
+    url: str
+    process: subprocess.Popen[str]
+
+    def post(self, path: str, data: dict[str, Any]) -> Any:
+        """Send a JSON body and read the JSON answer."""
+        body = json.dumps(data).encode()
+        request = urllib.request.Request(self.url + path, body, method="POST")
+        with urllib.request.urlopen(request, timeout=START_SECONDS) as reply:
+            return json.load(reply)
+
+    def get(self, path: str) -> Any:
+        """Read a JSON answer."""
+        with urllib.request.urlopen(self.url + path, timeout=START_SECONDS) as reply:
+            return json.load(reply)
+
+    def set_fault(self, mode: str, **more: Any) -> None:
+        """Show a fault from now on."""
+        self.post("/_fault", {"mode": mode, **more})
+
+
+StartStandIn = Callable[..., StandIn]
+
+
+def run(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine on a loop of its own."""
+    return uvloop.run(coroutine)
+
+
+@contextmanager
+def standin(name: str, *args: str) -> Iterator[StandIn]:
+    """Run a stand-in and end it at the exit."""
+    command = [sys.executable, "-m", f"standins.{name}", *args]
+    environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+    with subprocess.Popen(
+        command, cwd=ROOT, env=environment, stdout=subprocess.PIPE, text=True
+    ) as process:
+        try:
+            address = _read_address(process, name)
+            yield StandIn(address, f"http://{address}", process)
+        finally:
+            process.kill()
+
+
+@contextmanager
+def starter() -> Iterator[StartStandIn]:
+    """Give a function that starts stand-ins, which all end at the exit."""
+    with ExitStack() as stack:
+        yield lambda name, *args: stack.enter_context(standin(name, *args))
+
+
+def _read_address(process: subprocess.Popen[str], name: str) -> str:
+    ready, _, _ = select.select([process.stdout], [], [], START_SECONDS)
+    line = process.stdout.readline() if ready else ""
+    assert line, f"stand-in {name} did not start"
+    return json.loads(line)["address"]
+
+
+class Rows:
+    """Hold rows as the table service does, without I/O or faults."""
+
+    def __init__(self) -> None:
+        self.rows: dict[Key, Row] = {}
+
+    def read(self, key: Key) -> Row | None:
+        """Read one row."""
+        return self.rows.get(key)
+
+    def apply(self, writes: list[Write], write_id: str) -> Result[None, Conflict]:
+        """Carry out all writes or none."""
+        keys = [write.key for write in writes]
+        assert len(set(keys)) == len(keys), "an item may stand only once"
+        failed = [i for i, write in enumerate(writes) if not self._meets(write)]
+        if failed:
+            return Error(Conflict(tuple(failed)))
+        for write in writes:
+            if isinstance(write, Put):
+                value = json.loads(json.dumps(write.value))
+                rev = compute_revision(write, write_id)
+                self.rows[write.key] = Row(write.key, rev, write_id, value)
+            if isinstance(write, Delete):
+                del self.rows[write.key]
+        return Ok(None)
+
+    def _meets(self, write: Write) -> bool:
+        row = self.rows.get(write.key)
+        rev = ABSENT if row is None else row.rev
+        return write.expect is None or write.expect == rev
+
+
+class MemoryTable:
+    """Serve rows through the table's contract, with faults."""
+
+    def __init__(self) -> None:
+        self.rows = Rows()
+        self.down = False
+        self.lose_replies = 0
+        """So many writes to come take effect and are answered as unclear."""
+        self.drop_writes = 0
+        """So many writes to come have no effect and are answered as unclear."""
+        self.transactions = 0
+
+    async def get(self, key: Key) -> Result[Row | None, ReadError]:
+        """Read one row."""
+        return Error(Unavailable("down")) if self.down else Ok(self.rows.read(key))
+
+    async def query(
+        self,
+        pk: str,
+        *,
+        after: str = "",
+        prefix: str = "",
+        limit: int = 100,
+        newest_first: bool = False,
+    ) -> Result[list[Row], ReadError]:
+        """Read rows of one partition in the order of their sort keys."""
+        if self.down:
+            return Error(Unavailable("down"))
+        found = [
+            row
+            for key, row in sorted(self.rows.rows.items(), reverse=newest_first)
+            if key.pk == pk and key.sk.startswith(prefix)
+        ]
+        if after and newest_first:
+            found = [row for row in found if row.key.sk < after]
+        elif after:
+            found = [row for row in found if row.key.sk > after]
+        return Ok(found[:limit])
+
+    async def transact(
+        self, writes: list[Write], write_id: str
+    ) -> Result[None, TableError]:
+        """Carry out all writes or none."""
+        if self.down:
+            return Error(Unavailable("down"))
+        if self.drop_writes:
+            self.drop_writes -= 1
+            return Error(Unclear("dropped"))
+        self.transactions += 1
+        result = self.rows.apply(writes, write_id)
+        if self.lose_replies:
+            self.lose_replies -= 1
+            return Error(Unclear("reply lost"))
+        return result
--- /dev/null
+++ b/tests/membership/test_core.py
@@ -0,0 +1,257 @@
+"""Tests of the membership."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishtally.membership.core import (
+    GONE,
+    LEAVING,
+    LIVE,
+    SILENT_SECONDS,
+    UNREACHABLE,
+    Configured,
+    Heard,
+    Joined,
+    Left,
+    LinkDown,
+    LinkUp,
+    Listed,
+    Membership,
+    Moved,
+    PeerWord,
+    Server,
+    StateChanged,
+    Tick,
+    Verdict,
+    handle,
+)
+from radishtally.platform.core import ListedHost
+
+
+def make_listed(*hosts, state="live", address="127.0.0.1:9"):
+    return Listed(
+        tuple(ListedHost(host, "howrah", "gown-llm", address, state) for host in hosts)
+    )
+
+
+LIST = make_listed("a")
+UP = LinkUp("a", "one")
+SILENT = 1 + SILENT_SECONDS
+
+
+def play(*events, membership=None):
+    """Play (event, time) pairs and give the state of host a after each."""
+    membership = membership or Membership()
+    states = []
+    for event, now in events:
+        handle(event, membership, now)
+        member = membership.members.get("a")
+        states.append(member.state if member else GONE)
+    return states
+
+
+@pytest.mark.parametrize(
+    ("events", "states"),
+    [
+        pytest.param(
+            [(LIST, 0), (UP, 1), (LinkDown("a"), 2), (UP, 3)],
+            [UNREACHABLE, LIVE, UNREACHABLE, LIVE],
+            id="link",
+        ),
+        pytest.param(
+            [(LIST, 0), (UP, 1), (Tick(), SILENT), (Heard("a"), 20)],
+            [UNREACHABLE, LIVE, UNREACHABLE, LIVE],
+            id="silent link",
+        ),
+        pytest.param(
+            [(LIST, 0), (UP, 1), (UP, 2), (LinkDown("a"), 3)],
+            [UNREACHABLE, LIVE, LIVE, LIVE],
+            id="new link before the old one goes",
+        ),
+        pytest.param(
+            [(LIST, 0), (UP, 1), (Left("a", "stop"), 2), (LIST, 3), (UP, 4)],
+            [UNREACHABLE, LIVE, LEAVING, LEAVING, LEAVING],
+            id="leaving beats the lagging list",
+        ),
+        pytest.param(
+            [(LIST, 0), (UP, 1), (Left("a", "stop"), 2), (LinkUp("a", "two"), 3)],
+            [UNREACHABLE, LIVE, LEAVING, LIVE],
+            id="a successor takes the word back",
+        ),
+        pytest.param(
+            [
+                (LIST, 0),
+                (UP, 1),
+                (LinkUp("a", "two"), 2),
+                (Left("a", "stop", "one"), 2.1),
+            ],
+            [UNREACHABLE, LIVE, LIVE, LIVE],
+            id="late word of the predecessor",
+        ),
+        pytest.param(
+            [(LIST, 0), (UP, 1), (make_listed("a", state="leaving"), 2)],
+            [UNREACHABLE, LIVE, LEAVING],
+            id="listed as leaving",
+        ),
+        pytest.param(
+            [
+                (LIST, 0),
+                (UP, 1),
+                (make_listed("a", state="leaving"), 2),
+                (LinkUp("a", "two"), 3),
+                (Heard("a"), 17),
+                (Heard("a"), 18.1),
+            ],
+            [UNREACHABLE, LIVE, LEAVING, LIVE, LIVE, LEAVING],
+            id="a successor beats the list for as long as it can lag",
+        ),
+        pytest.param(
+            [(LIST, 0), (UP, 1), (make_listed("b"), 2), (Heard("a"), 90)],
+            [UNREACHABLE, LIVE, LIVE, LIVE],
+            id="unlisted with a live link",
+        ),
+        pytest.param(
+            [(LIST, 0), (UP, 1), (make_listed("b"), 2), (LinkDown("a"), 33)],
+            [UNREACHABLE, LIVE, LIVE, GONE],
+            id="unlisted for a while and the link goes",
+        ),
+        pytest.param(
+            [(LIST, 0), (make_listed("b"), 2), (Tick(), 31), (Tick(), 33)],
+            [UNREACHABLE, UNREACHABLE, UNREACHABLE, GONE],
+            id="unlisted without a link",
+        ),
+        pytest.param(
+            [
+                (LIST, 0),
+                (UP, 1),
+                (Left("a", "stop"), 2),
+                (LinkDown("a"), 3),
+                (make_listed("b"), 4),
+            ],
+            [UNREACHABLE, LIVE, LEAVING, LEAVING, GONE],
+            id="left and unlisted",
+        ),
+        pytest.param(
+            [(LIST, 0), (UP, 1), (Listed(()), 2), (Heard("a"), 90), (Tick(), 90)],
+            [UNREACHABLE, LIVE, LIVE, LIVE, LIVE],
+            id="empty list",
+        ),
+        pytest.param(
+            [(UP, 0), (LIST, 1), (LinkDown("a"), 50)],
+            [LIVE, LIVE, UNREACHABLE],
+            id="linked before listed",
+        ),
+        pytest.param(
+            [(LinkDown("a"), 0), (Heard("a"), 1), (Left("a", "stop"), 2)],
+            [GONE, GONE, GONE],
+            id="words about a stranger",
+        ),
+    ],
+)
+def test_states(events, states):
+    assert play(*events) == states
+
+
+def test_changes_are_returned_once():
+    membership = Membership()
+    assert handle(LIST, membership, 0.0) == [Joined("a")]
+    assert handle(LIST, membership, 1.0) == []
+    changed = StateChanged("a", UNREACHABLE, LIVE, "link up")
+    assert handle(UP, membership, 1.0) == [changed]
+    moved = make_listed("a", address="127.0.0.2:9")
+    assert handle(moved, membership, 2.0) == [Moved("a", "127.0.0.2:9")]
+
+
+def test_a_silent_host_is_not_usable_even_before_a_tick():
+    membership = Membership()
+    play((LIST, 0), (UP, 1), membership=membership)
+    assert membership.usable(2.0) == {"a"}
+    assert membership.usable(2.0, "gown-llm") == {"a"}
+    assert membership.usable(2.0, "booking-app") == set()
+    assert membership.usable(10.0) == set()
+
+
+def test_a_host_that_is_not_configured_gets_no_work():
+    membership = Membership()
+    play((LIST, 0), (UP, 1), membership=membership)
+    handle(Configured((Server("b", "howrah", "gown-llm"),)), membership, 1.0)
+    assert membership.usable(2.0) == set()
+    handle(Configured((Server("a", "howrah", "gown-llm"),)), membership, 1.0)
+    assert membership.usable(2.0) == {"a"}
+
+
+def test_configuration_describes_a_host_that_is_not_listed_yet():
+    membership = Membership()
+    play((UP, 0), membership=membership)
+    handle(Configured((Server("a", "howrah", "gown-llm"),)), membership, 1.0)
+    assert membership.usable(1.0, "gown-llm") == {"a"}
+    assert membership.members["a"].place == "howrah"
+
+
+@pytest.mark.parametrize(
+    ("words", "verdict"),
+    [
+        ([(), (), ("a",)], Verdict.OURS),
+        ([("a",), ("a",), ()], Verdict.THEIRS),
+        ([("a",), ()], Verdict.UNCLEAR),
+        ([], Verdict.UNCLEAR),
+    ],
+)
+def test_peers_tell_whose_fault_it_is(words, verdict):
+    membership = Membership()
+    play((LIST, 0), membership=membership)
+    for number, word in enumerate(words):
+        handle(PeerWord(f"entry-{number}", word), membership, 0.0)
+    assert membership.judge("a", 1.0) == verdict
+    assert membership.judge("a", 100.0) == Verdict.UNCLEAR
+    assert membership.list_unreachable(1.0) == ("a",)
+
+
+@given(st.lists(st.sampled_from(["e1", "e2", "e3", "e4"])))
+def test_no_peer_takes_a_host_out_of_use(peers):
+    """Some entries are cut off from a host that this one reaches.
+
+    Were their word taken, one entry's bad cable would take the host from all callers.
+    """
+    membership = Membership()
+    play((LIST, 0), (UP, 1), membership=membership)
+    for peer in peers:
+        handle(PeerWord(peer, ("a",)), membership, 1.0)
+    assert membership.usable(1.0) == {"a"}
+
+
+HOSTS = st.sampled_from("abc")
+EVENTS = st.one_of(
+    st.builds(LinkUp, HOSTS, st.sampled_from(["one", "two"])),
+    st.builds(LinkDown, HOSTS),
+    st.builds(Heard, HOSTS),
+    st.builds(Left, HOSTS, st.just("stop"), st.just("")),
+    st.builds(PeerWord, st.just("e"), st.tuples(HOSTS)),
+    st.builds(
+        lambda hosts, state: make_listed(*hosts, state=state),
+        st.sets(HOSTS),
+        st.sampled_from(["live", "leaving"]),
+    ),
+    st.just(Tick()),
+)
+
+
+@given(st.lists(st.tuples(EVENTS, st.floats(0, 20)), max_size=40))
+def test_a_host_that_said_it_leaves_is_not_used_until_a_successor_comes(steps):
+    membership = Membership()
+    now, left = 0.0, {}
+    for event, passed in steps:
+        now += passed
+        changes = handle(event, membership, now)
+        member = membership.members.get(event.host) if isinstance(event, Left) else None
+        if member is not None:
+            left[event.host] = member.incarnation
+        for change in changes:
+            if isinstance(change, StateChanged) and change.after == GONE:
+                left.pop(change.host, None)
+        if isinstance(event, LinkUp) and left.get(event.host) != event.incarnation:
+            left.pop(event.host, None)
+        usable = membership.usable(now)
+        assert not usable & set(left)
+        assert all(membership.members[host].links for host in usable)
--- /dev/null
+++ b/tests/planner/test_core.py
@@ -0,0 +1,214 @@
+"""Tests of the planner's core."""
+
+import pytest
+
+from radishtally.authority.plan import Plan, Wanted, follow_plan
+from radishtally.configuration.config import Policy
+from radishtally.links.messages import DECODE, MIXED, PREFILL
+from radishtally.planner.core import (
+    CHANGE_SECONDS,
+    Configured,
+    Gained,
+    HostGone,
+    LostLease,
+    Planner,
+    PlanNotWritten,
+    PlanWritten,
+    Reported,
+    Tick,
+    handle,
+)
+from radishtally.planner.demand import Asked, Counts
+from tests.planner.common import (
+    COST,
+    LONG_ANSWERS,
+    LONG_PROMPTS,
+    POOL,
+    add_counts,
+    make_load,
+)
+
+START = (PREFILL, PREFILL, DECODE, DECODE, DECODE, MIXED)
+SWITCH_SECONDS = 8
+
+
+class Fleet:
+    """Drive a planner with engines that carry out its plans after some seconds."""
+
+    def __init__(self, policy: Policy = COST) -> None:
+        self.planner = Planner()
+        self.now = 0.0
+        self.roles = {f"gown-{number}": role for number, role in enumerate(START)}
+        self.counts = dict.fromkeys(self.roles, Counts(0, 0, 0, 0))
+        self.orders: dict[str, tuple[float, str]] = {}
+        self.commands = []
+        self.changed_at: list[float] = []
+        self.obeys = True
+        handle(Configured(policy, dict(self.roles)), self.planner, 0.0)
+
+    def gain(self, plan: Plan | None = None) -> None:
+        handle(Gained(7, plan), self.planner, self.now)
+
+    def run(self, asked: Asked, seconds: int, write: bool = True) -> None:
+        for _ in range(seconds):
+            self.now += 1.0
+            self._carry_out()
+            self._report(asked)
+            for command in handle(Tick(), self.planner, self.now):
+                self.commands.append(command)
+                if write:
+                    self._write(command)
+
+    def _carry_out(self) -> None:
+        for host, (at, role) in list(self.orders.items()):
+            if self.now >= at:
+                self.roles[host] = role
+                del self.orders[host]
+
+    def _report(self, asked: Asked) -> None:
+        share = 1.0 / len(self.roles)
+        for host, role in self.roles.items():
+            self.counts[host] = add_counts(self.counts[host], asked, share)
+            load = make_load(host, role, draining=host in self.orders)
+            handle(Reported(POOL, load, self.counts[host]), self.planner, self.now)
+
+    def _write(self, command) -> None:
+        plan = follow_plan("howrah", command.previous, 7, command.cause, command.wanted)
+        handle(PlanWritten(plan), self.planner, self.now)
+        for host, wanted in command.wanted.items():
+            if wanted.role != self.roles[host] and host not in self.orders:
+                self.changed_at.append(self.now)
+                if self.obeys:
+                    self.orders[host] = (self.now + SWITCH_SECONDS, wanted.role)
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    fleet = Fleet()
+    fleet.gain()
+    return fleet
+
+
+def test_a_mix_that_lasts_is_followed(fleet):
+    fleet.run(LONG_PROMPTS, 600)
+    assert list(fleet.roles.values()).count(PREFILL) > 2
+    assert 1 <= len(fleet.changed_at) <= 4
+
+
+def test_a_mix_that_swings_each_minute_is_not_chased(fleet):
+    """The mix swings each minute, and a change takes 8 seconds and more.
+
+    A planner that believes each swing changes a role in nearly every one, loses an
+    engine for a good part of it and is always in the split of the minute before. It
+    should find the split that is best for both mixes, and then leave it.
+    """
+    for _ in range(15):
+        fleet.run(LONG_PROMPTS, 60)
+        fleet.run(LONG_ANSWERS, 60)
+    assert len(fleet.changed_at) <= 3
+    assert max(fleet.changed_at, default=0.0) < 300
+
+
+def test_changes_keep_the_dwell_and_come_one_by_one(fleet):
+    fleet.run(LONG_PROMPTS, 400)
+    fleet.run(LONG_ANSWERS, 400)
+    gaps = [b - a for a, b in zip(fleet.changed_at, fleet.changed_at[1:], strict=False)]
+    assert len(gaps) >= 1
+    assert min(gaps) >= COST.min_dwell_seconds + SWITCH_SECONDS - 1
+
+
+def test_without_the_lease_the_view_is_kept_warm_and_nothing_is_written():
+    """An entry without the lease hears the same reports as its holder.
+
+    The holder dies in a mix that has lasted; the next one decides at its first tick. A
+    cold start would have to see the mix for a minute before it knew that it lasts.
+    """
+    fleet = Fleet()
+    fleet.run(LONG_PROMPTS, 200)
+    assert fleet.commands == []
+    fleet.gain()
+    fleet.run(LONG_PROMPTS, 1)
+    assert len(fleet.commands) == 1
+
+
+def test_losing_the_lease_drops_what_was_not_written(fleet):
+    """The lease is lost while a plan's write is under way.
+
+    The next holder decides from the table; an intention kept here would come back as a
+    conflicting order when the lease is gained again.
+    """
+    fleet.run(LONG_PROMPTS, 200, write=False)
+    [command] = fleet.commands
+    plan = follow_plan("howrah", None, 7, command.cause, command.wanted)
+    handle(LostLease(), fleet.planner, fleet.now)
+    handle(PlanWritten(plan), fleet.planner, fleet.now)
+    assert fleet.planner.plan is None
+    fleet.run(LONG_PROMPTS, 100)
+    assert len(fleet.commands) == 1
+    fleet.gain(plan)
+    assert fleet.planner.plan == plan
+    assert fleet.planner.pending is None
+
+
+def test_a_late_word_of_an_old_write_does_not_end_a_new_one(fleet):
+    fleet.run(LONG_PROMPTS, 200, write=False)
+    old = Plan("howrah", 1, 6, "", {})
+    handle(PlanWritten(old), fleet.planner, fleet.now)
+    assert fleet.planner.pending is not None
+    assert fleet.planner.plan is None
+
+
+def test_one_write_at_a_time_and_again_after_it_failed(fleet):
+    fleet.run(LONG_PROMPTS, 200, write=False)
+    assert len(fleet.commands) == 1
+    handle(PlanNotWritten(), fleet.planner, fleet.now)
+    fleet.run(LONG_PROMPTS, 1, write=False)
+    assert len(fleet.commands) == 2
+
+
+def test_a_change_under_way_at_a_takeover_holds_back_others():
+    """The former holder died after writing a plan that no engine has carried out yet.
+
+    Two engines would be gone at once if the new holder planned on top of it.
+    """
+    fleet = Fleet()
+    fleet.run(LONG_PROMPTS, 200)
+    wanted = {"gown-2": Wanted(PREFILL, "gown", "1")}
+    fleet.gain(Plan("howrah", 3, 6, "", wanted))
+    fleet.run(LONG_PROMPTS, 20)
+    assert fleet.commands == []
+    fleet.roles["gown-2"] = PREFILL
+    fleet.run(LONG_PROMPTS, 20)
+    assert fleet.commands == []
+    fleet.run(LONG_PROMPTS, 60)
+    assert len(fleet.commands) >= 1
+    assert fleet.commands[0].wanted["gown-2"] == wanted["gown-2"]
+    assert fleet.commands[0].previous.number == 3
+
+
+def test_an_engine_that_crashed_in_its_change_does_not_block_the_pool(fleet):
+    fleet.obeys = False
+    while not fleet.commands:
+        fleet.run(LONG_PROMPTS, 1)
+    longest = int(COST.drain_seconds + CHANGE_SECONDS)
+    fleet.run(LONG_PROMPTS, longest - 1)
+    assert len(fleet.commands) == 1
+    fleet.run(LONG_PROMPTS, int(COST.min_dwell_seconds) + 2)
+    assert len(fleet.commands) == 2
+
+
+def test_engines_that_went_silent_do_not_count(fleet):
+    fleet.run(LONG_PROMPTS, 30)
+    state = fleet.planner.pools[POOL]
+    assert len(fleet.planner.view(state, fleet.now).engines) == 6
+    assert fleet.planner.view(state, fleet.now + 60).engines == ()
+    handle(HostGone("gown-0"), fleet.planner, fleet.now)
+    assert len(fleet.planner.view(state, fleet.now).engines) == 5
+
+
+def test_waiting_prefill_counts_as_asked(fleet):
+    fleet.run(Asked(1_000.0, 100.0, 1.0, 0.0), 30)
+    state = fleet.planner.pools[POOL]
+    before = state.read_asked(fleet.now).prefill_tokens
+    state.note_load(make_load("gown-0", PREFILL, prefill_backlog=10.0), fleet.now)
+    assert state.read_asked(fleet.now).prefill_tokens == pytest.approx(before + 9_500)
--- /dev/null
+++ b/tests/planner/test_policies.py
@@ -0,0 +1,152 @@
+"""Tests of the policies that decide on roles."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishtally.configuration.config import Policy
+from radishtally.links.messages import DECODE, MIXED, PREFILL
+from radishtally.planner.capacity import complete_speeds, find_served
+from radishtally.planner.demand import Asked
+from radishtally.planner.policies import decide
+from tests.planner.common import (
+    COST,
+    LONG_ANSWERS,
+    LONG_PROMPTS,
+    SPEEDS,
+    make_engines,
+    make_view,
+)
+
+SPLIT = make_engines(PREFILL, PREFILL, DECODE, DECODE, DECODE, MIXED)
+THRESHOLD = Policy(planning="threshold")
+
+
+@pytest.mark.parametrize(
+    ("asked", "counts", "expected"),
+    [
+        (Asked(5_950, 0, 1, 0), {MIXED: 1}, 1.0),
+        (Asked(11_900, 0, 1, 0), {MIXED: 1}, 0.5),
+        (Asked(5_950, 544, 1, 0), {MIXED: 1}, 0.5),
+        (Asked(5_950, 544, 1, 0), {MIXED: 2}, 1.0),
+        (Asked(1_000, 100, 1, 0), {PREFILL: 3}, 0.0),
+        (Asked(0, 0, 0, 0), {}, 1.0),
+    ],
+)
+def test_served_share(asked, counts, expected):
+    assert find_served(asked, counts, SPEEDS) == pytest.approx(expected, abs=1e-6)
+
+
+def test_speeds_of_absent_roles_are_guessed_from_present_ones():
+    speeds = complete_speeds({PREFILL: SPEEDS[PREFILL]})
+    assert set(speeds) == {MIXED, PREFILL, DECODE}
+    assert speeds[PREFILL] == SPEEDS[PREFILL]
+    assert speeds[MIXED].prefill_tokens < speeds[PREFILL].prefill_tokens
+    assert complete_speeds({}) == {}
+
+
+@pytest.mark.parametrize(
+    ("policy", "engines", "more", "expected"),
+    [
+        (Policy(), SPLIT, {}, None),
+        (COST, SPLIT, {}, PREFILL),
+        (COST, SPLIT, {"asked": LONG_ANSWERS}, DECODE),
+        (COST, SPLIT, {"asked": Asked(5_000, 500, 5, 0)}, None),
+        (COST, SPLIT, {"remaining": 10.0}, None),
+        (COST, SPLIT, {"changing": True}, None),
+        (COST, SPLIT, {"last_change": 80.0}, None),
+        (COST, SPLIT, {"last_change": 70.0}, PREFILL),
+        (Policy(planning="cost", role_change_cost=1e6), SPLIT, {}, None),
+        (Policy(planning="cost", goodput_weight=0.0), SPLIT, {}, None),
+        (THRESHOLD, SPLIT, {}, PREFILL),
+        (THRESHOLD, SPLIT, {"asked": LONG_ANSWERS}, DECODE),
+        (THRESHOLD, SPLIT, {"asked": Asked(5_000, 500, 5, 0)}, None),
+        (THRESHOLD, SPLIT, {"changing": True}, None),
+        (Policy(planning="static"), SPLIT, {}, None),
+        (
+            Policy(planning="static"),
+            make_engines(MIXED, PREFILL, configured=MIXED),
+            {},
+            MIXED,
+        ),
+    ],
+)
+def test_decides(policy, engines, more, expected):
+    decision = decide(make_view(engines, **more), policy, 100.0)
+    assert (decision.role if decision else None) == expected
+
+
+def test_explains_with_figures():
+    decision = decide(make_view(SPLIT), COST, 100.0)
+    for part in ("asked 20.0 requests/s", "over 600 s", "saves", "a change costs 1.0"):
+        assert part in decision.cause
+
+
+def test_the_least_busy_engine_goes():
+    engines = tuple(
+        engine._replace(requests=0 if number == 3 else 5)
+        for number, engine in enumerate(SPLIT)
+    )
+    assert decide(make_view(engines), COST, 100.0).host == "gown-3"
+
+
+def test_higher_cost_of_change_needs_a_longer_mix():
+    """Lagna weighs goodput, Brolga the number of changes: only the weights differ."""
+    view = make_view(SPLIT, remaining=60.0)
+    lagna = Policy(planning="cost", drain_seconds=5.0, goodput_weight=4.0)
+    brolga = Policy(planning="cost", drain_seconds=5.0, role_change_cost=500.0)
+    assert decide(view, lagna, 100.0) is not None
+    assert decide(view, brolga, 100.0) is None
+
+
+ROLES = st.sampled_from([MIXED, PREFILL, DECODE])
+ENGINES = st.lists(
+    st.tuples(ROLES, ROLES, st.sampled_from(["gown", "sari"]), st.booleans()),
+    min_size=1,
+    max_size=9,
+)
+RATES = st.floats(0.0, 100_000.0)
+ASKED = st.builds(Asked, RATES, RATES, st.floats(0.0, 200.0), st.just(0.0))
+PLANNING = st.sampled_from(["off", "static", "threshold", "cost"])
+
+
+@given(ENGINES, ASKED, PLANNING)
+def test_the_last_engine_of_a_role_or_model_never_goes(items, asked, planning):
+    """An engine that changes is gone for seconds.
+
+    Were it the last of its model, each caller of the model would be refused meanwhile;
+    were it the last of a role, requests of that stage would find nobody. The one role
+    that may end is one that no operator configured, where mixed engines do its stage.
+    """
+    engines = tuple(
+        make_engines(role)[0]._replace(
+            host=f"gown-{number}", model=model, configured_role=wanted, draining=gone
+        )
+        for number, (role, wanted, model, gone) in enumerate(items)
+    )
+    policy = Policy(planning=planning, role_change_cost=0.0)
+    decision = decide(make_view(engines, asked=asked), policy, 100.0)
+    if decision is None:
+        return
+    chosen = next(item for item in engines if item.host == decision.host)
+    others = [item for item in engines if item != chosen and not item.draining]
+    assert decision.role != chosen.role
+    assert not chosen.draining
+    assert chosen.model in {item.model for item in others}
+    roles = {item.role for item in others}
+    configured = {item.configured_role for item in engines}
+    unneeded = chosen.role not in configured and MIXED in roles
+    assert chosen.role in roles or unneeded
+
+
+@given(ENGINES, ASKED, st.floats(0.0, 30.0, exclude_max=True))
+def test_no_second_change_within_the_dwell(items, asked, passed):
+    engines = make_engines(*(role for role, _, _, _ in items))
+    view = make_view(engines, asked=asked, last_change=100.0)
+    for planning in ("static", "threshold", "cost"):
+        policy = Policy(planning=planning, role_change_cost=0.0)
+        assert decide(view, policy, 100.0 + passed) is None
+
+
+def test_long_prompts_are_long():
+    assert find_served(LONG_PROMPTS, {PREFILL: 2, DECODE: 3, MIXED: 1}, SPEEDS) < 0.6
--- /dev/null
+++ b/tests/platform/memory.py
@@ -0,0 +1,157 @@
+"""Fakes of the platform's table and object store that lose and delay calls."""
+
+import asyncio
+from typing import Final
+
+from radishtally.outcome import Error, Ok, Result
+from radishtally.platform.core import (
+    ABSENT,
+    Conflict,
+    Delete,
+    Key,
+    Put,
+    ReadError,
+    Row,
+    TableError,
+    Unavailable,
+    Unclear,
+    Write,
+)
+from radishtally.platform.table import compute_revision
+
+PASS: Final = "pass"
+LOST: Final = "lost"
+"""The write never arrives, and the writer learns nothing."""
+KEPT: Final = "kept"
+"""The write takes effect, and its reply is lost."""
+LATE: Final = "late"
+"""The write arrives before the next one, and its reply is lost."""
+LAST: Final = "last"
+"""The write arrives when all others are done, and its reply is lost."""
+THROTTLED: Final = "throttled"
+OTHER: Final = "other"
+"""Somebody else writes all rows first; then the write passes."""
+UNREAD: Final = "unread"
+"""The write passes, and the next read fails."""
+
+
+class MemoryTable:
+    """Keep rows in memory and show a list of faults, one a transaction."""
+
+    def __init__(self, faults: list[str] | None = None) -> None:
+        self.rows: dict[Key, Row] = {}
+        self.faults = list(faults or [])
+        self.applied: list[str] = []
+        """Write ids in the order in which they took effect."""
+        self._late: list[tuple[list[Write], str]] = []
+        self._last: list[tuple[list[Write], str]] = []
+        self._unreadable = 0
+
+    async def get(self, key: Key) -> Result[Row | None, ReadError]:
+        """Read one row."""
+        await asyncio.sleep(0)
+        if self._unreadable:
+            self._unreadable -= 1
+            return Error(Unavailable("unread"))
+        return Ok(self.rows.get(key))
+
+    async def query(
+        self,
+        pk: str,
+        *,
+        after: str = "",
+        prefix: str = "",
+        limit: int = 100,
+        newest_first: bool = False,
+    ) -> Result[list[Row], ReadError]:
+        """Read rows of one partition."""
+        keys = sorted(key for key in self.rows if key.pk == pk)
+        keys = [key for key in keys if key.sk > after and key.sk.startswith(prefix)]
+        keys = keys[::-1] if newest_first else keys
+        return Ok([self.rows[key] for key in keys[:limit]])
+
+    async def transact(
+        self, writes: list[Write], write_id: str
+    ) -> Result[None, TableError]:
+        """Carry out all writes or none, or show the next fault."""
+        await asyncio.sleep(0)
+        self._deliver(self._late)
+        fault = self.faults.pop(0) if self.faults else PASS
+        if fault in (LATE, LAST):
+            waiting = self._late if fault == LATE else self._last
+            waiting.append((writes, write_id))
+        if fault in (LOST, LATE, LAST):
+            return Error(Unclear(fault))
+        if fault == THROTTLED:
+            return Error(Unavailable(fault))
+        if fault == OTHER:
+            self.write_as_other(writes)
+        if fault == UNREAD:
+            self._unreadable = 1
+        result = self._carry_out(writes, write_id)
+        return Error(Unclear(fault)) if fault == KEPT else result
+
+    def deliver_all(self) -> None:
+        """Let all writes that are still under way arrive."""
+        self._deliver(self._late)
+        self._deliver(self._last)
+
+    def write_as_other(self, writes: list[Write]) -> None:
+        """Write the rows as another writer who knows their revisions."""
+        keys = [write.key for write in writes if isinstance(write, Put)]
+        puts: list[Write] = [Put(key, {}, self._get_revision(key)) for key in keys]
+        self._carry_out(puts, "other")
+
+    def _deliver(self, waiting: list[tuple[list[Write], str]]) -> None:
+        while waiting:
+            self._carry_out(*waiting.pop(0))
+
+    def _get_revision(self, key: Key) -> int:
+        row = self.rows.get(key)
+        return ABSENT if row is None else row.rev
+
+    def _carry_out(
+        self, writes: list[Write], write_id: str
+    ) -> Result[None, TableError]:
+        failed = [
+            index
+            for index, write in enumerate(writes)
+            if write.expect not in (None, self._get_revision(write.key))
+        ]
+        if failed:
+            return Error(Conflict(tuple(failed)))
+        self.applied.append(write_id)
+        for write in writes:
+            if isinstance(write, Delete):
+                del self.rows[write.key]
+            if isinstance(write, Put):
+                revision = compute_revision(write, write_id)
+                self.rows[write.key] = Row(write.key, revision, write_id, write.value)
+        return Ok(None)
+
+
+class MemoryObjects:
+    """Keep objects in memory; the given number of next calls fail."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+        self.failing = 0
+
+    async def put(self, key: str, body: bytes) -> Result[None, Unavailable]:
+        """Store an object."""
+        await asyncio.sleep(0)
+        if self._fail():
+            return Error(Unavailable("down"))
+        self.objects[key] = body
+        return Ok(None)
+
+    async def get(self, key: str) -> Result[bytes | None, Unavailable]:
+        """Read an object."""
+        await asyncio.sleep(0)
+        if self._fail():
+            return Error(Unavailable("down"))
+        return Ok(self.objects.get(key))
+
+    def _fail(self) -> bool:
+        self.failing -= 1
+        return self.failing >= 0
--- /dev/null
+++ b/tests/platform/test_hostlist.py
@@ -0,0 +1,75 @@
+"""The host list's client keeps the contract."""
+
+import json
+
+import pytest
+
+from radishtally.platform.core import LEAVING, LIVE, ListedHost
+from radishtally.platform.hostlist import HttpHostList
+from tests.common import run
+from tests.platform.common import DISTURBED, TIMEOUT, use
+from tests.platform.scripted import build_reply, serve_replies
+
+GOWN = ListedHost("gown-1", "howrah", "gown-llm", "127.0.0.9:7000", LIVE)
+
+
+@pytest.fixture(scope="module")
+def service(start_shared_standin):
+    return start_shared_standin("hosts", "--lag", "0")
+
+
+def read(url, timeout=5.0):
+    return use(lambda: HttpHostList(url, timeout=timeout), HttpHostList.read)
+
+
+def list_host(service, host, state):
+    more = {"target": host.address, "state": state}
+    service.post("/_hosts", {**host._asdict(), **more})
+
+
+def test_hosts_come_leave_and_go(service):
+    service.set_fault("up")
+    list_host(service, GOWN, LIVE)
+    assert read(service.url).ok == [GOWN]
+    list_host(service, GOWN, LEAVING)
+    assert read(service.url).ok == [GOWN._replace(state=LEAVING)]
+    list_host(service, GOWN, "gone")
+    assert read(service.url).ok == []
+
+
+@pytest.mark.parametrize("fault", DISTURBED)
+def test_faults(service, fault):
+    service.set_fault(**fault)
+    assert read(service.url, TIMEOUT).is_error()
+
+
+def build_list(**labels):
+    base = {"host": "gown-1", "place": "howrah", "upstream": "gown-llm", "state": LIVE}
+    merged = {name: text for name, text in {**base, **labels}.items() if text}
+    return json.dumps([{"targets": [GOWN.address], "labels": merged}])
+
+
+# The list is broken, or says what the system does not know. A broken list must not
+# look like an empty fleet, and a host in an unknown state must get no new work.
+@pytest.mark.parametrize(
+    ("reply", "hosts"),
+    [
+        (build_reply(200, build_list()), [GOWN]),
+        (build_reply(200, build_list(state="odd")), [GOWN._replace(state=LEAVING)]),
+        (build_reply(200, build_list(upstream=None)), []),
+        (build_reply(200, "[]"), []),
+        (build_reply(200, "{}"), None),
+        (build_reply(200, '[{"targets": 3}]'), None),
+        (build_reply(200, "[]")[:-1], None),
+        (build_reply(404, "[]"), None),
+    ],
+)
+def test_replies(reply, hosts):
+    async def body():
+        async with serve_replies(lambda number: reply) as url:
+            client = HttpHostList(url)
+            result = await client.read()
+            await client.close()
+            return result
+
+    assert run(body()).default_value(None) == hosts
--- /dev/null
+++ b/tests/platform/test_objects.py
@@ -0,0 +1,65 @@
+"""The object store's client keeps the contract."""
+
+import pytest
+
+from radishtally.outcome import Ok
+from radishtally.platform.objects import HttpObjects
+from tests.common import run
+from tests.platform import common
+from tests.platform.common import DISTURBED, TIMEOUT, name_outcome
+from tests.platform.scripted import build_reply, serve_replies
+
+
+@pytest.fixture(scope="module")
+def service(start_shared_standin):
+    return start_shared_standin("objects")
+
+
+def use(url, work, timeout=5.0):
+    return common.use(lambda: HttpObjects(url, "bucket", timeout=timeout), work)
+
+
+def test_objects_come_back_as_stored(service):
+    service.set_fault("up")
+    body = bytes(range(256)) * 1000
+
+    async def work(objects):
+        assert await objects.get("config/none") == Ok(None)
+        assert await objects.put("config/some", body) == Ok(None)
+        assert await objects.get("config/some") == Ok(body)
+
+    use(service.url, work)
+
+
+@pytest.mark.parametrize("fault", DISTURBED)
+def test_faults(service, fault):
+    service.set_fault(**fault)
+
+    async def work(objects):
+        assert name_outcome(await objects.put("config/a", b"x")) == "Unavailable"
+        assert name_outcome(await objects.get("config/a")) == "Unavailable"
+
+    use(service.url, work, TIMEOUT)
+
+
+# Something before the store answers. Only the store's own "NoSuchKey" says that an
+# object is absent; taken from anybody else, files would seem to be gone.
+@pytest.mark.parametrize(
+    ("reply", "outcome"),
+    [
+        (build_reply(404, "<Code>NoSuchKey</Code>"), Ok(None)),
+        (build_reply(404, "<html>not here</html>"), None),
+        (build_reply(200, "abc")[:-1], None),
+        (build_reply(500, "{}"), None),
+    ],
+)
+def test_replies(reply, outcome):
+    async def body():
+        async with serve_replies(lambda number: reply) as url:
+            objects = HttpObjects(url, "bucket")
+            result = await objects.get("config/a")
+            await objects.close()
+            return result
+
+    result = run(body())
+    assert result == outcome if outcome else name_outcome(result) == "Unavailable"
--- /dev/null
+++ b/tests/routing/test_core.py
@@ -0,0 +1,202 @@
+"""Tests of the entry's choice of a host."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishtally.links.messages import DECODE, MIXED, PREFILL, WHOLE, Load
+from radishtally.routing.core import (
+    POLICIES,
+    Candidate,
+    Wanted,
+    choose,
+    hash_prefix,
+    needs_split,
+    rank,
+)
+
+HOSTS = [f"gown-{number}" for number in range(9)]
+WANTED = Wanted(WHOLE, 7, "gown", "", 200, 50, 30.0, "howrah")
+
+
+def make_load(**more) -> Load:
+    load = Load(
+        "", 0, 0, 16, 0.0, 0.0, 7_000.0, 0.02, MIXED, "gown", "1", ("lace",), False
+    )
+    return load._replace(**more)
+
+
+def make_candidate(host, load=None, age=0.5, in_flight=0, reported=0, **more):
+    load = load or make_load(host=host, **more)
+    return Candidate(host, "howrah", load, age, in_flight, reported)
+
+
+def make_pool(**roles):
+    return [make_candidate(host, role=role) for host, role in roles.items()]
+
+
+def choose_all(policy, wanted, candidates):
+    tried = []
+    while (host := policy(wanted, candidates, tried)) is not None:
+        tried.append(host)
+    return tried
+
+
+@given(st.integers(0, 2**64 - 1), st.sampled_from(HOSTS))
+def test_losing_a_host_moves_only_its_keys(key, lost):
+    left = [host for host in HOSTS if host != lost]
+    assert rank(left, key) == [host for host in rank(HOSTS, key) if host != lost]
+
+
+def test_ranking_spreads_keys_and_ignores_the_order_of_hosts():
+    firsts = Counter(rank(HOSTS, key)[0] for key in range(9_000))
+    assert len(firsts) == 9
+    assert max(firsts.values()) < 1_200
+    assert rank(HOSTS, 5) == rank(HOSTS[::-1], 5)
+
+
+def test_prefix_is_hashed_by_its_beginning():
+    assert hash_prefix("a" * 5_000) == hash_prefix("a" * 5_000 + "b")
+    assert hash_prefix("gown") != hash_prefix("sari")
+    assert hash_prefix("\ud800") >= 0
+
+
+@pytest.mark.parametrize("policy", POLICIES.values(), ids=POLICIES.keys())
+@pytest.mark.parametrize("stage", [WHOLE, PREFILL, DECODE])
+@given(
+    roles=st.lists(
+        st.sampled_from([MIXED, PREFILL, DECODE, None]), min_size=1, max_size=9
+    ),
+    slack=st.sampled_from([0.0, 1.0, 30.0]),
+)
+def test_every_host_is_tried_once_before_giving_up(policy, stage, roles, slack):
+    pool = []
+    for host, role in zip(HOSTS, roles, strict=False):
+        load = make_load(host=host, role=role) if role else None
+        pool.append(Candidate(host, "howrah", load, 1.0, 0, 0))
+    wanted = WANTED._replace(stage=stage, slack=slack)
+    tried = choose_all(policy, wanted, pool)
+    assert sorted(tried) == [item.host for item in pool]
+
+
+@pytest.mark.parametrize(
+    ("stage", "roles", "expected"),
+    [
+        (WHOLE, {"p": PREFILL, "d": DECODE, "m": MIXED}, ["m", "d", "p"]),
+        (PREFILL, {"p": PREFILL, "d": DECODE, "m": MIXED}, ["p", "m", "d"]),
+        (DECODE, {"p": PREFILL, "d": DECODE, "m": MIXED}, ["d", "m", "p"]),
+        (WHOLE, {"p": PREFILL, "d": DECODE}, ["d", "p"]),
+    ],
+)
+def test_roles_are_preferred_by_stage(stage, roles, expected):
+    wanted = WANTED._replace(stage=stage)
+    assert choose_all(choose, wanted, make_pool(**roles)) == expected
+
+
+@pytest.mark.parametrize(
+    ("more", "wanted", "taken"),
+    [
+        ({"draining": True}, WANTED, False),
+        ({"model": "other"}, WANTED, False),
+        ({}, WANTED._replace(adapter="lace"), True),
+        ({}, WANTED._replace(adapter="silk"), False),
+    ],
+)
+def test_hosts_that_cannot_serve_are_left_out(more, wanted, taken):
+    found = choose(wanted, [make_candidate("a", **more)], ())
+    assert found == ("a" if taken else None)
+
+
+def test_an_unknown_load_may_have_the_adapter():
+    candidate = Candidate("a", "howrah", None, 0.0, 0, 0)
+    assert choose(WANTED._replace(adapter="silk"), [candidate], ()) == "a"
+
+
+def test_a_prefix_stays_with_its_host():
+    pool = [make_candidate(host) for host in HOSTS]
+    chosen = {choose(WANTED, pool[number:] + pool[:number], ()) for number in range(9)}
+    assert len(chosen) == 1
+
+
+def test_a_hot_prefix_spills_over():
+    """All callers send the same prefix, and reports don't come.
+
+    Own requests are counted at once, so the first host of the ranking is passed over
+    when it is well over the mean; without the bound it would get all of them.
+    """
+    counts = Counter()
+    for _ in range(90):
+        pool = [make_candidate(host, in_flight=counts[host]) for host in HOSTS]
+        counts[choose(WANTED, pool, ())] += 1
+    assert max(counts.values()) <= 20
+
+
+def test_a_lagging_report_does_not_draw_a_burst():
+    """A host reported idle a second ago, and an entry sends it a burst.
+
+    Trusting the report sends all forty there; own requests sent since the report are
+    added to it, so that the burst spreads before the next report comes.
+    """
+    idle = make_load(wait=0.0)
+    busy = make_load(wait=0.1, running=4)
+    shares = {}
+    for name in ("rendezvous", "least_reported"):
+        counts = Counter()
+        for number in range(40):
+            pool = [
+                make_candidate(
+                    host,
+                    load=(idle if host == HOSTS[0] else busy)._replace(host=host),
+                    in_flight=counts[host],
+                )
+                for host in HOSTS
+            ]
+            wanted = WANTED._replace(prefix=number)
+            counts[POLICIES[name](wanted, pool, ())] += 1
+        shares[name] = counts[HOSTS[0]]
+    assert shares["least_reported"] == 40
+    assert shares["rendezvous"] <= 10
+
+
+def test_work_that_fits_nowhere_goes_where_it_waits_least():
+    pool = [
+        make_candidate(host, wait=float(number + 5))
+        for number, host in enumerate(HOSTS)
+    ]
+    assert choose(WANTED._replace(slack=1.0), pool, ()) == HOSTS[0]
+
+
+def test_an_overloaded_role_spills_to_another_that_fits():
+    pool = [make_candidate("m", wait=60.0), make_candidate("d", role=DECODE)]
+    assert choose(WANTED, pool, ()) == "d"
+
+
+def test_a_stale_report_says_nothing_about_the_wait():
+    fresh = make_candidate("a", wait=60.0)
+    stale = fresh._replace(host="b", load_age=60.0)
+    assert choose(WANTED, [fresh, stale], ()) == "b"
+
+
+@pytest.mark.parametrize(
+    ("roles", "prompt", "expected"),
+    [
+        ({"m": MIXED}, 8_000, False),
+        ({"p": PREFILL, "d": DECODE}, 8_000, True),
+        ({"p": PREFILL, "d": DECODE}, 100, False),
+        ({"p": PREFILL}, 8_000, False),
+        ({"d": DECODE}, 8_000, False),
+        ({"p": PREFILL, "m": MIXED}, 8_000, False),
+    ],
+)
+def test_splits_where_handing_over_pays(roles, prompt, expected):
+    wanted = WANTED._replace(prompt_tokens=prompt)
+    assert needs_split(make_pool(**roles), wanted) is expected
+
+
+def test_splits_when_mixed_hosts_are_busy():
+    pool = [*make_pool(p=PREFILL, d=DECODE), make_candidate("m", wait=5.0)]
+    wanted = WANTED._replace(prompt_tokens=8_000)
+    assert needs_split(pool, wanted)
+    assert not needs_split(pool, wanted._replace(max_tokens=1))
