--- /dev/null
+++ b/bench/actions.py
@@ -0,0 +1,106 @@
+"""What a run does to its fleet: kills, pauses, drains, outages."""
+
+import os
+import signal
+import threading
+from collections.abc import Callable
+from typing import Final
+
+from bench.fleet import Fleet, post_json
+from bench.scenarios import POOLS, Action
+
+RESTART_SECONDS: Final = 1.0
+"""Time after which the platform starts a killed process again."""
+
+
+def carry_out(action: Action, fleet: Fleet) -> None:
+    """Do something to the fleet, and undo it later if it ends."""
+    ACTIONS[action.kind](action, fleet)
+
+
+def later(seconds: float, undo: Callable[[], object]) -> None:
+    """Do something after a while."""
+    timer = threading.Timer(seconds, undo)
+    timer.daemon = True
+    timer.start()
+
+
+def kill_engine(action: Action, fleet: Fleet) -> None:
+    """Kill an engine for good."""
+    os.kill(fleet.upstreams[action.target].pid, signal.SIGKILL)
+
+
+def kill_agent(action: Action, fleet: Fleet) -> None:
+    """Kill an agent; the platform starts it again."""
+    os.kill(fleet.agents[action.target].pid, signal.SIGKILL)
+    later(RESTART_SECONDS, lambda: fleet.start_daemon(action.target))
+
+
+def kill_entry(action: Action, fleet: Fleet) -> None:
+    """Kill an entry; the platform starts it again."""
+    os.kill(fleet.entries[action.target].pid, signal.SIGKILL)
+    later(RESTART_SECONDS, lambda: fleet.start_daemon(action.target))
+
+
+def kill_planner(action: Action, fleet: Fleet) -> None:
+    """Kill the entry that holds the lease of the first place."""
+    holder = next(
+        (name for name in fleet.entries if holds_lease(fleet, name)), "entry-1"
+    )
+    kill_entry(action._replace(target=holder), fleet)
+
+
+def holds_lease(fleet: Fleet, entry: str) -> bool:
+    """Tell whether an entry plans for its place."""
+    return bool(fleet.status(entry).get("planning", {}).get("holds_lease"))
+
+
+def pause_agents(action: Action, fleet: Fleet) -> None:
+    """Pause the agents of a pool, or one of them, for some seconds."""
+    pids = [fleet.agents[host].pid for host in list_pool(action, fleet)]
+    for pid in pids:
+        os.kill(pid, signal.SIGSTOP)
+    later(
+        action.seconds, lambda: [os.kill(pid, signal.SIGCONT) for pid in pids] and None
+    )
+
+
+def stall_engines(action: Action, fleet: Fleet) -> None:
+    """Let engines of a pool stand still for some seconds."""
+    for host in list_pool(action, fleet):
+        post_json(f"{fleet.upstreams[host].url}/_fault", {"stall": action.seconds})
+
+
+def list_pool(action: Action, fleet: Fleet) -> list[str]:
+    """List the hosts that an action is meant for."""
+    if action.target:
+        return [action.target]
+    pools = fleet.configuration.upstreams
+    name = next(pool for pool in POOLS.values() if pool in pools)
+    return sorted(pools[name].servers)
+
+
+def drain(action: Action, fleet: Fleet) -> None:
+    """Drain a host as an operator does."""
+    url = f"{next(iter(fleet.entries.values())).url}/operators/v1"
+    body = {"drained": True, "cause": "measurement"}
+    post_json(f"{url}/hosts/{action.target}/drain", body, fleet.operator_key)
+
+
+def take_table_down(action: Action, fleet: Fleet) -> None:
+    """Let the table service be away for some seconds."""
+    url = f"{fleet.standins['table'].url}/_fault"
+    post_json(url, {"mode": "down"})
+    later(action.seconds, lambda: post_json(url, {"mode": "up"}))
+
+
+ACTIONS: Final[dict[str, Callable[[Action, Fleet], None]]] = {
+    "kill_engine": kill_engine,
+    "kill_agent": kill_agent,
+    "kill_entry": kill_entry,
+    "kill_planner": kill_planner,
+    "pause_agents": pause_agents,
+    "stall_engines": stall_engines,
+    "drain": drain,
+    "table_down": take_table_down,
+}
--- a/bench/capacity/links.py
+++ b/bench/capacity/links.py
@@ -76,7 +76,7 @@
     for _ in range(MESSAGES // batch):
         for _ in range(batch):
             near.hub.send(host, message)
-        while not near.hub.is_flushed():
+        while near.hub._links[host]._outbox:
             await asyncio.sleep(0)
     await near.wait_pong(host)
 
@@ -147,7 +147,7 @@
     each = MANY_LINKS * IDLE_SECONDS
     at = {"links": MANY_LINKS, "seconds": IDLE_SECONDS}
     return [
-        Figure("memory for a link", memory, "kB", at),
+        Figure("memory, link", memory, "kB", at),
         Figure("idle link, accepting end", (after[0] - before[0]) / each * 1e6, "us/s"),
         Figure("idle link, dialling end", (after[1] - before[1]) / each * 1e6, "us/s"),
         Figure("idle link, frames sent by accepting end", sent / each, "1/s", at),
--- /dev/null
+++ b/bench/capacity/members.py
@@ -0,0 +1,95 @@
+"""Cost of following the hosts."""
+
+import itertools
+import json
+from collections.abc import Iterator
+from typing import Final
+
+from bench.capacity.figures import Figure, time_calls
+from radishtally.membership.core import (
+    Configured,
+    Heard,
+    LinkUp,
+    Listed,
+    Membership,
+    Server,
+    Tick,
+    handle,
+)
+from radishtally.platform.client import Reply
+from radishtally.platform.core import LIVE, ListedHost
+from radishtally.platform.hostlist import _parse_reply
+
+HOSTS: Final = (100, 350, 1_400)
+POOLS: Final = 34
+ADDRESS: Final = "10.20.30.40:7000"
+
+
+def make_listed(count: int) -> tuple[ListedHost, ...]:
+    """Make the lines of a host list."""
+    return tuple(
+        ListedHost(f"host-{n}", f"place-{n % 8}", f"pool-{n % POOLS}", ADDRESS, LIVE)
+        for n in range(count)
+    )
+
+
+def make_membership(count: int) -> Membership:
+    """Make a membership in which every host is linked and live."""
+    membership = Membership()
+    listed = make_listed(count)
+    handle(Listed(listed), membership, 0.0)
+    servers = tuple(Server(item.host, item.place, item.upstream) for item in listed)
+    handle(Configured(servers), membership, 0.0)
+    for item in listed:
+        handle(LinkUp(item.host, "one"), membership, 0.0)
+    return membership
+
+
+def make_list_body(count: int) -> bytes:
+    """Make the reply that a host list gives."""
+    groups = [
+        {
+            "targets": [item.address],
+            "labels": {
+                "host": item.host,
+                "place": item.place,
+                "upstream": item.upstream,
+                "state": item.state,
+            },
+        }
+        for item in make_listed(count)
+    ]
+    return json.dumps(groups).encode()
+
+
+def measure_members() -> Iterator[Figure]:
+    """Measure the membership's events."""
+    for count in HOSTS:
+        at = {"hosts": count}
+        membership = make_membership(count)
+        listed = Listed(make_listed(count))
+        hosts = itertools.cycle(list(membership.members))
+
+        def tick(membership: Membership = membership) -> None:
+            handle(Tick(), membership, 1.0)
+
+        def read(membership: Membership = membership, listed: Listed = listed) -> None:
+            handle(listed, membership, 1.0)
+
+        def hear(
+            membership: Membership = membership, hosts: Iterator[str] = hosts
+        ) -> None:
+            handle(Heard(next(hosts)), membership, 1.0)
+
+        def find(membership: Membership = membership) -> None:
+            membership.usable(1.0, "pool-0")
+
+        yield Figure("membership, tick", time_calls(tick), "us", at)
+        yield Figure("membership, list taken", time_calls(read), "us", at)
+        yield Figure("membership, sign of life", time_calls(hear), "us", at)
+        yield Figure("membership, usable hosts of a pool", time_calls(find), "us", at)
+        body = make_list_body(count)
+        reply = Reply(200, body)
+        cost = time_calls(lambda reply=reply: _parse_reply(reply))
+        yield Figure("host list, parsed", cost, "us", at)
+        yield Figure("host list, read", len(body), "bytes", at)
--- a/bench/capacity/peer.py
+++ b/bench/capacity/peer.py
@@ -27,9 +27,7 @@
     """Make a hub that does nothing but what it is told."""
     hello = Hello(host, "place", "agent", host, 1)
     ignore = lambda *_: None  # noqa: E731
-    return LinkHub(
-        hello, PEER_KEY, Callbacks(ignore, ignore, receive, lambda _: False)
-    )
+    return LinkHub(hello, PEER_KEY, Callbacks(ignore, ignore, receive, lambda _: False))
 
 
 async def run_agents(address: str, count: int, reports: bool) -> None:
--- a/bench/load.py
+++ b/bench/load.py
@@ -28,8 +28,6 @@
 
     entries: list[str]
     calls: list[Call]
-    starts_at: float
-    """Time of the trace's begin on the system's monotonic clock."""
     retries: bool
     """Whether a refused call is sent once more after Retry-After."""
     output: str
@@ -103,12 +101,14 @@
         self._session = session
         self._balancer = Balancer(plan.entries)
         self._prompts = [make_prompt(call) for call in plan.calls]
+        self._starts_at = 0.0
 
-    async def run(self) -> list[Record]:
-        """Send all calls and wait for their ends."""
+    async def run(self, starts_at: float) -> list[Record]:
+        """Send all calls, from a time of the monotonic clock on, and wait."""
+        self._starts_at = starts_at
         tasks = []
         for call, prompt in zip(self._plan.calls, self._prompts, strict=True):
-            delay = self._plan.starts_at + call.at - time.monotonic()
+            delay = self._starts_at + call.at - time.monotonic()
             if delay > 0:
                 await asyncio.sleep(delay)
             tasks.append(asyncio.create_task(self._follow(call, prompt)))
@@ -116,7 +116,7 @@
 
     async def _follow(self, call: Call, prompt: str) -> Record:
         begin = time.monotonic()
-        sent = begin - self._plan.starts_at
+        sent = begin - self._starts_at
         record = Record(call.name, call.at, sent, call.deadline)
         await self._try(call, prompt, record, begin)
         left = call.deadline - record.took
@@ -126,9 +126,7 @@
             await self._try(call, prompt, record, begin)
         return record
 
-    async def _try(
-        self, call: Call, prompt: str, record: Record, begin: float
-    ) -> None:
+    async def _try(self, call: Call, prompt: str, record: Record, begin: float) -> None:
         left = call.deadline - (time.monotonic() - begin)
         try:
             async with asyncio.timeout(left + EXTRA_SECONDS):
@@ -195,9 +193,7 @@
     )
 
 
-def note_refusal(
-    record: Record, response: aiohttp.ClientResponse, body: bytes
-) -> None:
+def note_refusal(record: Record, response: aiohttp.ClientResponse, body: bytes) -> None:
     """Note what a refusal says."""
     retry_after = response.headers.get("Retry-After")
     record.retry_after = float(retry_after) if retry_after else None
@@ -246,9 +242,7 @@
     """Read an answer that is not streamed."""
     if not call.model:
         return Answered("", True)
-    return Answered(
-        msgspec.json.decode(body)["choices"][0]["message"]["content"], True
-    )
+    return Answered(msgspec.json.decode(body)["choices"][0]["message"]["content"], True)
 
 
 def note_answer(call: Call, prompt: str, answered: Answered, record: Record) -> None:
@@ -279,14 +273,13 @@
     ) as session:
         load = Load(plan, session)
         print(json.dumps({"ready": True}), flush=True)
-        sys.stdin.readline()
-        records = await load.run()
+        records = await load.run(float(sys.stdin.readline()))
     lines = b"\n".join(map(msgspec.json.encode, records))
     Path(plan.output).write_bytes(lines)
 
 
 def main() -> None:
-    """Read the plan, say when it is prepared, and wait for the word to go."""
+    """Read the plan, say when it is prepared, and wait for the time to begin."""
     plan = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=Plan)
     uvloop.run(run(plan))
 
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,136 @@
+"""Measure the decisions on real processes with stand-in engines."""
+
+import json
+import time
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import Any, Final
+
+import fire
+
+from bench.fleet import ROOT
+from bench.run import Outcome, run_scenario, stop_by_signal
+from bench.scenarios import (
+    DEFAULT,
+    ROUTING,
+    Action,
+    Scenario,
+    Variant,
+    make_brolga_shift,
+    make_flood,
+    make_hot,
+    make_lagna_shift,
+    make_overload,
+    make_planning,
+    make_steady,
+)
+
+REPORTS: Final = ROOT / "reports"
+
+
+class Measure:
+    """Measure scenarios; each prints JSON lines and keeps a report under reports/."""
+
+    def __init__(self, seeds: int = 2) -> None:
+        self._seeds = range(1, seeds + 1)
+        self._outcomes: list[Outcome] = []
+        self._folder = REPORTS / time.strftime("%Y%m%d-%H%M%S")
+
+    def quick(self) -> None:
+        """Run the routing at three times the load once, about a minute."""
+        self._measure([make_overload(3.0)], ROUTING[:1], [1])
+        self._write("quick")
+
+    def routing(self) -> None:
+        """Compare the routing with its baselines."""
+        scenarios = [make_lagna_shift(), make_hot(), make_overload(1.5)]
+        self._measure(scenarios, ROUTING, self._seeds)
+        self._write("routing")
+
+    def overload(self) -> None:
+        """Offer 0.8, 1, 1.5 and 3 times what the pool can do."""
+        scenarios = [make_overload(times) for times in (0.8, 1.0, 1.5, 3.0)]
+        scenarios.append(make_overload(3.0, retries=True))
+        self._measure(scenarios, [DEFAULT], self._seeds)
+        self._write("overload")
+
+    def shift(self) -> None:
+        """Turn the mix of both deployments."""
+        scenarios = [make_lagna_shift(), make_brolga_shift()]
+        self._measure(scenarios, [DEFAULT], self._seeds)
+        self._write("shift")
+
+    def planning(self) -> None:
+        """Compare the planning policies while the mix turns."""
+        for scenario in (make_lagna_shift(1.0), make_brolga_shift(1.0)):
+            variants = make_planning(scenario.deployment)
+            self._measure([scenario], variants, self._seeds)
+        self._write("planning")
+
+    def faults(self) -> None:
+        """Lose, drain and stall engines under load; flood; heat one prefix."""
+        scenarios = [
+            make_steady("engine-lost", Action(12.0, "kill_engine", "gown-5")),
+            make_steady("engine-drained", Action(12.0, "drain", "gown-5")),
+            make_steady("agents-paused", Action(12.0, "pause_agents", seconds=2.0)),
+            make_steady("engines-stalled", Action(12.0, "stall_engines", seconds=2.0)),
+            make_flood(),
+            make_hot(),
+        ]
+        self._measure(scenarios, [DEFAULT], self._seeds)
+        self._write("faults")
+
+    def recovery(self) -> None:
+        """Time the way back to full goodput after deaths and an outage."""
+        scenarios = [
+            make_steady("entry-killed", Action(12.0, "kill_entry", "entry-2")),
+            make_steady("agent-killed", Action(12.0, "kill_agent", "gown-5")),
+            make_steady("planner-killed", Action(12.0, "kill_planner")),
+            make_steady("table-away", Action(12.0, "table_down", seconds=6.0)),
+        ]
+        self._measure(scenarios, [DEFAULT], self._seeds)
+        self._write("recovery")
+
+    def all(self) -> None:
+        """Run everything, about half an hour."""
+        for part in ("overload", "routing", "shift", "planning", "faults", "recovery"):
+            getattr(self, part)()
+
+    def _measure(
+        self,
+        scenarios: Iterable[Scenario],
+        variants: Sequence[Variant],
+        seeds: Iterable[int],
+    ) -> None:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        for scenario in scenarios:
+            for seed in seeds:
+                # Variants go by turns, so that a busier machine later on meets all.
+                for variant in variants:
+                    outcome = run_scenario(scenario, variant, seed, self._folder)
+                    self._outcomes.append(outcome)
+                    print_lines(outcome)
+
+    def _write(self, name: str) -> None:
+        from bench.report import write_report
+
+        path = write_report(name, self._outcomes, self._folder)
+        print(json.dumps({"report": str(path.relative_to(ROOT))}), flush=True)
+
+
+def print_lines(outcome: Outcome) -> None:
+    """Print one line for the run and one for each class."""
+    print(json.dumps({"run": outcome.figures}), flush=True)
+    names = {key: outcome.figures[key] for key in ("scenario", "variant", "seed")}
+    for name, figures in outcome.classes.items():
+        print(json.dumps({**names, "class": name, **figures}), flush=True)
+
+
+def main() -> None:
+    """Run the part of the measurement that is named."""
+    stop_by_signal()
+    fire.Fire(Measure, name="script/measure")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,293 @@
+"""Run a scenario on a fleet of real processes and give its figures."""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+import urllib.error
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from bench.actions import carry_out
+from bench.figures import describe_classes, find_recovery, find_series
+from bench.fleet import ROOT, Fleet, get_json, make_environment, read_sample
+from bench.load import Plan, Record, read_records
+from bench.scenarios import ENGINES, Scenario, Variant
+from bench.traces import Call, make_trace
+from bench.usage import QUIET_LOAD, Used, compare, read_usage, wait_quiet
+
+LOADS: Final = 2
+ROLE_CHANGE_SECONDS: Final = 3.0
+SETTLE_SECONDS: Final = 2.0
+SAMPLE_SECONDS: Final = 0.5
+MACHINE_LIMIT: Final = 0.85
+"""Share of the machine that may be busy for a run to count."""
+LOAD_LIMIT: Final = 0.8
+"""Share of a processor that a load process or a stand-in may use."""
+LATE_LIMIT_MS: Final = 50.0
+"""How late a load process may send."""
+
+
+class Outcome(NamedTuple):
+    """Hold what a run gave."""
+
+    figures: dict[str, Any]
+    """Figures of the run as a whole."""
+    classes: dict[str, dict[str, Any]]
+    """Figures by class of calls."""
+    series: list[tuple[int, int]]
+    """Calls sent and good ones among them, each second."""
+
+
+class Sampler(threading.Thread):
+    """Watch the engines' roles and drains during a run."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        super().__init__(daemon=True)
+        self._fleet = fleet
+        self._ended = threading.Event()
+        self.away_seconds = 0.0
+        """Engine-seconds in which an engine took no work by order."""
+
+    def run(self) -> None:
+        """Look until told to end."""
+        last = time.monotonic()
+        while not self._ended.wait(SAMPLE_SECONDS):
+            now = time.monotonic()
+            self.away_seconds += self._count_away() * (now - last)
+            last = now
+
+    def end(self) -> None:
+        """Stop looking."""
+        self._ended.set()
+        self.join()
+
+    def _count_away(self) -> int:
+        for entry in list(self._fleet.entries):
+            with contextlib.suppress(urllib.error.URLError, OSError, ValueError):
+                hosts = self._fleet.status(entry)["hosts"]
+                return sum(bool(host.get("draining")) for host in hosts.values())
+        return 0
+
+
+def make_files(scenario: Scenario, variant: Variant) -> dict[str, str]:
+    """Give the sample's folder with the variant's own file at its end."""
+    files = read_sample(scenario.deployment)
+    upstreams: dict[str, Any] = {}
+    pool = "gown-llm" if scenario.deployment == "lagna" else "fault-reader"
+    if variant.roles:
+        servers = {host: {"role": role} for host, role in variant.roles.items()}
+        upstreams = {"upstreams": {pool: {"servers": servers}}}
+    files["60-measure.json"] = json.dumps({"policy": variant.policy, **upstreams})
+    return files
+
+
+def make_fleet(scenario: Scenario, variant: Variant) -> Fleet:
+    """Describe a scenario's fleet."""
+    seconds = ROLE_CHANGE_SECONDS / scenario.speed
+    return Fleet(
+        make_files(scenario, variant),
+        entries_wanted=scenario.entries,
+        engine_args=(
+            f"--speed={scenario.speed}",
+            f"--role-change-seconds={seconds:.2f}",
+        ),
+    )
+
+
+def run_scenario(
+    scenario: Scenario, variant: Variant, seed: int, folder: Path
+) -> Outcome:
+    """Run a scenario once on a fleet of its own."""
+    engines = ENGINES[scenario.deployment]
+    calls = make_trace(scenario.phases, engines, scenario.speed, seed)
+    load_before = wait_quiet()
+    with make_fleet(scenario, variant) as fleet:
+        time.sleep(SETTLE_SECONDS)
+        name = f"{scenario.name}-{variant.name}-{seed}"
+        with start_loads(fleet, scenario, calls, folder / name) as loads:
+            return follow(fleet, scenario, variant, seed, loads, load_before)
+
+
+class Loads(NamedTuple):
+    """Hold the load processes."""
+
+    processes: list[subprocess.Popen[bytes]]
+    outputs: list[Path]
+
+    def begin(self, starts_at: float) -> None:
+        """Tell the load processes when to begin."""
+        for process in self.processes:
+            process.stdin.write(f"{starts_at}\n".encode())
+            process.stdin.flush()
+
+    def collect(self, timeout: float) -> list[Record]:
+        """Wait for the load processes and read their records."""
+        for process in self.processes:
+            code = process.wait(timeout)
+            assert code == 0, f"a load process ended with {code}"
+        return [record for path in self.outputs for record in read_records(path)]
+
+
+@contextlib.contextmanager
+def start_loads(
+    fleet: Fleet, scenario: Scenario, calls: list[Call], path: Path
+) -> Iterator[Loads]:
+    """Start load processes, each with its part of the calls, and end them."""
+    loads = Loads([], [])
+    entries = [entry.url for entry in fleet.entries.values()]
+    try:
+        for number in range(LOADS):
+            part = calls[number::LOADS]
+            turned = entries[number:] + entries[:number]
+            output = path.with_name(f"{path.name}.{number}.records")
+            plan = Plan(turned, part, scenario.retries, str(output))
+            plan_path = path.with_name(f"{path.name}.{number}.plan")
+            plan_path.write_bytes(msgspec.json.encode(plan))
+            loads.outputs.append(output)
+            loads.processes.append(start_load(plan_path))
+        for process in loads.processes:
+            assert process.stdout.readline(), "a load process did not start"
+        yield loads
+    finally:
+        for process in loads.processes:
+            process.kill()
+            process.wait()
+            process.stdin.close()
+            process.stdout.close()
+
+
+def start_load(plan: Path) -> subprocess.Popen[bytes]:
+    """Start one load process."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "bench.load", str(plan)],
+        cwd=ROOT,
+        env=make_environment(),
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+
+
+def follow(
+    fleet: Fleet,
+    scenario: Scenario,
+    variant: Variant,
+    seed: int,
+    loads: Loads,
+    load_before: float,
+) -> Outcome:
+    """Let the loads run, do the scenario's actions and work out the figures."""
+    pids, kinds = list_pids(fleet, loads)
+    sampler = Sampler(fleet)
+    starts_at = time.monotonic() + 0.5
+    loads.begin(starts_at)
+    before = read_usage(pids)
+    sampler.start()
+    for action in sorted(scenario.actions):
+        time.sleep(max(0.0, starts_at + action.at - time.monotonic()))
+        carry_out(action, fleet)
+    time.sleep(max(0.0, starts_at + scenario.seconds - time.monotonic()))
+    after = read_usage(pids)
+    records = loads.collect(timeout=120.0)
+    sampler.end()
+    used = compare(before, after, kinds)
+    figures = {
+        "scenario": scenario.name,
+        "variant": variant.name,
+        "seed": seed,
+        "seconds": scenario.seconds,
+        "speed": scenario.speed,
+        "loadavg_before": round(load_before, 2),
+        **describe_machine(used, records, load_before),
+        **describe_engines(fleet),
+        "engine_seconds_away": round(sampler.away_seconds, 1),
+        **describe_recovery(scenario, records),
+    }
+    return Outcome(
+        figures,
+        describe_classes(records, scenario.seconds),
+        find_series(records, scenario.seconds),
+    )
+
+
+def list_pids(fleet: Fleet, loads: Loads) -> tuple[dict[str, int], dict[str, str]]:
+    """List the processes of a run by name, and their kinds."""
+    groups = {
+        "entry": fleet.entries,
+        "agent": fleet.agents,
+        "upstream": fleet.upstreams,
+        "standin": fleet.standins,
+    }
+    pids, kinds = {}, {}
+    for kind, group in groups.items():
+        for name, child in group.items():
+            key = f"{kind} {name}"
+            pids[key], kinds[key] = child.pid, kind
+    for number, process in enumerate(loads.processes):
+        pids[f"load {number}"], kinds[f"load {number}"] = process.pid, "load"
+    return pids, kinds
+
+
+def describe_machine(
+    used: Used, records: list[Record], load_before: float
+) -> dict[str, Any]:
+    """Describe the machine's use, and whether the run counts."""
+    late = sorted(1000 * (record.sent - record.at) for record in records)
+    late_ms = late[int(0.99 * (len(late) - 1))] if late else 0.0
+    driver = used.busiest.split(" ")[0] in ("load", "upstream", "standin")
+    reasons = []
+    if used.machine > MACHINE_LIMIT:
+        reasons.append("machine saturated")
+    if driver and used.busiest_share > LOAD_LIMIT:
+        reasons.append(f"{used.busiest} saturated")
+    if late_ms > LATE_LIMIT_MS:
+        reasons.append("load sent late")
+    return {
+        "counts": not reasons,
+        "why_not": reasons,
+        "was_quiet": load_before < QUIET_LOAD,
+        "machine_busy": round(used.machine, 3),
+        "processor_seconds": used.seconds,
+        "busiest": used.busiest,
+        "busiest_share": round(used.busiest_share, 3),
+        "load_sent_late_p99_ms": round(late_ms, 1),
+        "cores": os.cpu_count(),
+    }
+
+
+def describe_engines(fleet: Fleet) -> dict[str, Any]:
+    """Add up what the engines that still live have counted."""
+    totals = {"role_changes": 0, "wasted_tokens": 0, "completed": 0, "cut": 0}
+    double_runs = 0
+    for child in fleet.upstreams.values():
+        with contextlib.suppress(urllib.error.URLError, OSError):
+            counts = get_json(f"{child.url}/_counts")
+            if "orders" not in counts:
+                double_runs += sum(runs > 1 for runs in counts.values())
+                continue
+            roles = [order for order in counts["orders"] if order["kind"] == "role"]
+            totals["role_changes"] += len(roles)
+            for name in ("wasted_tokens", "completed", "cut"):
+                totals[name] += counts[name]
+    return {**totals, "calls_run_twice": double_runs}
+
+
+def describe_recovery(scenario: Scenario, records: list[Record]) -> dict[str, Any]:
+    """Tell how long the fleet took to full goodput after the first action."""
+    if not scenario.actions:
+        return {}
+    fault_at = min(action.at for action in scenario.actions)
+    seconds = find_recovery(records, fault_at, scenario.seconds)
+    return {"recovery_seconds": seconds}
+
+
+def stop_by_signal() -> None:
+    """Let a signal end the fleet in good order too."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,143 @@
+"""Scenarios: what is sent to which fleet, and what goes wrong meanwhile."""
+
+from typing import Any, Final, Literal, NamedTuple
+
+from bench.kinds import REMINDER, Deployment
+from bench.traces import Phase
+
+ENGINES: Final[dict[str, int]] = {"lagna": 9, "brolga": 6}
+POOLS: Final[dict[str, str]] = {"lagna": "gown-llm", "brolga": "fault-reader"}
+REMINDERS_PER_SECOND: Final = 4.0
+
+ActionKind = Literal[
+    "kill_engine",
+    "kill_agent",
+    "kill_entry",
+    "kill_planner",
+    "pause_agents",
+    "stall_engines",
+    "drain",
+    "table_down",
+]
+
+
+class Action(NamedTuple):
+    """Do something to the fleet in the middle of a run."""
+
+    at: float
+    """Seconds from the start of the trace."""
+    kind: ActionKind
+    target: str = ""
+    """Host; all of the pool where it is empty."""
+    seconds: float = 0.0
+    """How long it lasts; 0: for good."""
+
+
+class Variant(NamedTuple):
+    """Name the decisions that a run is made with."""
+
+    name: str
+    policy: dict[str, Any] = {}
+    """Differs from the sample's policy in these."""
+    roles: dict[str, str] = {}
+    """Configured roles by host."""
+
+
+class Scenario(NamedTuple):
+    """Describe a run but for its decisions and its seed."""
+
+    name: str
+    deployment: Deployment
+    speed: float
+    """How many times faster than the real engines the stand-ins are."""
+    phases: tuple[Phase, ...]
+    actions: tuple[Action, ...] = ()
+    retries: bool = False
+    entries: int = 3
+
+    @property
+    def seconds(self) -> float:
+        """Give the length of the trace."""
+        return sum(phase.seconds for phase in self.phases)
+
+
+def make_burst(load: float) -> Phase:
+    """Make a burst of tags and dart questions beside few sheets."""
+    shares = {"tag": 0.3 * load, "dart": 0.5 * load, "sheet": 0.2 * load}
+    return Phase(20.0, shares, ((REMINDER, REMINDERS_PER_SECOND),))
+
+
+def make_lagna_shift(load: float = 0.8, speed: float = 1.5) -> Scenario:
+    """Turn a morning of long sheets into a burst of short work."""
+    reminders = ((REMINDER, REMINDERS_PER_SECOND),)
+    morning = {"sheet": 0.95 * load, "tag": 0.02 * load, "dart": 0.03 * load}
+    turn = {"sheet": 0.5 * load, "tag": 0.2 * load, "dart": 0.3 * load}
+    phases = (
+        Phase(20.0, morning, reminders),
+        Phase(5.0, turn, reminders),
+        make_burst(load),
+    )
+    return Scenario("lagna-shift", "lagna", speed, phases)
+
+
+def make_brolga_shift(load: float = 0.8, speed: float = 1.5) -> Scenario:
+    """Turn line histories into a burst of classifications."""
+    morning = {"history": 0.95 * load, "classification": 0.05 * load}
+    burst = {"history": 0.4 * load, "classification": 0.6 * load}
+    phases = (Phase(20.0, morning), Phase(25.0, burst))
+    return Scenario("brolga-shift", "brolga", speed, phases)
+
+
+def make_overload(times: float, retries: bool = False) -> Scenario:
+    """Ask for a multiple of what the pool can do, in a mix of all kinds."""
+    shares = {"sheet": 0.5 * times, "tag": 0.1 * times, "dart": 0.4 * times}
+    name = f"overload-{times:g}" + ("-retried" if retries else "")
+    phases = (Phase(30.0, shares, ((REMINDER, REMINDERS_PER_SECOND),)),)
+    return Scenario(name, "lagna", 1.0, phases, retries=retries)
+
+
+def make_steady(name: str, *actions: Action, load: float = 0.6) -> Scenario:
+    """Let something go wrong in the middle of an even load."""
+    shares = {"sheet": 0.5 * load, "tag": 0.1 * load, "dart": 0.4 * load}
+    phases = (Phase(35.0, shares, ((REMINDER, REMINDERS_PER_SECOND),)),)
+    return Scenario(name, "lagna", 1.0, phases, actions)
+
+
+def make_hot() -> Scenario:
+    """Let half of the work share one long beginning."""
+    phases = (Phase(30.0, {"hot": 0.5, "dart": 0.3, "tag": 0.05}),)
+    return Scenario("hot-prefix", "lagna", 1.0, phases)
+
+
+def make_flood() -> Scenario:
+    """Let one team send three times the pool's capacity beside a modest one."""
+    phases = (
+        Phase(8.0, {"peer": 0.2, "flood": 0.2}),
+        Phase(17.0, {"peer": 0.2, "flood": 2.0}),
+        Phase(8.0, {"peer": 0.2, "flood": 0.2}),
+    )
+    return Scenario("flood", "lagna", 1.0, phases)
+
+
+ROUTING: Final = tuple(
+    Variant(name, {"routing": name})
+    for name in ("rendezvous", "round_robin", "least_reported")
+)
+DEFAULT: Final = Variant("default")
+
+
+def make_planning(deployment: Deployment) -> tuple[Variant, ...]:
+    """Make the variants of planning: one change of role is not cheap in any."""
+    host = "gown" if deployment == "lagna" else "reader"
+    split = {f"{host}-{number}": "prefill" for number in (1, 4, 7)}
+    split |= {f"{host}-{number}": "decode" for number in (3, 6, 9)}
+    if deployment == "brolga":
+        split = {f"{host}-{number}": "prefill" for number in (1, 3, 5)}
+        split |= {f"{host}-{number}": "decode" for number in (2, 4, 6)}
+    quick = {"min_dwell_seconds": 5, "drain_seconds": 3}
+    return (
+        Variant("off", {"planning": "off"}),
+        Variant("static", {"planning": "static"}, split),
+        Variant("threshold", {"planning": "threshold", **quick}),
+        Variant("cost", {"planning": "cost", **quick}),
+    )
--- a/radishtally/agent/answers.py
+++ b/radishtally/agent/answers.py
@@ -4,7 +4,11 @@
 
 import xxhash
 
-from radishtally.links.messages import Chunk, Finished, Handover, Lost
+from radishtally.limits.queue import Job, Running
+from radishtally.links.messages import Chunk, Finished, Handover, Lost, Offer
+
+Name = tuple[str, int]
+"""Request and attempt."""
 
 
 @dataclass(slots=True)
@@ -15,7 +19,6 @@
     request: str
     attempt: int
     sent: int
-    tokens_sent: int
 
 
 @dataclass(slots=True)
@@ -40,7 +43,7 @@
     def subscribe(self, host: str, request: str, attempt: int, offset: int) -> None:
         """Send an entry the answer from an offset on; its older place is forgotten."""
         self.unsubscribe(request, attempt)
-        self.subscribers.append(Subscriber(host, request, attempt, offset, 0))
+        self.subscribers.append(Subscriber(host, request, attempt, offset))
 
     def unsubscribe(self, request: str, attempt: int) -> None:
         """Send an entry nothing more."""
@@ -48,6 +51,10 @@
             s for s in self.subscribers if (s.request, s.attempt) != (request, attempt)
         ]
 
+    def unsubscribe_host(self, host: str) -> None:
+        """Send nothing more over a link that is gone."""
+        self.subscribers = [s for s in self.subscribers if s.host != host]
+
     def read_new(self, subscriber: Subscriber) -> Chunk | None:
         """Give what a subscriber has not been sent, and count it as sent."""
         if subscriber.sent >= len(self.data):
@@ -57,10 +64,9 @@
             subscriber.attempt,
             subscriber.sent,
             bytes(self.data[subscriber.sent :]),
-            self.tokens - subscriber.tokens_sent,
+            self.tokens,
         )
         subscriber.sent = len(self.data)
-        subscriber.tokens_sent = self.tokens
         return chunk
 
     def read_end(self, subscriber: Subscriber) -> Finished | Handover | Lost | None:
@@ -68,3 +74,46 @@
         if self.end is None:
             return None
         return self.end._replace(request=subscriber.request, attempt=subscriber.attempt)
+
+
+@dataclass(slots=True)
+class Assignment:
+    """Follow one attempt from its acceptance until its answer may go."""
+
+    offer: Offer
+    job: Job
+    body_hash: int
+    answer: Answer
+    names: set[Name] = field(default_factory=set)
+    """Attempts that this answer is for; more than one where a key was repeated."""
+    started: float | None = None
+    last_flush: float = float("-inf")
+    ended: float | None = None
+    orphaned: float | None = None
+    """Time since which no link leads to anybody who waits for the answer."""
+    leaving: bool = False
+    """Whether the work is on its way to another host."""
+    delivered: bool = False
+    """Whether an entry has said that it has the answer's end."""
+
+    @property
+    def name(self) -> Name:
+        """Give the request and attempt."""
+        return self.offer.work.request, self.offer.attempt
+
+    def measure(self) -> Running:
+        """Give what is left of work at the upstream."""
+        made = self.answer.tokens - self.offer.tokens_done
+        return Running(
+            self.job,
+            self.started or 0.0,
+            0 if made > 0 else self.job.prompt_tokens,
+            max(0, self.job.output_tokens - made),
+        )
+
+
+def hash_body(offer: Offer) -> int:
+    """Hash what a repeat of an idempotency key must have in common."""
+    work = offer.work
+    head = f"{work.kind}\0{work.method}\0{work.path}\0"
+    return xxhash.xxh64_intdigest(head.encode() + work.body)
--- a/radishtally/agent/const.py
+++ b/radishtally/agent/const.py
@@ -12,19 +12,23 @@
 RETAIN_SECONDS: Final = 120.0
 """Time that an ended answer is kept for a repeat of its idempotency key."""
 UNKEYED_RETAIN_SECONDS: Final = 10.0
-TOMBSTONE_SECONDS: Final = 120.0
-"""Longer than any offer may be under way."""
+REMEMBER_SECONDS: Final = 120.0
+"""Time that an attempt's name is remembered; twice what an entry relies on."""
+DELIVER_SECONDS: Final = 5.0
+"""Time that a stopping agent waits for the word that an answer's end has come."""
 MAX_RETAINED_BYTES: Final = 8 * 1024 * 1024
+"""Answers kept for repeats; beyond it those go first that their callers have."""
+MAX_UNDELIVERED_BYTES: Final = 64 * 1024 * 1024
+"""Answers kept in all."""
 STATE_SECONDS: Final = 0.5
 """Time between looks at the engine's state."""
 UPSTREAM_CONNECT_SECONDS: Final = 2.0
+CALL_SECONDS: Final = 600.0
+"""Longest time that a call which may not run twice holds its place."""
 SERVICE_LATENCY_START: Final = 0.05
 """Seconds that a service call is taken to last until one has been seen."""
 LATENCY_WEIGHT: Final = 0.1
-REASON_LEAVING: Final = "leaving"
 REASON_CANCELLED: Final = "cancelled"
 REASON_NOT_READY: Final = "upstream not ready"
 REASON_NOT_MET: Final = "deadline can't be met"
-REASON_KEY_REUSED: Final = "key reused"
-REASON_STOPPED: Final = "agent stopped"
 LEAVING_RETRY_SECONDS: Final = 1.0
--- a/radishtally/agent/daemon.py
+++ b/radishtally/agent/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from functools import singledispatchmethod
+from typing import Final
 
 from eliot import log_message
 
@@ -20,7 +21,8 @@
 from radishtally.process import Process, Waker
 from radishtally.settings.config import Settings
 
-DEFAULT_SLOTS = 32
+DEFAULT_SLOTS: Final = 32
+FLUSH_POLL_SECONDS: Final = 0.01
 
 
 class AgentDaemon:
@@ -47,7 +49,7 @@
             if is_engine
             else Service(upstream.url, self.handle)
         )
-        self.process.catch_signals()
+        self.process.watch_loop()
         await self.process.hub.start(self.settings.address)
         self.process.audit.start()
         self.process.spawn(self._watch_engine() if is_engine else self._watch_service())
@@ -59,7 +61,8 @@
         await self.process.stopping.wait()
         if self.orders is not None:
             self.orders.stop()
-        await self._leave()
+        if not self.process.broken:
+            await self._leave()
         self.waker.stop()
         await self.upstream.close()
         await self.process.unload()
@@ -81,14 +84,16 @@
 
     def handle(self, event: events.Event) -> None:
         """Give the core an event and carry out its commands."""
-        for command in handle_event(event, self.core, time.monotonic()):
-            self._execute(command)
-        self.waker.wake_at(self.core.next_wake(time.monotonic()))
+        with self.process.guard():
+            for command in handle_event(event, self.core, time.monotonic()):
+                self._execute(command)
+            self.waker.wake_at(self.core.next_wake(time.monotonic()))
 
     async def _leave(self) -> None:
         """Leave in good order: no new work, queue given back, running work out."""
         log_message("agent:leaving")
-        self.process.hub.stop_listening()
+        # The port stays taken: an entry whose link breaks now comes back for the rest
+        # of its answers, and no other agent may order the engine before this one ends.
         self.drained.clear()
         seconds = min(self.find_drain_seconds(), self.settings.stop_seconds / 2)
         self.handle(events.Drain("stopping", seconds, final=True))
@@ -100,9 +105,14 @@
             log_message("agent:stopped_with_work", running=len(self.core.running))
 
     async def _flush_links(self) -> None:
-        """Wait until the entries have been sent the ends of their answers."""
+        """Wait until the entries have the ends of their answers.
+
+        What only the kernel has is lost if the process ends with bytes unread: it
+        resets the connection then, and the entry would take a whole answer for cut.
+        """
+        self.process.hub.flush()
         while not self.process.hub.is_flushed():
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(FLUSH_POLL_SECONDS)
 
     @singledispatchmethod
     def _execute(self, command: events.Command) -> None:
--- a/radishtally/configuration/config.py
+++ b/radishtally/configuration/config.py
@@ -93,6 +93,8 @@
     max_body_bytes: Count = DEFAULT_MAX_BODY_BYTES
     retry_budget: Weight = 0.1
     """Retries allowed for each request that comes in."""
+    routing: Literal["rendezvous", "round_robin", "least_reported"] = "rendezvous"
+    """How hosts are chosen; the other two are there to be measured against."""
     planning: Literal["off", "static", "threshold", "cost"] = "off"
     """How roles are decided: off leaves every engine as configured."""
     goodput_weight: Weight = 1.0
--- a/radishtally/configuration/folder.py
+++ b/radishtally/configuration/folder.py
@@ -20,7 +20,7 @@
     folder = Path(path)
     if not folder.is_dir():
         return Error(Fault("expected a folder", str(path)))
-    names = sorted(entry.name for entry in folder.glob(PATTERN) if entry.is_file())
+    names = sorted(entry.name for entry in folder.glob(PATTERN) if _is_kept(entry))
     if len(names) > MAX_FILES:
         return Error(_build_count_fault(len(names)))
     files: dict[str, str] = {}
@@ -57,6 +57,10 @@
     return Ok(None)
 
 
+def _is_kept(path: Path) -> bool:
+    return path.is_file() and not path.name.startswith(".")
+
+
 def _is_unicode(text: str) -> bool:
     try:
         text.encode()
--- a/radishtally/entry/const.py
+++ b/radishtally/entry/const.py
@@ -17,8 +17,13 @@
 """Seconds between looks for the outcome of a call that another request has begun."""
 MAX_OFFERS: Final = 4
 """Agents that one request is offered to before it is refused."""
-MAX_ATTEMPTS: Final = 8
-ACK_BYTES: Final = 65_536
+MAX_LOST: Final = 8
+"""Attempts of one request that may be lost; planned moves do not count."""
+BELIEVE_SECONDS: Final = 60.0
+"""Age of an offer up to which an agent's memory can tell that it never began. Agents
+remember for twice as long, so neither a pause nor a slow clock makes it untrue."""
+REQUEUE_SECONDS: Final = 5.0
+"""Time that accepted work which a leaving agent gave back waits for another host."""
 MIN_RETRY_AFTER: Final = 0.5
 DEFAULT_RETRY_AFTER: Final = 1.0
 MAX_RETRY_AFTER: Final = 60.0
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -6,8 +6,11 @@
 import socket
 import time
 from functools import singledispatchmethod
+from typing import Final
 
 from eliot import log_message
+from sanic import HTTPResponse, Request
+from sanic.server.async_server import AsyncioServer
 
 from radishtally.authority.plans import Plans
 from radishtally.claims.core import (
@@ -35,8 +38,11 @@
 from radishtally.links.messages import Hello, Leaving, Load, Message, Work
 from radishtally.outcome import Ran, Refusal
 from radishtally.process import Process, Waker
+from radishtally.routing.core import POLICIES
 from radishtally.settings.config import Settings
 
+LEAVE_POLL_SECONDS: Final = 0.02
+
 
 class EntryDaemon:
     """Hold one entry's parts together."""
@@ -68,6 +74,7 @@
             self.plans,
             self.process.audit,
             hub,
+            self.process.spawn,
         )
         self.watcher = Watcher(self)
         self._started: dict[str, float] = {}
@@ -75,7 +82,7 @@
 
     async def run(self) -> None:
         """Serve until a planned stop."""
-        self.process.catch_signals()
+        self.process.watch_loop()
         await self.process.hub.start(self.settings.address)
         self.process.audit.start()
         self.claims.start()
@@ -84,15 +91,17 @@
         log_message("entry:ready", address=self.settings.http_address)
         await self.process.stopping.wait()
         await self.planning.stop()
-        await self._leave(server)
+        if not self.process.broken:
+            await self._leave(server)
         self.waker.stop()
         await self.watcher.stop()
         await self.claims.stop()
         await self.process.unload()
 
-    async def _serve_http(self) -> asyncio.AbstractServer:
+    async def _serve_http(self) -> AsyncioServer:
         app = make_app(self, self.settings.host)
         add_operator_routes(app, self)
+        app.register_middleware(self._end_keep_alive, "response")
         # sanic's own runner would start further processes; its server alone runs on
         # our loop.
         ip, port = self.settings.http_address.rsplit(":", 1)
@@ -104,16 +113,21 @@
         await server.start_serving()
         return server
 
-    async def _leave(self, server: asyncio.AbstractServer) -> None:
+    def _end_keep_alive(self, request: Request, response: HTTPResponse) -> None:
+        """Tell callers of a stopping entry to bring their next request elsewhere."""
+        if self.process.stopping.is_set():
+            request.stream.keep_alive = False
+
+    async def _leave(self, server: AsyncioServer) -> None:
         """Leave in good order: red to the balancer, then closed, then out."""
         log_message("entry:leaving", open=len(self.replies))
         await asyncio.sleep(self.settings.ready_delay)
         self._closed = True
         server.close()
         until = time.monotonic() + self.settings.stop_seconds
-        while len(self.replies) and time.monotonic() < until:
-            await asyncio.sleep(0.02)
-        if len(self.replies):
+        while _close_idle(server) and time.monotonic() < until:
+            await asyncio.sleep(LEAVE_POLL_SECONDS)
+        if server.connections:
             log_message("entry:stopped_with_work", open=len(self.replies))
 
     def is_ready(self) -> bool:
@@ -147,9 +161,10 @@
 
     def handle(self, event: events.Event) -> None:
         """Give the core an event and carry out its commands."""
-        for command in handle_event(event, self.core, time.monotonic()):
-            self._execute(command)
-        self.waker.wake_at(self.core.next_wake())
+        with self.process.guard():
+            for command in handle_event(event, self.core, time.monotonic()):
+                self._execute(command)
+            self.waker.wake_at(self.core.next_wake())
 
     @singledispatchmethod
     def _execute(self, command: events.Command) -> None:
@@ -211,7 +226,7 @@
                 break
             await asyncio.sleep(wait)
             outcome = await self._ask_claim(work)
-        self.handle(_read_claim(outcome, work.request))
+        self.handle(_read_claim(outcome, work))
 
     async def _ask_claim(self, work: Work) -> ClaimOutcome:
         digest = hash_call(work)
@@ -222,6 +237,7 @@
         self.directory = Directory(current.configuration)
         policy = current.configuration.policy
         self.core.budget = RetryBudget(policy.retry_budget)
+        self.core.choice = POLICIES[policy.routing]
         self.members.configure(current.configuration)
         self.planning.configure(current.configuration)
 
@@ -251,6 +267,17 @@
         return self.core.is_busy(host)
 
 
+def _close_idle(server: AsyncioServer) -> bool:
+    """Close connections that carry no request; tell whether others are left.
+
+    An answer is out only when its connection has sent it: counting the requests alone
+    would end the process between an answer's making and its last byte.
+    """
+    for connection in list(server.connections):
+        connection.close_if_idle()
+    return bool(server.connections)
+
+
 def hash_call(work: Work) -> str:
     """Hash what a repeat of an idempotency key must have in common."""
     digest = hashlib.sha256(f"{work.method}\0{work.upstream}\0{work.path}\0".encode())
@@ -258,11 +285,12 @@
     return digest.hexdigest()
 
 
-def _read_claim(outcome: ClaimOutcome, request: str) -> events.Event:
+def _read_claim(outcome: ClaimOutcome, work: Work) -> events.Event:
     """Say what the outcome of a claim means for its request."""
+    request = work.request
     match outcome:
         case Granted():
-            return events.Granted(request)
+            return events.Granted(work)
         case Repeated(answer) if answer.body_kept:
             return events.Repeated(
                 request, answer.status, tuple(map(tuple, answer.headers)), answer.body
--- a/radishtally/entry/events.py
+++ b/radishtally/entry/events.py
@@ -40,9 +40,9 @@
 
 
 class Granted(NamedTuple):
-    """Say that the claim on the request's key is ours."""
+    """Say that the claim on the key of this work is ours."""
 
-    request: str
+    work: Work
 
 
 class Repeated(NamedTuple):
--- a/radishtally/entry/hosts.py
+++ b/radishtally/entry/hosts.py
@@ -16,7 +16,8 @@
     upstream: str
     live: bool = False
     """Whether the membership has it as live."""
-    incarnation: str = ""
+    gone: bool = False
+    """Whether the host is to be forgotten once no work is open there."""
     load: Load | None = None
     load_at: float = 0.0
     in_flight: int = 0
--- a/radishtally/entry/members.py
+++ b/radishtally/entry/members.py
@@ -1,6 +1,7 @@
 """Keep the entry's links and its core in step with the membership."""
 
 import time
+from typing import Final
 
 from eliot import log_message
 
@@ -13,6 +14,9 @@
 from radishtally.platform.core import ENTRY, ListedHost
 from radishtally.settings.config import Settings
 
+SEED: Final = "seed "
+"""Begins the name under which a seed is dialled before its host is known."""
+
 
 class Members:
     """Drive the membership of one entry."""
@@ -58,6 +62,7 @@
     def tick(self) -> None:
         """Let time pass."""
         self._take(membership.Tick())
+        self._dial_seeds()
 
     def list_entries(self) -> dict[str, str]:
         """List the entries that are live as seen from here, with their places."""
@@ -97,6 +102,20 @@
         live = member.state == LIVE and configured.get(host) == member.upstream
         self._core.set_host(host, member.place, member.upstream, live)
 
+    def _dial_seeds(self) -> None:
+        """Reach peers while the list shows nobody.
+
+        A process that starts while the platform is away has neither configuration nor
+        list; a peer of its settings gives it the configuration. Once others are listed
+        their own addresses lead to them, and two links to one host would take turns.
+        """
+        listed = any(m.address for m in self.membership.members.values())
+        for address in self._settings.seeds:
+            if listed:
+                self._hub.forget(SEED + address)
+            else:
+                self._hub.dial(SEED + address, address)
+
     def _dial(self, host: str, upstream: str, address: str) -> None:
         address = self._settings.dial.get(host, address)
         if not address or host == self._settings.host:
--- /dev/null
+++ b/radishtally/entry/offers.py
@@ -0,0 +1,241 @@
+"""Decide where a request goes next, and when it goes no further."""
+
+from collections.abc import Iterator
+
+from radishtally.entry import const
+from radishtally.entry.events import Command, Note, Refuse, Release, Send
+from radishtally.entry.requests import CLAIMING, OFFERED, WAITING, OpenRequest
+from radishtally.entry.state import EntryCore
+from radishtally.limits.retries import backoff
+from radishtally.links.messages import (
+    CALL,
+    DECODE,
+    NOT_KNOWN,
+    PREFILL,
+    WHOLE,
+    Cancel,
+)
+from radishtally.outcome import Ran, Refusal
+from radishtally.routing.core import Wanted, needs_split
+
+
+def wait(request: OpenRequest, until: float, core: EntryCore) -> None:
+    """Look at the request again at a time, if its phase lasts so long."""
+    request.waits_until = until
+    core.schedule(request)
+
+
+def offer(request: OpenRequest, core: EntryCore, now: float) -> Iterator[Command]:
+    """Offer the request to the next host; where there is none, wait or refuse."""
+    if request.answered:
+        # Nobody waits any more: what has not begun is not begun now.
+        yield from fail(request, 499, const.CODE_DEADLINE, "nobody waits", core)
+        return
+    stage, host = _choose(request, core, now)
+    if host is None:
+        yield from _go_without_host(request, core, now)
+        return
+    if request.owes_retry and not core.budget.spend(now):
+        yield from _go_without_budget(request, core, now)
+        return
+    request.owes_retry = False
+    request.attempt += 1
+    request.offers += 1
+    request.host = host
+    request.stage = WHOLE if stage == DECODE else stage
+    request.phase = OFFERED
+    request.incarnation = core.links[host]
+    request.offered_at = now
+    request.asked_again_at = -1
+    wait(request, now + const.OFFER_SECONDS, core)
+    known = core.hosts[host]
+    known.in_flight += 1
+    known.breaker.offered(now)
+    yield Note(request.work.request, f"attempt {request.attempt} offered to {host}")
+    yield Send(host, request.make_offer(request.deadline - now))
+
+
+def lose(
+    request: OpenRequest, ran: str, reason: str, core: EntryCore, now: float
+) -> Iterator[Command]:
+    """Go on after an attempt has failed: elsewhere, or with a refusal."""
+    yield Note(request.work.request, f"attempt {request.attempt} lost: {reason}")
+    # A host that the offer never reached has refused nothing.
+    if request.host is not None and reason != NOT_KNOWN:
+        request.tried.add(request.host)
+    core.leave_host(request)
+    # What surely did not run has cost no upstream anything. It is routed anew like a
+    # refused offer, bounded as those are; the budget is for work done over again.
+    if ran == Ran.NO:
+        yield from offer(request, core, now)
+        return
+    request.maybe_ran = True
+    request.lost += 1
+    if not request.work.idempotent:
+        text = "the call may have run; its outcome is not known"
+        yield from fail(request, 502, const.CODE_UNCLEAR, text, core)
+        return
+    if request.lost >= const.MAX_LOST or _is_stuck(request):
+        text = f"the upstream failed ({reason})"
+        yield from fail(request, 502, const.CODE_LOST, text, core)
+        return
+    _prepare_retry(request)
+    yield from offer(request, core, now)
+
+
+def _is_stuck(request: OpenRequest) -> bool:
+    """Tell whether the caller has a part of a call that can't be gone on from."""
+    is_call = request.work.kind == CALL
+    return is_call and request.streamed and bool(request.received)
+
+
+def _prepare_retry(request: OpenRequest) -> None:
+    request.kv = None
+    request.owes_retry = True
+    # A second run of a call may answer otherwise: its bytes put behind the first
+    # run's would be an answer that nobody gave.
+    if request.work.kind == CALL:
+        request.drop_received()
+    # An answer that has begun is not cut because no host is free at this moment.
+    if request.is_begun:
+        request.patience = float("inf")
+
+
+def withdraw(request: OpenRequest, core: EntryCore) -> Iterator[Command]:
+    """Take the present attempt back from its host."""
+    if request.host is None:
+        return
+    # Until its agent says otherwise the attempt may have begun.
+    request.maybe_ran = True
+    yield Send(request.host, Cancel(request.work.request, request.attempt))
+    core.leave_host(request)
+
+
+def answer_unknown(
+    request: OpenRequest, status: int, code: str, text: str, core: EntryCore, now: float
+) -> Iterator[Command]:
+    """Tell the caller that the outcome is not known, and go on to wait for it.
+
+    A call that may not run twice is not cut. When its outcome comes it is kept for a
+    repeat of the key, or the claim is given back if the call did not run.
+    """
+    request.answered = True
+    request.deadline = now + const.OUTCOME_SECONDS
+    core.schedule(request)
+    yield Refuse(request.work.request, Refusal(status, code, text, Ran.UNKNOWN))
+
+
+def fail(
+    request: OpenRequest, status: int, code: str, text: str, core: EntryCore
+) -> Iterator[Command]:
+    """Refuse the request for a fault."""
+    yield from refuse(request, status, code, text, None, core)
+
+
+def refuse(
+    request: OpenRequest,
+    status: int,
+    code: str,
+    text: str,
+    retry_after: float | None,
+    core: EntryCore,
+) -> Iterator[Command]:
+    """Give the caller its final answer at once."""
+    # "Not run" needs every attempt's own word; an attempt that is still open, or that
+    # has given a part, has not said so.
+    if request.host is not None or request.received:
+        request.maybe_ran = True
+    core.leave_host(request)
+    core.requests.pop(request.work.request, None)
+    ran = Ran.UNKNOWN if request.maybe_ran else Ran.NO
+    if status in (429, 503):
+        retry_after = _bound(retry_after)
+    if not request.answered:
+        refusal = Refusal(status, code, text, ran, retry_after)
+        yield Refuse(request.work.request, refusal)
+    # A claim that is still asked for is given back when it is granted.
+    if request.is_claimed and ran == Ran.NO and request.phase != CLAIMING:
+        yield Release(request.work)
+
+
+def _choose(
+    request: OpenRequest, core: EntryCore, now: float
+) -> tuple[str, str | None]:
+    """Choose the stage and the host to offer."""
+    wanted = _describe(request, core, now)
+    stage = request.next_stage
+    candidates = [
+        host.describe(now)
+        for host in core.hosts.values()
+        if host.upstream == request.work.upstream
+        and host.host in core.links
+        and host.is_usable(now)
+    ]
+    if stage == WHOLE and request.work.kind != CALL and not request.received:
+        stage = PREFILL if needs_split(candidates, wanted) else WHOLE
+    if request.offers >= const.MAX_OFFERS:
+        return stage, None
+    wanted = wanted._replace(stage=stage)
+    return stage, core.choice(wanted, candidates, request.tried)
+
+
+def _describe(request: OpenRequest, core: EntryCore, now: float) -> Wanted:
+    work = request.work
+    return Wanted(
+        request.next_stage,
+        work.prefix,
+        work.model,
+        work.adapter,
+        work.prompt_tokens,
+        work.max_tokens,
+        request.deadline - now,
+        core.place,
+    )
+
+
+def _go_without_host(
+    request: OpenRequest, core: EntryCore, now: float
+) -> Iterator[Command]:
+    if now < request.patience:
+        yield from _hold(request, "no host takes it now", core, now)
+        return
+    if request.tried or _has_host(request, core, now):
+        text = "no upstream can answer in time"
+        code, status = const.CODE_OVERLOADED, 429
+    else:
+        text = "no upstream is in reach"
+        code, status = const.CODE_NO_UPSTREAM, 503
+    yield from refuse(request, status, code, text, request.retry_after, core)
+
+
+def _has_host(request: OpenRequest, core: EntryCore, now: float) -> bool:
+    return any(
+        host.upstream == request.work.upstream and host.is_usable(now)
+        for host in core.hosts.values()
+    )
+
+
+def _go_without_budget(
+    request: OpenRequest, core: EntryCore, now: float
+) -> Iterator[Command]:
+    if now < request.patience:
+        yield from _hold(request, "the retry budget is spent", core, now)
+        return
+    text = "the upstream failed and too many retries are under way"
+    yield from fail(request, 503, const.CODE_RETRY_BUDGET, text, core)
+
+
+def _hold(
+    request: OpenRequest, reason: str, core: EntryCore, now: float
+) -> Iterator[Command]:
+    """Keep the request until it is worth offering again."""
+    request.phase = WAITING
+    request.rounds += 1
+    wait(request, now + backoff(request.rounds, core.random), core)
+    yield Note(request.work.request, f"waits: {reason}")
+
+
+def _bound(retry_after: float | None) -> float:
+    if retry_after is None:
+        return const.DEFAULT_RETRY_AFTER
+    return min(max(retry_after, const.MIN_RETRY_AFTER), const.MAX_RETRY_AFTER)
--- a/radishtally/entry/operators.py
+++ b/radishtally/entry/operators.py
@@ -4,26 +4,29 @@
 import hmac
 import time
 from functools import singledispatch
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import msgspec
 from sanic import Request, Sanic
 from sanic.response import HTTPResponse
 
-from radishtally.configuration.head import Raced
+from radishtally.configuration.head import Head, Raced
 from radishtally.configuration.store import ApplyError
 from radishtally.entry.http import respond_json
 from radishtally.links.messages import Hint
-from radishtally.outcome import Fault
+from radishtally.outcome import Error, Fault, Ok, Result
 from radishtally.platform.core import Conflict, Invalid, Unavailable, Unclear
 
 if TYPE_CHECKING:
     from radishtally.entry.daemon import EntryDaemon
 
 BOOTSTRAP: Final = "bootstrap"
-"""Operator who holds the peer key; valid until a configuration is in force."""
+"""Operator who holds the peer key; valid until operators are configured."""
 MAX_WAIT_SECONDS: Final = 60.0
 POLL_SECONDS: Final = 0.02
+DEFAULT_LIMIT: Final = 20
+MAX_LIMIT: Final = 1_000
+MAX_DIGITS: Final = 15
 
 
 class ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -41,6 +44,9 @@
     cause: str
 
 
+B = TypeVar("B", ChangeBody, DrainBody)
+
+
 def add_operator_routes(app: Sanic, entry: "EntryDaemon") -> None:
     """Add what operators may ask for."""
     app.ctx.entry = entry
@@ -48,6 +54,7 @@
     app.add_route(_status, f"{base}/status")
     app.add_route(_read_configuration, f"{base}/configuration")
     app.add_route(_apply, f"{base}/configuration", methods=["POST"])
+    app.add_route(_read_revision, f"{base}/configuration/revisions/<revision:int>")
     app.add_route(_confirm, f"{base}/configuration/confirmed")
     app.add_route(_history, f"{base}/configuration/history")
     app.add_route(_drain, f"{base}/hosts/<host:str>/drain", methods=["POST"])
@@ -62,15 +69,20 @@
     if not request.path.startswith("/operators/"):
         return None
     request.ctx.operator = _find_operator(request)
-    if request.ctx.operator is None:
-        return _respond_error(401, "the operator's key is not known")
-    return None
+    if request.ctx.operator is not None:
+        return None
+    if request.app.ctx.entry.directory is None:
+        text = "no configuration is in force here yet, so operators are not known"
+        return _respond_error(503, text, kind="not_ready")
+    return _respond_error(401, "the operator's key is not known")
 
 
 def _find_operator(request: Request) -> str | None:
-    entry = request.app.ctx.entry
-    if entry.directory is not None:
-        return entry.directory.find_operator(request.headers)
+    entry: EntryDaemon = request.app.ctx.entry
+    directory = entry.directory
+    # A first configuration without operators would otherwise shut everybody out.
+    if directory is not None and directory.configuration.operators:
+        return directory.find_operator(request.headers)
     key = request.headers.get("authorization", "").partition(" ")[2]
     expected = entry.settings.peer_key
     return BOOTSTRAP if hmac.compare_digest(key.encode(), expected.encode()) else None
@@ -170,20 +182,35 @@
 
 
 async def _read_configuration(request: Request) -> HTTPResponse:
-    current = request.app.ctx.entry.process.keeper.current
-    if current is None:
+    entry: EntryDaemon = request.app.ctx.entry
+    keeper = entry.process.keeper
+    if keeper.revision < _read_number(request, "at_least", 0):
+        await entry.watcher.read_head()
+    if keeper.current is None:
         return respond_json({"revision": 0, "files": {}})
+    current = keeper.current
     return respond_json({"revision": current.revision, "files": current.files})
 
 
+async def _read_revision(request: Request, revision: int) -> HTTPResponse:
+    """Tell who wrote each file of a revision, and its hash."""
+    entry: EntryDaemon = request.app.ctx.entry
+    read = await entry.configurations.read_revision(revision)
+    if read.is_error():
+        if isinstance(read.error, Fault):
+            return _respond_error(404, f"revision {revision} is not known")
+        return _respond_fault(read.error)
+    head = read.ok
+    files = {name: one._asdict() for name, one in head.files.items()}
+    return respond_json({**_describe_head(head), "files": files})
+
+
 async def _apply(request: Request) -> HTTPResponse:
     entry: EntryDaemon = request.app.ctx.entry
-    try:
-        change = msgspec.json.decode(request.body, type=ChangeBody)
-    except msgspec.MsgspecError as error:
-        return _respond_error(400, f"body: {error}")
-    if not change.cause.strip():
-        return _respond_error(400, "cause: expected a reason for the change")
+    read = _read_body(request, ChangeBody)
+    if read.is_error():
+        return _respond_error(400, read.error)
+    change = read.ok
     operator = request.ctx.operator
     head = await entry.configurations.apply(
         change.files, change.base, operator, change.cause
@@ -228,27 +255,26 @@
     heads = await entry.configurations.read_history(_read_limit(request))
     if heads.is_error():
         return _respond_fault(heads.error)
-    return respond_json(
-        [
-            {
-                "revision": head.revision,
-                "author": head.author,
-                "cause": head.cause,
-                "at_ms": head.at_ms,
-                "changed": head.changed,
-            }
-            for head in heads.ok
-        ]
-    )
+    return respond_json([_describe_head(head) for head in heads.ok])
+
+
+def _describe_head(head: Head) -> dict[str, Any]:
+    return {
+        "revision": head.revision,
+        "author": head.author,
+        "cause": head.cause,
+        "at_ms": head.at_ms,
+        "changed": head.changed,
+    }
 
 
 async def _drain(request: Request, host: str) -> HTTPResponse:
     entry: EntryDaemon = request.app.ctx.entry
-    try:
-        body = msgspec.json.decode(request.body, type=DrainBody)
-    except msgspec.MsgspecError as error:
-        return _respond_error(400, f"body: {error}")
-    if host not in entry.members.membership.members:
+    read = _read_body(request, DrainBody)
+    if read.is_error():
+        return _respond_error(400, read.error)
+    body = read.ok
+    if not _is_host(entry, host):
         return _respond_error(404, f"host {host!r} is not known")
     drain = await entry.plans.write_drain(
         host, body.drained, request.ctx.operator, body.cause
@@ -260,6 +286,25 @@
     return respond_json({"host": host, "drained": body.drained})
 
 
+def _is_host(entry: "EntryDaemon", host: str) -> bool:
+    """Tell whether a host is listed, or configured and away for now."""
+    if host in entry.members.membership.members:
+        return True
+    current = entry.process.keeper.current
+    upstreams = current.configuration.upstreams.values() if current else ()
+    return any(host in upstream.servers for upstream in upstreams)
+
+
+def _read_body(request: Request, kind: type[B]) -> Result[B, str]:
+    try:
+        body = msgspec.json.decode(request.body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Error(f"body: {error}")
+    if not body.cause.strip():
+        return Error("cause: expected a reason for the change")
+    return Ok(body)
+
+
 async def _audit(request: Request) -> HTTPResponse:
     entry: EntryDaemon = request.app.ctx.entry
     subject = request.args.get("subject")
@@ -270,8 +315,13 @@
 
 
 def _read_limit(request: Request) -> int:
-    text = request.args.get("limit", "20")
-    return max(1, min(int(text), 1000)) if text.isdigit() else 20
+    return max(1, min(_read_number(request, "limit", DEFAULT_LIMIT), MAX_LIMIT))
+
+
+def _read_number(request: Request, name: str, default: int) -> int:
+    text = request.args.get(name, "")
+    fits = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if fits else default
 
 
 async def _explain_request(request: Request, request_id: str) -> HTTPResponse:
@@ -299,12 +349,21 @@
             "left_out_after_failures": known is not None
             and not known.breaker.allows(now),
             "whose_fault": entry.members.membership.judge(host, now),
+            "drain": await _describe_drain(entry, host),
             "plan": entry.planning.describe_host(host),
             **_describe_load(entry, host),
         }
     )
 
 
+async def _describe_drain(entry: "EntryDaemon", host: str) -> dict[str, Any]:
+    drains = await entry.plans.read_drains()
+    if drains.is_error():
+        return {"drained": None, "cause": "the platform's store is away"}
+    drain = drains.ok.get(host)
+    return {"drained": False} if drain is None else drain._asdict()
+
+
 async def _explain_place(request: Request, place: str) -> HTTPResponse:
     entry: EntryDaemon = request.app.ctx.entry
     current = entry.process.keeper.current
--- a/radishtally/entry/places.py
+++ b/radishtally/entry/places.py
@@ -8,7 +8,7 @@
 from radishtally.audit.store import AuditLog
 from radishtally.authority.plans import Plans
 from radishtally.configuration.config import Configuration
-from radishtally.entry.planning import PlacePlanning
+from radishtally.entry.planning import PlacePlanning, StartTask
 from radishtally.links.hub import LinkHub
 from radishtally.links.messages import Load
 from radishtally.platform.core import Table
@@ -30,6 +30,7 @@
         plans: Plans,
         audit: AuditLog,
         hub: LinkHub,
+        start_task: StartTask,
     ) -> None:
         self._host = host
         self._incarnation = incarnation
@@ -37,6 +38,7 @@
         self._plans = plans
         self._audit = audit
         self._hub = hub
+        self._start_task = start_task
         self._configuration: Configuration | None = None
         self._places: dict[str, PlacePlanning] = {}
 
@@ -112,6 +114,7 @@
             self._plans,
             self._audit,
             self._hub,
+            self._start_task,
         )
         planning.configure(self._configuration)
         self._places[place] = planning
--- a/radishtally/entry/planning.py
+++ b/radishtally/entry/planning.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import time
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 from eliot import log_message
 
 from radishtally.audit.store import AuditLog
 from radishtally.authority.holder import LeaseHolder
-from radishtally.authority.plan import PLAN, Plan, Wanted
-from radishtally.authority.plans import Plans, Superseded
+from radishtally.authority.plan import PLAN
+from radishtally.authority.plans import Plans
 from radishtally.configuration.config import Configuration, Engines
 from radishtally.links.hub import LinkHub
 from radishtally.links.messages import Hint, Load
@@ -17,6 +18,8 @@
 from radishtally.planner.core import Planner, Pool, handle
 from radishtally.platform.core import Table
 
+StartTask = Callable[[Coroutine[Any, Any, Any]], asyncio.Task]
+
 TICK_SECONDS: Final = 1.0
 REREAD_SECONDS: Final = 1.0
 
@@ -33,16 +36,15 @@
         plans: Plans,
         audit: AuditLog,
         hub: LinkHub,
+        start_task: StartTask,
     ) -> None:
         self._host = host
         self._place = place
         self._plans = plans
         self._audit = audit
         self._hub = hub
+        self._start_task = start_task
         self._planner = Planner()
-        self._configuration: Configuration | None = None
-        self._plan: Plan | None = None
-        self._loads: dict[str, Load] = {}
         self._tasks: set[asyncio.Task] = set()
         self._lease = LeaseHolder(
             table,
@@ -71,7 +73,6 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Take the policy and the roles that operators gave."""
-        self._configuration = configuration
         roles = {
             host: server.role
             for upstream in configuration.upstreams.values()
@@ -84,7 +85,6 @@
         """Take a load report, with or without the lease."""
         if place != self._place or not load.model:
             return
-        self._loads[load.host] = load
         counts = planner.Counts(
             load.prompt_tokens, load.output_tokens, load.requests, load.refused
         )
@@ -92,7 +92,6 @@
 
     def host_gone(self, host: str) -> None:
         """Take the loss of a host."""
-        self._loads.pop(host, None)
         self._feed(planner.HostGone(host))
 
     def describe(self) -> dict[str, Any]:
@@ -101,10 +100,11 @@
 
     def describe_host(self, host: str) -> dict[str, Any] | None:
         """Tell what the last plan known here wants of a host."""
-        if self._plan is None or host not in self._plan.wanted:
+        plan = self._planner.plan
+        if plan is None or host not in plan.wanted:
             return None
-        wanted = self._plan.wanted[host]._asdict()
-        return {"number": self._plan.number, "cause": self._plan.cause, **wanted}
+        wanted = plan.wanted[host]._asdict()
+        return {"number": plan.number, "cause": plan.cause, **wanted}
 
     def describe_pools(self) -> dict[str, Any]:
         """Tell what is asked of the place's pools, as known here."""
@@ -122,10 +122,10 @@
 
     def _feed(self, event: object) -> None:
         for command in handle(event, self._planner, time.monotonic()):
-            self._spawn(self._write(command.plan))
+            self._spawn(self._write(command))
 
-    def _spawn(self, coroutine: Any) -> None:
-        task = asyncio.create_task(coroutine)
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = self._start_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -150,65 +150,31 @@
         while self._lease.fencing == fencing:
             read = await self._plans.read_plan(self._place)
             if read.is_ok():
-                self._plan = read.ok
-                self._feed(planner.Gained(fencing, self._read_changes()))
+                self._feed(planner.Gained(fencing, read.ok))
                 return
             await asyncio.sleep(REREAD_SECONDS)
 
-    def _read_changes(self) -> tuple[planner.Plan, ...]:
-        """Give the plan's wishes that the engines have not met, one for each pool."""
-        if self._plan is None:
-            return ()
-        found: dict[Pool, planner.Plan] = {}
-        for host, wanted in self._plan.wanted.items():
-            pool = self._find_pool(host)
-            load = self._loads.get(host)
-            met = load is not None and load.role == wanted.role
-            if pool is None or (met and pool in found):
-                continue
-            fencing = self._plan.fencing
-            found[pool] = planner.Plan(
-                pool, self._plan.number, fencing, host, wanted.role, self._plan.cause
-            )
-        return tuple(found.values())
-
-    def _find_pool(self, host: str) -> Pool | None:
-        for name, upstream in self._list_engines():
-            if host in upstream.servers:
-                return Pool(name, upstream.servers[host].place)
-        return None
-
-    def _list_engines(self) -> list[tuple[str, Engines]]:
-        if self._configuration is None:
-            return []
-        upstreams = self._configuration.upstreams.items()
-        return [
-            (name, found) for name, found in upstreams if isinstance(found, Engines)
-        ]
-
-    async def _write(self, change: planner.Plan) -> None:
+    async def _write(self, change: planner.WritePlan) -> None:
         """Put a role change in force as the place's next plan."""
-        wanted = dict(self._plan.wanted) if self._plan is not None else {}
-        load = self._loads.get(change.host)
-        if load is None:
-            self._feed(planner.PlanNotWritten(change))
-            return
-        wanted[change.host] = Wanted(
-            change.role, load.model, load.version, load.adapters
-        )
         written = await self._plans.write_plan(
-            self._place, self._plan, wanted, change.cause, self._lease
+            self._place, change.previous, change.wanted, change.cause, self._lease
         )
         if written.is_error():
             log_message("plan:not_written", error=str(written.error))
-            if isinstance(written.error, Superseded):
-                self._plan = written.error.current
-            self._feed(planner.PlanNotWritten(change))
+            # The write may stand all the same, or another plan does: only the table
+            # tells, and until it is read again nothing is planned on top of it.
+            await self._take_over(change.fencing)
             return
-        self._plan = written.ok
         log_message("plan:written", number=written.ok.number, cause=change.cause)
-        self._feed(planner.PlanWritten(change))
-        self._hub.send(change.host, Hint(PLAN, self._place))
+        self._feed(planner.PlanWritten(written.ok))
+        for host in find_changed(change):
+            self._hub.send(host, Hint(PLAN, self._place))
 
     def _record(self, what: str, cause: str, after: dict[str, Any]) -> None:
         self._audit.record(self._host, what, self._place, cause, {}, after)
+
+
+def find_changed(change: planner.WritePlan) -> list[str]:
+    """Find the hosts for which a plan wants something new."""
+    before = change.previous.wanted if change.previous is not None else {}
+    return [h for h, wanted in change.wanted.items() if before.get(h) != wanted]
--- a/radishtally/entry/requests.py
+++ b/radishtally/entry/requests.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from radishtally.links.messages import WHOLE, KvRef, Offer, Work
+from radishtally.links.messages import CALL, WHOLE, KvRef, Offer, Work
 
 CLAIMING: Final = "claiming"
 OFFERED: Final = "offered"
@@ -14,6 +14,8 @@
 """An offer went unanswered; the word that it did not start is awaited."""
 CUT: Final = "cut"
 """The link to the agent is gone; it may come back."""
+WAITING: Final = "waiting"
+"""No host takes the request now; it is offered again after a while."""
 
 
 @dataclass(slots=True)
@@ -27,13 +29,26 @@
     phase: str = CLAIMING
     attempt: int = 0
     offers: int = 0
+    """Offers in a row that led to nothing."""
+    lost: int = 0
+    """Attempts that failed after they may have begun."""
+    rounds: int = 0
+    """Times that the request has waited for a host."""
     host: str | None = None
     incarnation: str = ""
+    """Process that the present attempt was offered to."""
+    offered_at: float = 0.0
     stage: str = WHOLE
     next_stage: str = WHOLE
     kv: KvRef | None = None
     waits_until: float = float("inf")
     """Time at which the present phase is given up."""
+    scheduled: float = float("inf")
+    """Earliest time at which the core will look at the request."""
+    patience: float = float("-inf")
+    """Time until which it waits for a host rather than be refused."""
+    owes_retry: bool = False
+    """Whether the next offer is to be paid from the retry budget."""
     tried: set[str] = field(default_factory=set)
     retry_after: float | None = None
     """Least time that a refusing agent named."""
@@ -41,7 +56,6 @@
     """Whether some attempt may have run."""
     received: bytearray = field(default_factory=bytearray)
     tokens: int = 0
-    acked: int = 0
     asked_again_at: int = -1
     first_token: float | None = None
     answered: bool = False
@@ -52,6 +66,16 @@
         """Give the time at which the request wants to be looked at."""
         return min(self.waits_until, self.deadline)
 
+    @property
+    def is_claimed(self) -> bool:
+        """Tell whether the key is claimed before the work runs."""
+        return bool(self.work.key) and not self.work.idempotent
+
+    @property
+    def is_begun(self) -> bool:
+        """Tell whether a part of an answer is there that can be gone on from."""
+        return bool(self.received) and self.work.kind != CALL
+
     def append(self, offset: int, data: bytes, tokens: int) -> bytes | None:
         """Add a chunk; give what of it is new, or nothing if a part is missing.
 
@@ -62,9 +86,15 @@
         new = data[len(self.received) - offset :]
         if new:
             self.received += new
-            self.tokens += tokens
+            self.tokens = max(self.tokens, tokens)
         return new
 
+    def drop_received(self) -> None:
+        """Forget the part of an answer that can't be gone on from."""
+        self.received.clear()
+        self.tokens = 0
+        self.asked_again_at = -1
+
     def checksum(self) -> int:
         """Give the xxh64 of the whole answer."""
         return xxhash.xxh64_intdigest(bytes(self.received))
--- /dev/null
+++ b/radishtally/entry/state.py
@@ -0,0 +1,94 @@
+"""Hold what one entry knows."""
+
+import heapq
+import random
+from dataclasses import dataclass, field
+
+from radishtally.entry.hosts import KnownHost
+from radishtally.entry.requests import OpenRequest
+from radishtally.limits.retries import RetryBudget
+from radishtally.routing.core import POLICIES, Choice
+
+
+@dataclass(slots=True)
+class EntryCore:
+    """Hold what one entry knows."""
+
+    host: str
+    place: str
+    random: random.Random
+    choice: Choice = POLICIES["rendezvous"]
+    budget: RetryBudget = field(default_factory=lambda: RetryBudget(0.1))
+    hosts: dict[str, KnownHost] = field(default_factory=dict)
+    links: dict[str, str] = field(default_factory=dict)
+    """Incarnation of each process that a link is up to."""
+    requests: dict[str, OpenRequest] = field(default_factory=dict)
+    wakes: list[tuple[float, str]] = field(default_factory=list)
+    """Heap of the times at which requests want to be looked at."""
+
+    def next_wake(self) -> float:
+        """Give the time at which the core wants a Tick."""
+        while self.wakes and not self._is_due_then(*self.wakes[0]):
+            heapq.heappop(self.wakes)
+        return self.wakes[0][0] if self.wakes else float("inf")
+
+    def schedule(self, request: OpenRequest) -> None:
+        """Look at a request again at its own time."""
+        if request.wake >= request.scheduled:
+            return
+        request.scheduled = request.wake
+        heapq.heappush(self.wakes, (request.wake, request.work.request))
+
+    def take_due(self, now: float) -> list[OpenRequest]:
+        """Take the requests whose time has come."""
+        due = []
+        while self.next_wake() <= now:
+            _, name = heapq.heappop(self.wakes)
+            request = self.requests[name]
+            request.scheduled = float("inf")
+            if request.wake <= now:
+                due.append(request)
+            else:
+                self.schedule(request)
+        return due
+
+    def is_busy(self, host: str) -> bool:
+        """Tell whether work is open at a host."""
+        known = self.hosts.get(host)
+        return known is not None and known.in_flight > 0
+
+    def set_host(self, host: str, place: str, upstream: str, live: bool) -> None:
+        """Take what the membership makes of a host."""
+        known = self.hosts.setdefault(host, KnownHost(host, place, upstream))
+        if known.upstream != upstream:
+            # Work that is still open there goes on counting.
+            fresh = KnownHost(host, place, upstream)
+            fresh.in_flight = known.in_flight
+            self.hosts[host] = known = fresh
+        known.place = place
+        known.live = live
+        known.gone = False
+
+    def forget_host(self, host: str) -> None:
+        """Forget a host that is gone, once no work is open there."""
+        known = self.hosts.get(host)
+        if known is None:
+            return
+        known.live = False
+        known.gone = True
+        if not known.in_flight:
+            del self.hosts[host]
+
+    def leave_host(self, request: OpenRequest) -> None:
+        """Take a request's present attempt off its host."""
+        known = self.hosts.get(request.host or "")
+        request.host = None
+        if known is None:
+            return
+        known.in_flight -= 1
+        if known.gone and not known.in_flight:
+            del self.hosts[known.host]
+
+    def _is_due_then(self, time: float, name: str) -> bool:
+        request = self.requests.get(name)
+        return request is not None and request.scheduled == time
--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -71,11 +71,6 @@
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self._server.wait_closed(), DIAL_SECONDS)
 
-    def stop_listening(self) -> None:
-        """Take no new links; those that are up stay."""
-        if self._server is not None and self._server._server is not None:
-            self._server._server.close()
-
     def dial(self, host: str, address: str) -> None:
         """Keep a link to a host up until it is forgotten."""
         if host in self._dialers:
@@ -105,8 +100,13 @@
         for link in self._links.values():
             link.announce(revision)
 
+    def flush(self) -> None:
+        """Ask every peer for a sign that it has taken what is queued now."""
+        for link in self._links.values():
+            link.ping()
+
     def is_flushed(self) -> bool:
-        """Tell whether everything queued has been handed to the kernel."""
+        """Tell whether every peer has taken what was queued at the last flush."""
         return all(link.is_flushed() for link in self._links.values())
 
     def drop(self, host: str, reason: str) -> None:
--- a/radishtally/links/link.py
+++ b/radishtally/links/link.py
@@ -45,11 +45,11 @@
         self._is_busy = is_busy
         self._outbox: list[Message] = []
         self._outbox_bytes = 0
-        self._sending = False
         self._wake = asyncio.Event()
         self._heard = time.monotonic()
         self._pinged = self._heard
         self._sequence = 0
+        self._answered = 0
         self._revision = hello.revision
 
     async def run(self) -> None:
@@ -87,8 +87,8 @@
         self.send(Ping(self._sequence, self._revision))
 
     def is_flushed(self) -> bool:
-        """Tell whether everything queued has been handed to the kernel."""
-        return not self._outbox and not self._sending
+        """Tell whether the peer has taken everything up to the last ping."""
+        return self._answered >= self._sequence
 
     def close(self, reason: str) -> None:
         """End the link."""
@@ -108,9 +108,7 @@
             if not self._outbox:
                 continue
             messages, self._outbox, self._outbox_bytes = self._outbox, [], 0
-            self._sending = True
             await self._stream.send_message(encode_frame(messages))
-            self._sending = False
 
     async def _receive_all(self) -> None:
         while (frame := await self._stream.recv_message()) is not None:
@@ -130,6 +128,8 @@
             return
         if isinstance(message, Ping):
             self.send(Pong(message.sequence, self._revision))
+        if isinstance(message, Pong):
+            self._answered = message.sequence
         self._receive(self, message)
 
     async def _watch(self) -> None:
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -16,6 +16,14 @@
 MIXED: Final = "mixed"
 
 
+LEAVING: Final = "leaving"
+"""Reason of a refusal: the upstream drains."""
+KEY_REUSED: Final = "key reused"
+"""Reason of a refusal: the idempotency key came with another request before."""
+NOT_KNOWN: Final = "not known here"
+"""Reason of a loss: the agent remembers no such attempt."""
+
+
 class Hello(NamedTuple):
     """Introduce the sender; first message of either side of a link."""
 
@@ -153,6 +161,8 @@
     """Place of the first byte within the whole answer, earlier attempts included."""
     data: bytes
     tokens: int
+    """Tokens of the whole answer up to the chunk's end: a part that is sent again
+    after a break counts no token twice."""
 
 
 class Finished(NamedTuple):
@@ -194,7 +204,7 @@
 
 
 class Ack(NamedTuple):
-    """Confirm the answer up to an offset; the agent may drop it."""
+    """Confirm that the end of an answer has come; the agent may drop it."""
 
     request: str
     attempt: int
--- a/radishtally/process.py
+++ b/radishtally/process.py
@@ -4,8 +4,11 @@
 import secrets
 import signal
 import time
-from collections.abc import Callable, Coroutine
-from typing import Any
+import traceback
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, Final
 
 from eliot import log_message
 
@@ -26,6 +29,10 @@
 from radishtally.platform.table import HttpTable
 from radishtally.settings.config import Settings
 
+EXIT_BROKEN: Final = 4
+"""Exit code after a broken invariant."""
+PACKAGE: Final = str(Path(__file__).parent)
+
 
 class Process:
     """Set up and unload the parts that entries and agents share."""
@@ -42,17 +49,20 @@
         self.on_configuration: Callable[[], None] = lambda: None
         self._tasks: set[asyncio.Task] = set()
         self.stopping = asyncio.Event()
+        self.broken = False
 
     def make_hub(self, callbacks: Callbacks) -> LinkHub:
         """Make the hub; it listens once it is started."""
         settings = self.settings
         hello = Hello(settings.host, settings.place, settings.role, self.incarnation, 0)
-        self.hub = LinkHub(hello, settings.peer_key, callbacks)
+        guarded = Callbacks(*map(self._guard_call, callbacks))
+        self.hub = LinkHub(hello, settings.peer_key, guarded)
         return self.hub
 
-    def catch_signals(self) -> None:
-        """Turn SIGTERM and SIGINT into a planned stop."""
+    def watch_loop(self) -> None:
+        """Turn SIGTERM and SIGINT into a planned stop; let no error go unseen."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._take_loop_error)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
 
@@ -67,22 +77,55 @@
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
-        # Outcomes are values: an exception here is a broken invariant. Going on could
-        # answer wrongly; the process ends and its peers carry on.
-        log_message("process:broken", error=repr(task.exception()))
-        task.get_loop().call_exception_handler(
-            {"message": "broken invariant", "exception": task.exception()}
-        )
+        self.break_off(task.exception())
+
+    def break_off(self, error: BaseException) -> None:
+        """End the process after a broken invariant.
+
+        Outcomes are values, so an exception that nobody takes shows a state that was
+        held to be impossible. Going on could answer wrongly; the process ends with an
+        error code, and its peers carry on.
+        """
+        trace = "".join(traceback.format_exception(error))
+        log_message("process:broken", error=repr(error), traceback=trace)
+        self.broken = True
         self.stopping.set()
 
+    @contextmanager
+    def guard(self) -> Iterator[None]:
+        """End the process if an exception comes out, whoever would swallow it."""
+        try:
+            yield
+        except Exception as error:
+            self.break_off(error)
+            raise
+
+    def _guard_call(self, callback: Callable[..., Any]) -> Callable[..., Any]:
+        def call(*args: Any) -> Any:
+            with self.guard():
+                return callback(*args)
+
+        return call
+
+    def _take_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        error = context.get("exception")
+        if error is not None and _is_ours(error):
+            self.break_off(error)
+            return
+        log_message("loop:error", error=repr(error), text=str(context.get("message")))
+
     async def unload(self) -> None:
-        """Close what was set up."""
+        """Close what was set up; end with an error code if an invariant broke."""
         for task in list(self._tasks):
             task.cancel()
         await self.audit.stop()
         await self.hub.stop()
         for client in (self.table, self.objects, self.host_list):
             await client.close()
+        if self.broken:
+            raise SystemExit(EXIT_BROKEN)
 
     def handle_shared(self, host: str, message: Message) -> bool:
         """Take a message that means the same in every role; tell whether it was one."""
@@ -122,6 +165,15 @@
         self.on_configuration()
 
 
+def _is_ours(error: BaseException) -> bool:
+    """Tell whether an exception came through code of the system.
+
+    Libraries leave errors of their broken connections to the loop as well.
+    """
+    frames = traceback.extract_tb(error.__traceback__)
+    return any(frame.filename.startswith(PACKAGE) for frame in frames)
+
+
 class Waker:
     """Call back at the earliest time that was asked for."""
 
--- a/tests/authority/test_lease.py
+++ b/tests/authority/test_lease.py
@@ -41,6 +41,7 @@
 RATES = {"a": 1.0, "b": 0.97, "c": 1.02}
 OFFSETS = {"a": 0.0, "b": 5000.0, "c": -300.0}
 
+MAX_CALLS = 20
 SERVED = "served"
 REPLY_LOST = "reply lost"
 LATE = "late"
@@ -108,10 +109,13 @@
     def step(self, time: float) -> None:
         """Do all that can be done at this time, with a table that works."""
         self.handle(Tick(), time)
-        while self.call is not None or self.reply is not None:
+        for _ in range(MAX_CALLS):
+            if self.call is None and self.reply is None:
+                return
             if self.call is not None:
                 self.serve(SERVED, time)
             self.deliver(time)
+        raise AssertionError("calls the table without end")
 
 
 class PlanWrite(NamedTuple):
@@ -316,3 +320,19 @@
     assert isinstance(commands[-1], WriteLease)
     assert first.core.handle(Tick(), 4.0) == [WakeAt(9.0)]
     assert first.core.handle(Tick(), 9.0) == [LostLease("not renewed in time")]
+
+
+def test_renewal_that_answers_after_the_lapse_takes_a_new_number(contend) -> None:
+    # The reply to a renewal comes after the holder has told its planner that the lease
+    # is lost. The row is still its own, but the planner has dropped its intentions:
+    # it goes on only under a new fencing number, so nothing old passes for new.
+    first = contend("a")
+    first.step(0.0)
+    first.handle(Tick(), 3.0)
+    first.serve(SERVED, 3.0)
+    first.handle(Tick(), 9.5)
+    assert first.lost == ["not renewed in time"]
+    first.deliver(9.6)
+    first.serve(SERVED, 9.7)
+    first.deliver(9.7)
+    assert first.gained == [1, 2]
--- a/tests/authority/test_orders.py
+++ b/tests/authority/test_orders.py
@@ -441,6 +441,18 @@
     assert len({order.order_id for order in world.engine.accepted}) == 2
 
 
+def test_engine_that_knows_the_order_and_lost_its_effect_is_ordered_anew(
+    world: World,
+) -> None:
+    # The order is carried out, and later the engine is changed back by somebody else.
+    # A repeat under the same name would be answered as done and do nothing for ever.
+    world.write_plan(WANTS[1])
+    world.run(20.0)
+    world.engine.state = world.engine.state._replace(role="mixed")
+    world.run(20.0)
+    assert world.engine.read(world.now).role == "decode"
+
+
 def test_repeat_of_an_unclear_order_has_the_same_name(world: World) -> None:
     first = run_to_order(world)
     world.answer(OrderAnswered(first.order_id, UNCLEAR))
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Test the system with real processes behind a fault-injecting proxy."""
