--- a/radishtally/agent/admission.py
+++ b/radishtally/agent/admission.py
@@ -81,7 +81,7 @@
     # An engine takes no request for less than one token: it would give one too many.
     assignment = _take_on(offer, job, host, core)
     name = assignment.name
-    counts = offer.work.prompt_tokens, offer.tokens_done
+    counts = job.prompt_tokens, offer.tokens_done
     end = events.Completed(*name, 200, "length", *counts, (), 0.0)
     assignment.started = now
     assignment.answer.end = make_finished(assignment, end)
@@ -148,8 +148,7 @@
 def send_rest(assignment: Assignment) -> Iterator[Command]:
     """Send each subscriber what it has not been sent."""
     for subscriber in assignment.answer.subscribers:
-        chunk = assignment.answer.read_new(subscriber)
-        if chunk is not None:
+        for chunk in assignment.answer.read_new(subscriber):
             yield Send(subscriber.host, chunk)
         end = assignment.answer.read_end(subscriber)
         if end is not None:
--- a/radishtally/agent/answers.py
+++ b/radishtally/agent/answers.py
@@ -1,9 +1,11 @@
 """Keep the answers that the agent's upstream gives."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import xxhash
 
+from radishtally.agent.const import CHUNK_BYTES
 from radishtally.limits.queue import Job, Running
 from radishtally.links.messages import Chunk, Finished, Handover, Lost, Offer
 
@@ -55,19 +57,18 @@
         """Send nothing more over a link that is gone."""
         self.subscribers = [s for s in self.subscribers if s.host != host]
 
-    def read_new(self, subscriber: Subscriber) -> Chunk | None:
+    def read_new(self, subscriber: Subscriber) -> Iterator[Chunk]:
         """Give what a subscriber has not been sent, and count it as sent."""
-        if subscriber.sent >= len(self.data):
-            return None
-        chunk = Chunk(
-            subscriber.request,
-            subscriber.attempt,
-            subscriber.sent,
-            bytes(self.data[subscriber.sent :]),
-            self.tokens,
-        )
-        subscriber.sent = len(self.data)
-        return chunk
+        while subscriber.sent < len(self.data):
+            offset = subscriber.sent
+            subscriber.sent = min(len(self.data), offset + CHUNK_BYTES)
+            yield Chunk(
+                subscriber.request,
+                subscriber.attempt,
+                offset,
+                bytes(self.data[offset : subscriber.sent]),
+                self.tokens,
+            )
 
     def read_end(self, subscriber: Subscriber) -> Finished | Handover | Lost | None:
         """Give the message that ends the answer, addressed to a subscriber."""
--- a/radishtally/agent/const.py
+++ b/radishtally/agent/const.py
@@ -4,6 +4,9 @@
 
 FLUSH_SECONDS: Final = 0.02
 """Time over which parts of one answer are put together."""
+CHUNK_BYTES: Final = 1024 * 1024
+"""Most that one message carries of an answer; far over any text, so that only the
+bodies of calls are cut."""
 EXPIRE_SECONDS: Final = 0.05
 """Time between looks at queued work that can't be met any more."""
 IDLE_WAKE_SECONDS: Final = 0.5
--- a/radishtally/agent/state.py
+++ b/radishtally/agent/state.py
@@ -99,6 +99,7 @@
             state.adapters if state else (),
             bool(self.drains) or state is None or not state.ready,
             *self.counts,
+            token_seconds=self.queue.adjust(rates, now).decode_seconds,
         )
 
     def add(self, assignment: Assignment) -> None:
--- a/radishtally/configuration/core.py
+++ b/radishtally/configuration/core.py
@@ -94,7 +94,7 @@
     if converted.is_error():
         return Error(_build_fault(converted.error, origin))
     configuration = converted.ok
-    misfit = next(_find_misfits(configuration), None)
+    misfit = find_misfit(configuration)
     if misfit is not None:
         return Error(_build_fault(misfit, origin))
     return Ok(configuration)
@@ -106,6 +106,11 @@
     return Fault(message, f"{file}: {format_path(path)}" if path else file)
 
 
+def find_misfit(configuration: Configuration) -> Misfit | None:
+    """Find something that does not fit the rest of the configuration."""
+    return next(_find_misfits(configuration), None)
+
+
 def _find_misfits(configuration: Configuration) -> Iterator[Misfit]:
     yield from _check_servers(configuration)
     yield from _check_models(configuration)
--- a/radishtally/distribution/core.py
+++ b/radishtally/distribution/core.py
@@ -2,13 +2,16 @@
 
 import hashlib
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from radishtally.configuration.config import Configuration
-from radishtally.configuration.core import merge_files
+from radishtally.configuration.merger import Merger
 from radishtally.links.messages import FilesAsk, FilesGive
 from radishtally.outcome import Error, Fault, Ok, Result
 
+ASK_SECONDS: Final = 1.0
+"""Time that a peer gets to give its files before another one is asked."""
+
 
 class InForce(NamedTuple):
     """Hold one revision of the configuration."""
@@ -19,6 +22,20 @@
     configuration: Configuration
 
 
+class Asked(NamedTuple):
+    """Hold which peer was asked for the files of a revision, and when."""
+
+    host: str
+    revision: int
+    at: float
+
+    def covers(self, host: str, revision: int, now: float) -> bool:
+        """Tell whether this makes it needless to ask a peer."""
+        if host == self.host or revision > self.revision:
+            return False
+        return now - self.at < ASK_SECONDS
+
+
 class Keeper:
     """Keep the highest revision that was ever seen, and never go back."""
 
@@ -26,22 +43,32 @@
         self.current: InForce | None = None
         self.peers: dict[str, int] = {}
         """Revision in force at each peer, by its own word."""
+        self._merger = Merger()
+        self._asked: Asked | None = None
 
     @property
     def revision(self) -> int:
         """Give the revision in force, 0 for none."""
         return self.current.revision if self.current else 0
 
-    def note_peer(self, host: str, revision: int) -> FilesAsk | None:
+    def note_peer(self, host: str, revision: int, now: float = 0.0) -> FilesAsk | None:
         """Take a peer's word on its revision; ask for the files if we are behind."""
         self.peers[host] = revision
         if revision <= self.revision:
             return None
+        # All peers tell of a new revision within moments. Asked one and all, each
+        # would send the files. One is asked, and another one if it does not answer.
+        asked = self._asked
+        if asked is not None and asked.covers(host, revision, now):
+            return None
+        self._asked = Asked(host, revision, now)
         return FilesAsk(self.revision, self.current.hashes if self.current else {})
 
     def forget_peer(self, host: str) -> None:
         """Forget a peer that is gone."""
         self.peers.pop(host, None)
+        if self._asked is not None and self._asked.host == host:
+            self._asked = None
 
     def answer(self, ask: FilesAsk) -> FilesGive | None:
         """Give a peer the files that it lacks, if it is behind us."""
@@ -68,7 +95,7 @@
             if text is None or hash_text(text) != digest:
                 return Error(Fault("file is missing or differs from its hash", name))
             files[name] = text
-        merged = merge_files(files)
+        merged = self._merger.merge(files)
         if merged.is_error():
             return merged
         hashes = dict(given.hashes)
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -99,7 +99,7 @@
         await self.process.unload()
 
     async def _serve_http(self) -> AsyncioServer:
-        app = make_app(self, self.settings.host, self.settings.receive_seconds)
+        app = make_app(self, self.settings.host, self.settings.caller_seconds)
         add_operator_routes(app, self)
         app.register_middleware(self._end_keep_alive, "response")
         # sanic's own runner would start further processes; its server alone runs on
--- a/radishtally/entry/http.py
+++ b/radishtally/entry/http.py
@@ -10,8 +10,8 @@
 import msgspec
 from eliot import log_message
 from sanic import Request, Sanic
-from sanic.exceptions import RequestTimeout, SanicException
-from sanic.response import HTTPResponse, raw
+from sanic.exceptions import RequestCancelled, RequestTimeout, SanicException
+from sanic.response import BaseHTTPResponse, HTTPResponse, raw
 
 from radishtally.entry.callers import (
     MAX_TIMEOUT_SECONDS,
@@ -40,7 +40,7 @@
 
 MAX_REQUEST_BYTES: Final = 16 * 1024 * 1024
 MAX_HEADER_BYTES: Final = 16 * 1024
-RECEIVE_SECONDS: Final = 20.0
+CALLER_SECONDS: Final = 20.0
 KEEP_ALIVE_SECONDS: Final = 75
 SERVICE_METHODS: Final = ("GET", "POST", "PUT", "PATCH", "DELETE")
 CODE_INTERNAL: Final = "internal_error"
@@ -80,7 +80,7 @@
         # sanic bounds the silence before a request, not within a body, so connections
         # and memory are held for an hour. One bound on the whole body ends it.
         try:
-            async with asyncio.timeout(self.app.config.RECEIVE_SECONDS):
+            async with asyncio.timeout(self.app.config.CALLER_SECONDS):
                 await super().receive_body()
         except TimeoutError:
             # The rest would be waited for once more before the connection is closed.
@@ -89,9 +89,7 @@
             raise RequestTimeout("the request's body did not arrive in time") from None
 
 
-def make_app(
-    front: Front, host: str, receive_seconds: float = RECEIVE_SECONDS
-) -> Sanic:
+def make_app(front: Front, host: str, caller_seconds: float = CALLER_SECONDS) -> Sanic:
     """Make the application that callers reach."""
     app = Sanic(
         f"radishtally-{host}",
@@ -99,9 +97,9 @@
         env_prefix="RADISH_",
         request_class=BoundedRequest,
     )
-    app.config.RECEIVE_SECONDS = receive_seconds
-    app.config.REQUEST_TIMEOUT = receive_seconds
-    app.config.RESPONSE_TIMEOUT = MAX_TIMEOUT_SECONDS + receive_seconds
+    app.config.CALLER_SECONDS = caller_seconds
+    app.config.REQUEST_TIMEOUT = caller_seconds
+    app.config.RESPONSE_TIMEOUT = MAX_TIMEOUT_SECONDS + caller_seconds
     app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_SECONDS
     app.config.REQUEST_MAX_SIZE = MAX_REQUEST_BYTES
     app.config.REQUEST_MAX_HEADER_SIZE = MAX_HEADER_BYTES
@@ -339,17 +337,31 @@
     while isinstance(part, Deliver):
         text = decoder.join(part.data)
         if text:
-            await response.send(format_part(answer, text, first))
+            await _send(request, response, format_part(answer, text, first))
             first = False
         part = await parts.get()
     if isinstance(part, Refuse):
-        await response.send(format_event(format_refusal(part.refusal)))
+        last = format_event(format_refusal(part.refusal))
     else:
-        await response.send(format_end(answer, part.end, generation.usage_wanted))
+        last = format_end(answer, part.end, generation.usage_wanted)
+    await _send(request, response, last)
     await response.eof()
     return None
 
 
+async def _send(request: Request, response: BaseHTTPResponse, data: bytes) -> None:
+    """Send a part of a stream, or give up a caller that takes in nothing."""
+    # Failure: the caller's connection has gone silent without an error. Symptom: the
+    # send buffer is full for good, and the request stays open for an hour and holds up
+    # a planned stop. A caller that still reads takes in a part much sooner.
+    try:
+        async with asyncio.timeout(request.app.config.CALLER_SECONDS):
+            await response.send(data)
+    except TimeoutError:
+        request.transport.abort()
+        raise RequestCancelled from None
+
+
 class TextJoiner:
     """Hold back a character that is cut in two until its rest comes."""
 
--- a/radishtally/entry/watch.py
+++ b/radishtally/entry/watch.py
@@ -17,6 +17,8 @@
 """Time between two reads of the head by all entries together."""
 MAX_HEAD_SECONDS: Final = 60.0
 LIST_SECONDS: Final = 1.0
+LIST_HOSTS_PER_SECOND: Final = 100.0
+"""Lines of the list that an entry reads in a second, at most: docs/CAPACITY.md."""
 TICK_SECONDS: Final = 0.5
 
 
@@ -81,7 +83,8 @@
                 self._take_list(listed.ok)
             else:
                 log_message("list:unread", error=listed.error.message)
-            await asyncio.sleep(LIST_SECONDS)
+            hosts = len(self._entry.members.membership.members)
+            await asyncio.sleep(max(LIST_SECONDS, hosts / LIST_HOSTS_PER_SECOND))
 
     def _take_list(self, hosts: list[ListedHost]) -> None:
         if not hosts:
--- a/radishtally/limits/pace.py
+++ b/radishtally/limits/pace.py
@@ -1,7 +1,8 @@
 """Observation of what an upstream's work takes at present."""
 
+from collections import deque
 from math import exp
-from typing import Final
+from typing import Final, NamedTuple
 
 from radishtally.limits.timeline import Rates
 from radishtally.limits.work import Job
@@ -9,8 +10,10 @@
 PACE_SECONDS: Final = 2.0
 """Window of the seconds a token: long enough for some steps of a full batch."""
 MIN_TOKENS: Final = 4.0
-SHARE_SECONDS: Final = 5.0
+RECENT_SECONDS: Final = 5.0
+RECENT: Final = 512
 MAX_SHARE: Final = 0.95
+"""Share of the slots' time that higher priorities are taken to keep at most."""
 
 
 class Decaying:
@@ -61,30 +64,54 @@
         return rates._replace(decode_seconds=max(rates.decode_seconds, seconds))
 
 
-class Shares:
-    """Follow the share of the slots' time that each priority takes."""
+class Admitted(NamedTuple):
+    """Remember a job that was admitted a short while ago."""
 
-    __slots__ = ("_by_priority",)
+    at: float
+    team: str
+    priority: int
+    slack: float
+    """Seconds to its latest start when it came."""
+    seconds: float
+    """Slot time."""
 
-    def __init__(self) -> None:
-        self._by_priority: dict[int, Decaying] = {}
 
-    def note(self, job: Job, seconds: float, now: float) -> None:
-        """Take in the slot time of a job that was admitted."""
-        if job.priority not in self._by_priority:
-            self._by_priority[job.priority] = Decaying(SHARE_SECONDS)
-        self._by_priority[job.priority].add(seconds, now)
+class Passing:
+    """Predict how much of the work to come will pass a job that waits.
 
-    def find_left(self, priority: int, slots: int, now: float) -> float:
-        """Find the share that work of higher priority leaves.
-
-        Work that waits is passed by all of higher priority that comes meanwhile. What
-        was admitted by the queue alone was given back seconds later, refused too late
-        for its caller to do anything else.
-        """
-        higher = sum(
-            work.read(now)
-            for item, work in self._by_priority.items()
-            if item < priority
+    Work that waits is passed by what comes meanwhile with a higher priority, and by its
+    own team's more urgent work. What was admitted by the queue alone was cut at its
+    deadline, or given back when its caller could do nothing else.
+    """
+
+    def __init__(self) -> None:
+        self._recent: deque[Admitted] = deque(maxlen=RECENT)
+
+    def note(self, admitted: Admitted) -> None:
+        """Take in a job that was admitted."""
+        self._recent.append(admitted)
+
+    def stretch(
+        self, wait: float, job: Job, slack: float, slots: int, now: float
+    ) -> float:
+        """Stretch a wait by the work that is likely to come and pass meanwhile."""
+        if wait <= 0:
+            return wait
+        left = self.find_left(job.priority, slots, now)
+        passing = sum(
+            item.seconds * min(wait, max(0.0, slack - item.slack))
+            for item in self._recent
+            if item.priority == job.priority and item.team == job.team
         )
-        return 1.0 - min(MAX_SHARE, higher / (SHARE_SECONDS * slots))
+        return (wait + passing / (RECENT_SECONDS * slots)) / left
+
+    def find_left(self, priority: int, slots: int, now: float) -> float:
+        """Find the share of the slots' time that higher priorities leave."""
+        self._forget(now)
+        higher = sum(item.seconds for item in self._recent if item.priority < priority)
+        return 1.0 - min(MAX_SHARE, higher / (RECENT_SECONDS * slots))
+
+    def _forget(self, now: float) -> None:
+        recent = self._recent
+        while recent and recent[0].at < now - RECENT_SECONDS:
+            recent.popleft()
--- a/radishtally/limits/queue.py
+++ b/radishtally/limits/queue.py
@@ -5,7 +5,7 @@
 from operator import attrgetter
 from typing import Final, NamedTuple
 
-from radishtally.limits.pace import Pace, Shares
+from radishtally.limits.pace import Admitted, Pace, Passing
 from radishtally.limits.timeline import Rates, Running, Timeline
 from radishtally.limits.work import Job
 from radishtally.outcome import Error, Ok, Result
@@ -167,7 +167,7 @@
         self._prompt_tokens = 0
         self._arrivals = 0
         self._pace = Pace()
-        self._shares = Shares()
+        self._passing = Passing()
 
     def __len__(self) -> int:
         """Count the queued jobs."""
@@ -179,7 +179,7 @@
         """Queue the job and predict the seconds to its first token, or refuse it."""
         if rates.slots < 1:
             return Error(NoRoom(Reason.NO_SLOTS, MAX_RETRY_SECONDS))
-        rates = self._pace.adjust(rates, now)
+        rates = self.adjust(rates, now)
         entry = self._make_entry(job, rates)
         wait = self._predict_wait(entry, rates, running, now)
         first_token = wait + rates.prefill(job.prompt_tokens)
@@ -197,9 +197,15 @@
         if self._team_counts.get(job.team, 0) >= self._team_length:
             return Error(NoRoom(Reason.TEAM_FULL, clamp_retry(first_token)))
         self._add(entry)
-        self._shares.note(job, rates.take(job), now)
+        slack = entry.latest_start - now
+        seconds = rates.take(job)
+        self._passing.note(Admitted(now, job.team, job.priority, slack, seconds))
         return Ok(first_token)
 
+    def adjust(self, rates: Rates, now: float) -> Rates:
+        """Give the rates with the present pace."""
+        return self._pace.adjust(rates, now)
+
     def note_tokens(self, seconds: float, tokens: int, now: float) -> None:
         """Take in the time that a running answer's next tokens took."""
         self._pace.note(seconds, tokens, now)
@@ -223,9 +229,13 @@
 
     def expire(self, rates: Rates, running: Sequence[Running], now: float) -> list[Job]:
         """Take out the jobs that can't be met any more, to be refused as not run."""
+        if not self._entries:
+            return []
         late = []
-        rates = self._pace.adjust(rates, now)
+        rates = self.adjust(rates, now)
         timeline = Timeline(rates, running)
+        # What is likely to come and pass is left out here: a burst of high priority
+        # may end, and work given back at its beginning could still have been met.
         for entry in self._list_in_order():
             job = entry.job
             first_token = timeline.peek(job)
@@ -251,7 +261,7 @@
 
     def wait(self, rates: Rates, running: Sequence[Running], now: float) -> float:
         """Predict the seconds until new work of middling priority would start."""
-        timeline = Timeline(self._pace.adjust(rates, now), running)
+        timeline = Timeline(self.adjust(rates, now), running)
         for priority, level in self._levels.items():
             if priority > MIDDLING_PRIORITY:
                 continue
@@ -283,8 +293,10 @@
         level = self._levels.get(priority)
         if level is not None:
             timeline.add_all([item.job for item in level.list_ahead(entry)])
-        left = self._shares.find_left(priority, rates.slots, now)
-        return timeline.next_start / left
+        slack = entry.latest_start - now
+        return self._passing.stretch(
+            timeline.next_start, entry.job, slack, rates.slots, now
+        )
 
     def _list_in_order(self) -> list[Entry]:
         return [
--- a/radishtally/links/codec.py
+++ b/radishtally/links/codec.py
@@ -29,7 +29,7 @@
     try:
         pairs = _PAIRS.decode(frame)
         return Ok([_DECODERS[n].decode(raw) for n, raw in pairs if 0 <= n < len(KINDS)])
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return Error(Fault(f"bad frame: {error}"))
 
 
--- a/radishtally/links/const.py
+++ b/radishtally/links/const.py
@@ -20,5 +20,7 @@
 """Longest time that setting up a link may take."""
 MIN_REDIAL_SECONDS: Final = 0.1
 MAX_REDIAL_SECONDS: Final = 2.0
+FRAME_BYTES: Final = 1024 * 1024
+"""Size from which a frame takes no more messages."""
 MAX_OUTBOX_BYTES: Final = 64 * 1024 * 1024
 """Most that may wait for a slow peer before its link is dropped."""
--- a/radishtally/links/heartbeat.py
+++ b/radishtally/links/heartbeat.py
@@ -25,17 +25,29 @@
     see a silent link, for the messages of one.
     """
 
-    __slots__ = ("_asked", "_gap", "_heard", "_leads", "_peer_pinged", "_pinged")
+    __slots__ = (
+        "_asked",
+        "_heard",
+        "_interval",
+        "_leads",
+        "_peer_pinged",
+        "_pinged",
+        "_spread",
+        "_started",
+    )
 
     def __init__(self, leads: bool, now: float) -> None:
         self._leads = leads
+        self._started = now
         self._heard = now
         self._pinged = now
         self._peer_pinged = now
         self._asked: float | None = None
         """Time of the first ping since the last sign of life."""
-        self._gap = 0.0
-        """Seconds between the peer's last two pings: its interval."""
+        # Links that came up together would be pinged together for ever.
+        self._spread = random.uniform(0.0, 1.0)
+        self._interval = 0.0
+        """Seconds between pings by the peer's own word."""
 
     def hear(self, now: float) -> None:
         """Note a sign of life."""
@@ -44,23 +56,27 @@
 
     def ping(self, now: float) -> None:
         """Note a ping to the peer."""
+        if self._pinged > self._started:
+            self._spread = random.uniform(1.0 - JITTER, 1.0)
         self._pinged = now
         if self._asked is None:
             self._asked = now
 
     def take_ping(self, now: float) -> None:
         """Note a ping of the peer."""
-        self._gap = now - self._peer_pinged
         self._peer_pinged = now
 
+    def take_interval(self, seconds: float) -> None:
+        """Note how far apart the peer's pings may be."""
+        self._interval = seconds
+
     def next_ping(self, busy: bool, spacing: float) -> float:
         """Give the time of the next ping; a spacing is the least interval."""
         if not self._leads:
-            every = max(IDLE_PING_SECONDS, spacing, self._gap)
+            every = max(IDLE_PING_SECONDS, spacing, self._interval)
             return max(self._pinged, self._peer_pinged) + FOLLOW * every
-        spread = random.uniform(1.0 - JITTER, 1.0)
         every = max(PING_SECONDS if busy else IDLE_PING_SECONDS, spacing)
-        due = self._pinged + spread * every
+        due = self._pinged + self._spread * every
         if not busy:
             return due
         # Parts of an answer are signs of life as good as any: a busy link is asked
@@ -73,6 +89,6 @@
             return float("inf")
         if busy and self._leads:
             return max(self._heard + SILENCE_SECONDS, self._asked + PING_SECONDS)
-        every = max(spacing, 0.0 if self._leads else self._gap)
+        every = max(spacing, 0.0 if self._leads else self._interval)
         limit = max(IDLE_SILENCE_SECONDS, PATIENCE * every)
         return max(self._heard + limit, self._asked + SILENCE_SECONDS)
--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -145,7 +145,7 @@
 
         The cost of heartbeats then has a bound that does not grow with the links.
         """
-        return len(self._links) / MAX_PINGS_PER_SECOND
+        return max(len(self._links), len(self._dialers)) / MAX_PINGS_PER_SECOND
 
     def _take(self, link: Link, message: Message) -> None:
         host = link.peer.host
--- a/radishtally/links/link.py
+++ b/radishtally/links/link.py
@@ -7,11 +7,28 @@
 from typing import Any, Final, Protocol
 
 from radishtally.links.codec import decode_frame, encode_frame
-from radishtally.links.const import MAX_OUTBOX_BYTES, PING_SECONDS
+from radishtally.links.const import (
+    FRAME_BYTES,
+    IDLE_PING_SECONDS,
+    MAX_OUTBOX_BYTES,
+    PING_SECONDS,
+)
 from radishtally.links.heartbeat import Heartbeat
-from radishtally.links.messages import Chunk, Hello, Message, Offer, Ping, Pong
+from radishtally.links.messages import (
+    Chunk,
+    Hello,
+    Interval,
+    Message,
+    Offer,
+    Ping,
+    Pong,
+)
 
 MIN_CHECK_SECONDS: Final = 0.05
+UNASKED: Final = 0
+"""Sequence number of a pong that answers no ping."""
+INTERVAL_TOLERANCE: Final = 0.2
+"""Part by which an interval may change without a word to the peer."""
 
 
 class Stream(Protocol):
@@ -51,6 +68,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._check_at = float("inf")
         self._closed = asyncio.get_running_loop().create_future()
+        self._interval = IDLE_PING_SECONDS
+        """Interval that the peer goes by."""
         self._sequence = 0
         self._answered = 0
         self._revision = hello.revision
@@ -64,6 +83,8 @@
             for coroutine in (self._send_all(), self._receive_all())
         ]
         ends = [*tasks, self._closed]
+        if self._leads:
+            self.ping()
         self._check()
         try:
             done, _ = await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
@@ -81,13 +102,21 @@
         self._outbox.append(message)
         self._outbox_bytes += _measure(message)
         self._wake.set()
+        # A peer that takes nothing must not take the whole memory with it. The answers
+        # are kept by their agents, so a new link can go on from there. Looked at only
+        # between frames the bound would not hold: a peer that reads nothing lets a
+        # frame's sending never end.
+        if self._outbox_bytes > MAX_OUTBOX_BYTES:
+            self.close("the peer reads too slowly")
         if self._leads:
             self._check_by(time.monotonic() + PING_SECONDS)
 
     def announce(self, revision: int) -> None:
         """Tell the peer at once which configuration revision is in force here."""
         self._revision = revision
-        self.ping()
+        # A pong that nobody asked for: the peer's own word comes once it has the same
+        # revision in force, so an answer to a ping would only be a message more.
+        self.send(Pong(UNASKED, revision))
 
     def ping(self) -> None:
         """Ask the peer for a sign of life."""
@@ -95,6 +124,14 @@
         self._heartbeat.ping(time.monotonic())
         self.send(Ping(self._sequence, self._revision))
 
+    def _tell_interval(self, seconds: float) -> None:
+        """Tell the peer when to miss a ping, if that has changed much."""
+        seconds = max(seconds, IDLE_PING_SECONDS)
+        if abs(seconds - self._interval) <= INTERVAL_TOLERANCE * self._interval:
+            return
+        self._interval = seconds
+        self.send(Interval(seconds))
+
     def is_flushed(self) -> bool:
         """Tell whether the peer has taken everything up to the last ping."""
         return self._answered >= self._sequence
@@ -109,15 +146,22 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            # A peer that takes nothing must not take the whole memory with it. The
-            # answers are kept by their agents, so a new link can go on from there.
-            if self._outbox_bytes > MAX_OUTBOX_BYTES:
-                self.reason = "the peer reads too slowly"
-                return
-            if not self._outbox:
-                continue
-            messages, self._outbox, self._outbox_bytes = self._outbox, [], 0
-            await self._stream.send_message(encode_frame(messages))
+            while self._outbox:
+                await self._stream.send_message(encode_frame(self._take_frame()))
+
+    def _take_frame(self) -> list[Message]:
+        """Take what goes in one frame."""
+        # All that waits for a slow peer in one frame would be over what a peer takes:
+        # it would end the link, and so the next one, whenever much is under way.
+        size = count = 0
+        for message in self._outbox:
+            size += _measure(message)
+            count += 1
+            if size >= FRAME_BYTES:
+                break
+        messages, self._outbox = self._outbox[:count], self._outbox[count:]
+        self._outbox_bytes -= size
+        return messages
 
     async def _receive_all(self) -> None:
         while (frame := await self._stream.recv_message()) is not None:
@@ -138,8 +182,11 @@
         if isinstance(message, Ping):
             self._heartbeat.take_ping(time.monotonic())
             self.send(Pong(message.sequence, self._revision))
+        if isinstance(message, Interval):
+            self._heartbeat.take_interval(message.seconds)
+            return
         if isinstance(message, Pong):
-            self._answered = message.sequence
+            self._answered = max(self._answered, message.sequence)
         self._receive(self, message)
 
     def _check(self) -> None:
@@ -158,6 +205,8 @@
             return
         if woken or now >= self._heartbeat.next_ping(busy, spacing):
             self.ping()
+        if self._leads:
+            self._tell_interval(spacing)
         due = self._heartbeat.next_ping(busy, spacing)
         due = min(due, self._heartbeat.silent_at(busy, spacing))
         self._arm(max(due, now + MIN_CHECK_SECONDS))
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -129,6 +129,8 @@
     output_tokens: int = 0
     requests: int = 0
     refused: int = 0
+    token_seconds: float = 0.0
+    """Seconds a token at present, with what else the upstream does."""
 
 
 class Accepted(NamedTuple):
@@ -265,6 +267,12 @@
     files: dict[str, str]
 
 
+class Interval(NamedTuple):
+    """Say how far apart the sender's pings over an idle link may be."""
+
+    seconds: float
+
+
 Message = (
     Hello
     | Ping
@@ -285,6 +293,7 @@
     | Hint
     | FilesAsk
     | FilesGive
+    | Interval
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -307,5 +316,7 @@
     Hint,
     FilesAsk,
     FilesGive,
+    Interval,
 )
-"""A kind's number is its place here: add at the end, never reorder."""
+"""A kind's number is its place here: add at the end, never reorder, and give a message
+whose fields change a kind of its own; an older release reads neither more nor fewer."""
--- a/radishtally/process.py
+++ b/radishtally/process.py
@@ -144,7 +144,7 @@
 
     def note_peer(self, host: str, revision: int) -> None:
         """Ask a peer that has a newer configuration for it."""
-        ask = self.keeper.note_peer(host, revision)
+        ask = self.keeper.note_peer(host, revision, time.monotonic())
         if ask is not None:
             self.hub.send(host, ask)
 
--- a/radishtally/routing/core.py
+++ b/radishtally/routing/core.py
@@ -16,6 +16,9 @@
 """Load over the mean that a host of the first few may have."""
 SPARE_REQUESTS: Final = 2.0
 """Requests over the mean that are no imbalance, however small the mean."""
+SOONER: Final = 0.75
+"""Share of the preferred role's time in which another one must answer to be chosen."""
+SOONER_SECONDS: Final = 0.05
 TRIP_SECONDS: Final = 0.003
 """Round trip between places of a region, about."""
 SPLIT_TOKENS: Final = 1_024
@@ -92,12 +95,9 @@
     """Choose the host to offer the work to next; none if all were tried."""
     able = [item for item in candidates if may_take(item, wanted)]
     left = [item for item in able if item.host not in tried]
-    for role in PREFERRED_ROLES[wanted.stage]:
-        host = find_fitting(
-            wanted, [item for item in able if may_be(item, role)], tried
-        )
-        if host is not None:
-            return host
+    host = find_soonest_role(wanted, able, tried)
+    if host is not None:
+        return host
     # No prediction fits the slack. The agents have the last word, and a prediction may
     # be out of date, so the work is offered where it would wait least.
     best = min(
@@ -106,6 +106,24 @@
     return best.host if best is not None else None
 
 
+def find_soonest_role(
+    wanted: Wanted, candidates: Sequence[Candidate], tried: Collection[str]
+) -> str | None:
+    """Find a host that fits: of the preferred role, or of one that is far sooner."""
+    best, soonest = None, 0.0
+    for role in PREFERRED_ROLES[wanted.stage]:
+        able = [item for item in candidates if may_be(item, role)]
+        host = find_fitting(wanted, able, tried)
+        if host is None:
+            continue
+        finish = next(predict(i, wanted).finish for i in able if i.host == host)
+        # The preferred role was filled up to the callers' deadlines while engines of
+        # another one stood idle that would have answered at once.
+        if best is None or finish + SOONER_SECONDS < SOONER * soonest:
+            best, soonest = host, finish
+    return best
+
+
 def find_fitting(
     wanted: Wanted, candidates: Sequence[Candidate], tried: Collection[str]
 ) -> str | None:
@@ -253,8 +271,9 @@
         occupancy = requests / UNKNOWN_SLOTS
         return Prospect(trip + occupancy, trip + occupancy, occupancy)
     prefill = wanted.prompt_tokens / load.prefill_rate if load.prefill_rate > 0 else 0.0
-    decode = wanted.max_tokens * load.decode_seconds
     fresh = candidate.load_age <= STALE_SECONDS
+    pace = max(load.decode_seconds, load.token_seconds if fresh else 0.0)
+    decode = wanted.max_tokens * pace
     # Reports lag: a host that was idle a second ago has got what was sent since. Own
     # requests are known at once and are added to what it reported.
     wait = load.wait if fresh else 0.0
--- a/radishtally/settings/config.py
+++ b/radishtally/settings/config.py
@@ -64,9 +64,9 @@
     """Addresses to use for hosts in place of those in the host list."""
     statsd: str | None = None
     """IP and port of the statsd daemon."""
-    log_level: Literal["info", "debug"] = "info"
-    receive_seconds: Annotated[float, Meta(gt=0, le=3_600)] = 20.0
-    """Longest time that a caller may take to send a request; entries only."""
+    caller_seconds: Annotated[float, Meta(gt=0, le=3_600)] = 20.0
+    """Longest time that a caller may take to send a request or to take in a part of its
+    answer; entries only."""
     ready_delay: Seconds = 0.5
     """Seconds that a stopping entry goes on taking requests after readiness is red."""
     stop_seconds: Seconds = 30.0
--- /dev/null
+++ b/tests/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Test how a configuration reaches every process."""
--- a/tests/integration/test_store.py
+++ b/tests/integration/test_store.py
@@ -72,6 +72,32 @@
     assert len(read_engine(fleet, "gown-1")["orders"]) == orders
 
 
+def test_an_agent_cut_off_from_the_table_serves(fleet: Fleet) -> None:
+    """Callers notice nothing when one agent alone can't see the table.
+
+    Its engine goes on answering, and a change of role that is planned meanwhile is
+    carried out when the agent can read the plan again.
+    """
+    fleet.network.cut("gown-2", "table")
+    configure(fleet, {ROLES_FILE: make_roles(gown_2="decode")})
+    load = Load([entry.url for entry in fleet.entries.values()], CALLERS, TOKENS)
+    fleet.wait_until(lambda: is_planned(fleet, "gown-2"), "the plan")
+    answered = len(load.answers)
+    fleet.wait_until(lambda: len(load.answers) > answered + CALLERS, "more answers")
+    assert has_role(fleet, "gown-2", "mixed")
+    fleet.network.heal()
+    fleet.wait_until(lambda: has_role(fleet, "gown-2", "decode"), "the change")
+    for answer in load.stop():
+        answer.check()
+        assert answer.is_whole, answer
+
+
+def is_planned(fleet: Fleet, host: str) -> bool:
+    """Tell whether the plan in force names a host."""
+    plan = read_plan(fleet)
+    return plan is not None and host in plan.wanted
+
+
 def drain(fleet: Fleet, host: str, drained: bool) -> None:
     """Drain a host or take the drain back."""
     url = f"{fleet.entries['entry-1'].url}/operators/v1/hosts/{host}/drain"
--- a/tests/limits/test_pace.py
+++ b/tests/limits/test_pace.py
@@ -79,3 +79,31 @@
     queue.drain()
     equal = queue.admit(make_job(priority=-1), RATES, running, 0.01).ok - 0.5
     assert equal == pytest.approx(1.0, rel=0.01)
+
+
+def test_counts_the_urgent_work_of_its_own_team_to_come(queue):
+    """A team sends tags, which are urgent, and a question, which has more time.
+
+    The question waits for 2 s by what is queued now. All tags that come within its
+    spare time go before it: admitted without them, it was cut at its deadline.
+    """
+    for number in range(10):
+        now = number / 1_000
+        tag = make_job(prompt_tokens=100, output_tokens=5, deadline=now + 4.0)
+        queue.admit(tag, RATES, [], now)
+        assert queue.take(now) is not None
+    running = [make_running(100), make_running(100)]
+    question = make_job(deadline=60.0)
+    wait = queue.admit(question, RATES, running, 0.01).ok - 0.5
+    assert wait == pytest.approx(2.0 + 10 * 0.2 * 2.0 / (5 * 2), rel=0.02)
+    other = queue.admit(make_job("b", deadline=60.0), RATES, running, 0.01).ok - 0.5
+    assert other < wait + 1.0
+
+
+def test_what_has_passed_long_ago_does_not_count(queue):
+    for _ in range(9):
+        queue.admit(make_job("b", priority=-1), RATES, [], 0.0)
+        queue.take(0.0)
+    running = [make_running(50), make_running(50)]
+    wait = queue.admit(make_job(), RATES, running, 6.0).ok - 0.5
+    assert wait == pytest.approx(1.0)
--- /dev/null
+++ b/tests/links/test_codec.py
@@ -0,0 +1,116 @@
+"""Tests of frames: whatever comes, there is a clear outcome."""
+
+from types import UnionType
+from typing import Any, get_args, get_type_hints
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishtally.links.codec import MAX_FRAME_BYTES, decode_frame, encode_frame
+from radishtally.links.messages import KINDS, Ack, Attach, Message
+from radishtally.outcome import Fault
+
+PACK = msgspec.msgpack.Encoder().encode
+ACK = KINDS.index(Ack)
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=5)
+    | st.binary(max_size=5)
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+INTEGERS = st.integers(-(2**63), 2**64 - 1)
+
+
+def build(hint: Any) -> st.SearchStrategy[Any]:
+    """Build values of a type, with numbers that the encoding has room for."""
+    if hint is int:
+        return INTEGERS
+    if isinstance(hint, UnionType):
+        return st.one_of(*map(build, get_args(hint)))
+    if not hasattr(hint, "_fields"):
+        return st.from_type(hint)
+    hints = get_type_hints(hint)
+    return st.builds(hint, **{name: build(inner) for name, inner in hints.items()})
+
+
+MESSAGES = st.sampled_from(KINDS).flatmap(build)
+
+
+@settings(max_examples=80)
+@given(messages=st.lists(MESSAGES, max_size=3))
+def test_messages_come_back_as_they_went(messages: list[Message]) -> None:
+    frame = encode_frame(messages)
+    assert encode_frame(decode_frame(frame).ok) == frame
+
+
+@settings(max_examples=150)
+@given(frame=st.binary() | VALUES.map(PACK))
+def test_any_bytes_have_an_outcome(frame: bytes) -> None:
+    outcome = decode_frame(frame)
+    assert outcome.is_ok() or isinstance(outcome.error, Fault)
+
+
+@settings(max_examples=150)
+@given(number=st.integers(-1, len(KINDS) + 1), value=VALUES, extra=st.binary())
+def test_any_fields_have_an_outcome(number: int, value: object, extra: bytes) -> None:
+    outcome = decode_frame(PACK([(number, value)]) + extra)
+    assert outcome.is_ok() or isinstance(outcome.error, Fault)
+
+
+@settings(max_examples=80)
+@given(message=MESSAGES, data=st.data())
+def test_damaged_frame_has_an_outcome(message: Message, data: st.DataObject) -> None:
+    frame = bytearray(encode_frame([message]))
+    place = data.draw(st.integers(0, len(frame) - 1))
+    frame[place] = data.draw(st.integers(0, 255))
+    cut = bytes(frame[: data.draw(st.integers(0, len(frame)))])
+    outcome = decode_frame(cut)
+    assert outcome.is_ok() or isinstance(outcome.error, Fault)
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        b"",
+        b"\xc1",
+        PACK([]) + b"\x00",
+        PACK([(ACK, ["r", 1])]),
+        PACK([(ACK, ["r", 1, 2, 3])]),
+        PACK([(ACK, ["r", "one", 2])]),
+        PACK([(1,)]),
+        PACK([(KINDS.index(Attach), [b"\xff", 1, 0])]),
+        b"\x91" * 100_000,
+        b"\x91\x92\x00" + b"\x91" * 100_000,
+        b"\x90" + b"x" * MAX_FRAME_BYTES,
+    ],
+    ids=[
+        "empty",
+        "no opcode",
+        "rest",
+        "field missing",
+        "field too many",
+        "wrong type",
+        "no message",
+        "bytes for text",
+        "deep",
+        "deep message",
+        "oversized",
+    ],
+)
+def test_bad_frame_is_a_fault(frame: bytes) -> None:
+    assert isinstance(decode_frame(frame).error, Fault)
+
+
+@pytest.mark.parametrize("number", [len(KINDS), 255, -1, 2**63])
+def test_kind_of_a_newer_release_is_passed_over(number: int) -> None:
+    frame = PACK([(ACK, ["r", 1, 2]), (number, {"new": 1}), (ACK, ["s", 3, 4])])
+    assert decode_frame(frame).ok == [Ack("r", 1, 2), Ack("s", 3, 4)]
--- a/tests/routing/test_core.py
+++ b/tests/routing/test_core.py
@@ -219,3 +219,24 @@
     wanted = WANTED._replace(prompt_tokens=8_000)
     assert needs_split(pool, wanted)
     assert not needs_split(pool, wanted._replace(max_tokens=1))
+
+
+def test_a_role_that_answers_far_sooner_goes_first():
+    """Mixed hosts are busy, though not beyond the deadline; a decode host is idle.
+
+    By role alone each request would wait seconds there until the deadlines are reached,
+    with the decode host left idle until then.
+    """
+    pool = [make_candidate("m", wait=5.0), make_candidate("d", role=DECODE)]
+    assert choose(WANTED, pool, ()) == "d"
+    pool = [make_candidate("m", wait=0.1), make_candidate("d", role=DECODE)]
+    assert choose(WANTED, pool, ()) == "m"
+
+
+def test_the_present_pace_tells_which_role_is_sooner():
+    """Both report no wait, but the mixed host decodes four times slower at present."""
+    slow = make_candidate("m", token_seconds=0.08)
+    pool = [slow, make_candidate("d", role=DECODE)]
+    assert choose(WANTED, pool, ()) == "d"
+    stale = slow._replace(load_age=60.0)
+    assert choose(WANTED, [stale, pool[1]], ()) == "m"
