--- a/bench/capacity/configurations.py
+++ b/bench/capacity/configurations.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
-from bench.capacity.figures import Figure
+from bench.capacity.figures import Figure, time_calls
 from bench.capacity.samples import make_letter_folder
 from bench.capacity.usage import read_resident
 from radishtally.distribution.core import Keeper, hash_files
@@ -66,5 +66,7 @@
         costs.append(time_once(lambda given=given: keeper.take(given)))
     at = {"files": len(files), "changed": 1}
     yield Figure("configuration, change taken", min(costs), "ms", at)
+    cost = time_calls(lambda: encode_frame([keeper.answer(ask)])) / 1e3
+    yield Figure("change, answered by a peer", cost, "ms", at)
     yield Figure("change, asked for", len(encode_frame([ask])), "bytes", at)
     yield Figure("change, given", len(encode_frame([given])), "bytes", at)
--- a/bench/kinds.py
+++ b/bench/kinds.py
@@ -56,6 +56,7 @@
     streamed=False,
 )
 HOT: Final = SHEET._replace(name="hot", families=1, shared=0.8)
+REVISION: Final = SHEET._replace(name="revision", families=100, shared=0.8)
 FLOOD: Final = DART._replace(name="flood", team="lagna-demo-key")
 PEER: Final = DART._replace(name="peer", team="lagna-booking-key")
 REMINDER: Final = ServiceCall(
@@ -64,7 +65,17 @@
 
 KINDS: Final = {
     kind.name: kind
-    for kind in (SHEET, TAG, DART, HISTORY, CLASSIFICATION, HOT, FLOOD, PEER)
+    for kind in (
+        SHEET,
+        TAG,
+        DART,
+        HISTORY,
+        CLASSIFICATION,
+        HOT,
+        REVISION,
+        FLOOD,
+        PEER,
+    )
 }
 
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -23,6 +23,7 @@
     make_lagna_shift,
     make_overload,
     make_planning,
+    make_revisions,
     make_steady,
 )
 
@@ -58,7 +59,7 @@
 
     def routing(self) -> None:
         """Compare the routing with its baselines."""
-        scenarios = [make_lagna_shift(), make_hot(), make_overload(1.5)]
+        scenarios = [make_revisions(), make_hot(), make_overload(1.5)]
         self._measure(scenarios, ROUTING, self._seeds)
         self._write("routing")
 
--- a/bench/run.py
+++ b/bench/run.py
@@ -273,6 +273,7 @@
     """Add up what the engines that still live have counted."""
     totals = {"role_changes": 0, "wasted_tokens": 0, "completed": 0, "cut": 0}
     double_runs = 0
+    by_host = {}
     for child in fleet.upstreams.values():
         with contextlib.suppress(urllib.error.URLError, OSError):
             counts = get_json(f"{child.url}/_counts")
@@ -281,9 +282,10 @@
                 continue
             roles = [order for order in counts["orders"] if order["kind"] == "role"]
             totals["role_changes"] += len(roles)
+            by_host[child.name] = counts["completed"]
             for name in ("wasted_tokens", "completed", "cut"):
                 totals[name] += counts[name]
-    return {**totals, "calls_run_twice": double_runs}
+    return {**totals, "completed_by_host": by_host, "calls_run_twice": double_runs}
 
 
 def find_useful_share(scenario: Scenario, records: list[Record]) -> float:
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -120,6 +120,12 @@
     return Scenario("hot-prefix", "lagna", 1.0, phases)
 
 
+def make_revisions() -> Scenario:
+    """Let sheets be revised: a hundred long beginnings, more than one cache holds."""
+    phases = (Phase(30.0, {"revision": 0.6, "dart": 0.2, "tag": 0.05}),)
+    return Scenario("revisions", "lagna", 1.0, phases)
+
+
 def make_flood() -> Scenario:
     """Let one team send three times the pool's capacity beside a modest one."""
     phases = (
--- a/radishtally/agent/const.py
+++ b/radishtally/agent/const.py
@@ -26,6 +26,8 @@
 STATE_SECONDS: Final = 0.5
 """Time between looks at the engine's state."""
 UPSTREAM_CONNECT_SECONDS: Final = 2.0
+STREAM_SILENCE_SECONDS: Final = 4.0
+"""Time without a token, after the first one, after which a stream is given up."""
 CALL_SECONDS: Final = 600.0
 """Longest time that a call which may not run twice holds its place."""
 SERVICE_LATENCY_START: Final = 0.05
--- a/radishtally/agent/daemon.py
+++ b/radishtally/agent/daemon.py
@@ -175,6 +175,7 @@
     async def _watch_engine(self) -> None:
         while True:
             outcome = await self.upstream.read_state()
+            self.upstream.drop_silent(time.monotonic())
             state = outcome.ok if outcome.is_ok() else None
             self.handle(_describe_engine(state))
             await asyncio.sleep(STATE_SECONDS)
--- a/radishtally/agent/engine.py
+++ b/radishtally/agent/engine.py
@@ -10,7 +10,8 @@
 from expression import Error, Ok, Result
 
 from radishtally.agent import events
-from radishtally.agent.const import UPSTREAM_CONNECT_SECONDS
+from radishtally.agent.const import STREAM_SILENCE_SECONDS, UPSTREAM_CONNECT_SECONDS
+from radishtally.agent.http import BROKEN
 from radishtally.agent.sse import Done, read_parts
 from radishtally.links.messages import CHAT, PREFILL, KvRef, Offer
 from radishtally.outcome import Fault, Ran
@@ -56,6 +57,8 @@
             read_bufsize=MAX_LINE_BYTES, connector=aiohttp.TCPConnector(limit=0)
         )
         self._tasks: dict[tuple[str, int], asyncio.Task] = {}
+        self._heard: dict[tuple[str, int], float] = {}
+        """Time of the newest token of each running attempt."""
 
     async def close(self) -> None:
         """End all work and connections."""
@@ -100,6 +103,21 @@
             task.cancel()
         self._keep(self._cancel(request, attempt))
 
+    def drop_silent(self, now: float) -> None:
+        """Give up streams whose tokens have stopped coming.
+
+        A connection that something between the ends has lost track of gives no error,
+        only silence: its answer would wait for its deadline. The rest is generated
+        elsewhere. The first token is not missed here, since a prefill may take long.
+        """
+        for name, heard in list(self._heard.items()):
+            if now - heard <= STREAM_SILENCE_SECONDS:
+                continue
+            del self._heard[name]
+            self.abort(*name)
+            reason = "the engine's stream went silent"
+            self._report(events.Failed(*name, Ran.UNKNOWN, reason))
+
     def export(self, request: str, attempt: int) -> None:
         """End work in good order and keep its KV cache for another engine."""
         task = self._tasks.pop((request, attempt), None)
@@ -131,9 +149,11 @@
                 await self._read(name, response, started)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._report(events.Failed(*name, Ran.NO, repr(error)))
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        except BROKEN as error:
             ran = Ran.UNKNOWN if not isinstance(error, ValueError) else ran
             self._report(events.Failed(*name, ran, repr(error)))
+        finally:
+            self._heard.pop(name, None)
 
     async def _read(
         self, name: tuple[str, int], response: aiohttp.ClientResponse, started: float
@@ -143,6 +163,7 @@
             if isinstance(part, Done):
                 break
             if part.text:
+                self._heard[name] = time.monotonic()
                 self._report(events.Produced(*name, part.text.encode(), 1))
             reason = part.finish_reason or reason
             if part.usage is not None:
--- a/radishtally/agent/service.py
+++ b/radishtally/agent/service.py
@@ -9,6 +9,7 @@
 
 from radishtally.agent import events
 from radishtally.agent.const import CALL_SECONDS, UPSTREAM_CONNECT_SECONDS
+from radishtally.agent.http import BROKEN, SendOnce
 from radishtally.links.messages import Offer
 from radishtally.outcome import Ran
 
@@ -82,11 +83,12 @@
                 headers=headers,
                 timeout=timeout,
                 allow_redirects=False,
+                middlewares=(SendOnce(),),
             ) as response:
                 await self._read(name, response, started)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._report(events.Failed(*name, Ran.NO, repr(error)))
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        except BROKEN as error:
             self._report(events.Failed(*name, Ran.UNKNOWN, repr(error)))
 
     async def _read(
--- a/radishtally/claims/core.py
+++ b/radishtally/claims/core.py
@@ -44,6 +44,8 @@
 """Half of what DynamoDB takes in one transaction."""
 OUTCOME_PART: Final = 4
 """One in so many places of a group is kept for outcomes while any wait."""
+AWAY_FAILURES: Final = 4
+"""Failures in a row, over about a second, after which the store is taken for away."""
 
 
 class ClaimTerms(NamedTuple):
@@ -264,7 +266,8 @@
     @_take.register
     def _(self, event: ClaimAsked, now: float) -> list[Command]:
         outcome = self._recall(event.claim)
-        if outcome is None and len(self._claims) >= self._terms.waiting:
+        full = len(self._claims) >= self._terms.waiting
+        if outcome is None and (full or self._is_away(now)):
             outcome = StoreAway()
         if outcome is not None:
             return [Answer(event.caller, outcome)]
@@ -537,6 +540,15 @@
         _move(self._claims, jobs, self._size)
         return jobs
 
+    def _is_away(self, now: float) -> bool:
+        """Tell whether the store has failed so often that nobody should wait for it.
+
+        In a long outage each caller would wait out its claim's whole time only to be
+        refused, and its repeat again. During a pause after some failures in a row it
+        is told at once; the first claim after the pause finds out how the store is.
+        """
+        return self._failures >= AWAY_FAILURES and now < self._pause_until
+
     def _pause(self, now: float) -> None:
         seconds = self._terms.retry_seconds * 2 ** min(self._failures, 10)
         seconds = min(seconds, self._terms.longest_retry_seconds)
--- a/radishtally/configuration/store.py
+++ b/radishtally/configuration/store.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from radishtally.audit.core import make_audit_put
+from radishtally.configuration.config import Configuration
 from radishtally.configuration.core import merge_files
 from radishtally.configuration.folder import check_change, check_sizes
 from radishtally.configuration.head import (
@@ -61,8 +62,10 @@
         *,
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
+        merge: Merge = merge_files,
     ) -> None:
         self._table = table
+        self._merge = merge
         self._objects = objects
         self._clock = clock
         self._wall_clock = wall_clock
@@ -162,7 +165,7 @@
             return loaded
         changed = {**loaded.ok, **plan.changes}
         files = {name: text for name, text in changed.items() if text is not None}
-        checked = check_sizes(files).bind(lambda _: merge_files(files))
+        checked = check_sizes(files).bind(lambda _: self._merge(files))
         if checked.is_error():
             return checked
         return await self._store_texts(
--- a/radishtally/daemon.py
+++ b/radishtally/daemon.py
@@ -14,15 +14,9 @@
 EXIT_ADDRESS = 3
 
 
-def run(settings: str) -> None:
-    """Run the daemon described in a settings file.
-
-    Parameters
-    ----------
-    settings : str
-        Path of a file in JSON with comments.
-    """
-    outcome = read_settings(settings)
+def run(path: str) -> None:
+    """Run until a planned stop; end with a code that tells what was wrong."""
+    outcome = read_settings(path)
     if outcome.is_error():
         print(f"radishtallyd: {outcome.error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
@@ -47,8 +41,24 @@
 
 
 def main() -> None:
-    """Read the command line."""
-    fire.Fire(run, name="radishtallyd")
+    """Read the command line and run."""
+    paths: list[str] = []
+
+    def radishtallyd(settings: str) -> None:
+        """Run the daemon described in a settings file.
+
+        Parameters
+        ----------
+        settings : str
+            Path of a file in JSON with comments.
+        """
+        paths.append(str(settings))
+
+    # fire calls a function before it looks at the words behind its arguments: the
+    # daemon starts only once the whole line is known to be good.
+    fire.Fire(radishtallyd, name="radishtallyd")
+    if paths:
+        run(paths[-1])
 
 
 if __name__ == "__main__":
--- a/radishtally/links/link.py
+++ b/radishtally/links/link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 from collections.abc import Callable
 from typing import Any, Final, Protocol
@@ -24,7 +25,8 @@
     Pong,
 )
 
-MIN_CHECK_SECONDS: Final = 0.05
+CHECK_SECONDS: Final = 0.25
+"""Times at which links are looked at are multiples of this."""
 UNASKED: Final = 0
 """Sequence number of a pong that answers no ping."""
 INTERVAL_TOLERANCE: Final = 0.2
@@ -99,6 +101,11 @@
 
     def send(self, message: Message) -> None:
         """Queue a message; what is queued together goes in one frame."""
+        self._queue(message)
+        if self._leads:
+            self._check_by(time.monotonic() + PING_SECONDS)
+
+    def _queue(self, message: Message) -> None:
         self._outbox.append(message)
         self._outbox_bytes += _measure(message)
         self._wake.set()
@@ -108,21 +115,19 @@
         # frame's sending never end.
         if self._outbox_bytes > MAX_OUTBOX_BYTES:
             self.close("the peer reads too slowly")
-        if self._leads:
-            self._check_by(time.monotonic() + PING_SECONDS)
 
     def announce(self, revision: int) -> None:
         """Tell the peer at once which configuration revision is in force here."""
         self._revision = revision
         # A pong that nobody asked for: the peer's own word comes once it has the same
         # revision in force, so an answer to a ping would only be a message more.
-        self.send(Pong(UNASKED, revision))
+        self._queue(Pong(UNASKED, revision))
 
     def ping(self) -> None:
         """Ask the peer for a sign of life."""
         self._sequence += 1
         self._heartbeat.ping(time.monotonic())
-        self.send(Ping(self._sequence, self._revision))
+        self._queue(Ping(self._sequence, self._revision))
 
     def _tell_interval(self, seconds: float) -> None:
         """Tell the peer when to miss a ping, if that has changed much."""
@@ -130,7 +135,7 @@
         if abs(seconds - self._interval) <= INTERVAL_TOLERANCE * self._interval:
             return
         self._interval = seconds
-        self.send(Interval(seconds))
+        self._queue(Interval(seconds))
 
     def is_flushed(self) -> bool:
         """Tell whether the peer has taken everything up to the last ping."""
@@ -181,7 +186,7 @@
             return
         if isinstance(message, Ping):
             self._heartbeat.take_ping(time.monotonic())
-            self.send(Pong(message.sequence, self._revision))
+            self._queue(Pong(message.sequence, self._revision))
         if isinstance(message, Interval):
             self._heartbeat.take_interval(message.seconds)
             return
@@ -209,7 +214,7 @@
             self._tell_interval(spacing)
         due = self._heartbeat.next_ping(busy, spacing)
         due = min(due, self._heartbeat.silent_at(busy, spacing))
-        self._arm(max(due, now + MIN_CHECK_SECONDS))
+        self._arm(due)
 
     def _check_by(self, when: float) -> None:
         """Check the link no later than at a time: it may have become busy."""
@@ -221,6 +226,9 @@
             return
         if self._timer is not None:
             self._timer.cancel()
+        # Links are looked at together: a process that wakes for each by itself pays
+        # three times as much for a ping, since nothing it needs is in the caches.
+        when = math.floor(when / CHECK_SECONDS + 1) * CHECK_SECONDS
         self._check_at = when
         delay = when - time.monotonic()
         self._timer = asyncio.get_running_loop().call_later(delay, self._check)
--- a/radishtally/routing/core.py
+++ b/radishtally/routing/core.py
@@ -1,6 +1,7 @@
 """Choice of the host that work is offered to."""
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from math import inf
 from typing import Final, NamedTuple
 
 from xxhash import xxh3_64_intdigest
@@ -16,9 +17,17 @@
 """Load over the mean that a host of the first few may have."""
 SPARE_REQUESTS: Final = 2.0
 """Requests over the mean that are no imbalance, however small the mean."""
+CACHE_WORTH: Final = 1.0
+"""Prefills that a request may wait to find its prefix cached."""
 SOONER: Final = 0.75
 """Share of the preferred role's time in which another one must answer to be chosen."""
 SOONER_SECONDS: Final = 0.05
+OWN_SPARE_REQUESTS: Final = 1.0
+"""The same for the entry's own requests."""
+LIKE: Final = 1.1
+"""Share of the soonest finish up to which another one is as good."""
+GRAIN_SECONDS: Final = 0.05
+"""Difference from which one predicted finish is later than another."""
 TRIP_SECONDS: Final = 0.003
 """Round trip between places of a region, about."""
 SPLIT_TOKENS: Final = 1_024
@@ -110,8 +119,8 @@
     wanted: Wanted, candidates: Sequence[Candidate], tried: Collection[str]
 ) -> str | None:
     """Find a host that fits: of the preferred role, or of one that is far sooner."""
-    best, soonest = None, 0.0
-    for role in PREFERRED_ROLES[wanted.stage]:
+    best, soonest, least = None, 0.0, 0.0
+    for role, cost in order_roles(wanted, candidates):
         able = [item for item in candidates if may_be(item, role)]
         host = find_fitting(wanted, able, tried)
         if host is None:
@@ -119,31 +128,95 @@
         finish = next(predict(i, wanted).finish for i in able if i.host == host)
         # The preferred role was filled up to the callers' deadlines while engines of
         # another one stood idle that would have answered at once.
-        if best is None or finish + SOONER_SECONDS < SOONER * soonest:
-            best, soonest = host, finish
+        sooner = SOONER * least / cost if cost > least > 0 else SOONER
+        if best is None or finish + SOONER_SECONDS < sooner * soonest:
+            best, soonest, least = host, finish, cost
     return best
 
 
+def order_roles(
+    wanted: Wanted, candidates: Sequence[Candidate]
+) -> list[tuple[str, float]]:
+    """Order the roles by what the work costs there, then as its stage prefers."""
+    costs = [
+        (r, find_cost(wanted, candidates, r)) for r in PREFERRED_ROLES[wanted.stage]
+    ]
+    least = min((cost for _, cost in costs if cost > 0), default=0.0)
+    if wanted.stage != WHOLE or not least:
+        return costs
+    # Long prompts on decode engines hold up all that is queued behind them, and short
+    # ones on mixed engines take places that those with long prompts need.
+    return sorted(costs, key=lambda item: round(item[1] / least, 1) or inf)
+
+
+def find_cost(wanted: Wanted, candidates: Sequence[Candidate], role: str) -> float:
+    """Find the engine-seconds that the work takes in a role; 0 if that is not known."""
+    loads = (item.load for item in candidates if item.load and item.load.role == role)
+    load = next((load for load in loads if load.prefill_rate > 0), None)
+    if load is None:
+        return 0.0
+    decode = wanted.max_tokens * load.decode_seconds / max(1, load.slots)
+    return wanted.prompt_tokens / load.prefill_rate + decode
+
+
 def find_fitting(
     wanted: Wanted, candidates: Sequence[Candidate], tried: Collection[str]
 ) -> str | None:
-    """Find a host that fits the slack: the first few by rank, then by least wait."""
+    """Find a host that fits the slack: the first few by rank, then the least busy."""
     left = {item.host: item for item in candidates if item.host not in tried}
-    prospects = {host: predict(item, wanted) for host, item in left.items()}
-    fitting = {
-        host: prospect.wait
-        for host, prospect in prospects.items()
-        if prospect.finish <= wanted.slack
-    }
+    finishes = {host: predict(item, wanted).finish for host, item in left.items()}
+    fitting = {host: end for host, end in finishes.items() if end <= wanted.slack}
     if not fitting:
         return None
-    # A hot prefix would pile up on its first host: hosts well over the mean load are
-    # passed over, so that it spills to the next few of its own ranking.
-    bound = find_bound(candidates)
-    for host in rank((item.host for item in candidates), hash_key(wanted))[:FIRST_FEW]:
-        if host in fitting and count_requests(left[host]) <= bound:
+    ranked = rank((item.host for item in candidates), hash_key(wanted))
+    balanced = find_balanced(candidates)
+    soonest = min(fitting.values())
+    for host in ranked[:FIRST_FEW]:
+        if host not in fitting or host not in balanced:
+            continue
+        # A cached prefix saves its prefill and no more: short prompts gain nothing by
+        # waiting for their first host, and long ones only so much.
+        if fitting[host] <= LIKE * soonest + find_worth(left[host], wanted):
             return host
-    return min(fitting, key=lambda host: (fitting[host], host))
+    return find_least_busy([host for host in ranked if host in fitting], fitting, left)
+
+
+def find_balanced(candidates: Sequence[Candidate]) -> set[str]:
+    """Find the hosts that are not well over the mean load."""
+    # A hot prefix would pile up on its first host: it spills to the next few of its
+    # own ranking, and on from there.
+    bound = find_bound([count_requests(item) for item in candidates])
+    # Other entries' requests show only in reports, which lag: all entries together
+    # went far over the bound in the meantime. Own ones are known at once, so that each
+    # entry's share of the excess is bounded too.
+    own_bound = find_bound([item.in_flight for item in candidates], OWN_SPARE_REQUESTS)
+    return {
+        item.host
+        for item in candidates
+        if count_requests(item) <= bound and item.in_flight <= own_bound
+    }
+
+
+def find_least_busy(
+    ranked: Sequence[str],
+    finishes: Mapping[str, float],
+    candidates: Mapping[str, Candidate],
+) -> str:
+    """Find the soonest host; of like ones that with the fewest own requests."""
+
+    # By name, all entries sent what spilled over to the same host at the same time.
+    def measure(host: str) -> tuple[float, int]:
+        return round(finishes[host] / GRAIN_SECONDS), candidates[host].in_flight
+
+    return min(ranked, key=measure)
+
+
+def find_worth(candidate: Candidate, wanted: Wanted) -> float:
+    """Find the seconds of wait that the prompt's cached prefix may be worth."""
+    load = candidate.load
+    if load is None or load.prefill_rate <= 0:
+        return 0.0
+    return CACHE_WORTH * wanted.prompt_tokens / load.prefill_rate
 
 
 def choose_round_robin(
@@ -243,10 +316,10 @@
     return xxh3_64_intdigest(text.encode(errors="surrogatepass"))
 
 
-def find_bound(candidates: Sequence[Candidate]) -> float:
+def find_bound(counts: Sequence[int], spare: float = SPARE_REQUESTS) -> float:
     """Find the number of requests up to which a host counts as balanced."""
-    mean = sum(map(count_requests, candidates)) / len(candidates)
-    return max(BALANCE * mean, mean + SPARE_REQUESTS)
+    mean = sum(counts) / len(counts)
+    return max(BALANCE * mean, mean + spare)
 
 
 def count_requests(candidate: Candidate) -> int:
--- a/tests/agent/test_answers.py
+++ b/tests/agent/test_answers.py
@@ -6,6 +6,7 @@
 
 from radishtally.agent import events
 from radishtally.agent.const import (
+    CHUNK_BYTES,
     DELIVER_SECONDS,
     MAX_RETAINED_BYTES,
     MAX_UNDELIVERED_BYTES,
@@ -226,6 +227,19 @@
     assert driver.core.retained.bytes <= MAX_RETAINED_BYTES
 
 
+def test_large_answer_goes_in_parts_that_a_link_takes(driver: Driver) -> None:
+    # The caller gets its large body. A link takes frames up to a limit; one message
+    # over it would end each link that the answer is asked for on.
+    body = bytes(range(256)) * 12_000
+    driver.offer(make_call())
+    driver.give(events.Produced("r", 1, body, 0))
+    driver.complete("r")
+    sent = driver.list_sent(Chunk)
+    assert max(len(chunk.data) for chunk in sent) <= CHUNK_BYTES
+    assert b"".join(chunk.data for chunk in sent) == body
+    assert [c.offset for c in sent] == list(range(0, len(body), CHUNK_BYTES))
+
+
 def test_cost_does_not_grow_with_kept_answers(driver: Driver) -> None:
     # Callers' tokens wait while the agent looks through what it keeps. Looking at
     # every kept answer at each event would cost most of a core at 1,000 of them.
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -431,6 +431,29 @@
     assert entry.answers == {3: StoreAway()}
 
 
+def test_claims_in_a_long_outage_are_refused_at_once(entry: Entry) -> None:
+    """The first caller waits its time out, the next one is told at once.
+
+    The store refuses everything. When it is back, the first claim after the pause finds
+    that out, and claims are granted again.
+    """
+    ask(entry, 1, make_claim("r1"))
+    now = 0.0
+    while 1 not in entry.answers:
+        now += 0.05
+        entry.handle(Tick(), now)
+        while entry.calls:
+            entry.serve(REFUSED, now)
+    assert entry.answers[1] == StoreAway()
+    ask(entry, 2, make_claim("r2", "k2"), now)
+    assert entry.answers[2] == StoreAway()
+    now += TERMS.longest_retry_seconds
+    ask(entry, 3, make_claim("r3", "k2"), now)
+    assert 3 not in entry.answers
+    entry.run(now, 1.0)
+    assert entry.answers[3] == Granted()
+
+
 def test_finish_of_a_call_that_was_not_granted_is_told(entry: Entry) -> None:
     entry.handle(CallFinished(make_claim("r1"), ANSWER), 0.0)
     assert entry.lost == ["not granted here"]
--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -221,6 +221,14 @@
     assert not driver.list_offers()
 
 
+def test_each_offer_tells_the_time_that_is_left() -> None:
+    driver = Driver(hosts=2)
+    driver.open(make_text(), seconds=30.0)
+    assert driver.find_offer()[1].budget == 30.0
+    driver.pass_time(const.OFFER_SECONDS)
+    assert driver.find_offer()[1].budget == 30.0 - const.OFFER_SECONDS
+
+
 def test_lost_offer_goes_to_the_same_host_again() -> None:
     # The caller is served. The link broke with the offer on it; the agent knows
     # nothing of it and is the only host: the host has refused nothing.
--- a/tests/integration/test_answers.py
+++ b/tests/integration/test_answers.py
@@ -20,10 +20,13 @@
 )
 from tests.integration.common import (
     ENGINES,
+    POLICY,
+    POLICY_FILE,
     ROLES_FILE,
     STREAM_TOKENS,
     configure,
     find_busy_engine,
+    find_revisions,
     has_role,
     make_roles,
     read_engine,
@@ -34,6 +37,7 @@
 STREAMS = 8
 CALLERS = 6
 LOAD_TOKENS = 40
+SHORT_DRAIN_SECONDS = 0.3
 
 Fault = Callable[[Fleet, str], None]
 
@@ -49,6 +53,9 @@
     ],
     "links silent for good": lambda fleet, host: fleet.network.go_silent(far=host),
     "engine cut off": lambda fleet, host: fleet.network.cut(host, "upstream"),
+    "engine connections silent for good": lambda fleet, host: fleet.network.go_silent(
+        host, "upstream"
+    ),
     "engine crashed": lambda fleet, host: set_fault(
         fleet.upstreams[host].url, crash=True
     ),
@@ -158,6 +165,25 @@
     assert process.wait(30) == 0
 
 
+def test_a_short_drain_moves_answers_and_cuts_nothing(fleet: Fleet) -> None:
+    """Callers notice nothing, though their engine's agent stops before they are done.
+
+    The policy gives running answers less time than they need. The agent has the engine
+    export their KV cache and hands them over; other engines go on from there.
+    """
+    short = {"policy": {**POLICY["policy"], "drain_seconds": SHORT_DRAIN_SECONDS}}
+    revision = configure(fleet, {POLICY_FILE: short})
+    fleet.wait_until(lambda: is_in_force(fleet, revision), "the policy to be in force")
+    streams = start_streams(fleet, STREAMS, "short drain")
+    begun = list_begun(fleet)
+    host = find_busy_engine(fleet)
+    process = fleet.terminate(host).process
+    check_all_whole([stream.wait() for stream in streams])
+    assert process.wait(30) == 0
+    assert list_begun(fleet) > begun
+    configure(fleet, {POLICY_FILE: POLICY})
+
+
 def test_a_drain_by_an_operator_cuts_nothing(fleet: Fleet) -> None:
     """Callers notice nothing of a drain and of its end.
 
@@ -250,6 +276,12 @@
     return call(url, "GET", "/readyz").status == 200
 
 
+def is_in_force(fleet: Fleet, revision: int) -> bool:
+    """Tell whether a revision is in force everywhere."""
+    known = [find_revisions(fleet, entry).values() for entry in fleet.entries]
+    return all(set(revisions) == {revision} for revisions in known)
+
+
 def list_begun(fleet: Fleet) -> set[str]:
     """List all attempts that the engines have begun."""
     return {name for host in ENGINES for name in read_engine(fleet, host)["requests"]}
--- a/tests/integration/test_calls.py
+++ b/tests/integration/test_calls.py
@@ -13,8 +13,8 @@
 KEYS = 12
 TRIES = 4
 PATH = "/services/booking-app/reminders"
-AT_ONCE_SECONDS = 4.0
-"""Bound for a refusal at once, generous for a busy machine."""
+AT_ONCE_SECONDS = 1.5
+"""Bound for a refusal at once: less than a claim waits for the store."""
 
 Fault = Callable[[Fleet], object]
 
@@ -87,12 +87,25 @@
     fleet.network.cut("booking-1", "upstream")
 
 
+def silence_table(fleet: Fleet) -> None:
+    """Let the open connections to the table go silent for good."""
+    fleet.network.go_silent(far="table")
+
+
+def silence_service(fleet: Fleet) -> None:
+    """Let the open connections between agents and services go silent for good."""
+    fleet.network.go_silent("booking-1", "upstream")
+    fleet.network.go_silent("booking-2", "upstream")
+
+
 FAULTS: dict[str, tuple[Fault, ...]] = {
     "none": (),
     "service replies lost": (lose_service_replies,),
     "table replies lost": (lose_table_replies,),
     "table down": (take_table_down,),
     "table slow": (slow_table,),
+    "table connections silent": (silence_table,),
+    "service connections silent": (silence_service,),
     "entry killed": (kill_entry,),
     "entry stopped": (stop_entry,),
     "entry paused": (pause_entry,),
@@ -114,22 +127,23 @@
     """Brides get no second reminder, and "not run" is true, though callers repeat.
 
     Callers send reminders under keys and repeat each at both entries in turn until it
-    is answered. The faults come when the first calls run: each claim is in the table
-    before its call goes out, and what is unclear after it is never run again.
+    is answered. The faults come when the first calls run, and more calls come after
+    them: each claim is in the table before its call goes out, and what is unclear
+    after it is never run again.
     """
-    urls = [entry.url for entry in fleet.entries.values()]
     names = [f"{faults} {number}" for number in range(KEYS)]
-    reminders = [
-        Reminder(urls[number % 2 :] + urls[: number % 2], name, TRIES, PATH)
-        for number, name in enumerate(names)
-    ]
+    reminders = send_reminders(fleet, names[: KEYS // 2])
     fleet.wait_until(lambda: count_some(fleet, names) > 0, "the first call to run")
     for fault in FAULTS[faults]:
         fault(fleet)
+    reminders += send_reminders(fleet, names[KEYS // 2 :])
     if pause_entry in FAULTS[faults]:
         wait_for_others(fleet, reminders)
         fleet.resume("entry-1")
     replies = {one.key: one.wait() for one in reminders}
+    if silence_service in FAULTS[faults]:
+        # A call that may not run twice is waited for as long as its connection stands.
+        fleet.network.cut(far="upstream")
     restore(fleet)
     runs = wait_for_quiet(fleet)
     for key, said in replies.items():
@@ -163,16 +177,21 @@
     Without the table no claim can be made, so the call is not begun. Once the table is
     back, the same key runs: the refusal left nothing behind.
     """
+    urls = [entry.url for entry in fleet.entries.values()]
     take_table_down(fleet)
-    for number, entry in enumerate(fleet.entries.values()):
+    waits = []
+    for number, url in enumerate(urls):
+        # The first refusal takes as long as a claim may; then the outage is known.
+        assert send_reminder(url, f"first {number}").ran == "no"
         started = time.monotonic()
-        reply = send_reminder(entry.url, f"away {number}")
-        assert time.monotonic() - started < AT_ONCE_SECONDS
+        reply = send_reminder(url, f"away {number}")
+        waits.append(time.monotonic() - started)
         assert (reply.status, reply.ran) == (503, "no")
         assert int(reply.headers["Retry-After"]) >= 1
+    assert max(waits) < AT_ONCE_SECONDS
     set_fault(fleet.standins["table"].url, mode="up")
-    for number, entry in enumerate(fleet.entries.values()):
-        reply = Reminder([entry.url], f"away {number}", TRIES, PATH).wait()[-1]
+    for number, url in enumerate(urls):
+        reply = Reminder([url], f"away {number}", TRIES, PATH).wait()[-1]
         assert reply.status == 200
         assert count_runs(fleet)[f"away {number}"] == 1
 
@@ -192,6 +211,15 @@
     assert count_runs(fleet)["orphan"] == 1
 
 
+def send_reminders(fleet: Fleet, names: list[str]) -> list[Reminder]:
+    """Send a reminder under each key, at the entries in turn."""
+    urls = [entry.url for entry in fleet.entries.values()]
+    return [
+        Reminder(urls[number % 2 :] + urls[: number % 2], name, TRIES, PATH)
+        for number, name in enumerate(names)
+    ]
+
+
 def count_some(fleet: Fleet, keys: list[str]) -> int:
     """Count the runs of some keys."""
     runs = count_runs(fleet)
--- a/tests/links/test_hub.py
+++ b/tests/links/test_hub.py
@@ -75,11 +75,14 @@
     async def check() -> None:
         async with pair() as (agent, entry, _):
             await wait_for(lambda: agent.ups and entry.ups)
+            old = agent.hub._links["entry-0"]
             twin = Peer("entry-0", incarnation="2")
             twin.hub.dial("agent-0", agent.address)
             await wait_for(lambda: len(agent.ups) >= 2)
             assert agent.downs[0] == ("entry-0", "replaced by a newer link")
             assert agent.hub.hosts == ["entry-0"]
+            agent.hub._take(old, Ack("late", 1, 0))
+            assert not agent.list_received(Ack)
             await twin.hub.stop()
 
     run(check())
--- a/tests/routing/test_core.py
+++ b/tests/routing/test_core.py
@@ -12,6 +12,7 @@
     Candidate,
     Wanted,
     choose,
+    hash_key,
     hash_prefix,
     needs_split,
     rank,
@@ -240,3 +241,52 @@
     assert choose(WANTED, pool, ()) == "d"
     stale = slow._replace(load_age=60.0)
     assert choose(WANTED, [stale, pool[1]], ()) == "m"
+
+
+@pytest.mark.parametrize(("prompt", "stays"), [(70, False), (4_000, True)])
+def test_a_cached_prefix_is_worth_its_prefill_only(prompt, stays):
+    """The first host of the ranking has 0.3 s of work more than the others.
+
+    A short prompt would wait there for a cache that saves 10 ms.
+    """
+    wanted = WANTED._replace(prompt_tokens=prompt)
+    first = rank(HOSTS, hash_key(wanted))[0]
+    pool = [make_candidate(host, wait=0.3 * (host == first)) for host in HOSTS]
+    assert (choose(wanted, pool, ()) == first) is stays
+
+
+@pytest.mark.parametrize(
+    ("prompt", "output", "expected"), [(65, 80, "d"), (2_750, 130, "m"), (65, 1, "m")]
+)
+def test_work_goes_to_the_role_that_it_costs_least(prompt, output, expected):
+    """Two idle hosts: the decode one has three times the places and slow prefill.
+
+    By a fixed order of roles, long prompts fill the mixed host up, then spill to the
+    decode host and hold up there what decodes twice as fast as anywhere else.
+    """
+    decode = {"role": DECODE, "prefill_rate": 3_900.0, "slots": 48}
+    pool = [make_candidate("m"), make_candidate("d", **decode)]
+    wanted = WANTED._replace(prompt_tokens=prompt, max_tokens=output)
+    assert choose(wanted, pool, ()) == expected
+
+
+def test_what_spills_over_spreads():
+    """Forty prefixes whose first hosts are full; the other six report no wait.
+
+    By name, every entry sent all of these to the same host until the next report.
+    """
+    counts = Counter()
+    for number in range(40):
+        wanted = WANTED._replace(prefix=number)
+        few = rank(HOSTS, hash_key(wanted))[:3]
+        pool = [
+            make_candidate(
+                host,
+                running=16 * (host in few),
+                in_flight=counts[host],
+                reported=counts[host],
+            )
+            for host in HOSTS
+        ]
+        counts[choose(wanted, pool, ())] += 1
+    assert max(counts.values()) <= 8
