Give up an engine's stream that goes silent, before or behind its first token

Behind the first token the agent now gives a stream up after 4 s of silence; this change covers the first token too, which gets 8 s and four times its own prefill, and begins work on new connections only. Ruled out: a fixed bound for the first token (a long prompt's prefill may take longer than any bound that helps a short one). Proof: tests/agent/test_engine.py::test_silent_stream_is_given_up, for both cases; the first case waits for ever without the patience from the start. Also: merging of unchanged files is shared between the head's reader and the entry.

--- a/radishtally/agent/const.py
+++ b/radishtally/agent/const.py
@@ -26,6 +26,10 @@
 STATE_SECONDS: Final = 0.5
 """Time between looks at the engine's state."""
 UPSTREAM_CONNECT_SECONDS: Final = 2.0
+FIRST_TOKEN_SECONDS: Final = 8.0
+PREFILL_PATIENCE: Final = 4.0
+"""Times its own prefill that a first token is waited for, beyond the seconds above: an
+engine may prefill others' prompts beside it."""
 STREAM_SILENCE_SECONDS: Final = 4.0
 """Time without a token, after the first one, after which a stream is given up."""
 CALL_SECONDS: Final = 600.0
--- a/radishtally/agent/engine.py
+++ b/radishtally/agent/engine.py
@@ -10,7 +10,12 @@
 from expression import Error, Ok, Result
 
 from radishtally.agent import events
-from radishtally.agent.const import STREAM_SILENCE_SECONDS, UPSTREAM_CONNECT_SECONDS
+from radishtally.agent.const import (
+    FIRST_TOKEN_SECONDS,
+    PREFILL_PATIENCE,
+    STREAM_SILENCE_SECONDS,
+    UPSTREAM_CONNECT_SECONDS,
+)
 from radishtally.agent.http import BROKEN
 from radishtally.agent.sse import Done, read_parts
 from radishtally.links.messages import CHAT, PREFILL, KvRef, Offer
@@ -53,12 +58,16 @@
         self._host = host
         self._url = url
         self._report = report
+        # A connection that is kept open may have gone silent since: work begun on it
+        # would wait out its whole patience. A new one beside the engine costs little.
         self._session = aiohttp.ClientSession(
-            read_bufsize=MAX_LINE_BYTES, connector=aiohttp.TCPConnector(limit=0)
+            read_bufsize=MAX_LINE_BYTES,
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
         )
         self._tasks: dict[tuple[str, int], asyncio.Task] = {}
-        self._heard: dict[tuple[str, int], float] = {}
-        """Time of the newest token of each running attempt."""
+        self._patience: dict[tuple[str, int], float] = {}
+        """Time until which each running attempt's next token is waited for."""
+        self._prefill_rate = float("inf")
 
     async def close(self) -> None:
         """End all work and connections."""
@@ -73,11 +82,13 @@
                 f"{self._url}/state", timeout=CALL_TIMEOUT
             ) as response:
                 body = await response.read()
-            return Ok(msgspec.json.decode(body, type=EngineState))
+            state = msgspec.json.decode(body, type=EngineState)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Error(Fault(repr(error), self._url))
         except msgspec.MsgspecError as error:
             return Error(Fault(str(error), self._url))
+        self._prefill_rate = state.prefill_tokens_per_second or float("inf")
+        return Ok(state)
 
     async def order(self, body: dict[str, Any]) -> Result[tuple[int, Any], Fault]:
         """Give an order; tell the status and the engine's words."""
@@ -108,16 +119,20 @@
 
         A connection that something between the ends has lost track of gives no error,
         only silence: its answer would wait for its deadline. The rest is generated
-        elsewhere. The first token is not missed here, since a prefill may take long.
+        elsewhere. The first token gets several times what its prefill should take.
         """
-        for name, heard in list(self._heard.items()):
-            if now - heard <= STREAM_SILENCE_SECONDS:
+        for name, until in list(self._patience.items()):
+            if now <= until:
                 continue
-            del self._heard[name]
+            del self._patience[name]
             self.abort(*name)
             reason = "the engine's stream went silent"
             self._report(events.Failed(*name, Ran.UNKNOWN, reason))
 
+    def _find_first_patience(self, offer: Offer) -> float:
+        prefill = (offer.work.prompt_tokens + offer.tokens_done) / self._prefill_rate
+        return FIRST_TOKEN_SECONDS + PREFILL_PATIENCE * prefill
+
     def export(self, request: str, attempt: int) -> None:
         """End work in good order and keep its KV cache for another engine."""
         task = self._tasks.pop((request, attempt), None)
@@ -133,6 +148,7 @@
         name = offer.work.request, offer.attempt
         ran = Ran.NO
         started = time.monotonic()
+        self._patience[name] = started + self._find_first_patience(offer)
         try:
             kv = await self._import_kv(offer.kv)
             body = make_engine_body(offer, kv)
@@ -153,7 +169,7 @@
             ran = Ran.UNKNOWN if not isinstance(error, ValueError) else ran
             self._report(events.Failed(*name, ran, repr(error)))
         finally:
-            self._heard.pop(name, None)
+            self._patience.pop(name, None)
 
     async def _read(
         self, name: tuple[str, int], response: aiohttp.ClientResponse, started: float
@@ -163,7 +179,7 @@
             if isinstance(part, Done):
                 break
             if part.text:
-                self._heard[name] = time.monotonic()
+                self._patience[name] = time.monotonic() + STREAM_SILENCE_SECONDS
                 self._report(events.Produced(*name, part.text.encode(), 1))
             reason = part.finish_reason or reason
             if part.usage is not None:
--- a/radishtally/configuration/store.py
+++ b/radishtally/configuration/store.py
@@ -50,6 +50,7 @@
 
 LoadError = Fault | Unavailable | Invalid
 ApplyError = Fault | Raced | Unavailable | Unclear | Invalid
+Merge = Callable[[Mapping[str, str]], Result[Configuration, Fault]]
 
 
 class ConfigurationStore:
--- a/radishtally/distribution/core.py
+++ b/radishtally/distribution/core.py
@@ -43,7 +43,7 @@
         self.current: InForce | None = None
         self.peers: dict[str, int] = {}
         """Revision in force at each peer, by its own word."""
-        self._merger = Merger()
+        self.merge = Merger().merge
         self._asked: Asked | None = None
 
     @property
@@ -95,7 +95,7 @@
             if text is None or hash_text(text) != digest:
                 return Error(Fault("file is missing or differs from its hash", name))
             files[name] = text
-        merged = self._merger.merge(files)
+        merged = self.merge(files)
         if merged.is_error():
             return merged
         hashes = dict(given.hashes)
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -62,7 +62,7 @@
         )
         self.members = Members(settings, hub, self.core)
         self.configurations = ConfigurationStore(
-            self.process.table, self.process.objects
+            self.process.table, self.process.objects, merge=self.process.keeper.merge
         )
         holder = f"{settings.host}:{self.process.incarnation}"
         self.claims = ClaimStore(self.process.table, holder)
--- a/radishtally/routing/core.py
+++ b/radishtally/routing/core.py
@@ -17,8 +17,8 @@
 """Load over the mean that a host of the first few may have."""
 SPARE_REQUESTS: Final = 2.0
 """Requests over the mean that are no imbalance, however small the mean."""
-CACHE_WORTH: Final = 1.0
-"""Prefills that a request may wait to find its prefix cached."""
+CACHE_WORTH: Final = 0.5
+"""Chance that a prefix is still cached at its host, about."""
 SOONER: Final = 0.75
 """Share of the preferred role's time in which another one must answer to be chosen."""
 SOONER_SECONDS: Final = 0.05
@@ -175,7 +175,7 @@
         if host not in fitting or host not in balanced:
             continue
         # A cached prefix saves its prefill and no more: short prompts gain nothing by
-        # waiting for their first host, and long ones only so much.
+        # going to a slower host, and long ones only so much.
         if fitting[host] <= LIKE * soonest + find_worth(left[host], wanted):
             return host
     return find_least_busy([host for host in ranked if host in fitting], fitting, left)
@@ -212,11 +212,13 @@
 
 
 def find_worth(candidate: Candidate, wanted: Wanted) -> float:
-    """Find the seconds of wait that the prompt's cached prefix may be worth."""
+    """Find the seconds that the prompt's cached prefix may be worth."""
     load = candidate.load
     if load is None or load.prefill_rate <= 0:
         return 0.0
-    return CACHE_WORTH * wanted.prompt_tokens / load.prefill_rate
+    # A prefill delays not only its own request but all that run beside it.
+    delayed = 1 + count_requests(candidate)
+    return CACHE_WORTH * delayed * wanted.prompt_tokens / load.prefill_rate
 
 
 def choose_round_robin(
--- a/tests/agent/test_engine.py
+++ b/tests/agent/test_engine.py
@@ -194,3 +194,39 @@
             return await run_work(url, make_offer(kv=KvRef("a", holder, "h", 1)))
 
     assert isinstance(run(check()).events[-1], events.Completed)
+
+
+@pytest.mark.parametrize("pieces", [(), (make_event("a"),)], ids=["first", "next"])
+def test_silent_stream_is_given_up(
+    monkeypatch: pytest.MonkeyPatch, pieces: tuple[bytes, ...]
+) -> None:
+    # The caller sees its answer go on elsewhere and not end at its deadline. The
+    # engine's connection goes silent before the first token or behind one; no error
+    # tells of it, so the agent counts the time since the last sign.
+    monkeypatch.setattr(engine, "FIRST_TOKEN_SECONDS", 0.05)
+    monkeypatch.setattr(engine, "STREAM_SILENCE_SECONDS", 0.05)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        if request.path.endswith("/cancel"):
+            return web.Response()
+        response = web.StreamResponse()
+        await response.prepare(request)
+        for piece in pieces:
+            await response.write(piece)
+        await asyncio.Event().wait()
+        return response
+
+    async def check() -> Reports:
+        reports = Reports()
+        async with serve(answer) as url:
+            driver = Engine("agent-0", url, reports.take)
+            driver.run(make_offer())
+            while not any(isinstance(e, events.Failed) for e in reports.events):
+                await asyncio.sleep(0.01)
+                driver.drop_silent(asyncio.get_running_loop().time())
+            await driver.close()
+        return reports
+
+    reports = run(asyncio.wait_for(check(), 20.0))
+    assert len(reports.parts) == len(pieces)
+    assert reports.events[-1].ran == Ran.UNKNOWN
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -80,6 +80,13 @@
         assert (state, request) == ("claimed", work.request)
         self.rows[work.team, work.key] = "done", work.request, body
 
+    def check_released(self, callers: dict[str, Caller]) -> None:
+        """Check that a call which its caller was told did not run may run again."""
+        for state, request, _ in self.rows.values():
+            caller = callers[request]
+            if state == "claimed" and not caller.gone:
+                assert caller.end.ran != Ran.NO, "a claim that nobody gives back"
+
 
 class World:
     """Drive entries and agents with one virtual clock."""
@@ -373,6 +380,7 @@
         """Check that all have their final word and that nothing is kept."""
         for caller in self.callers.values():
             assert caller.gone or caller.end is not None, caller.work.request
+        self.claims.check_released(self.callers)
         for _ in range(30):
             self.advance(10.0)
             self.deliver_all()
--- a/tests/integration/test_calls.py
+++ b/tests/integration/test_calls.py
@@ -131,6 +131,7 @@
     them: each claim is in the table before its call goes out, and what is unclear
     after it is never run again.
     """
+    wait_for_claims(fleet)
     names = [f"{faults} {number}" for number in range(KEYS)]
     reminders = send_reminders(fleet, names[: KEYS // 2])
     fleet.wait_until(lambda: count_some(fleet, names) > 0, "the first call to run")
@@ -158,6 +159,7 @@
     Both entries claim the key in the same instant; the table lets one of them have it.
     The other waits for the outcome of the first.
     """
+    wait_for_claims(fleet)
     urls = [entry.url for entry in fleet.entries.values()]
     pairs = [
         [Reminder([url], f"twice {number}", TRIES, PATH) for url in urls]
@@ -202,6 +204,7 @@
     The call runs when its entry is killed. Its agent still knows the key and the
     outcome; whatever the other entry says, the reminder is not sent a second time.
     """
+    wait_for_claims(fleet)
     first = Reminder([fleet.entries["entry-1"].url], "orphan", 1, PATH)
     fleet.wait_until(lambda: count_runs(fleet)["orphan"] > 0, "the call to run")
     fleet.kill("entry-1")
@@ -211,6 +214,16 @@
     assert count_runs(fleet)["orphan"] == 1
 
 
+def wait_for_claims(fleet: Fleet) -> None:
+    """Wait until both entries grant claims again after the faults of other tests."""
+
+    def is_granted(url: str) -> bool:
+        return send_reminder(url, f"before {time.monotonic()}").status == 200
+
+    for entry in fleet.entries.values():
+        fleet.wait_until(lambda url=entry.url: is_granted(url), "claims to be granted")
+
+
 def send_reminders(fleet: Fleet, names: list[str]) -> list[Reminder]:
     """Send a reminder under each key, at the entries in turn."""
     urls = [entry.url for entry in fleet.entries.values()]
