Share one driver of cores; bundle what planning needs; one table in memory

Cause: read as a newcomer, the timer and call handling of a core's driver stood three times (lease, claims, orders), the entry's planning took eight loose arguments twice over, and the tests had two tables in memory. Change: radishtally/driver.py drives any core; `Parts` goes to both planning classes; the faulty table of the tests serves the same rows as the plain one.

--- a/radishtally/agent/daemon.py
+++ b/radishtally/agent/daemon.py
@@ -60,7 +60,7 @@
         log_message("agent:ready", address=self.settings.address)
         await self.process.stopping.wait()
         if self.orders is not None:
-            self.orders.stop()
+            await self.orders.stop()
         if not self.process.broken:
             await self._leave()
         self.waker.stop()
--- a/radishtally/agent/orders.py
+++ b/radishtally/agent/orders.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from functools import singledispatchmethod
-from typing import Any, Final, Protocol
+from typing import Final, Protocol
 
 from eliot import log_message
 
@@ -14,6 +14,7 @@
 from radishtally.authority.orders import OrderCore, OrderTerms
 from radishtally.authority.plan import name_drain, read_drain_row
 from radishtally.authority.plans import Plans
+from radishtally.driver import CoreDriver
 from radishtally.platform.core import Table
 
 DRAIN_REASON: Final = "drained by an operator"
@@ -74,7 +75,7 @@
         self._agent.handle(events.Drain(DRAIN_REASON, seconds))
 
 
-class OrderDriver:
+class OrderDriver(CoreDriver):
     """Drive the order core of one engine."""
 
     def __init__(
@@ -92,9 +93,7 @@
         self._engine = engine
         self._audit = audit
         self._agent = agent
-        self._core = OrderCore(host, OrderTerms())
-        self._timer: asyncio.TimerHandle | None = None
-        self._calls: set[asyncio.Task] = set()
+        super().__init__(OrderCore(host, OrderTerms()), orders.Tick())
         self._waits_for_drain = False
 
     @property
@@ -102,16 +101,9 @@
         """Tell whether the engine changes, or an order to it is under way."""
         return self._core.changing
 
-    def start(self) -> None:
-        """Bring the engine to what the plan wants from now on."""
-        self._handle(orders.Tick())
-
-    def stop(self) -> None:
+    async def stop(self) -> None:
         """Give no more orders; one that was sent is not taken back."""
-        if self._timer is not None:
-            self._timer.cancel()
-        for call in list(self._calls):
-            call.cancel()
+        await self._end()
 
     def hint(self) -> None:
         """Read the plan at once."""
@@ -123,10 +115,6 @@
             self._waits_for_drain = False
             self._handle(orders.Drained())
 
-    def _handle(self, event: orders.Event) -> None:
-        for command in self._core.handle(event, time.monotonic()):
-            self._execute(command)
-
     @singledispatchmethod
     def _execute(self, command: orders.Command) -> None:
         raise TypeError(f"no way to carry out {type(command)}")
@@ -167,16 +155,7 @@
 
     @_execute.register
     def _(self, command: orders.WakeAt) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        delay = max(0.0, command.time - time.monotonic())
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay, self._handle, orders.Tick())
-
-    def _call(self, coroutine: Any) -> None:
-        task = asyncio.create_task(coroutine)
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
+        self._wake_at(command.time)
 
     async def _read_plan(self) -> None:
         asked_at = time.monotonic()
--- a/radishtally/authority/holder.py
+++ b/radishtally/authority/holder.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import Any, Final
+from typing import Final
 
 from radishtally.authority.lease import (
     Command,
-    Event,
     Gained,
     LeaseCore,
     LeaseTerms,
@@ -22,6 +21,7 @@
     WriteLease,
     WriteSettled,
 )
+from radishtally.driver import CoreDriver
 from radishtally.platform.core import Check, Table
 from radishtally.platform.settle import transact_settled
 
@@ -30,7 +30,7 @@
 RESIGN_SECONDS: Final = 1.0
 
 
-class LeaseHolder:
+class LeaseHolder(CoreDriver):
     """Drive the lease of one place for this process."""
 
     def __init__(
@@ -47,12 +47,10 @@
     ) -> None:
         self._table = table
         self._terms = terms or LeaseTerms()
-        self._core = LeaseCore(place, host, incarnation, self._terms)
+        core = LeaseCore(place, host, incarnation, self._terms)
+        super().__init__(core, Tick(), clock)
         self._on_gained = on_gained
         self._on_lost = on_lost
-        self._clock = clock
-        self._timer: asyncio.TimerHandle | None = None
-        self._calls: set[asyncio.Task[None]] = set()
 
     @property
     def fencing(self) -> int | None:
@@ -67,24 +65,12 @@
         """Form the check that binds a transaction to the lease as held now."""
         return self._core.make_check(self._clock())
 
-    def start(self) -> None:
-        """Contend from now on."""
-        self._handle(Tick())
-
     async def stop(self) -> None:
         """Give the lease up, so that a successor need not wait for it to lapse."""
         self._handle(Resign())
         if self._calls:
             await asyncio.wait(self._calls, timeout=RESIGN_SECONDS)
-        if self._timer is not None:
-            self._timer.cancel()
-        for call in self._calls:
-            call.cancel()
-        await asyncio.gather(*self._calls, return_exceptions=True)
-
-    def _handle(self, event: Event) -> None:
-        for command in self._core.handle(event, self._clock()):
-            self._execute(command)
+        await self._end()
 
     @singledispatchmethod
     def _execute(self, command: Command) -> None:
@@ -108,16 +94,7 @@
 
     @_execute.register
     def _(self, command: WakeAt) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        delay = max(0.0, command.time - self._clock())
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay, self._handle, Tick())
-
-    def _call(self, work: Coroutine[Any, Any, None]) -> None:
-        call = asyncio.create_task(work)
-        self._calls.add(call)
-        call.add_done_callback(self._calls.discard)
+        self._wake_at(command.time)
 
     async def _read(self, command: ReadLease) -> None:
         asked_at = self._clock()
--- a/radishtally/claims/store.py
+++ b/radishtally/claims/store.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import Any, Final
+from typing import Final
 
 import eliot
 
@@ -17,7 +17,6 @@
     ClaimOutcome,
     ClaimTerms,
     Command,
-    Event,
     Granted,
     GroupSettled,
     OutcomeLost,
@@ -29,6 +28,7 @@
     WakeAt,
 )
 from radishtally.claims.record import Claim, StoredAnswer
+from radishtally.driver import CoreDriver
 from radishtally.platform.core import Table
 
 CLAIM_SECONDS: Final = 2.0
@@ -41,7 +41,7 @@
 _Asked = tuple[Claim, asyncio.Future[ClaimOutcome]]
 
 
-class ClaimStore:
+class ClaimStore(CoreDriver):
     """Claim keys for one process; `holder` is new with every start of it."""
 
     def __init__(
@@ -55,14 +55,11 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         self._table = table
-        self._core = ClaimCore(holder, terms or ClaimTerms())
+        super().__init__(ClaimCore(holder, terms or ClaimTerms()), Tick(), clock)
         self._seconds = seconds
-        self._clock = clock
         self._wall = wall
         self._asked: dict[int, _Asked] = {}
         self._callers = 0
-        self._calls: set[asyncio.Task[None]] = set()
-        self._timer: asyncio.TimerHandle | None = None
         self.lost = 0
 
     @property
@@ -70,20 +67,12 @@
         """Count the rows that are not settled yet."""
         return self._core.waiting
 
-    def start(self) -> None:
-        """Begin; claims may be asked for from now on."""
-        self._handle(Tick())
-
     async def stop(self) -> None:
         """Wait a while for outcomes to reach the table, then end."""
         until = self._clock() + STOP_SECONDS
         while self._core.waiting and self._clock() < until:
             await asyncio.sleep(STOP_POLL_SECONDS)
-        if self._timer is not None:
-            self._timer.cancel()
-        for call in self._calls:
-            call.cancel()
-        await asyncio.gather(*self._calls, return_exceptions=True)
+        await self._end()
 
     async def claim(
         self, team: str, key: str, request: str, body_hash: str
@@ -122,10 +111,6 @@
         """Take a claim back whose call surely did not run and won't."""
         self._handle(CallReleased(Claim(team, key, request, "")))
 
-    def _handle(self, event: Event) -> None:
-        for command in self._core.handle(event, self._clock()):
-            self._execute(command)
-
     @singledispatchmethod
     def _execute(self, command: Command) -> None:
         raise TypeError(f"unknown command {command!r}")
@@ -157,16 +142,7 @@
 
     @_execute.register
     def _(self, command: WakeAt) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        delay = max(0.0, command.time - self._clock())
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay, self._handle, Tick())
-
-    def _call(self, work: Coroutine[Any, Any, None]) -> None:
-        call = asyncio.create_task(work)
-        self._calls.add(call)
-        call.add_done_callback(self._calls.discard)
+        self._wake_at(command.time)
 
     async def _send(self, command: SendGroup) -> None:
         outcome = await self._table.transact(list(command.puts), command.write_id)
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -31,6 +31,7 @@
 from radishtally.entry.members import Members
 from radishtally.entry.operators import add_operator_routes
 from radishtally.entry.places import PlanningBoard
+from radishtally.entry.planning import Parts
 from radishtally.entry.replies import Part, Replies
 from radishtally.entry.watch import Watcher
 from radishtally.limits.retries import RetryBudget
@@ -68,13 +69,15 @@
         self.claims = ClaimStore(self.process.table, holder)
         self.plans = Plans(self.process.table, settings.host, self.process.incarnation)
         self.planning = PlanningBoard(
-            settings.host,
-            self.process.incarnation,
-            self.process.table,
-            self.plans,
-            self.process.audit,
-            hub,
-            self.process.spawn,
+            Parts(
+                settings.host,
+                self.process.incarnation,
+                self.process.table,
+                self.plans,
+                self.process.audit,
+                hub,
+                self.process.spawn,
+            )
         )
         self.watcher = Watcher(self)
         self._started: dict[str, float] = {}
--- a/radishtally/entry/places.py
+++ b/radishtally/entry/places.py
@@ -5,13 +5,9 @@
 
 import xxhash
 
-from radishtally.audit.store import AuditLog
-from radishtally.authority.plans import Plans
 from radishtally.configuration.config import Configuration
-from radishtally.entry.planning import PlacePlanning, StartTask
-from radishtally.links.hub import LinkHub
+from radishtally.entry.planning import Parts, PlacePlanning
 from radishtally.links.messages import Load
-from radishtally.platform.core import Table
 from radishtally.routing.core import rank
 
 CONTENDERS: Final = 3
@@ -22,23 +18,8 @@
 class PlanningBoard:
     """Hold the planning of each place that this entry contends for."""
 
-    def __init__(
-        self,
-        host: str,
-        incarnation: str,
-        table: Table,
-        plans: Plans,
-        audit: AuditLog,
-        hub: LinkHub,
-        start_task: StartTask,
-    ) -> None:
-        self._host = host
-        self._incarnation = incarnation
-        self._table = table
-        self._plans = plans
-        self._audit = audit
-        self._hub = hub
-        self._start_task = start_task
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
         self._configuration: Configuration | None = None
         self._places: dict[str, PlacePlanning] = {}
 
@@ -59,7 +40,7 @@
         if self._configuration is None:
             return
         for place in self._configuration.places:
-            wanted = self._host in find_contenders(place, entries)
+            wanted = self._parts.host in find_contenders(place, entries)
             planning = self._places.get(place)
             if wanted and planning is None:
                 self._begin(place)
@@ -94,7 +75,7 @@
 
     async def describe_place(self, place: str) -> dict[str, Any]:
         """Tell what the plan in force wants of a place, and what is asked of it."""
-        read = await self._plans.read_plan(place)
+        read = await self._parts.plans.read_plan(place)
         plan = read.ok if read.is_ok() else None
         planning = self._places.get(place)
         return {
@@ -106,16 +87,7 @@
         }
 
     def _begin(self, place: str) -> None:
-        planning = PlacePlanning(
-            self._host,
-            place,
-            self._incarnation,
-            self._table,
-            self._plans,
-            self._audit,
-            self._hub,
-            self._start_task,
-        )
+        planning = PlacePlanning(place, self._parts)
         planning.configure(self._configuration)
         self._places[place] = planning
         planning.start()
--- a/radishtally/entry/planning.py
+++ b/radishtally/entry/planning.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from eliot import log_message
 
@@ -24,33 +24,31 @@
 REREAD_SECONDS: Final = 1.0
 
 
+class Parts(NamedTuple):
+    """Hold what planning for a place needs of its entry."""
+
+    host: str
+    incarnation: str
+    table: Table
+    plans: Plans
+    audit: AuditLog
+    hub: LinkHub
+    start_task: StartTask
+
+
 class PlacePlanning:
     """Drive the lease and the planner of one entry for one place."""
 
-    def __init__(
-        self,
-        host: str,
-        place: str,
-        incarnation: str,
-        table: Table,
-        plans: Plans,
-        audit: AuditLog,
-        hub: LinkHub,
-        start_task: StartTask,
-    ) -> None:
-        self._host = host
+    def __init__(self, place: str, parts: Parts) -> None:
         self._place = place
-        self._plans = plans
-        self._audit = audit
-        self._hub = hub
-        self._start_task = start_task
+        self._parts = parts
         self._planner = Planner()
         self._tasks: set[asyncio.Task] = set()
         self._lease = LeaseHolder(
-            table,
+            parts.table,
             place,
-            host,
-            incarnation,
+            parts.host,
+            parts.incarnation,
             on_gained=self._gained,
             on_lost=self._lost,
         )
@@ -125,7 +123,7 @@
             self._spawn(self._write(command))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = self._start_task(coroutine)
+        task = self._parts.start_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -148,7 +146,7 @@
     async def _take_over(self, fencing: int) -> None:
         """Read the plan as it stands before anything is planned on top of it."""
         while self._lease.fencing == fencing:
-            read = await self._plans.read_plan(self._place)
+            read = await self._parts.plans.read_plan(self._place)
             if read.is_ok():
                 self._feed(planner.Gained(fencing, read.ok))
                 return
@@ -156,7 +154,7 @@
 
     async def _write(self, change: planner.WritePlan) -> None:
         """Put a role change in force as the place's next plan."""
-        written = await self._plans.write_plan(
+        written = await self._parts.plans.write_plan(
             self._place, change.previous, change.wanted, change.cause, self._lease
         )
         if written.is_error():
@@ -168,10 +166,10 @@
         log_message("plan:written", number=written.ok.number, cause=change.cause)
         self._feed(planner.PlanWritten(written.ok))
         for host in find_changed(change):
-            self._hub.send(host, Hint(PLAN, self._place))
+            self._parts.hub.send(host, Hint(PLAN, self._place))
 
     def _record(self, what: str, cause: str, after: dict[str, Any]) -> None:
-        self._audit.record(self._host, what, self._place, cause, {}, after)
+        self._parts.audit.record(self._parts.host, what, self._place, cause, {}, after)
 
 
 def find_changed(change: planner.WritePlan) -> list[str]:
--- a/radishtally/routing/core.py
+++ b/radishtally/routing/core.py
@@ -26,6 +26,8 @@
 """The same for the entry's own requests."""
 LIKE: Final = 1.1
 """Share of the soonest finish up to which another one is as good."""
+FAR: Final = 1.5
+"""Share of the soonest finish of all hosts beyond which the next few are looked at."""
 GRAIN_SECONDS: Final = 0.05
 """Difference from which one predicted finish is later than another."""
 TRIP_SECONDS: Final = 0.003
@@ -168,16 +170,21 @@
     fitting = {host: end for host, end in finishes.items() if end <= wanted.slack}
     if not fitting:
         return None
+    balanced = find_balanced(candidates) & fitting.keys()
+    limit = FAR * min(fitting.values())
     ranked = rank((item.host for item in candidates), hash_key(wanted))
-    balanced = find_balanced(candidates)
-    soonest = min(fitting.values())
-    for host in ranked[:FIRST_FEW]:
-        if host not in fitting or host not in balanced:
-            continue
-        # A cached prefix saves its prefill and no more: short prompts gain nothing by
-        # going to a slower host, and long ones only so much.
-        if fitting[host] <= LIKE * soonest + find_worth(left[host], wanted):
-            return host
+    # Reports lag, and all entries see the same: all together would send to the one host
+    # that looks best. Each key looks at a few hosts of its own, then at the next few.
+    for start in range(0, len(ranked), FIRST_FEW):
+        few = [h for h in ranked[start : start + FIRST_FEW] if h in balanced]
+        soonest = min((fitting[host] for host in few), default=inf)
+        for host in few:
+            # A cached prefix saves its prefill and no more: short prompts gain nothing
+            # by going to a slower host, and long ones only so much.
+            if fitting[host] - find_worth(left[host], wanted) <= min(
+                limit, LIKE * soonest
+            ):
+                return host
     return find_least_busy([host for host in ranked if host in fitting], fitting, left)
 
 
--- a/tests/common.py
+++ b/tests/common.py
@@ -106,6 +106,21 @@
         """Read one row."""
         return self.rows.get(key)
 
+    def query(
+        self, pk: str, after: str, prefix: str, limit: int, newest_first: bool
+    ) -> list[Row]:
+        """Read rows of one partition in the order of their sort keys."""
+        found = [
+            row
+            for key, row in sorted(self.rows.items(), reverse=newest_first)
+            if key.pk == pk and key.sk.startswith(prefix)
+        ]
+        if after and newest_first:
+            found = [row for row in found if row.key.sk < after]
+        elif after:
+            found = [row for row in found if row.key.sk > after]
+        return found[:limit]
+
     def apply(self, writes: list[Write], write_id: str) -> Result[None, Conflict]:
         """Carry out all writes or none."""
         keys = [write.key for write in writes]
@@ -156,16 +171,7 @@
         """Read rows of one partition in the order of their sort keys."""
         if self.down:
             return Error(Unavailable("down"))
-        found = [
-            row
-            for key, row in sorted(self.rows.rows.items(), reverse=newest_first)
-            if key.pk == pk and key.sk.startswith(prefix)
-        ]
-        if after and newest_first:
-            found = [row for row in found if row.key.sk < after]
-        elif after:
-            found = [row for row in found if row.key.sk > after]
-        return Ok(found[:limit])
+        return Ok(self.rows.query(pk, after, prefix, limit, newest_first))
 
     async def transact(
         self, writes: list[Write], write_id: str
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -28,8 +28,8 @@
     LOST,
     PASS,
     THROTTLED,
+    FaultyTable,
     MemoryObjects,
-    MemoryTable,
 )
 
 NAMES = ("20.json", "30.json", "40.json")
@@ -44,7 +44,7 @@
 
 @pytest.fixture
 def table():
-    return MemoryTable()
+    return FaultyTable()
 
 
 @pytest.fixture
@@ -144,7 +144,7 @@
 
     def __init__(self):
         super().__init__()
-        self.table = MemoryTable()
+        self.table = FaultyTable()
         self.objects = MemoryObjects()
         self.bases = dict.fromkeys(OPERATORS, 1)
         self.attempts = {}
--- a/tests/platform/memory.py
+++ b/tests/platform/memory.py
@@ -6,8 +6,6 @@
 from radishtally.outcome import Error, Ok, Result
 from radishtally.platform.core import (
     ABSENT,
-    Conflict,
-    Delete,
     Key,
     Put,
     ReadError,
@@ -17,7 +15,7 @@
     Unclear,
     Write,
 )
-from radishtally.platform.table import compute_revision
+from tests.common import Rows
 
 PASS: Final = "pass"
 LOST: Final = "lost"
@@ -35,11 +33,12 @@
 """The write passes, and the next read fails."""
 
 
-class MemoryTable:
-    """Keep rows in memory and show a list of faults, one a transaction."""
+class FaultyTable:
+    """Serve rows in memory and show a list of faults, one a transaction."""
 
     def __init__(self, faults: list[str] | None = None) -> None:
-        self.rows: dict[Key, Row] = {}
+        self._rows = Rows()
+        self.rows = self._rows.rows
         self.faults = list(faults or [])
         self.applied: list[str] = []
         """Write ids in the order in which they took effect."""
@@ -64,11 +63,8 @@
         limit: int = 100,
         newest_first: bool = False,
     ) -> Result[list[Row], ReadError]:
-        """Read rows of one partition."""
-        keys = sorted(key for key in self.rows if key.pk == pk)
-        keys = [key for key in keys if key.sk > after and key.sk.startswith(prefix)]
-        keys = keys[::-1] if newest_first else keys
-        return Ok([self.rows[key] for key in keys[:limit]])
+        """Read rows of one partition in the order of their sort keys."""
+        return Ok(self._rows.query(pk, after, prefix, limit, newest_first))
 
     async def transact(
         self, writes: list[Write], write_id: str
@@ -113,21 +109,10 @@
     def _carry_out(
         self, writes: list[Write], write_id: str
     ) -> Result[None, TableError]:
-        failed = [
-            index
-            for index, write in enumerate(writes)
-            if write.expect not in (None, self._get_revision(write.key))
-        ]
-        if failed:
-            return Error(Conflict(tuple(failed)))
-        self.applied.append(write_id)
-        for write in writes:
-            if isinstance(write, Delete):
-                del self.rows[write.key]
-            if isinstance(write, Put):
-                revision = compute_revision(write, write_id)
-                self.rows[write.key] = Row(write.key, revision, write_id, write.value)
-        return Ok(None)
+        result = self._rows.apply(writes, write_id)
+        if result.is_ok():
+            self.applied.append(write_id)
+        return result
 
 
 class MemoryObjects:
--- a/tests/platform/test_settle.py
+++ b/tests/platform/test_settle.py
@@ -23,7 +23,7 @@
     PASS,
     THROTTLED,
     UNREAD,
-    MemoryTable,
+    FaultyTable,
 )
 
 HEAD = Key("head", "x")
@@ -68,7 +68,7 @@
     ],
 )
 def test_faults(faults, outcome, times_applied):
-    table = MemoryTable(faults)
+    table = FaultyTable(faults)
     result = write(table, [Put(HEAD, {"a": 1}, ABSENT)])
     table.deliver_all()
     assert name_outcome(result) == outcome
@@ -86,7 +86,7 @@
     rows=st.integers(1, 3),
 )
 def test_outcome_is_true(faults, expect, rows):
-    table = MemoryTable(faults)
+    table = FaultyTable(faults)
     puts = [Put(Key("p", str(n)), {}, expect) for n in range(rows)]
     for _ in range(expect):
         table.write_as_other(puts)
@@ -99,14 +99,14 @@
 
 
 def test_unmoved_row_tells_that_nothing_passed_without_a_read():
-    table = MemoryTable([LOST])
+    table = FaultyTable([LOST])
     table.write_as_other([Put(HEAD, {}, ABSENT)])
     writes = [Put(HEAD, {}, 1), Put(Key("new", "row"), {}, ABSENT), Check(LEASE, 3)]
     assert write(table, writes) == Error(Conflict((2,)))
 
 
 def test_passed_deadline_sends_nothing():
-    table = MemoryTable()
+    table = FaultyTable()
     coroutine = transact_settled(table, [Put(HEAD, {}, None)], "mine", deadline=0.0)
     result = run(coroutine)
     assert isinstance(result.error, Unavailable)
@@ -120,7 +120,7 @@
         await asyncio.Event().wait()
 
     async def body():
-        table = MemoryTable()
+        table = FaultyTable()
         monkeypatch.setattr(table, "transact", hang)
         deadline = time.monotonic() + 0.05
         puts = [Put(HEAD, {}, None)]
