Look at one pool's hosts only when work is offered

Cause: each offer went through every host of the fleet to find those of its upstream. Change: the entry's state keeps its hosts by upstream as well.

--- a/radishtally/entry/offers.py
+++ b/radishtally/entry/offers.py
@@ -204,12 +204,11 @@
 
 
 def _list_usable(request: OpenRequest, core: EntryCore, now: float) -> list[KnownHost]:
+    pool = core.pools.get(request.work.upstream, {})
     return [
         known
-        for known in core.hosts.values()
-        if known.upstream == request.work.upstream
-        and known.host in core.links
-        and known.is_usable(now)
+        for known in pool.values()
+        if known.host in core.links and known.is_usable(now)
     ]
 
 
--- a/radishtally/entry/state.py
+++ b/radishtally/entry/state.py
@@ -20,6 +20,8 @@
     choice: Choice = POLICIES["rendezvous"]
     budget: RetryBudget = field(default_factory=lambda: RetryBudget(0.1))
     hosts: dict[str, KnownHost] = field(default_factory=dict)
+    pools: dict[str, dict[str, KnownHost]] = field(default_factory=dict)
+    """The same hosts by upstream, so that a choice looks at one pool only."""
     links: dict[str, str] = field(default_factory=dict)
     """Incarnation of each process that a link is up to."""
     requests: dict[str, OpenRequest] = field(default_factory=dict)
@@ -59,12 +61,9 @@
 
     def set_host(self, host: str, place: str, upstream: str, live: bool) -> None:
         """Take what the membership makes of a host."""
-        known = self.hosts.setdefault(host, KnownHost(host, place, upstream))
-        if known.upstream != upstream:
-            # Work that is still open there goes on counting.
-            fresh = KnownHost(host, place, upstream)
-            fresh.in_flight = known.in_flight
-            self.hosts[host] = known = fresh
+        known = self.hosts.get(host)
+        if known is None or known.upstream != upstream:
+            known = self._replace_host(known, KnownHost(host, place, upstream))
         known.place = place
         known.live = live
         known.gone = False
@@ -77,7 +76,7 @@
         known.live = False
         known.gone = True
         if not known.in_flight:
-            del self.hosts[host]
+            self._drop_host(known)
 
     def leave_host(self, request: OpenRequest) -> None:
         """Take a request's present attempt off its host."""
@@ -87,7 +86,23 @@
             return
         known.in_flight -= 1
         if known.gone and not known.in_flight:
-            del self.hosts[known.host]
+            self._drop_host(known)
+
+    def _replace_host(self, old: KnownHost | None, new: KnownHost) -> KnownHost:
+        if old is not None:
+            # Work that is still open there goes on counting.
+            new.in_flight = old.in_flight
+            self._drop_host(old)
+        self.hosts[new.host] = new
+        self.pools.setdefault(new.upstream, {})[new.host] = new
+        return new
+
+    def _drop_host(self, known: KnownHost) -> None:
+        del self.hosts[known.host]
+        pool = self.pools[known.upstream]
+        del pool[known.host]
+        if not pool:
+            del self.pools[known.upstream]
 
     def _is_due_then(self, time: float, name: str) -> bool:
         request = self.requests.get(name)
