--- a/radishtally/platform/objects.py
+++ b/radishtally/platform/objects.py
@@ -3,10 +3,11 @@
 from typing import Final
 
 from radishtally.outcome import Error, Ok, Result
-from radishtally.platform.client import HttpClient
+from radishtally.platform.client import CallError, HttpClient, NotSent, Reply
 from radishtally.platform.core import Unavailable
 
-DEFAULT_TIMEOUT_SECONDS: Final = 10.0
+DEFAULT_TIMEOUT_SECONDS: Final = 3.0
+TRIES: Final = 2
 NO_SUCH_KEY: Final = b"NoSuchKey"
 
 
@@ -21,7 +22,7 @@
 
     async def put(self, key: str, body: bytes) -> Result[None, Unavailable]:
         """Store an object; after any error the call may be repeated."""
-        result = await self._client.call("PUT", f"{self._base}/{key}", body=body)
+        result = await self._call("PUT", key, body)
         if result.is_error():
             return Error(Unavailable(result.error.message))
         if result.ok.status != 200:
@@ -30,7 +31,7 @@
 
     async def get(self, key: str) -> Result[bytes | None, Unavailable]:
         """Read an object; none if it is not there."""
-        result = await self._client.call("GET", f"{self._base}/{key}")
+        result = await self._call("GET", key)
         if result.is_error():
             return Error(Unavailable(result.error.message))
         reply = result.ok
@@ -41,6 +42,22 @@
             return Ok(None)
         return Error(Unavailable(f"status {reply.status}"))
 
+    async def _call(
+        self, method: str, key: str, body: bytes | None = None
+    ) -> Result[Reply, CallError]:
+        """Call the store; a call that got no reply is made once more.
+
+        Kept connections that have gone silent would fail an operator's change though
+        the store is up. After the first timeout the client uses new connections, and
+        storing or reading an object twice does no harm.
+        """
+        url = f"{self._base}/{key}"
+        for _ in range(TRIES - 1):
+            result = await self._client.call(method, url, body=body)
+            if result.is_ok() or isinstance(result.error, NotSent):
+                return result
+        return await self._client.call(method, url, body=body)
+
     async def close(self) -> None:
         """Close the connections."""
         await self._client.close()
--- a/radishtally/routing/core.py
+++ b/radishtally/routing/core.py
@@ -17,19 +17,11 @@
 """Load over the mean that a host of the first few may have."""
 SPARE_REQUESTS: Final = 2.0
 """Requests over the mean that are no imbalance, however small the mean."""
-CACHE_WORTH: Final = 0.5
-"""Chance that a prefix is still cached at its host, about."""
 SOONER: Final = 0.75
 """Share of the preferred role's time in which another one must answer to be chosen."""
 SOONER_SECONDS: Final = 0.05
-OWN_SPARE_REQUESTS: Final = 1.0
-"""The same for the entry's own requests."""
-LIKE: Final = 1.1
-"""Share of the soonest finish up to which another one is as good."""
-FAR: Final = 1.5
-"""Share of the soonest finish of all hosts beyond which the next few are looked at."""
 GRAIN_SECONDS: Final = 0.05
-"""Difference from which one predicted finish is later than another."""
+"""Difference from which one predicted wait is longer than another."""
 TRIP_SECONDS: Final = 0.003
 """Round trip between places of a region, about."""
 SPLIT_TOKENS: Final = 1_024
@@ -164,70 +156,42 @@
 def find_fitting(
     wanted: Wanted, candidates: Sequence[Candidate], tried: Collection[str]
 ) -> str | None:
-    """Find a host that fits the slack: the first few by rank, then the least busy."""
+    """Find a host that fits the slack: the first few by rank, then by least wait."""
     left = {item.host: item for item in candidates if item.host not in tried}
-    finishes = {host: predict(item, wanted).finish for host, item in left.items()}
-    fitting = {host: end for host, end in finishes.items() if end <= wanted.slack}
+    prospects = {host: predict(item, wanted) for host, item in left.items()}
+    fitting = {
+        host: prospect.wait
+        for host, prospect in prospects.items()
+        if prospect.finish <= wanted.slack
+    }
     if not fitting:
         return None
-    balanced = find_balanced(candidates) & fitting.keys()
-    limit = FAR * min(fitting.values())
+    # A hot prefix would pile up on its first host: hosts well over the mean load are
+    # passed over, so that it spills to the next few of its own ranking.
+    bound = find_bound(candidates)
     ranked = rank((item.host for item in candidates), hash_key(wanted))
-    # Reports lag, and all entries see the same: all together would send to the one host
-    # that looks best. Each key looks at a few hosts of its own, then at the next few.
-    for start in range(0, len(ranked), FIRST_FEW):
-        few = [h for h in ranked[start : start + FIRST_FEW] if h in balanced]
-        soonest = min((fitting[host] for host in few), default=inf)
-        for host in few:
-            # A cached prefix saves its prefill and no more: short prompts gain nothing
-            # by going to a slower host, and long ones only so much.
-            if fitting[host] - find_worth(left[host], wanted) <= min(
-                limit, LIKE * soonest
-            ):
-                return host
+    # The first that will do, not the soonest: reports lag, all entries see the same,
+    # and each rule that compared hosts sent bursts to the one that looked best.
+    for host in ranked[:FIRST_FEW]:
+        if host in fitting and count_requests(left[host]) <= bound:
+            return host
     return find_least_busy([host for host in ranked if host in fitting], fitting, left)
 
 
-def find_balanced(candidates: Sequence[Candidate]) -> set[str]:
-    """Find the hosts that are not well over the mean load."""
-    # A hot prefix would pile up on its first host: it spills to the next few of its
-    # own ranking, and on from there.
-    bound = find_bound([count_requests(item) for item in candidates])
-    # Other entries' requests show only in reports, which lag: all entries together
-    # went far over the bound in the meantime. Own ones are known at once, so that each
-    # entry's share of the excess is bounded too.
-    own_bound = find_bound([item.in_flight for item in candidates], OWN_SPARE_REQUESTS)
-    return {
-        item.host
-        for item in candidates
-        if count_requests(item) <= bound and item.in_flight <= own_bound
-    }
-
-
 def find_least_busy(
     ranked: Sequence[str],
-    finishes: Mapping[str, float],
+    waits: Mapping[str, float],
     candidates: Mapping[str, Candidate],
 ) -> str:
-    """Find the soonest host; of like ones that with the fewest own requests."""
+    """Find the host with the least wait; of like ones that with fewest own requests."""
 
     # By name, all entries sent what spilled over to the same host at the same time.
     def measure(host: str) -> tuple[float, int]:
-        return round(finishes[host] / GRAIN_SECONDS), candidates[host].in_flight
+        return round(waits[host] / GRAIN_SECONDS), candidates[host].in_flight
 
     return min(ranked, key=measure)
 
 
-def find_worth(candidate: Candidate, wanted: Wanted) -> float:
-    """Find the seconds that the prompt's cached prefix may be worth."""
-    load = candidate.load
-    if load is None or load.prefill_rate <= 0:
-        return 0.0
-    # A prefill delays not only its own request but all that run beside it.
-    delayed = 1 + count_requests(candidate)
-    return CACHE_WORTH * delayed * wanted.prompt_tokens / load.prefill_rate
-
-
 def choose_round_robin(
     wanted: Wanted, candidates: Iterable[Candidate], tried: Collection[str]
 ) -> str | None:
@@ -325,10 +289,10 @@
     return xxh3_64_intdigest(text.encode(errors="surrogatepass"))
 
 
-def find_bound(counts: Sequence[int], spare: float = SPARE_REQUESTS) -> float:
+def find_bound(candidates: Sequence[Candidate]) -> float:
     """Find the number of requests up to which a host counts as balanced."""
-    mean = sum(counts) / len(counts)
-    return max(BALANCE * mean, mean + spare)
+    mean = sum(map(count_requests, candidates)) / len(candidates)
+    return max(BALANCE * mean, mean + SPARE_REQUESTS)
 
 
 def count_requests(candidate: Candidate) -> int:
