Give events modules of their own, as in entry and agent

Change: events move to claims/events.py, authority/order_events.py and membership/events.py; their doc lines are imperative.

--- a/bench/capacity/claims.py
+++ b/bench/capacity/claims.py
@@ -9,7 +9,7 @@
 
 from bench.capacity.figures import Figure
 from bench.fleet import Fleet, get_json
-from radishtally.claims.core import Granted
+from radishtally.claims.events import Granted
 from radishtally.claims.store import ClaimStore
 from radishtally.platform.table import HttpTable
 
--- a/bench/capacity/members.py
+++ b/bench/capacity/members.py
@@ -6,15 +6,14 @@
 from typing import Final
 
 from bench.capacity.figures import Figure, time_calls
-from radishtally.membership.core import (
+from radishtally.membership.core import Membership, handle
+from radishtally.membership.events import (
     Configured,
     Heard,
     LinkUp,
     Listed,
-    Membership,
     Server,
     Tick,
-    handle,
 )
 from radishtally.platform.client import Reply
 from radishtally.platform.core import LIVE, ListedHost
--- a/radishtally/agent/orders.py
+++ b/radishtally/agent/orders.py
@@ -10,8 +10,9 @@
 from radishtally.agent import events
 from radishtally.agent.engine import Engine, EngineState
 from radishtally.audit.store import AuditLog
-from radishtally.authority import orders
-from radishtally.authority.orders import OrderCore, OrderTerms
+from radishtally.authority import order_events as orders
+from radishtally.authority.order_events import OrderTerms
+from radishtally.authority.orders import OrderCore
 from radishtally.authority.plan import name_drain, read_drain_row
 from radishtally.authority.plans import Plans
 from radishtally.driver import CoreDriver
--- a/radishtally/claims/store.py
+++ b/radishtally/claims/store.py
@@ -8,14 +8,13 @@
 
 import eliot
 
-from radishtally.claims.core import (
+from radishtally.claims.core import ClaimCore, ClaimTerms
+from radishtally.claims.events import (
     Answer,
     CallFinished,
     CallReleased,
     ClaimAsked,
-    ClaimCore,
     ClaimOutcome,
-    ClaimTerms,
     Command,
     Granted,
     GroupSettled,
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -13,7 +13,7 @@
 from sanic.server.async_server import AsyncioServer
 
 from radishtally.authority.plans import Plans
-from radishtally.claims.core import (
+from radishtally.claims.events import (
     ClaimOutcome,
     Granted,
     KeyReused,
--- a/radishtally/entry/members.py
+++ b/radishtally/entry/members.py
@@ -9,7 +9,7 @@
 from radishtally.entry.core import EntryCore
 from radishtally.links.hub import LinkHub
 from radishtally.links.messages import Hello
-from radishtally.membership import core as membership
+from radishtally.membership import events as membership
 from radishtally.membership.core import LIVE, Membership, handle
 from radishtally.platform.core import ENTRY, ListedHost
 from radishtally.settings.config import Settings
--- a/radishtally/membership/core.py
+++ b/radishtally/membership/core.py
@@ -2,8 +2,23 @@
 
 from collections.abc import Iterable, Mapping
 from functools import singledispatch
-from typing import Final, NamedTuple
-
+from typing import Final
+
+from radishtally.membership.events import (
+    Change,
+    Configured,
+    Heard,
+    Joined,
+    Left,
+    LinkDown,
+    LinkUp,
+    Listed,
+    Moved,
+    PeerWord,
+    Server,
+    StateChanged,
+    Tick,
+)
 from radishtally.platform.core import ENTRY, ListedHost
 from radishtally.platform.core import LEAVING as LISTED_LEAVING
 
@@ -24,90 +39,6 @@
 """Age up to which a peer's word counts."""
 
 
-class Listed(NamedTuple):
-    """The platform's list was read; empty where it could not be."""
-
-    hosts: tuple[ListedHost, ...]
-
-
-class LinkUp(NamedTuple):
-    """A link to the host came up and its Hello was read."""
-
-    host: str
-    incarnation: str
-
-
-class LinkDown(NamedTuple):
-    """A link to the host went."""
-
-    host: str
-
-
-class Heard(NamedTuple):
-    """Something came in over a link of the host."""
-
-    host: str
-
-
-class Left(NamedTuple):
-    """The host's own process said that it takes no new work."""
-
-    host: str
-    reason: str
-    incarnation: str = ""
-    """Process that said so; empty if that is not known."""
-
-
-class Server(NamedTuple):
-    """Describe an upstream's host as configured."""
-
-    host: str
-    place: str
-    upstream: str
-
-
-class Configured(NamedTuple):
-    """A configuration came into force."""
-
-    servers: tuple[Server, ...]
-
-
-class PeerWord(NamedTuple):
-    """A peer said which hosts it can't reach."""
-
-    peer: str
-    unreachable: tuple[str, ...]
-
-
-class Tick(NamedTuple):
-    """Time went by."""
-
-
-class Joined(NamedTuple):
-    """A host became known."""
-
-    host: str
-
-
-class StateChanged(NamedTuple):
-    """A host's state changed."""
-
-    host: str
-    before: str
-    after: str
-    cause: str
-
-
-class Moved(NamedTuple):
-    """A host is listed under a new address."""
-
-    host: str
-    address: str
-
-
-Change = Joined | StateChanged | Moved
-
-
 class Verdict:
     """Tell whose fault it is that a host is out of reach."""
 
--- /dev/null
+++ b/radishtally/membership/events.py
@@ -0,0 +1,89 @@
+"""Events that the membership takes and changes that it gives."""
+
+from typing import NamedTuple
+
+from radishtally.platform.core import ListedHost
+
+
+class Listed(NamedTuple):
+    """Bring the platform's list; empty where it could not be read."""
+
+    hosts: tuple[ListedHost, ...]
+
+
+class LinkUp(NamedTuple):
+    """Say that a link to the host is up and its Hello was read."""
+
+    host: str
+    incarnation: str
+
+
+class LinkDown(NamedTuple):
+    """Say that a link to the host is gone."""
+
+    host: str
+
+
+class Heard(NamedTuple):
+    """Say that something came in over a link of the host."""
+
+    host: str
+
+
+class Left(NamedTuple):
+    """Bring the host's own word that it takes no new work."""
+
+    host: str
+    reason: str
+    incarnation: str = ""
+    """Process that said so; empty if that is not known."""
+
+
+class Server(NamedTuple):
+    """Describe an upstream's host as configured."""
+
+    host: str
+    place: str
+    upstream: str
+
+
+class Configured(NamedTuple):
+    """Say that a configuration is in force."""
+
+    servers: tuple[Server, ...]
+
+
+class PeerWord(NamedTuple):
+    """Bring a peer's word on which hosts it can't reach."""
+
+    peer: str
+    unreachable: tuple[str, ...]
+
+
+class Tick(NamedTuple):
+    """Say that time has passed."""
+
+
+class Joined(NamedTuple):
+    """Say that a host became known."""
+
+    host: str
+
+
+class StateChanged(NamedTuple):
+    """Say that a host's state changed."""
+
+    host: str
+    before: str
+    after: str
+    cause: str
+
+
+class Moved(NamedTuple):
+    """Say that a host is listed under a new address."""
+
+    host: str
+    address: str
+
+
+Change = Joined | StateChanged | Moved
--- a/radishtally/planner/core.py
+++ b/radishtally/planner/core.py
@@ -31,7 +31,7 @@
 
 
 class Reported(NamedTuple):
-    """An engine's agent reported its load."""
+    """Bring the load that an engine's agent reported."""
 
     pool: Pool
     load: Load
@@ -39,13 +39,13 @@
 
 
 class HostGone(NamedTuple):
-    """An engine's host is gone."""
+    """Say that an engine's host is gone."""
 
     host: str
 
 
 class Configured(NamedTuple):
-    """A configuration came into force."""
+    """Say that a configuration is in force."""
 
     policy: Policy
     roles: dict[str, str]
@@ -53,28 +53,28 @@
 
 
 class Gained(NamedTuple):
-    """This process holds the lease, and has read the plan as it stands."""
+    """Say that this process holds the lease, and bring the plan as it stands."""
 
     fencing: int
     plan: Plan | None
 
 
 class LostLease(NamedTuple):
-    """This process no longer holds the lease."""
+    """Say that this process no longer holds the lease."""
 
 
 class PlanWritten(NamedTuple):
-    """The plan that was to be written stands in the table."""
+    """Say that the plan that was to be written stands in the table."""
 
     plan: Plan
 
 
 class PlanNotWritten(NamedTuple):
-    """The plan that was to be written surely does not stand in the table."""
+    """Say that the plan surely does not stand in the table."""
 
 
 class Tick(NamedTuple):
-    """Time went by."""
+    """Say that time has passed."""
 
 
 class WritePlan(NamedTuple):
--- a/tests/authority/test_orders.py
+++ b/tests/authority/test_orders.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
-from radishtally.authority.orders import (
+from radishtally.authority.order_events import (
     BUSY,
     MODEL,
     NOT_SENT,
@@ -25,7 +25,6 @@
     Event,
     HintReceived,
     OrderAnswered,
-    OrderCore,
     OrderTerms,
     PlanRead,
     PlanUnreadable,
@@ -37,6 +36,7 @@
     Tick,
     WakeAt,
 )
+from radishtally.authority.orders import OrderCore
 from radishtally.authority.plan import Plan, Wanted
 
 HOST = "h1"
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -9,14 +9,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from radishtally.claims.core import (
+from radishtally.claims.core import ClaimCore, ClaimTerms
+from radishtally.claims.events import (
     Answer,
     CallFinished,
     CallReleased,
     ClaimAsked,
-    ClaimCore,
     ClaimOutcome,
-    ClaimTerms,
     Command,
     Event,
     Granted,
--- a/tests/membership/test_core.py
+++ b/tests/membership/test_core.py
@@ -10,6 +10,11 @@
     LIVE,
     SILENT_SECONDS,
     UNREACHABLE,
+    Membership,
+    Verdict,
+    handle,
+)
+from radishtally.membership.events import (
     Configured,
     Heard,
     Joined,
@@ -17,14 +22,11 @@
     LinkDown,
     LinkUp,
     Listed,
-    Membership,
     Moved,
     PeerWord,
     Server,
     StateChanged,
     Tick,
-    Verdict,
-    handle,
 )
 from radishtally.platform.core import ListedHost
 
