--- a/bench/measure.py
+++ b/bench/measure.py
@@ -33,8 +33,8 @@
 class Measure:
     """Measure scenarios; each prints JSON lines and keeps a report under reports/.
 
-    Commands: quick, calibrate, overload, routing, shift, planning, faults, recovery, all.
-    For the flags of one: script/measure COMMAND --help.
+    Commands: quick, calibrate, overload, routing, shift, planning, faults, recovery
+    and all. For the flags of one: script/measure COMMAND --help.
 
     Parameters
     ----------
