Learn the tokens of prompts from streams too, under their model's name

Cause: the estimate of a prompt's tokens was learned from whole answers only and kept under the name that the caller asked for, an adapter's too, while it was looked up under the model's. A deployment whose callers all stream never learned it. Change: both kinds of answer teach it, under the model. Ruled out: learning per adapter (its tokenizer is the model's). Proof: test_whole_answers_teach_the_tokens_of_their_model, four cases; before, three of them would have found nothing or the adapter's name. 75 tests of the HTTP side pass.

--- a/radishtally/entry/http.py
+++ b/radishtally/entry/http.py
@@ -52,6 +52,10 @@
 )
 
 
+Learn = Callable[[Finished], None]
+"""Take from a whole answer what it tells of its prompt's tokens."""
+
+
 class Front(Protocol):
     """Be what the HTTP side needs of the entry."""
 
@@ -237,10 +241,13 @@
     work = made.ok
     answer = Answer(work.request, kind, generation.model, int(time.time()))
 
+    def learn(end: Finished) -> None:
+        front.ratio.learn(work.model, len(generation.text), end.prompt_tokens)
+
     async def give(parts: asyncio.Queue[Part]) -> HTTPResponse | None:
         if generation.streamed:
-            return await _stream(request, answer, generation, parts)
-        return await _wait_whole(answer, generation, parts, front)
+            return await _stream(request, answer, generation, parts, learn)
+        return await _wait_whole(answer, parts, learn)
 
     return await _follow(front, work, envelope, generation.streamed, give)
 
@@ -288,14 +295,14 @@
 
 
 async def _wait_whole(
-    answer: Answer, generation: Generation, parts: asyncio.Queue[Part], front: Front
+    answer: Answer, parts: asyncio.Queue[Part], learn: Learn
 ) -> HTTPResponse:
     end = await _wait_end(parts)
     if isinstance(end, Refuse):
         return respond_refusal(end.refusal)
     if end.end.status != 200:
         return respond_engine_refusal(end.end)
-    front.ratio.learn(generation.model, len(generation.text), end.end.prompt_tokens)
+    learn(end.end)
     body = format_whole(answer, end.body, end.end)
     return raw(body, content_type="application/json")
 
@@ -321,6 +328,7 @@
     answer: Answer,
     generation: Generation,
     parts: asyncio.Queue[Part],
+    learn: Learn,
 ) -> HTTPResponse | None:
     """Stream an answer; what is cut short ends with an error and without [DONE]."""
     part = await parts.get()
@@ -343,6 +351,7 @@
     if isinstance(part, Refuse):
         last = format_event(format_refusal(part.refusal))
     else:
+        learn(part.end)
         last = format_end(answer, part.end, generation.usage_wanted)
     await _send(request, response, last)
     await response.eof()
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -316,6 +316,23 @@
     assert counts == {"prompt_tokens": 3, "completion_tokens": 4, "total_tokens": 7}
 
 
+@pytest.mark.parametrize("streamed", [False, True])
+@pytest.mark.parametrize("model", ["gown-llm", "fabric-tag"])
+def test_whole_answers_teach_the_tokens_of_their_model(
+    streamed: bool, model: str
+) -> None:
+    # Long prompts are admitted by an estimate. It is learned for the model, also when
+    # its adapter was asked for, from streams as well as from whole answers.
+    async def check() -> dict[str, float]:
+        async with serve() as wire:
+            wire.front.whole = b"x"
+            await wire.ask(body=change(stream=streamed, model=model))
+            return wire.front.ratio.by_model
+
+    characters = len(CHAT_BODY["messages"][0]["content"])
+    assert run(check()) == {"gown-llm": pytest.approx(3 / characters)}
+
+
 def test_cut_stream_is_not_shown_as_whole() -> None:
     # The upstream is lost with half of the answer out and nobody can go on. The caller
     # has the half already; the stream ends with an error, without a finish reason and
