Confirm the end of an answer in one place

Cause: whole answers and hand-overs checked length and checksum, confirmed and failed in the same eight lines twice. Change: one generator says whether the answer has come as its agent has it. No behaviour changes.

--- a/radishtally/entry/core.py
+++ b/radishtally/entry/core.py
@@ -1,6 +1,6 @@
 """Decide what the entry does with requests: route, retry, join, refuse, end."""
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from functools import singledispatch
 
 from radishtally.entry import const, events
@@ -248,14 +248,7 @@
     request = _find(message, host, core)
     if request is None:
         return
-    # The final frame may overtake a chunk that a broken link has lost: the answer is
-    # whole only if its length and checksum are the agent's.
-    if len(request.received) < message.length:
-        yield from _ask_again(request, host)
-        return
-    yield _ack(message, host)
-    if message.checksum != request.checksum():
-        yield from _fail_corrupt(request, core)
+    if not (yield from _confirm_end(message, request, host, core)):
         return
     if host in core.hosts:
         core.hosts[host].breaker.succeeded()
@@ -273,12 +266,7 @@
     request = _find(message, host, core)
     if request is None:
         return
-    if len(request.received) < message.length:
-        yield from _ask_again(request, host)
-        return
-    yield _ack(message, host)
-    if message.checksum != request.checksum():
-        yield from _fail_corrupt(request, core)
+    if not (yield from _confirm_end(message, request, host, core)):
         return
     yield Note(message.request, f"handed over by {host}")
     core.leave_host(request)
@@ -398,9 +386,21 @@
     yield from fail(request, 504, const.CODE_DEADLINE, text, core)
 
 
-def _fail_corrupt(request: OpenRequest, core: EntryCore) -> Iterator[Command]:
+def _confirm_end(
+    message: Finished | Handover, request: OpenRequest, host: str, core: EntryCore
+) -> Generator[Command, None, bool]:
+    """Tell whether the answer has come as its agent has it, and confirm that."""
+    # The final frame may overtake a chunk that a broken link has lost: what has come
+    # is right only if its length and checksum are the agent's.
+    if len(request.received) < message.length:
+        yield from _ask_again(request, host)
+        return False
+    yield _ack(message, host)
+    if message.checksum == request.checksum():
+        return True
     text = "the answer differs from what the upstream gave"
     yield from fail(request, 502, const.CODE_CORRUPT, text, core)
+    return False
 
 
 def _ask_again(request: OpenRequest, host: str) -> Iterator[Command]:
