Split what operators are told from what they may do

Cause: entry/operators.py held routes, faults and descriptions of hosts in 396 lines. No behaviour changes.

--- a/radishtally/entry/operators.py
+++ b/radishtally/entry/operators.py
@@ -3,21 +3,25 @@
 import asyncio
 import hmac
 import time
-from functools import singledispatch
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import msgspec
 from sanic import Request, Sanic
 from sanic.response import HTTPResponse
 
-from radishtally.configuration.head import Head, Raced
+from radishtally.configuration.head import Head
 from radishtally.configuration.store import ApplyError
-from radishtally.entry.hosts import KnownHost
+from radishtally.entry.faults import respond_error, respond_fault
 from radishtally.entry.http import respond_json
+from radishtally.entry.reports import (
+    describe_host,
+    describe_load,
+    find_state,
+    gets_new_work,
+)
 from radishtally.links.messages import Hint
-from radishtally.membership.core import LEAVING, LIVE, UNREACHABLE
+from radishtally.membership.core import UNREACHABLE
 from radishtally.outcome import Error, Fault, Ok, Result
-from radishtally.platform.core import Conflict, Invalid, Unavailable, Unclear
 
 if TYPE_CHECKING:
     from radishtally.entry.daemon import EntryDaemon
@@ -75,8 +79,8 @@
         return None
     if request.app.ctx.entry.directory is None:
         text = "no configuration is in force here yet, so operators are not known"
-        return _respond_error(503, text, kind="not_ready")
-    return _respond_error(401, "the operator's key is not known")
+        return respond_error(503, text, kind="not_ready")
+    return respond_error(401, "the operator's key is not known")
 
 
 def _find_operator(request: Request) -> str | None:
@@ -92,49 +96,6 @@
     return BOOTSTRAP if hmac.compare_digest(given, expected) else None
 
 
-def _respond_error(status: int, message: str, **more: Any) -> HTTPResponse:
-    return respond_json({"error": {"message": message, **more}}, status)
-
-
-@singledispatch
-def _respond_fault(error: object) -> HTTPResponse:
-    return _respond_error(500, str(error))
-
-
-@_respond_fault.register
-def _(error: Fault) -> HTTPResponse:
-    return _respond_error(422, str(error), kind="refused")
-
-
-@_respond_fault.register
-def _(error: Raced) -> HTTPResponse:
-    return _respond_error(
-        409, str(error), kind="raced", file=error.name, by=error.author
-    )
-
-
-@_respond_fault.register
-def _(error: Unavailable) -> HTTPResponse:
-    text = f"the platform's store is away, nothing was changed: {error.message}"
-    return _respond_error(503, text, kind="unavailable")
-
-
-@_respond_fault.register
-def _(error: Unclear) -> HTTPResponse:
-    text = f"the change may have been made, look at the history: {error.message}"
-    return _respond_error(504, text, kind="unclear")
-
-
-@_respond_fault.register
-def _(error: Invalid) -> HTTPResponse:
-    return _respond_error(500, error.message, kind="invalid")
-
-
-@_respond_fault.register
-def _(error: Conflict) -> HTTPResponse:
-    return _respond_error(409, "somebody else changed it just now", kind="raced")
-
-
 async def _status(request: Request) -> HTTPResponse:
     entry: EntryDaemon = request.app.ctx.entry
     keeper = entry.process.keeper
@@ -152,52 +113,12 @@
                 "dropped": entry.process.audit.dropped,
             },
             "hosts": {
-                name: _describe_host(entry, name, now) for name in sorted(members)
+                name: describe_host(entry, name, now) for name in sorted(members)
             },
         }
     )
 
 
-def _describe_host(entry: "EntryDaemon", host: str, now: float) -> dict[str, Any]:
-    member = entry.members.membership.members[host]
-    keeper = entry.process.keeper
-    own = host == entry.settings.host
-    return {
-        "place": member.place,
-        "upstream": member.upstream,
-        "state": _find_state(entry, host, now),
-        "revision": keeper.revision if own else keeper.peers.get(host),
-        **_describe_load(entry, host),
-    }
-
-
-def _find_state(entry: "EntryDaemon", host: str, now: float) -> str:
-    # An entry keeps no link to itself, so its membership can't tell.
-    if host == entry.settings.host:
-        return LEAVING if entry.process.stopping.is_set() else LIVE
-    return entry.members.membership.members[host].find_state(now)
-
-
-def _describe_load(entry: "EntryDaemon", host: str) -> dict[str, Any]:
-    known = entry.core.hosts.get(host)
-    if known is None or known.load is None:
-        return {}
-    load = known.load
-    return {
-        "role": load.role,
-        "model": load.model,
-        "version": load.version,
-        "adapters": load.adapters,
-        "queued": load.queued,
-        "running": load.running,
-        "slots": load.slots,
-        "wait": round(load.wait, 3),
-        "draining": load.draining,
-        "in_flight_from_here": known.in_flight,
-        "load_age": round(time.monotonic() - known.load_at, 2),
-    }
-
-
 async def _read_configuration(request: Request) -> HTTPResponse:
     entry: EntryDaemon = request.app.ctx.entry
     keeper = entry.process.keeper
@@ -215,8 +136,8 @@
     read = await entry.configurations.read_revision(revision)
     if read.is_error():
         if isinstance(read.error, Fault):
-            return _respond_error(404, f"revision {revision} is not known")
-        return _respond_fault(read.error)
+            return respond_error(404, f"revision {revision} is not known")
+        return respond_fault(read.error)
     head = read.ok
     files = {name: one._asdict() for name, one in head.files.items()}
     return respond_json({**_describe_head(head), "files": files})
@@ -226,7 +147,7 @@
     entry: EntryDaemon = request.app.ctx.entry
     read = _read_body(request, ChangeBody)
     if read.is_error():
-        return _respond_error(400, read.error)
+        return respond_error(400, read.error)
     change = read.ok
     operator = request.ctx.operator
     head = await entry.configurations.apply(
@@ -234,7 +155,7 @@
     )
     if head.is_error():
         error: ApplyError = head.error
-        return _respond_fault(error)
+        return respond_fault(error)
     await entry.watcher.read_head()
     return respond_json({"revision": head.ok.revision, "changed": head.ok.changed})
 
@@ -246,7 +167,7 @@
         revision = int(request.args.get("revision", "0"))
         seconds = min(float(request.args.get("seconds", "6")), MAX_WAIT_SECONDS)
     except ValueError:
-        return _respond_error(400, "revision, seconds: expected numbers")
+        return respond_error(400, "revision, seconds: expected numbers")
     started = time.monotonic()
     behind = _find_behind(entry, revision)
     while behind and time.monotonic() - started < seconds:
@@ -271,7 +192,7 @@
     entry: EntryDaemon = request.app.ctx.entry
     heads = await entry.configurations.read_history(_read_limit(request))
     if heads.is_error():
-        return _respond_fault(heads.error)
+        return respond_fault(heads.error)
     return respond_json([_describe_head(head) for head in heads.ok])
 
 
@@ -289,15 +210,15 @@
     entry: EntryDaemon = request.app.ctx.entry
     read = _read_body(request, DrainBody)
     if read.is_error():
-        return _respond_error(400, read.error)
+        return respond_error(400, read.error)
     body = read.ok
     if not _is_host(entry, host):
-        return _respond_error(404, f"host {host!r} is not known")
+        return respond_error(404, f"host {host!r} is not known")
     drain = await entry.plans.write_drain(
         host, body.drained, request.ctx.operator, body.cause
     )
     if drain.is_error():
-        return _respond_fault(drain.error)
+        return respond_fault(drain.error)
     # The row is what counts; the hint only saves the agent's wait for its next look.
     entry.process.hub.send(host, Hint("drain", host))
     return respond_json({"host": host, "drained": body.drained})
@@ -327,7 +248,7 @@
     subject = request.args.get("subject")
     entries = await entry.process.audit.read(_read_limit(request), subject)
     if entries.is_error():
-        return _respond_fault(entries.error)
+        return respond_fault(entries.error)
     return respond_json([one._asdict() for one in entries.ok])
 
 
@@ -345,7 +266,7 @@
     steps = request.app.ctx.entry.steps.read(request_id)
     if not steps:
         text = f"request {request_id!r} is not remembered at this entry"
-        return _respond_error(404, text)
+        return respond_error(404, text)
     return respond_json(
         {"request": request_id, "steps": [step._asdict() for step in steps]}
     )
@@ -354,32 +275,26 @@
 async def _explain_host(request: Request, host: str) -> HTTPResponse:
     entry: EntryDaemon = request.app.ctx.entry
     if host not in entry.members.membership.members:
-        return _respond_error(404, f"host {host!r} is not known")
+        return respond_error(404, f"host {host!r} is not known")
     now = time.monotonic()
     known = entry.core.hosts.get(host)
-    state = _find_state(entry, host, now)
+    state = find_state(entry, host, now)
     judged = entry.members.membership.judge(host, now)
     return respond_json(
         {
             "host": host,
             "state": state,
-            "gets_new_work": _gets_new_work(known, now),
+            "gets_new_work": gets_new_work(known, now),
             "left_out_after_failures": known is not None
             and not known.breaker.allows(now),
             "whose_fault": judged if state == UNREACHABLE else None,
             "drain": await _describe_drain(entry, host),
             "plan": entry.planning.describe_host(host),
-            **_describe_load(entry, host),
+            **describe_load(entry, host),
         }
     )
 
 
-def _gets_new_work(known: KnownHost | None, now: float) -> bool:
-    if known is None or not known.is_usable(now):
-        return False
-    return known.load is not None and not known.load.draining
-
-
 async def _describe_drain(entry: "EntryDaemon", host: str) -> dict[str, Any]:
     drains = await entry.plans.read_drains()
     if drains.is_error():
@@ -392,5 +307,5 @@
     entry: EntryDaemon = request.app.ctx.entry
     current = entry.process.keeper.current
     if current is None or place not in current.configuration.places:
-        return _respond_error(404, f"place {place!r} is not known")
+        return respond_error(404, f"place {place!r} is not known")
     return respond_json(await entry.planning.describe_place(place))
--- /dev/null
+++ b/radishtally/entry/reports.py
@@ -0,0 +1,60 @@
+"""Describe hosts to operators, as this entry sees them."""
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from radishtally.entry.hosts import KnownHost
+from radishtally.membership.core import LEAVING, LIVE
+
+if TYPE_CHECKING:
+    from radishtally.entry.daemon import EntryDaemon
+
+
+def describe_host(entry: "EntryDaemon", host: str, now: float) -> dict[str, Any]:
+    """Tell what the membership and the keeper know of a host."""
+    member = entry.members.membership.members[host]
+    keeper = entry.process.keeper
+    own = host == entry.settings.host
+    return {
+        "place": member.place,
+        "upstream": member.upstream,
+        "state": find_state(entry, host, now),
+        "revision": keeper.revision if own else keeper.peers.get(host),
+        **describe_load(entry, host),
+    }
+
+
+def find_state(entry: "EntryDaemon", host: str, now: float) -> str:
+    """Tell a host's state."""
+    # An entry keeps no link to itself, so its membership can't tell.
+    if host == entry.settings.host:
+        return LEAVING if entry.process.stopping.is_set() else LIVE
+    return entry.members.membership.members[host].find_state(now)
+
+
+def describe_load(entry: "EntryDaemon", host: str) -> dict[str, Any]:
+    """Tell the load that a host last reported."""
+    known = entry.core.hosts.get(host)
+    if known is None or known.load is None:
+        return {}
+    load = known.load
+    return {
+        "role": load.role,
+        "model": load.model,
+        "version": load.version,
+        "adapters": load.adapters,
+        "queued": load.queued,
+        "running": load.running,
+        "slots": load.slots,
+        "wait": round(load.wait, 3),
+        "draining": load.draining,
+        "in_flight_from_here": known.in_flight,
+        "load_age": round(time.monotonic() - known.load_at, 2),
+    }
+
+
+def gets_new_work(known: KnownHost | None, now: float) -> bool:
+    """Tell whether new work is offered to a host now."""
+    if known is None or not known.is_usable(now):
+        return False
+    return known.load is not None and not known.load.draining
