Tell a peer the revision that came into force within the hellos

Its log shows revision 4 in force 0.5 ms before the link to entry-2 was up: the hello had gone out with revision 3, and the announcement of 4 went to the links that were up then. The link went on answering pings with 3 until the next change. An entry in that place would not have been asked for the newer revision either. Ruled out: slow silence detection (the link had been dialled anew by then), a lost ask (the host had the revision in force). Change: a link that comes up is told of the revision in force if its hello said another.

--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -159,6 +159,10 @@
     def _begin(self, link: Link) -> None:
         old = self._links.get(link.peer.host)
         self._links[link.peer.host] = link
+        # A revision that came into force after our hello was written was announced to
+        # the links of then. Without this word the peer would take us for behind, and
+        # not ask us for it, until the next change.
+        link.renew(self._hello.revision)
         if old is not None:
             old.close("replaced by a newer link")
             self._callbacks.down(link.peer.host, old.reason)
--- a/radishtally/links/link.py
+++ b/radishtally/links/link.py
@@ -116,6 +116,11 @@
         if self._outbox_bytes > MAX_OUTBOX_BYTES:
             self.close("the peer reads too slowly")
 
+    def renew(self, revision: int) -> None:
+        """Tell the peer which revision is in force here, if it was told another."""
+        if revision != self._revision:
+            self.announce(revision)
+
     def announce(self, revision: int) -> None:
         """Tell the peer at once which configuration revision is in force here."""
         self._revision = revision
--- a/tests/links/test_hub.py
+++ b/tests/links/test_hub.py
@@ -3,9 +3,19 @@
 import asyncio
 
 from radishtally.links.auth import is_member, make_metadata
+from radishtally.links.codec import decode_frame, encode_frame
 from radishtally.links.const import MAX_OUTBOX_BYTES
 from radishtally.links.link import Link
-from radishtally.links.messages import CHAT, Ack, Chunk, Hello, Offer, Work
+from radishtally.links.messages import (
+    CHAT,
+    Ack,
+    Chunk,
+    Hello,
+    Message,
+    Offer,
+    Pong,
+    Work,
+)
 from tests.common import run
 from tests.links.common import KEY, Peer, pair, wait_for
 
@@ -158,3 +168,37 @@
     assert not is_member("other", metadata)
     assert not is_member(KEY, metadata | {"radishtally-host": "entry-1"})
     assert not is_member(KEY, {})
+
+
+class ScriptedStream:
+    """Give the peer's frames when the test says so, and keep what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[Message] = []
+        self.frames: asyncio.Queue[bytes] = asyncio.Queue()
+
+    async def send_message(self, frame: bytes) -> None:
+        self.sent += decode_frame(frame).ok
+
+    async def recv_message(self) -> bytes:
+        return await self.frames.get()
+
+
+def test_revision_that_comes_into_force_within_the_hellos_is_told() -> None:
+    # Operators see the host confirmed, not behind until the next change. Our hello
+    # goes out with the old revision; the new one comes into force before the peer's
+    # hello is there, so that the link is not among those that are told of it.
+    async def check() -> None:
+        peer = Peer("agent-0", KEY)
+        stream = ScriptedStream()
+        link = asyncio.create_task(peer.hub.exchange(stream, leads=False))
+        await wait_for(lambda: any(isinstance(m, Hello) for m in stream.sent))
+        peer.hub.announce(4)
+        hello = Hello("entry-0", "place", "entry", "new", 4)
+        stream.frames.put_nowait(encode_frame([hello]))
+        await wait_for(lambda: any(isinstance(m, Pong) for m in stream.sent))
+        assert stream.sent[-1].revision == 4
+        link.cancel()
+        await asyncio.gather(link, return_exceptions=True)
+
+    run(check())
