--- a/radishtally/agent/daemon.py
+++ b/radishtally/agent/daemon.py
@@ -18,7 +18,8 @@
 from radishtally.configuration.config import Service as ServiceConfig
 from radishtally.links.hub import Callbacks
 from radishtally.links.messages import Hello, Hint, Message, Offer
-from radishtally.process import Process, Waker
+from radishtally.process import Process
+from radishtally.runtime import Waker
 from radishtally.settings.config import Settings
 
 DEFAULT_SLOTS: Final = 32
--- a/radishtally/agent/engine.py
+++ b/radishtally/agent/engine.py
@@ -16,8 +16,8 @@
     STREAM_SILENCE_SECONDS,
     UPSTREAM_CONNECT_SECONDS,
 )
-from radishtally.agent.http import BROKEN
 from radishtally.agent.sse import Done, read_parts
+from radishtally.exchange import BROKEN
 from radishtally.links.messages import CHAT, PREFILL, KvRef, Offer
 from radishtally.outcome import Fault, Ran
 
--- a/radishtally/agent/service.py
+++ b/radishtally/agent/service.py
@@ -9,7 +9,7 @@
 
 from radishtally.agent import events
 from radishtally.agent.const import CALL_SECONDS, UPSTREAM_CONNECT_SECONDS
-from radishtally.agent.http import BROKEN, SendOnce
+from radishtally.exchange import BROKEN, SendOnce
 from radishtally.links.messages import Offer
 from radishtally.outcome import Ran
 
--- /dev/null
+++ b/radishtally/direct/core.py
@@ -0,0 +1,67 @@
+"""Contracts between the entry and the hosts that it reaches without an agent."""
+
+from typing import NamedTuple, Protocol
+
+from radishtally.entry.terms import Terms
+from radishtally.links.messages import KvRef, Offer
+from radishtally.outcome import Result
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class Instance(NamedTuple):
+    """Describe one start of an upstream's host."""
+
+    host: str
+    """Name; new with every start."""
+    upstream: str
+    address: str
+    """IP and port."""
+    data_centre: str
+    is_draining: bool
+    slots: int
+    role: str = ""
+    """PREFILL, DECODE or MIXED for an engine, empty for a plain service."""
+
+
+class UpstreamCall(NamedTuple):
+    """Hold a request as it goes out to a host."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes = b""
+
+
+class Head(NamedTuple):
+    """Hold what the head of a host's answer says."""
+
+    status: int
+    request: str
+    """Request that the answer belongs to; empty if it names none."""
+    not_run: bool
+    """Whether the host promises that it did not run the request and won't."""
+    is_replaced: bool
+    """Whether another instance has the address now."""
+    is_genuine: bool
+    """Whether the host itself made the answer."""
+    headers: Headers
+    """To be passed on to the caller."""
+
+
+class Dialect(Protocol):
+    """Translate between offers and what a deployment's hosts speak."""
+
+    def encode_offer(
+        self, offer: Offer, terms: Terms, instance: Instance
+    ) -> UpstreamCall:
+        """Give the request that carries out an offer."""
+
+    def encode_drop(self, kv: KvRef) -> UpstreamCall:
+        """Give the request that frees a KV cache that nobody will fetch."""
+
+    def read_head(self, status: int, headers: Headers) -> Head:
+        """Read the head of an answer."""
+
+    def read_handle(self, body: bytes, instance: Instance) -> Result[KvRef, str]:
+        """Read where the KV cache of a computed prompt lies."""
--- /dev/null
+++ b/radishtally/direct/hosts.py
@@ -0,0 +1,278 @@
+"""Run offers at hosts that have no agent, and report as an agent would."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+import aiohttp
+import xxhash
+from eliot import log_message
+from yarl import URL
+
+from radishtally.direct.const import (
+    CONNECT_SECONDS,
+    DROP_SECONDS,
+    MAX_ANSWER_BYTES,
+    POOL_SECONDS,
+    READ_BYTES,
+)
+from radishtally.direct.core import Dialect, Head, Instance, UpstreamCall
+from radishtally.direct.sockets import open_socket
+from radishtally.direct.stream import EventCutter
+from radishtally.entry.terms import Terms
+from radishtally.exchange import BROKEN, SendOnce
+from radishtally.links.messages import (
+    CALL,
+    LEAVING,
+    PREFILL,
+    REPLACED,
+    UNREACHED,
+    Accepted,
+    Begun,
+    Cancel,
+    Chunk,
+    Finished,
+    Handover,
+    KvRef,
+    Lost,
+    Message,
+    Offer,
+    Refused,
+)
+from radishtally.outcome import Ran
+
+OK: Final = 200
+SKIPPED_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+"""Headers that the library would add of its own: hosts get the caller's alone."""
+NOT_CONNECTED: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+
+Receive = Callable[[str, Message], None]
+Name = tuple[str, int]
+
+
+@dataclass(slots=True)
+class _Progress:
+    """Follow the answer to one attempt."""
+
+    offset: int
+    tokens: int
+    checksum: xxhash.xxh64
+
+
+class DirectHosts:
+    """Reach the hosts of all direct upstreams over HTTP."""
+
+    def __init__(self, dialect: Dialect, receive: Receive) -> None:
+        self._dialect = dialect
+        self._receive = receive
+        self._tasks: dict[Name, asyncio.Task[None]] = {}
+        self._drops: set[asyncio.Task[None]] = set()
+        self._instances: dict[str, Instance] = {}
+
+    async def start(self) -> None:
+        """Open the pools of connections."""
+        self._pooled = _make_session(force_close=False)
+        # A connection that is kept open may be closed by its host just as a call goes
+        # out on it, or may have died unnoticed; whether the call ran can't be told
+        # then. A new connection that fails surely carried nothing.
+        self._fresh = _make_session(force_close=True)
+
+    async def stop(self) -> None:
+        """End all that is under way and close the connections."""
+        tasks = [*self._tasks.values(), *self._drops]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._pooled.close()
+        await self._fresh.close()
+
+    def set_instance(self, instance: Instance) -> None:
+        """Take where a host is and what it does."""
+        self._instances[instance.host] = instance
+
+    def forget(self, host: str) -> None:
+        """Forget a host; what runs there goes on."""
+        self._instances.pop(host, None)
+
+    def run(self, host: str, offer: Offer, terms: Terms) -> None:
+        """Carry out an offer; what comes of it is reported as messages."""
+        name = offer.work.request, offer.attempt
+        instance = self._instances.get(host)
+        if instance is None:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._receive, host, Refused(*name, LEAVING, 0.0))
+            return
+        task = asyncio.create_task(self._run(instance, offer, terms))
+        self._tasks[name] = task
+        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+
+    def cancel(self, message: Cancel) -> None:
+        """End an attempt: the closed connection tells its host to drop the work."""
+        task = self._tasks.pop((message.request, message.attempt), None)
+        if task is not None:
+            task.cancel()
+
+    def drop(self, kv: KvRef) -> None:
+        """Free a KV cache that nobody will fetch."""
+        task = asyncio.create_task(self._drop(kv))
+        self._drops.add(task)
+        task.add_done_callback(self._drops.discard)
+
+    async def _run(self, instance: Instance, offer: Offer, terms: Terms) -> None:
+        host = instance.host
+        name = offer.work.request, offer.attempt
+        call = self._dialect.encode_offer(offer, terms, instance)
+        repeatable = offer.work.idempotent or offer.stage == PREFILL
+        try:
+            async with self._send(instance.address, call, repeatable) as response:
+                await self._read(response, instance, offer)
+        except NOT_CONNECTED as error:
+            self._receive(host, Lost(*name, Ran.NO, UNREACHED, 0))
+            log_message("upstream:unreached", host=host, error=repr(error))
+        except BROKEN as error:
+            # A prompt that was to be computed has not run: no token was made of it.
+            ran = Ran.NO if offer.stage == PREFILL else Ran.UNKNOWN
+            self._receive(host, Lost(*name, ran, _describe(error), 0))
+
+    def _send(
+        self, address: str, call: UpstreamCall, repeatable: bool
+    ) -> "aiohttp.client._RequestContextManager":
+        session = self._pooled if repeatable else self._fresh
+        return session.request(
+            call.method,
+            URL(f"http://{address}{call.path}", encoded=True),
+            data=call.body or None,
+            headers=call.headers,
+            allow_redirects=False,
+            middlewares=(SendOnce(),),
+        )
+
+    async def _read(
+        self, response: aiohttp.ClientResponse, instance: Instance, offer: Offer
+    ) -> None:
+        host = instance.host
+        name = offer.work.request, offer.attempt
+        head = self._dialect.read_head(response.status, _list_headers(response))
+        if head.request and head.request != offer.work.request:
+            # The late second answer to an earlier request on this connection: whatever
+            # follows on it can't be told apart, so the connection goes too.
+            response.close()
+            raise aiohttp.ClientPayloadError("the answer belongs to another request")
+        if head.not_run:
+            reason = REPLACED if head.is_replaced else f"status {head.status}"
+            self._receive(host, Refused(*name, reason, 0.0))
+            return
+        self._receive(host, Accepted(*name, 0.0))
+        if offer.stage == PREFILL:
+            await self._read_handle(response, instance, offer)
+            return
+        if not head.is_genuine and head.status < 300:
+            raise aiohttp.ClientPayloadError("the answer is not the host's own")
+        if offer.work.kind == CALL or head.status != OK:
+            await self._collect(response, host, offer, head)
+            return
+        await self._follow(response, host, offer, head)
+
+    async def _read_handle(
+        self, response: aiohttp.ClientResponse, instance: Instance, offer: Offer
+    ) -> None:
+        name = offer.work.request, offer.attempt
+        read = self._dialect.read_handle(await response.read(), instance)
+        if response.status != OK or read.is_error():
+            reason = f"no KV cache, status {response.status}"
+            self._receive(instance.host, Lost(*name, Ran.NO, reason, 0))
+            return
+        progress = _begin(offer)
+        checksum = progress.checksum.intdigest()
+        end = Handover(*name, progress.offset, checksum, read.ok)
+        self._receive(instance.host, end)
+
+    async def _collect(
+        self, response: aiohttp.ClientResponse, host: str, offer: Offer, head: Head
+    ) -> None:
+        """Take an answer as a whole before any of it is passed on."""
+        name = offer.work.request, offer.attempt
+        body = bytearray()
+        async for data in response.content.iter_chunked(READ_BYTES):
+            body += data
+            if len(body) > MAX_ANSWER_BYTES:
+                text = f"the answer is over {MAX_ANSWER_BYTES} bytes"
+                raise aiohttp.ClientPayloadError(text)
+        checksum = xxhash.xxh64_intdigest(bytes(body))
+        if body:
+            self._receive(host, Chunk(*name, 0, bytes(body), 0))
+        end = Finished(*name, len(body), checksum, head.status, "", 0, 0, head.headers)
+        self._receive(host, end)
+
+    async def _follow(
+        self, response: aiohttp.ClientResponse, host: str, offer: Offer, head: Head
+    ) -> None:
+        """Pass on the events of a stream as they come whole."""
+        name = offer.work.request, offer.attempt
+        progress = _begin(offer)
+        cutter = EventCutter()
+        self._receive(host, Begun(*name, head.status, head.headers))
+        async for data in response.content.iter_any():
+            found = cutter.feed(data)
+            if found is None:
+                continue
+            progress.tokens = max(progress.tokens, found.last)
+            self._pass_on(host, name, progress, found.data)
+        if cutter.rest:
+            self._pass_on(host, name, progress, cutter.rest)
+        length, checksum = progress.offset, progress.checksum.intdigest()
+        end = Finished(
+            *name, length, checksum, head.status, "", 0, progress.tokens, head.headers
+        )
+        self._receive(host, end)
+
+    def _pass_on(self, host: str, name: Name, progress: _Progress, data: bytes) -> None:
+        chunk = Chunk(*name, progress.offset, data, progress.tokens)
+        progress.offset += len(data)
+        progress.checksum.update(data)
+        self._receive(host, chunk)
+
+    async def _drop(self, kv: KvRef) -> None:
+        call = self._dialect.encode_drop(kv)
+        try:
+            async with (
+                asyncio.timeout(DROP_SECONDS),
+                self._send(kv.url, call, True) as response,
+            ):
+                await response.read()
+        except BROKEN as error:
+            log_message("upstream:kv_not_freed", host=kv.host, error=repr(error))
+
+
+def _make_session(force_close: bool) -> aiohttp.ClientSession:
+    more = {} if force_close else {"keepalive_timeout": POOL_SECONDS}
+    connector = aiohttp.TCPConnector(
+        limit=0, force_close=force_close, socket_factory=open_socket, **more
+    )
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=timeout,
+        auto_decompress=False,
+        skip_auto_headers=SKIPPED_HEADERS,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+def _begin(offer: Offer) -> _Progress:
+    return _Progress(len(offer.done), offer.tokens_done, xxhash.xxh64(offer.done))
+
+
+def _list_headers(response: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in response.raw_headers
+    )
+
+
+def _describe(error: BaseException) -> str:
+    return type(error).__name__
--- /dev/null
+++ b/radishtally/direct/stream.py
@@ -0,0 +1,42 @@
+"""Cut a stream of server-sent events into whole events."""
+
+import re
+from typing import Final, NamedTuple
+
+BOUNDARY: Final = re.compile(rb"\r?\n\r?\n")
+ID: Final = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+
+
+class Events(NamedTuple):
+    """Hold whole events in a row."""
+
+    data: bytes
+    last: int
+    """Id of the last of them that has one, else 0."""
+
+
+class EventCutter:
+    """Hold back an event that has not come whole.
+
+    A host that breaks off may do so within an event. Passed on, its beginning would
+    stand before the next host's event, and the caller would read neither.
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def rest(self) -> bytes:
+        """Give what has come of an event that is not whole."""
+        return self._rest
+
+    def feed(self, data: bytes) -> Events | None:
+        """Take what has come; give the events that are whole now, if there are any."""
+        data = self._rest + data
+        end = max((found.end() for found in BOUNDARY.finditer(data)), default=0)
+        self._rest = data[end:]
+        if not end:
+            return None
+        whole = data[:end]
+        ids = ID.findall(whole)
+        return Events(whole, int(ids[-1]) if ids else 0)
--- /dev/null
+++ b/radishtally/engines/placement.py
@@ -0,0 +1,178 @@
+"""Choose engines and services by what this entry has given them."""
+
+import time
+from collections.abc import Callable, Iterable, Sequence
+from typing import Final
+
+from radishtally.direct.core import Instance
+from radishtally.engines.cache import PromptCache
+from radishtally.engines.state import CACHE_SHARE, FIXED_SECONDS, EngineState
+from radishtally.entry.hosts import KnownHost
+from radishtally.entry.placement import Declined, Placed
+from radishtally.entry.requests import OpenRequest
+from radishtally.links.messages import CALL, DECODE, PREFILL, WHOLE
+from radishtally.routes.config import UpstreamTerms
+from radishtally.routing.core import rank
+
+START_CAPACITY: Final = 400_000
+"""Tokens that an engine keeps until the configuration says how many."""
+FAR_SECONDS: Final = 0.005
+"""Handicap of an engine in another data centre: the trips, and what its bytes cost."""
+SECOND_HOME_SECONDS: Final = 0.03
+"""Handicap of a prefix's second home: the first one is used while it is free."""
+FAR_ANSWERS: Final = 4
+"""Answers more that the least busy engine of another data centre must be ahead by."""
+FAR_CALLS: Final = 0.5
+"""The same for a call of a plain service: it decides between equals only."""
+DECODE_SECONDS: Final = 0.03
+"""Time from a computed prompt to the first event of its answer."""
+LATE_PRIORITY: Final = 5
+"""Added to the priority of work that will be late: it goes behind all that can still be
+in time."""
+PATIENCE: Final = 4.0
+"""Times its objective that a caller waits for the first event before it gives up."""
+MIN_PATIENCE_SECONDS: Final = 2.0
+
+
+class EnginePlacement:
+    """Place prompts where their shared parts lie, and answers where there is room."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._engines: dict[str, EngineState] = {}
+        self._capacities: dict[str, int] = {}
+
+    def configure(self, upstreams: Iterable[UpstreamTerms]) -> None:
+        """Take what the configuration says of engines."""
+        for upstream in upstreams:
+            if upstream.engine is not None:
+                self._capacities[upstream.name] = upstream.engine.kv_tokens
+
+    def set_instance(self, instance: Instance) -> None:
+        """Take what a host is."""
+        if not instance.role:
+            return
+        known = self._engines.get(instance.host)
+        if known is not None:
+            known.role = instance.role
+            return
+        capacity = self._capacities.get(instance.upstream, START_CAPACITY)
+        cache = PromptCache(int(capacity * CACHE_SHARE))
+        self._engines[instance.host] = EngineState(
+            instance.host, instance.data_centre, instance.role, cache
+        )
+
+    def forget(self, host: str) -> None:
+        """Forget a host that is gone."""
+        self._engines.pop(host, None)
+
+    def place(
+        self, request: OpenRequest, hosts: Sequence[KnownHost], place: str, now: float
+    ) -> Placed | Declined:
+        """Choose among usable hosts, for an entry in a place."""
+        left = [host for host in hosts if host.host not in request.tried]
+        if request.work.kind == CALL:
+            return _place_call(left, place)
+        engines = [
+            self._engines[host.host] for host in left if host.host in self._engines
+        ]
+        prefill = [engine for engine in engines if engine.role == PREFILL]
+        decode = [engine for engine in engines if engine.role != PREFILL]
+        if not decode:
+            return Declined(None)
+        if request.next_stage == DECODE or request.kv_lost or not prefill:
+            stage = DECODE if request.next_stage == DECODE else WHOLE
+            return Placed(stage, _choose_decode(decode, place).host)
+        return self._place_prompt(request, prefill, place, now)
+
+    def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
+        """Note that the request was offered to a host."""
+        engine = self._engines.get(host.host)
+        if engine is None:
+            return
+        name, work = request.work.request, request.work
+        if request.stage != PREFILL:
+            engine.answers.add(name)
+            return
+        tokens = _count_uncached(engine, request)
+        engine.begin_reading(name, tokens, request.terms.priority, now)
+        engine.cache.note(work.model, request.terms.parts)
+
+    def end(self, request: OpenRequest, host: KnownHost) -> None:
+        """Note that the request's present attempt at a host is over."""
+        engine = self._engines.get(host.host)
+        if engine is None:
+            return
+        name = request.work.request
+        engine.answers.discard(name)
+        engine.end_reading(name, self._clock(), request.kv is not None)
+
+    def _place_prompt(
+        self,
+        request: OpenRequest,
+        engines: Sequence[EngineState],
+        place: str,
+        now: float,
+    ) -> Placed | Declined:
+        """Choose the engine that will have read the prompt first."""
+        homes = rank((engine.host for engine in engines), request.work.prefix)
+        best, soonest, handicapped = None, 0.0, 0.0
+        for engine in engines:
+            seconds = self._predict(engine, request, homes, now)
+            handicap = 0.0 if engine.data_centre == place else FAR_SECONDS
+            if engine.host == homes[1 % len(homes)]:
+                handicap += SECOND_HOME_SECONDS
+            if best is None or seconds + handicap < handicapped:
+                best, soonest = engine, seconds
+                handicapped = seconds + handicap
+        objective = request.arrived + request.terms.objective - now
+        patience = max(MIN_PATIENCE_SECONDS, PATIENCE * request.terms.objective)
+        if soonest > min(patience, request.deadline - now):
+            return Declined(max(0.0, soonest - request.terms.objective))
+        if soonest > objective and request.terms.priority < LATE_PRIORITY:
+            priority = request.terms.priority + LATE_PRIORITY
+            request.terms = request.terms._replace(priority=priority)
+        return Placed(PREFILL, best.host)
+
+    def _predict(
+        self,
+        engine: EngineState,
+        request: OpenRequest,
+        homes: Sequence[str],
+        now: float,
+    ) -> float:
+        """Predict the seconds to the first event of the answer."""
+        tokens = _count_uncached(engine, request)
+        if engine.host == homes[0]:
+            # Other entries send the prefix there too, whether we have or not.
+            own = request.terms.parts[-1].tokens if request.terms.parts else tokens
+            tokens = min(tokens, own)
+        wait = engine.predict_wait(request.terms.priority, now)
+        return wait + tokens / engine.rate + FIXED_SECONDS + DECODE_SECONDS
+
+
+def _count_uncached(engine: EngineState, request: OpenRequest) -> int:
+    work = request.work
+    kept = engine.cache.count(work.model, request.terms.parts)
+    return max(0, work.prompt_tokens - kept)
+
+
+def _choose_decode(engines: Sequence[EngineState], place: str) -> EngineState:
+    """Choose the engine with the fewest answers, rather in the entry's data centre."""
+
+    def measure(engine: EngineState) -> tuple[int, str]:
+        far = 0 if engine.data_centre == place else FAR_ANSWERS
+        return len(engine.answers) + far, engine.host
+
+    return min(engines, key=measure)
+
+
+def _place_call(hosts: Sequence[KnownHost], place: str) -> Placed | Declined:
+    """Choose the host with the fewest open calls."""
+    if not hosts:
+        return Declined(None)
+
+    def measure(host: KnownHost) -> tuple[float, str]:
+        return host.in_flight + (0.0 if host.place == place else FAR_CALLS), host.host
+
+    return Placed(WHOLE, min(hosts, key=measure).host)
--- a/radishtally/entry/core.py
+++ b/radishtally/entry/core.py
@@ -4,7 +4,17 @@
 from functools import singledispatch
 
 from radishtally.entry import const, events
-from radishtally.entry.events import Command, Deliver, Event, Finish, Note, Send, Settle
+from radishtally.entry.events import (
+    Begin,
+    Command,
+    Deliver,
+    DropKv,
+    Event,
+    Finish,
+    Note,
+    Send,
+    Settle,
+)
 from radishtally.entry.offers import (
     answer_unknown,
     fail,
@@ -30,10 +40,13 @@
     LEAVING,
     NOT_KNOWN,
     PREFILL,
+    REPLACED,
+    STREAM,
     WHOLE,
     Accepted,
     Ack,
     Attach,
+    Begun,
     Cancel,
     Cancelled,
     Chunk,
@@ -63,7 +76,7 @@
 def _(event: events.Arrived, core: EntryCore, now: float) -> Iterator[Command]:
     work = event.work
     core.budget.note_request()
-    request = OpenRequest(work, event.deadline, event.streamed, now)
+    request = OpenRequest(work, event.deadline, event.streamed, now, event.terms)
     core.requests[work.request] = request
     core.schedule(request)
     if request.is_claimed:
@@ -208,6 +221,11 @@
         return
     yield Note(message.request, f"refused by {host}: {message.reason}")
     core.leave_host(request)
+    request.owes_retry |= core.refusals_cost
+    if request.kv is not None:
+        yield from _give_up_kv(request)
+    if message.reason == REPLACED and host in core.hosts:
+        core.hosts[host].live = False
     if message.reason == KEY_REUSED:
         text = "the idempotency key was used with another request"
         yield from refuse(request, 422, const.CODE_KEY_REUSED, text, None, core)
@@ -223,6 +241,17 @@
     yield from offer(request, core, now)
 
 
+@_receive.register
+def _(message: Begun, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    request = _find(message, host, core)
+    # An answer that goes on elsewhere keeps the head that the caller has.
+    if request is None or request.begun:
+        return
+    request.begun = True
+    if not request.answered:
+        yield Begin(message.request, message.status, message.headers)
+
+
 @_receive.register
 def _(message: Chunk, host: str, core: EntryCore, now: float) -> Iterator[Command]:
     request = _find(message, host, core)
@@ -239,7 +268,8 @@
         wait(request, float("inf"), core)
     if request.first_token is None:
         request.first_token = now
-    if request.streamed and not request.answered:
+    is_open = request.begun or request.work.kind != STREAM
+    if request.streamed and is_open and not request.answered:
         yield Deliver(message.request, new)
 
 
@@ -250,11 +280,16 @@
         return
     if not (yield from _confirm_end(message, request, host, core)):
         return
+    body = bytes(request.received)
+    if message.status >= const.FIRST_FAILURE and request.work.idempotent:
+        request.failure = Finish(message.request, message, body)
+        reason = f"status {message.status}"
+        yield from lose(request, Ran.UNKNOWN, reason, core, now)
+        return
     if host in core.hosts:
         core.hosts[host].breaker.succeeded()
     core.leave_host(request)
     core.requests.pop(message.request)
-    body = bytes(request.received)
     if not request.answered:
         yield Finish(message.request, message, body)
     if request.is_claimed:
@@ -332,6 +367,14 @@
     return ran if young else Ran.UNKNOWN
 
 
+def _give_up_kv(request: OpenRequest) -> Iterator[Command]:
+    """Go on without a KV cache: it is gone, or could not be fetched in time."""
+    yield DropKv(request.kv)
+    request.kv = None
+    request.kv_lost = True
+    request.next_stage = WHOLE
+
+
 def _move(request: OpenRequest, host: str, patience: float) -> None:
     """Take note that a planned change moves the request: it is not cut for that."""
     request.tried = {host}
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -30,6 +30,7 @@
 from radishtally.entry.http import make_app
 from radishtally.entry.members import Members
 from radishtally.entry.operators import add_operator_routes
+from radishtally.entry.placement import RankedPlacement
 from radishtally.entry.places import PlanningBoard
 from radishtally.entry.planning import Parts
 from radishtally.entry.replies import Part, Replies
@@ -38,8 +39,9 @@
 from radishtally.links.hub import Callbacks
 from radishtally.links.messages import Hello, Leaving, Load, Message, Work
 from radishtally.outcome import Ran, Refusal
-from radishtally.process import Process, Waker
+from radishtally.process import Process
 from radishtally.routing.core import POLICIES
+from radishtally.runtime import Waker
 from radishtally.settings.config import Settings
 
 LEAVE_POLL_SECONDS: Final = 0.02
@@ -240,7 +242,7 @@
         self.directory = Directory(current.configuration)
         policy = current.configuration.policy
         self.core.budget = RetryBudget(policy.retry_budget)
-        self.core.choice = POLICIES[policy.routing]
+        self.core.placement = RankedPlacement(POLICIES[policy.routing])
         self.members.configure(current.configuration)
         self.planning.configure(current.configuration)
 
--- a/radishtally/entry/events.py
+++ b/radishtally/entry/events.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from radishtally.links.messages import Finished, Hello, Message, Work
+from radishtally.entry.terms import DEFAULT_TERMS, Terms
+from radishtally.links.messages import Finished, Hello, KvRef, Message, Work
 from radishtally.outcome import Refusal
 
 
@@ -12,6 +13,7 @@
     work: Work
     deadline: float
     streamed: bool
+    terms: Terms = DEFAULT_TERMS
 
 
 class CallerGone(NamedTuple):
@@ -106,6 +108,20 @@
     body: bytes
 
 
+class DropKv(NamedTuple):
+    """Free a KV cache that nobody will fetch."""
+
+    kv: KvRef
+
+
+class Begin(NamedTuple):
+    """Give the caller the head of an answer that is passed on as it comes."""
+
+    request: str
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
 class Deliver(NamedTuple):
     """Give the caller the next part of its answer."""
 
@@ -136,4 +152,6 @@
     text: str
 
 
-Command = Send | Claim | Release | Settle | Deliver | Finish | Refuse | Note
+Command = (
+    Send | Claim | Release | Settle | DropKv | Begin | Deliver | Finish | Refuse | Note
+)
--- a/radishtally/entry/offers.py
+++ b/radishtally/entry/offers.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterator
 
 from radishtally.entry import const
-from radishtally.entry.events import Command, Note, Refuse, Release, Send
+from radishtally.entry.events import Command, DropKv, Note, Refuse, Release, Send
 from radishtally.entry.hosts import KnownHost
+from radishtally.entry.placement import Declined, Placed
 from radishtally.entry.requests import CLAIMING, OFFERED, WAITING, OpenRequest
 from radishtally.entry.state import EntryCore
 from radishtally.limits.retries import backoff
@@ -12,12 +13,12 @@
     CALL,
     DECODE,
     NOT_KNOWN,
-    PREFILL,
+    STREAM,
+    UNREACHED,
     WHOLE,
     Cancel,
 )
 from radishtally.outcome import Ran, Refusal
-from radishtally.routing.core import Wanted, needs_split
 
 
 def wait(request: OpenRequest, until: float, core: EntryCore) -> None:
@@ -32,10 +33,13 @@
         # Nobody waits any more: what has not begun is not begun now.
         yield from fail(request, 499, const.CODE_DEADLINE, "nobody waits", core)
         return
-    stage, host = _choose(request, core, now)
-    if host is None:
+    placed = _place(request, core, now)
+    if isinstance(placed, Declined):
+        if placed.retry_after is not None:
+            request.retry_after = placed.retry_after
         yield from _go_without_host(request, core, now)
         return
+    stage, host = placed
     if request.owes_retry and not core.budget.spend(now):
         yield from _go_without_budget(request, core, now)
         return
@@ -51,6 +55,7 @@
     wait(request, now + const.OFFER_SECONDS, core)
     known = core.hosts[host]
     known.in_flight += 1
+    core.placement.begin(request, known, now)
     known.breaker.offered(now)
     yield Note(request.work.request, f"attempt {request.attempt} offered to {host}")
     yield Send(host, request.make_offer(request.deadline - now))
@@ -68,6 +73,7 @@
     # What surely did not run has cost no upstream anything. It is routed anew like a
     # refused offer, bounded as those are; the budget is for work done over again.
     if ran == Ran.NO:
+        request.owes_retry |= core.refusals_cost and reason != UNREACHED
         yield from offer(request, core, now)
         return
     request.maybe_ran = True
@@ -76,7 +82,7 @@
         text = "the call may have run; its outcome is not known"
         yield from fail(request, 502, const.CODE_UNCLEAR, text, core)
         return
-    if request.lost >= const.MAX_LOST or _is_stuck(request):
+    if request.lost >= request.terms.max_attempts or _is_stuck(request):
         text = f"the upstream failed ({reason})"
         yield from fail(request, 502, const.CODE_LOST, text, core)
         return
@@ -95,7 +101,8 @@
     request.owes_retry = True
     # A second run of a call may answer otherwise: its bytes put behind the first
     # run's would be an answer that nobody gave.
-    if request.work.kind == CALL:
+    kind = request.work.kind
+    if kind == CALL or (kind == STREAM and not request.begun):
         request.drop_received()
     # An answer that has begun is not cut because no host is free at this moment.
     if request.is_begun:
@@ -142,6 +149,9 @@
     core: EntryCore,
 ) -> Iterator[Command]:
     """Give the caller its final answer at once."""
+    if request.kv is not None:
+        yield DropKv(request.kv)
+        request.kv = None
     # "Not run" needs every attempt's own word; an attempt that is still open, or that
     # has given a part, has not said so.
     if request.host is not None or request.received:
@@ -153,39 +163,21 @@
         retry_after = _bound(retry_after)
     if not request.answered:
         refusal = Refusal(status, code, text, ran, retry_after)
-        yield Refuse(request.work.request, refusal)
+        name = request.work.request
+        # What an upstream itself said of its failure tells the caller more than that
+        # no other one could be asked.
+        yield request.failure or Refuse(name, refusal)
     # A claim that is still asked for is given back when it is granted.
     if request.is_claimed and ran == Ran.NO and request.phase != CLAIMING:
         yield Release(request.work)
 
 
-def _choose(
-    request: OpenRequest, core: EntryCore, now: float
-) -> tuple[str, str | None]:
+def _place(request: OpenRequest, core: EntryCore, now: float) -> Placed | Declined:
     """Choose the stage and the host to offer."""
-    wanted = _describe(request, core, now)
-    stage = request.next_stage
-    candidates = [host.describe(now) for host in _list_usable(request, core, now)]
-    if stage == WHOLE and request.work.kind != CALL and not request.received:
-        stage = PREFILL if needs_split(candidates, wanted) else WHOLE
     if request.offers >= const.MAX_OFFERS:
-        return stage, None
-    wanted = wanted._replace(stage=stage)
-    return stage, core.choice(wanted, candidates, request.tried)
-
-
-def _describe(request: OpenRequest, core: EntryCore, now: float) -> Wanted:
-    work = request.work
-    return Wanted(
-        request.next_stage,
-        work.prefix,
-        work.model,
-        work.adapter,
-        work.prompt_tokens,
-        work.max_tokens,
-        request.deadline - now,
-        core.place,
-    )
+        return Declined(None)
+    usable = _list_usable(request, core, now)
+    return core.placement.place(request, usable, core.place, now)
 
 
 def _go_without_host(
--- /dev/null
+++ b/radishtally/entry/placement.py
@@ -0,0 +1,78 @@
+"""Choose the host and the stage of the next offer."""
+
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+from radishtally.entry.hosts import KnownHost
+from radishtally.entry.requests import OpenRequest
+from radishtally.links.messages import CALL, PREFILL, WHOLE
+from radishtally.routing.core import POLICIES, Choice, Wanted, needs_split
+
+
+class Placed(NamedTuple):
+    """Say where a request is offered, and for which stage."""
+
+    stage: str
+    host: str
+
+
+class Declined(NamedTuple):
+    """Say that no host should be offered the request now."""
+
+    retry_after: float | None
+    """Seconds until it is worth asking again, if that is known."""
+
+
+class Placement(Protocol):
+    """Choose hosts, and follow what was offered to them."""
+
+    def place(
+        self, request: OpenRequest, hosts: Sequence[KnownHost], place: str, now: float
+    ) -> Placed | Declined:
+        """Choose among usable hosts, for an entry in a place."""
+
+    def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
+        """Note that the request was offered to a host."""
+
+    def end(self, request: OpenRequest, host: KnownHost) -> None:
+        """Note that the request's present attempt at a host is over."""
+
+
+class RankedPlacement:
+    """Choose by what agents report of their hosts."""
+
+    def __init__(self, choice: Choice = POLICIES["rendezvous"]) -> None:
+        self.choice = choice
+
+    def place(
+        self, request: OpenRequest, hosts: Sequence[KnownHost], place: str, now: float
+    ) -> Placed | Declined:
+        """Choose among usable hosts, for an entry in a place."""
+        wanted = _describe(request, place, now)
+        stage = request.next_stage
+        candidates = [host.describe(now) for host in hosts]
+        if stage == WHOLE and request.work.kind != CALL and not request.received:
+            stage = PREFILL if needs_split(candidates, wanted) else WHOLE
+        wanted = wanted._replace(stage=stage)
+        host = self.choice(wanted, candidates, request.tried)
+        return Declined(None) if host is None else Placed(stage, host)
+
+    def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
+        """Note that the request was offered to a host."""
+
+    def end(self, request: OpenRequest, host: KnownHost) -> None:
+        """Note that the request's present attempt at a host is over."""
+
+
+def _describe(request: OpenRequest, place: str, now: float) -> Wanted:
+    work = request.work
+    return Wanted(
+        request.next_stage,
+        work.prefix,
+        work.model,
+        work.adapter,
+        work.prompt_tokens,
+        work.max_tokens,
+        request.deadline - now,
+        place,
+    )
--- a/radishtally/entry/replies.py
+++ b/radishtally/entry/replies.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from radishtally.entry.events import Deliver, Finish, Refuse
+from radishtally.entry.events import Begin, Deliver, Finish, Refuse
 
-Part = Deliver | Finish | Refuse
+Part = Begin | Deliver | Finish | Refuse
 
 
 class Replies:
--- a/radishtally/entry/requests.py
+++ b/radishtally/entry/requests.py
@@ -5,6 +5,8 @@
 
 import xxhash
 
+from radishtally.entry.events import Finish
+from radishtally.entry.terms import DEFAULT_TERMS, Terms
 from radishtally.links.messages import CALL, WHOLE, KvRef, Offer, Work
 
 CLAIMING: Final = "claiming"
@@ -26,6 +28,7 @@
     deadline: float
     streamed: bool
     arrived: float
+    terms: Terms = DEFAULT_TERMS
     phase: str = CLAIMING
     attempt: int = 0
     offers: int = 0
@@ -41,6 +44,8 @@
     stage: str = WHOLE
     next_stage: str = WHOLE
     kv: KvRef | None = None
+    kv_lost: bool = False
+    """Whether an engine could not fetch the KV cache that another one had made."""
     waits_until: float = float("inf")
     """Time at which the present phase is given up."""
     scheduled: float = float("inf")
@@ -58,6 +63,10 @@
     tokens: int = 0
     asked_again_at: int = -1
     first_token: float | None = None
+    begun: bool = False
+    """Whether the head of an answer that is passed on as it comes has been."""
+    failure: Finish | None = None
+    """Last answer in which an upstream said that it failed."""
     answered: bool = False
     """The caller has its final answer or is gone; only the outcome is awaited."""
 
--- a/radishtally/entry/state.py
+++ b/radishtally/entry/state.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 
 from radishtally.entry.hosts import KnownHost
+from radishtally.entry.placement import Placement, RankedPlacement
 from radishtally.entry.requests import OpenRequest
 from radishtally.limits.retries import RetryBudget
-from radishtally.routing.core import POLICIES, Choice
 
 
 @dataclass(slots=True)
@@ -17,8 +17,10 @@
     host: str
     place: str
     random: random.Random
-    choice: Choice = POLICIES["rendezvous"]
+    placement: Placement = field(default_factory=RankedPlacement)
     budget: RetryBudget = field(default_factory=lambda: RetryBudget(0.1))
+    refusals_cost: bool = False
+    """Whether an offer that follows a refused one is paid from the budget too."""
     hosts: dict[str, KnownHost] = field(default_factory=dict)
     pools: dict[str, dict[str, KnownHost]] = field(default_factory=dict)
     """The same hosts by upstream, so that a choice looks at one pool only."""
@@ -85,6 +87,7 @@
         if known is None:
             return
         known.in_flight -= 1
+        self.placement.end(request, known)
         if known.gone and not known.in_flight:
             self._drop_host(known)
 
--- /dev/null
+++ b/radishtally/entry/terms.py
@@ -0,0 +1,28 @@
+"""Say on what terms a request is served, beside what its work is."""
+
+from typing import Final, NamedTuple
+
+from radishtally.entry.const import MAX_LOST
+
+
+class PromptPart(NamedTuple):
+    """Name a part of a prompt that other requests may share."""
+
+    name: str
+    tokens: int
+
+
+class Terms(NamedTuple):
+    """Hold what a request's route asks for, and what its caller tells of it."""
+
+    max_attempts: int = MAX_LOST
+    """Attempts that may run."""
+    objective: float = float("inf")
+    """Time to the first part of an answer that is on time, seconds."""
+    priority: int = 0
+    """Lower goes first."""
+    parts: tuple[PromptPart, ...] = ()
+    """The prompt's parts in their order; the last one is the request's own."""
+
+
+DEFAULT_TERMS: Final = Terms()
--- /dev/null
+++ b/radishtally/gateway/config.py
@@ -0,0 +1,38 @@
+"""Schema of a gateway's settings file."""
+
+from typing import Annotated
+
+from msgspec import Meta
+
+from radishtally.settings.config import Part, Text
+
+PositiveSeconds = Annotated[float, Meta(gt=0, le=3_600)]
+Milliseconds = Annotated[float, Meta(gt=0, le=3_600_000)]
+Ratio = Annotated[float, Meta(ge=0, le=1)]
+
+
+class Bounds(Part):
+    """Hold what the deployment promises of its times and budgets."""
+
+    drain_ms: Milliseconds
+    """Time after which a host that leaves may get no more work."""
+    grace_seconds: PositiveSeconds
+    """Time from the request to stop to the kill."""
+    lease_ms: Milliseconds
+    """Time for which two holders of a lease must not take turns."""
+    retry_ratio: Ratio
+    """Attempts beyond the first that all gateways together may make for a request."""
+
+
+class GatewaySettings(Part):
+    """Describe one gateway."""
+
+    host: Text
+    data_centre: Text
+    address: Text
+    """IP and port for callers."""
+    ready_address: Text
+    """IP and port for the balancer's question and for metrics."""
+    store_address: Text
+    """IP and port of the platform's store."""
+    bounds: Bounds
--- /dev/null
+++ b/radishtally/gateway/const.py
@@ -0,0 +1,31 @@
+"""Constants of the gateway."""
+
+from typing import Final
+
+HEADER_BYTES: Final = 65_536
+"""Longest head of a request that is read at all; the configuration's bound is checked
+behind it, since it may change while connections are open."""
+IDLE_MARGIN_SECONDS: Final = 1.0
+"""Time over the configured idle time after which a connection is closed, so that a
+caller that counts from its last byte never meets the close."""
+SWEEP_SECONDS: Final = 1.0
+"""Time between two looks for idle connections."""
+BACKLOG: Final = 1_024
+"""Connections that wait to be accepted; beyond them callers try again after seconds."""
+LEAVE_SECONDS: Final = 3.0
+"""Time that a stopping gateway goes on taking connections: the balancer asks once a
+second and stops sending after two answers that are not 200."""
+LEAVE_MARGIN_SECONDS: Final = 0.4
+"""Time before the platform's kill at which a stopping gateway ends by itself."""
+LEAVE_POLL_SECONDS: Final = 0.05
+DEFAULT_RETRY_AFTER: Final = 1.0
+"""Seconds until it is worth asking again where nothing better is known."""
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""Statuses that promise the caller that its request did not run."""
+RETRY_RATIO: Final = 0.1
+"""Retries that one gateway allows itself for each request: half of what the deployment
+allows, since gateways don't share their counts and requests spread unevenly."""
+RETRY_FLOOR: Final = 0.2
+"""Retries a second that a gateway allows itself whatever comes in."""
+BAD_GATEWAY: Final = 502
+GATEWAY_TIMEOUT: Final = 504
--- /dev/null
+++ b/radishtally/gateway/core.py
@@ -0,0 +1,37 @@
+"""Contracts between the gateway and what speaks a platform's own protocol."""
+
+from typing import NamedTuple, Protocol
+
+from radishtally.direct.core import Headers
+from radishtally.entry.terms import PromptPart
+from radishtally.outcome import Refusal, Result
+
+
+class CallerRequest(NamedTuple):
+    """Hold what a caller's head says."""
+
+    request: str
+    """Name of this attempt of the caller's."""
+    authority: str
+    path: str
+    """Path without the query."""
+    timeout: float | None
+    """Seconds that the caller waits; none if it does not say."""
+    model: str
+    prompt_tokens: int
+    max_tokens: int
+    parts: tuple[PromptPart, ...]
+    headers: Headers
+    """To be passed on to an upstream."""
+
+
+class CallerDialect(Protocol):
+    """Translate between callers' heads and requests."""
+
+    ready_path: str
+    """Path at which the balancer asks whether requests may be sent here."""
+
+    def read_request(
+        self, target: str, headers: Headers
+    ) -> Result[CallerRequest, Refusal]:
+        """Read the head of a request; its target is path and query as sent."""
--- /dev/null
+++ b/radishtally/gateway/daemon.py
@@ -0,0 +1,203 @@
+"""Run a gateway: turn callers and hosts into events, commands into calls."""
+
+import asyncio
+import random
+import time
+from functools import singledispatchmethod
+
+from eliot import log_message
+
+from radishtally.direct.core import Dialect, Instance
+from radishtally.direct.hosts import DirectHosts
+from radishtally.engines.placement import EnginePlacement
+from radishtally.entry import events
+from radishtally.entry.core import EntryCore, handle_event
+from radishtally.entry.replies import Part, Replies
+from radishtally.gateway.config import GatewaySettings
+from radishtally.gateway.const import (
+    LEAVE_MARGIN_SECONDS,
+    LEAVE_POLL_SECONDS,
+    LEAVE_SECONDS,
+    RETRY_FLOOR,
+    RETRY_RATIO,
+)
+from radishtally.gateway.core import CallerDialect, CallerRequest
+from radishtally.gateway.front import Front
+from radishtally.gateway.members import Change, Forget, Members, Set
+from radishtally.gateway.requests import Routed, Router
+from radishtally.limits.retries import RetryBudget
+from radishtally.links.messages import Cancel, Hello, Message, Offer
+from radishtally.outcome import Refusal, Result
+from radishtally.routes.config import CallerLimits, FleetConfiguration
+from radishtally.runtime import Runtime, Waker
+
+
+class Gateway:
+    """Hold one gateway's parts together."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        callers: CallerDialect,
+        upstreams: Dialect,
+        placement: EnginePlacement,
+    ) -> None:
+        self.settings = settings
+        self.runtime = Runtime()
+        self.router = Router()
+        self.members = Members()
+        self.placement = placement
+        self.replies = Replies()
+        self.core = EntryCore(
+            settings.host,
+            settings.data_centre,
+            random.Random(),
+            placement,
+            RetryBudget(RETRY_RATIO, RETRY_FLOOR),
+            refusals_cost=True,
+        )
+        self.hosts = DirectHosts(upstreams, self.runtime.guard_call(self._receive))
+        self.front = Front(self, callers)
+        self.waker = Waker(lambda: self.handle(events.Tick()))
+
+    @property
+    def limits(self) -> CallerLimits | None:
+        """Give what a caller may send, once a configuration says so."""
+        configuration = self.router.configuration
+        return None if configuration is None else configuration.limits
+
+    async def run(self) -> None:
+        """Serve until a planned stop."""
+        self.runtime.watch_loop()
+        await self.hosts.start()
+        await self.front.start(self.settings.address, self.settings.ready_address)
+        log_message("gateway:started", address=self.settings.address)
+        await self.runtime.stopping.wait()
+        await self._leave()
+        self.waker.stop()
+        await self.front.stop()
+        await self.hosts.stop()
+        self.runtime.cancel_tasks()
+        log_message("gateway:stopped", open=len(self.replies))
+        self.runtime.exit()
+
+    async def _leave(self) -> None:
+        """Leave in good order: red to the balancer, then out when nothing is open."""
+        log_message("gateway:leaving", open=len(self.replies))
+        begin = time.monotonic()
+        until = begin + self.settings.bounds.grace_seconds - LEAVE_MARGIN_SECONDS
+        while time.monotonic() < until and not self.runtime.broken:
+            await asyncio.sleep(LEAVE_POLL_SECONDS)
+            if time.monotonic() < begin + LEAVE_SECONDS:
+                continue
+            if not self.front.close_idle():
+                return
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send requests here."""
+        return self.router.configuration is not None and not self.is_stopping()
+
+    def is_stopping(self) -> bool:
+        """Tell whether connections should be brought to an end."""
+        return self.runtime.stopping.is_set()
+
+    def configure(self, configuration: FleetConfiguration) -> None:
+        """Bring a configuration into force, unless a newer one is."""
+        known = self.router.configuration
+        if known is not None and known.version >= configuration.version:
+            return
+        self.router.configure(configuration)
+        self.placement.configure(configuration.upstreams.values())
+        log_message("configuration:in_force", version=configuration.version)
+
+    def apply(self, changes: list[Change]) -> None:
+        """Take what became of the upstreams' hosts."""
+        for change in changes:
+            match change:
+                case Set(instance):
+                    self._set_instance(instance)
+                case Forget(host):
+                    log_message("upstream:gone", host=host)
+                    self.hosts.forget(host)
+                    self.placement.forget(host)
+                    self.core.forget_host(host)
+                    self.core.links.pop(host, None)
+
+    def _set_instance(self, instance: Instance) -> None:
+        log_message("upstream:seen", **instance._asdict())
+        host = instance.host
+        self.hosts.set_instance(instance)
+        self.placement.set_instance(instance)
+        live = not instance.is_draining
+        self.core.set_host(host, instance.data_centre, instance.upstream, live)
+        if host not in self.core.links:
+            hello = Hello(host, instance.data_centre, "", host, 0)
+            self.handle(events.LinkUp(hello))
+
+    def route(
+        self, method: str, target: str, asked: CallerRequest, body: bytes
+    ) -> Result[Routed, Refusal]:
+        """Find where a request goes."""
+        return self.router.route(method, target, asked, body)
+
+    def open(self, routed: Routed) -> asyncio.Queue[Part]:
+        """Bring a request in."""
+        work = routed.work
+        queue = self.replies.open(work.request)
+        deadline = time.monotonic() + routed.timeout
+        self.handle(events.Arrived(work, deadline, routed.is_streamed, routed.terms))
+        return queue
+
+    def close(self, request: str, done: bool) -> None:
+        """Say that the caller has its answer, or is gone."""
+        self.replies.close(request)
+        if not done:
+            self.handle(events.CallerGone(request))
+
+    def handle(self, event: events.Event) -> None:
+        """Give the core an event and carry out its commands."""
+        with self.runtime.guard():
+            for command in handle_event(event, self.core, time.monotonic()):
+                self._execute(command)
+            self.waker.wake_at(self.core.next_wake())
+
+    def _receive(self, host: str, message: Message) -> None:
+        self.handle(events.Received(host, message))
+
+    @singledispatchmethod
+    def _execute(self, command: events.Command) -> None:
+        raise TypeError(f"no way to carry out {type(command)}")
+
+    @_execute.register
+    def _(self, command: events.Send) -> None:
+        message = command.message
+        if isinstance(message, Offer):
+            terms = self.core.requests[message.work.request].terms
+            self.hosts.run(command.host, message, terms)
+        elif isinstance(message, Cancel):
+            self.hosts.cancel(message)
+
+    @_execute.register
+    def _(self, command: events.DropKv) -> None:
+        self.hosts.drop(command.kv)
+
+    @_execute.register(events.Begin | events.Deliver | events.Finish)
+    def _(self, command: Part) -> None:
+        self.replies.put(command)
+
+    @_execute.register
+    def _(self, command: events.Refuse) -> None:
+        refusal = command.refusal
+        log_message(
+            "request:refused",
+            request=command.request,
+            code=refusal.code,
+            status=refusal.status,
+            ran=refusal.ran,
+            text=refusal.message,
+        )
+        self.replies.put(command)
+
+    @_execute.register
+    def _(self, command: events.Note) -> None:
+        log_message("request:step", request=command.request, text=command.text)
--- /dev/null
+++ b/radishtally/gateway/front.py
@@ -0,0 +1,294 @@
+"""Serve callers over HTTP and pass the hosts' answers on unchanged."""
+
+import asyncio
+import logging
+import math
+import time
+from typing import Final, NamedTuple, Protocol
+
+import msgspec
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+from eliot import log_message
+
+from radishtally.entry.events import Begin, Deliver, Finish, Refuse
+from radishtally.entry.replies import Part
+from radishtally.gateway.const import (
+    BACKLOG,
+    BAD_GATEWAY,
+    DEFAULT_RETRY_AFTER,
+    GATEWAY_TIMEOUT,
+    HEADER_BYTES,
+    IDLE_MARGIN_SECONDS,
+    NOT_RUN_STATUSES,
+    SWEEP_SECONDS,
+)
+from radishtally.gateway.core import CallerDialect, CallerRequest
+from radishtally.gateway.requests import Routed
+from radishtally.outcome import Error, Ok, Ran, Refusal, Result
+from radishtally.routes.config import CallerLimits
+
+NEVER_SECONDS: Final = 86_400.0
+"""Stands for no bound of the library's own on idle connections: it can't follow the
+configuration."""
+CLOSING: Final = {"Connection": "close"}
+
+
+class Gate(Protocol):
+    """Be what the HTTP side needs of the gateway."""
+
+    limits: CallerLimits | None
+
+    def route(
+        self, method: str, target: str, asked: CallerRequest, body: bytes
+    ) -> Result[Routed, Refusal]:
+        """Find where a request goes."""
+
+    def open(self, routed: Routed) -> asyncio.Queue[Part]:
+        """Bring a request in."""
+
+    def close(self, request: str, done: bool) -> None:
+        """Say that its caller has its answer, or is gone."""
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send requests here."""
+
+    def is_stopping(self) -> bool:
+        """Tell whether connections should be brought to an end."""
+
+
+class _Connection(NamedTuple):
+    """Remember since when a connection has carried nothing."""
+
+    idle_since: float
+    open_requests: int
+
+
+class Front:
+    """Listen for callers and for the balancer."""
+
+    def __init__(self, gate: Gate, dialect: CallerDialect) -> None:
+        self._gate = gate
+        self._dialect = dialect
+        self._connections: dict[RequestHandler, _Connection] = {}
+        self._runners: list[web.ServerRunner] = []
+        self._server: web.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self, address: str, ready_address: str) -> None:
+        """Listen."""
+        logging.getLogger("aiohttp.server").addHandler(_EliotHandler())
+        self._server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            keepalive_timeout=NEVER_SECONDS,
+            max_line_size=HEADER_BYTES,
+            max_field_size=HEADER_BYTES,
+            auto_decompress=False,
+            access_log=None,
+        )
+        await self._listen(self._server, address)
+        await self._listen(
+            web.Server(self._answer_ready, access_log=None), ready_address
+        )
+        self._sweeper = asyncio.create_task(self._sweep())
+
+    async def stop(self) -> None:
+        """Close all connections and stop listening."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def close_idle(self) -> int:
+        """Close connections that carry no request; count those that do."""
+        if self._server is None:
+            return 0
+        for connection in list(self._server.connections):
+            if not self._is_open(connection):
+                connection.close()
+        return sum(map(self._is_open, self._server.connections))
+
+    async def _listen(self, server: web.Server, address: str) -> None:
+        runner = web.ServerRunner(server, shutdown_timeout=0)
+        await runner.setup()
+        ip, port = address.rsplit(":", 1)
+        await web.TCPSite(runner, ip, int(port), backlog=BACKLOG).start()
+        self._runners.append(runner)
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        if request.path != self._dialect.ready_path:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._gate.is_ready() else 503)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self._note(request.protocol, 1)
+        try:
+            response = await self._answer(request)
+        finally:
+            self._note(request.protocol, -1)
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        admitted = await self._admit(request)
+        if admitted.is_error():
+            return self._respond_refusal(admitted.error)
+        routed = admitted.ok
+        name = routed.work.request
+        parts = self._gate.open(routed)
+        done = False
+        try:
+            response = await self._give(request, parts)
+            done = True
+            return response
+        finally:
+            self._gate.close(name, done)
+
+    async def _admit(self, request: web.BaseRequest) -> Result[Routed, Refusal]:
+        body = await self._read_body(request)
+        if body.is_error():
+            return body
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in request.raw_headers
+        )
+        target = request.raw_path
+        asked = self._dialect.read_request(target, headers)
+        if asked.is_error():
+            return asked
+        return self._gate.route(request.method, target, asked.ok, body.ok)
+
+    async def _read_body(self, request: web.BaseRequest) -> Result[bytes, Refusal]:
+        limits = self._gate.limits
+        if limits is None or not request.can_read_body:
+            return Ok(b"")
+        body = bytearray()
+        try:
+            async with asyncio.timeout(limits.idle_seconds):
+                async for data in request.content.iter_any():
+                    body += data
+                    if len(body) > limits.body_bytes:
+                        text = f"the body is over {limits.body_bytes} bytes"
+                        return Error(Refusal(413, "body_too_large", text))
+        except TimeoutError:
+            text = "the request's body did not arrive in time"
+            return Error(Refusal(408, "body_too_slow", text))
+        return Ok(bytes(body))
+
+    async def _give(
+        self, request: web.BaseRequest, parts: asyncio.Queue[Part]
+    ) -> web.StreamResponse:
+        part = await parts.get()
+        if isinstance(part, Refuse):
+            return self._respond_refusal(part.refusal)
+        if isinstance(part, Finish):
+            return self._respond_whole(part)
+        if not isinstance(part, Begin):
+            raise AssertionError(f"an answer began with {part!r}")
+        return await self._stream(request, part, parts)
+
+    async def _stream(
+        self, request: web.BaseRequest, begin: Begin, parts: asyncio.Queue[Part]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(status=begin.status)
+        _copy_headers(begin.headers, response)
+        response.enable_chunked_encoding()
+        self._end_keep_alive(response)
+        await response.prepare(request)
+        while True:
+            part = await parts.get()
+            if isinstance(part, Deliver):
+                await response.write(part.data)
+                continue
+            if isinstance(part, Finish):
+                await response.write_eof()
+                return response
+            # Only a connection that breaks tells the caller that its answer is not
+            # whole: the end of the chunks would make a part of it look complete.
+            if request.transport is not None:
+                request.transport.abort()
+            return response
+
+    def _respond_whole(self, part: Finish) -> web.Response:
+        response = web.Response(status=part.end.status, body=part.body)
+        _copy_headers(part.end.headers, response)
+        self._end_keep_alive(response)
+        return response
+
+    def _respond_refusal(self, refusal: Refusal) -> web.Response:
+        status = _find_status(refusal)
+        headers = {"X-Ran": refusal.ran}
+        if status in NOT_RUN_STATUSES:
+            wait = refusal.retry_after or DEFAULT_RETRY_AFTER
+            headers["Retry-After"] = f"{math.ceil(wait * 1000) / 1000:g}"
+        body = msgspec.json.encode(
+            {"error": {"code": refusal.code, "message": refusal.message}}
+        )
+        response = web.Response(
+            status=status, body=body, headers=headers, content_type="application/json"
+        )
+        self._end_keep_alive(response)
+        return response
+
+    def _end_keep_alive(self, response: web.StreamResponse) -> None:
+        """Tell callers of a stopping gateway to bring their next request elsewhere."""
+        if self._gate.is_stopping():
+            response.force_close()
+
+    def _note(self, connection: RequestHandler, change: int) -> None:
+        known = self._connections.get(connection)
+        count = (known.open_requests if known else 0) + change
+        self._connections[connection] = _Connection(time.monotonic(), count)
+
+    def _is_open(self, connection: RequestHandler) -> bool:
+        known = self._connections.get(connection)
+        return known is not None and known.open_requests > 0
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self._close_long_idle(time.monotonic())
+
+    def _close_long_idle(self, now: float) -> None:
+        """Close connections on which no request has come whole for too long."""
+        limits = self._gate.limits
+        if self._server is None or limits is None:
+            return
+        connections = set(self._server.connections)
+        for gone in self._connections.keys() - connections:
+            del self._connections[gone]
+        for connection in connections:
+            known = self._connections.setdefault(connection, _Connection(now, 0))
+            idle = now - known.idle_since
+            if (
+                not known.open_requests
+                and idle > limits.idle_seconds + IDLE_MARGIN_SECONDS
+            ):
+                connection.close()
+
+
+def _find_status(refusal: Refusal) -> int:
+    """Give the status that says no more than is known.
+
+    Some statuses promise that the request did not run, and a caller then sends it
+    again: it would run twice if that was not sure.
+    """
+    if refusal.ran == Ran.NO:
+        return 503 if refusal.status == GATEWAY_TIMEOUT else refusal.status
+    return BAD_GATEWAY if refusal.status in NOT_RUN_STATUSES else refusal.status
+
+
+def _copy_headers(
+    headers: tuple[tuple[str, str], ...], response: web.StreamResponse
+) -> None:
+    for name, value in headers:
+        response.headers.add(name, value)
+
+
+class _EliotHandler(logging.Handler):
+    """Bring the HTTP library's own complaints into the log."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one line."""
+        log_message("http:library", level=record.levelname, text=record.getMessage())
--- /dev/null
+++ b/radishtally/gateway/members.py
@@ -0,0 +1,78 @@
+"""Follow which hosts stand behind the upstreams."""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from radishtally.direct.core import Instance
+
+LAPSE_SECONDS: Final = 2.0
+"""Time after the store's return in which an entry that lapsed meanwhile is back, if its
+host lives; what is still missing then is gone."""
+
+
+class Set(NamedTuple):
+    """Say that a host is there, and as what."""
+
+    instance: Instance
+
+
+class Forget(NamedTuple):
+    """Say that a host is gone."""
+
+    host: str
+
+
+Change = Set | Forget
+
+
+class Members:
+    """Hold the hosts by the store's list, and those that the list may have lost."""
+
+    def __init__(self) -> None:
+        self._instances: dict[str, Instance] = {}
+        self._missing: dict[str, float] = {}
+        """Times at which hosts that the list lacks count as gone."""
+
+    def __iter__(self):  # noqa: ANN204
+        """Iterate over the hosts."""
+        return iter(self._instances.values())
+
+    def replace(
+        self, instances: Iterable[Instance], now: float, after_outage: bool
+    ) -> list[Change]:
+        """Take the whole list."""
+        listed = {instance.host: instance for instance in instances}
+        changes: list[Change] = []
+        for host in self._instances.keys() - listed.keys():
+            changes += self.remove(host, now, after_outage)
+        for instance in listed.values():
+            changes += self.set(instance)
+        return changes
+
+    def set(self, instance: Instance) -> list[Change]:
+        """Take one entry."""
+        self._missing.pop(instance.host, None)
+        if self._instances.get(instance.host) == instance:
+            return []
+        self._instances[instance.host] = instance
+        return [Set(instance)]
+
+    def remove(self, host: str, now: float, after_outage: bool) -> list[Change]:
+        """Take that an entry is gone.
+
+        While the store is away hosts can't renew their entries, and entries lapse:
+        the list after its return may lack hosts that serve as well as before. Dropped
+        at once, whole upstreams would be empty until their hosts have written again.
+        """
+        if after_outage:
+            self._missing.setdefault(host, now + LAPSE_SECONDS)
+            return []
+        self._missing.pop(host, None)
+        if self._instances.pop(host, None) is None:
+            return []
+        return [Forget(host)]
+
+    def expire(self, now: float) -> list[Change]:
+        """Give up the hosts that have not come back."""
+        late = [host for host, until in self._missing.items() if until <= now]
+        return [change for host in late for change in self.remove(host, now, False)]
--- /dev/null
+++ b/radishtally/gateway/requests.py
@@ -0,0 +1,86 @@
+"""Make work of a caller's request by the route that it takes."""
+
+from typing import Final, NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from radishtally.entry.terms import Terms
+from radishtally.gateway.core import CallerRequest
+from radishtally.links.messages import CALL, STREAM, Work
+from radishtally.outcome import Error, Ok, Ran, Refusal, Result
+from radishtally.routes.config import FleetConfiguration
+from radishtally.routes.core import RouteKind, RouteTable, choose_upstream
+
+NOT_READY: Final = Refusal(
+    503, "not_ready", "no configuration is in force yet", Ran.NO, retry_after=1.0
+)
+NO_ROUTE: Final = Refusal(404, "no_route", "no route leads from this path")
+
+
+class Routed(NamedTuple):
+    """Hold a request that may be opened."""
+
+    work: Work
+    terms: Terms
+    timeout: float
+    is_streamed: bool
+
+
+class Router:
+    """Route requests by the configuration in force."""
+
+    def __init__(self) -> None:
+        self.configuration: FleetConfiguration | None = None
+        self._routes = RouteTable()
+
+    def configure(self, configuration: FleetConfiguration) -> None:
+        """Bring a configuration into force."""
+        self.configuration = configuration
+        self._routes = RouteTable(configuration.routes)
+
+    def route(
+        self, method: str, target: str, asked: CallerRequest, body: bytes
+    ) -> Result[Routed, Refusal]:
+        """Find where a request goes, and on what terms."""
+        configuration = self.configuration
+        if configuration is None:
+            return Error(NOT_READY)
+        if len(body) > configuration.limits.body_bytes:
+            text = f"the body is over {configuration.limits.body_bytes} bytes"
+            return Error(Refusal(413, "body_too_large", text))
+        if _count_bytes(target, asked) > configuration.limits.header_bytes:
+            text = f"the head is over {configuration.limits.header_bytes} bytes"
+            return Error(Refusal(431, "head_too_large", text))
+        route = self._routes.find(asked.authority, asked.path)
+        if route is None:
+            return Error(NO_ROUTE)
+        is_streamed = route.kind == RouteKind.STREAM
+        work = Work(
+            asked.request,
+            "",
+            choose_upstream(route, asked.request),
+            STREAM if is_streamed else CALL,
+            body,
+            asked.model,
+            method=method,
+            path=target,
+            headers=asked.headers,
+            idempotent=route.is_idempotent,
+            priority=route.priority,
+            prompt_tokens=asked.prompt_tokens,
+            max_tokens=asked.max_tokens,
+            prefix=hash_shared_parts(asked),
+        )
+        terms = Terms(route.max_attempts, route.objective, route.priority, asked.parts)
+        timeout = min(route.timeout, asked.timeout or route.timeout)
+        return Ok(Routed(work, terms, timeout, is_streamed))
+
+
+def hash_shared_parts(asked: CallerRequest) -> int:
+    """Hash the parts of a prompt that other requests share: all but the last."""
+    names = "\0".join(part.name for part in asked.parts[:-1])
+    return xxh3_64_intdigest(f"{asked.model}\0{names}".encode())
+
+
+def _count_bytes(target: str, asked: CallerRequest) -> int:
+    return len(target) + sum(len(name) + len(value) for name, value in asked.headers)
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -9,6 +9,8 @@
 COMPLETION: Final = "completion"
 CALL: Final = "call"
 """A call of a plain service."""
+STREAM: Final = "stream"
+"""A generation whose events are passed on as the engine makes them."""
 
 WHOLE: Final = "whole"
 PREFILL: Final = "prefill"
@@ -22,6 +24,10 @@
 """Reason of a refusal: the idempotency key came with another request before."""
 NOT_KNOWN: Final = "not known here"
 """Reason of a loss: the agent remembers no such attempt."""
+UNREACHED: Final = "out of reach"
+"""Reason of a loss: no connection was made, so the host never saw the work."""
+REPLACED: Final = "replaced"
+"""Reason of a refusal: another instance has the host's address now."""
 
 
 class Hello(NamedTuple):
@@ -57,7 +63,7 @@
     team: str
     upstream: str
     kind: str
-    """CHAT, COMPLETION or CALL."""
+    """CHAT, COMPLETION, CALL or STREAM."""
     body: bytes
     """JSON body for an engine, raw body for a service."""
     model: str = ""
@@ -154,6 +160,18 @@
     load: Load | None = None
 
 
+class Begun(NamedTuple):
+    """Say that an answer which is passed on as it comes has begun.
+
+    Made within an entry only, for hosts that it reaches without an agent.
+    """
+
+    request: str
+    attempt: int
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
 class Chunk(NamedTuple):
     """Carry a part of an attempt's answer."""
 
@@ -281,6 +299,7 @@
     | Load
     | Accepted
     | Refused
+    | Begun
     | Chunk
     | Finished
     | Handover
--- a/radishtally/settings/core.py
+++ b/radishtally/settings/core.py
@@ -3,37 +3,51 @@
 import ipaddress
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Final
+from typing import Final, TypeVar
 
 from radishtally.configuration.schema import convert, format_path, parse_text
 from radishtally.outcome import Error, Fault, Ok, Result
 from radishtally.settings.config import Settings
 
 MAX_PORT: Final = 65_535
+T = TypeVar("T")
 
 
 def read_settings(path: str | Path) -> Result[Settings, Fault]:
     """Read the settings from a file in JSON with comments."""
+    return read_file(path, Settings).bind(
+        lambda settings: _check_role(settings, str(path))
+    )
+
+
+def read_file(path: str | Path, kind: type[T]) -> Result[T, Fault]:
+    """Read a file in JSON with comments into its schema."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except UnicodeDecodeError:
         return Error(Fault("expected UTF-8 text", str(path)))
     except OSError as error:
         return Error(Fault(error.strerror or str(error), str(path)))
-    return parse_settings(text, str(path))
+    return _parse(text, str(path), kind)
 
 
 def parse_settings(text: str, file: str) -> Result[Settings, Fault]:
     """Check the settings of one process."""
+    return _parse(text, file, Settings).bind(
+        lambda settings: _check_role(settings, file)
+    )
+
+
+def _parse(text: str, file: str, kind: type[T]) -> Result[T, Fault]:
     parsed = parse_text(text)
     if parsed.is_error():
         return Error(Fault(parsed.error, file))
-    converted = convert(parsed.ok, Settings)
+    converted = convert(parsed.ok, kind)
     if converted.is_error():
         path, message = converted.error
         place = f"{file}: {format_path(path)}" if path else file
         return Error(Fault(message, place))
-    return _check_role(converted.ok, file)
+    return Ok(converted.ok)
 
 
 def _check_role(settings: Settings, file: str) -> Result[Settings, Fault]:
--- a/tests/distribution/test_process.py
+++ b/tests/distribution/test_process.py
@@ -7,7 +7,8 @@
 
 from radishtally import process as module
 from radishtally.links.hub import Callbacks
-from radishtally.process import EXIT_BROKEN, Process, Waker
+from radishtally.process import Process
+from radishtally.runtime import EXIT_BROKEN, Waker
 from radishtally.settings.core import parse_settings
 from tests.common import run
 
