Order engines' roles under a lease; share what gateways have open

An engine that changes its role refuses at once and looked least busy. Change: gateways tell each other over links what they have open; waits are predicted from all tokens ahead at a rate learned per engine; a host that refuses twice is left out; roles follow demand with a prior.

--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -1,5 +1,6 @@
 """Contracts between the entry and the hosts that it reaches without an agent."""
 
+from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 from radishtally.entry.terms import Terms
@@ -49,6 +50,33 @@
     """To be passed on to the caller."""
 
 
+class EngineReport(NamedTuple):
+    """Hold what an engine says of itself."""
+
+    role: str
+    sequence: int
+    """Orders that it has taken since its start."""
+    is_busy: bool
+    """Whether an order is being carried out."""
+
+
+class OrderOutcome(StrEnum):
+    """Say what became of an order."""
+
+    TAKEN = "taken"
+    HOLDS = "holds"
+    """The engine is as ordered already."""
+    BUSY = "busy"
+    """Another order came before it."""
+    STALE = "stale"
+    """A newer holder of the lease has given orders since."""
+    REFUSED = "refused"
+    """The engine will never carry it out."""
+    UNREACHED = "unreached"
+    UNCLEAR = "unclear"
+    """It may be carried out, now or later."""
+
+
 class Dialect(Protocol):
     """Translate between offers and what a deployment's hosts speak."""
 
@@ -60,6 +88,20 @@
     def encode_drop(self, kv: KvRef) -> UpstreamCall:
         """Give the request that frees a KV cache that nobody will fetch."""
 
+    def encode_report(self) -> UpstreamCall:
+        """Give the request that asks an engine what it does."""
+
+    def read_report(self, body: bytes) -> Result[EngineReport, str]:
+        """Read what an engine says of itself."""
+
+    def encode_order(
+        self, instance: Instance, role: str, owner: str, fencing: int, sequence: int
+    ) -> UpstreamCall:
+        """Give the request that orders an engine to take a role."""
+
+    def read_order(self, status: int) -> OrderOutcome:
+        """Read what an engine says to an order."""
+
     def read_head(self, status: int, headers: Headers) -> Head:
         """Read the head of an answer."""
 
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -14,10 +14,18 @@
     CONNECT_SECONDS,
     DROP_SECONDS,
     MAX_ANSWER_BYTES,
+    ORDER_SECONDS,
     POOL_SECONDS,
     READ_BYTES,
 )
-from radishtally.direct.core import Dialect, Head, Instance, UpstreamCall
+from radishtally.direct.core import (
+    Dialect,
+    EngineReport,
+    Head,
+    Instance,
+    OrderOutcome,
+    UpstreamCall,
+)
 from radishtally.direct.sockets import open_socket
 from radishtally.direct.stream import EventCutter
 from radishtally.entry.terms import Terms
@@ -40,7 +48,7 @@
     Offer,
     Refused,
 )
-from radishtally.outcome import Ran
+from radishtally.outcome import Error, Ran, Result
 
 OK: Final = 200
 SKIPPED_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -122,6 +130,38 @@
         self._drops.add(task)
         task.add_done_callback(self._drops.discard)
 
+    async def read_report(self, instance: Instance) -> Result[EngineReport, str]:
+        """Ask an engine what it does."""
+        try:
+            async with (
+                asyncio.timeout(ORDER_SECONDS),
+                self._send(
+                    instance.address, self._dialect.encode_report(), True
+                ) as response,
+            ):
+                return self._dialect.read_report(await response.read())
+        except BROKEN as error:
+            return Error(_describe(error))
+
+    async def order_role(
+        self, instance: Instance, role: str, owner: str, fencing: int, sequence: int
+    ) -> OrderOutcome:
+        """Order an engine to take a role."""
+        call = self._dialect.encode_order(instance, role, owner, fencing, sequence)
+        try:
+            async with (
+                asyncio.timeout(ORDER_SECONDS),
+                self._send(instance.address, call, False) as response,
+            ):
+                return self._dialect.read_order(response.status)
+        except NOT_CONNECTED:
+            return OrderOutcome.UNREACHED
+        except BROKEN as error:
+            log_message(
+                "upstream:order_unclear", host=instance.host, error=_describe(error)
+            )
+            return OrderOutcome.UNCLEAR
+
     async def _run(self, instance: Instance, offer: Offer, terms: Terms) -> None:
         host = instance.host
         name = offer.work.request, offer.attempt
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -2,15 +2,27 @@
 
 import time
 from collections.abc import Callable, Iterable, Sequence
-from typing import Final
+from typing import Final, NamedTuple
 
 from radishtally.direct.core import Instance
 from radishtally.engines.cache import PromptCache
-from radishtally.engines.state import CACHE_SHARE, FIXED_SECONDS, EngineState
+from radishtally.engines.state import (
+    CACHE_SHARE,
+    FIXED_SECONDS,
+    EngineState,
+    PeerShare,
+)
 from radishtally.entry.hosts import KnownHost
 from radishtally.entry.placement import Declined, Placed
 from radishtally.entry.requests import OpenRequest
-from radishtally.links.messages import CALL, DECODE, PREFILL, WHOLE
+from radishtally.links.messages import (
+    CALL,
+    DECODE,
+    PREFILL,
+    WHOLE,
+    Backlog,
+    EngineShare,
+)
 from radishtally.routes.config import UpstreamTerms
 from radishtally.routing.core import rank
 
@@ -39,7 +51,10 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
+        self.on_demand: Callable[[str, int, int, float], None] = lambda *_: None
+        """Take an upstream, tokens to be read, tokens that were made, and the time."""
         self._engines: dict[str, EngineState] = {}
+        self._changed: set[str] = set()
         self._capacities: dict[str, int] = {}
 
     def configure(self, upstreams: Iterable[UpstreamTerms]) -> None:
@@ -66,6 +81,34 @@
         """Forget a host that is gone."""
         self._engines.pop(host, None)
 
+    def forget_peer(self, peer: str) -> None:
+        """Forget what an entry has open that is out of reach."""
+        for engine in self._engines.values():
+            engine.peers.pop(peer, None)
+
+    def take_backlog(self, peer: str, backlog: Backlog, now: float) -> None:
+        """Take what another entry has open."""
+        for host, tokens, answers in backlog.shares:
+            engine = self._engines.get(host)
+            if engine is not None:
+                engine.take_share(peer, PeerShare(tokens, answers), now)
+
+    def make_backlog(self, hosts: Iterable[str] | None = None) -> Backlog:
+        """Give what this entry has open at some engines, or at all of them."""
+        engines = self._engines
+        names = engines.keys() if hosts is None else hosts
+        shares = [
+            EngineShare(host, *engines[host].make_share())
+            for host in names
+            if host in engines
+        ]
+        return Backlog(tuple(shares))
+
+    def take_changed(self) -> set[str]:
+        """Take the engines at which something began or ended since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
+
     def place(
         self, request: OpenRequest, hosts: Sequence[KnownHost], place: str, now: float
     ) -> Placed | Declined:
@@ -90,22 +133,27 @@
         engine = self._engines.get(host.host)
         if engine is None:
             return
+        self._changed.add(host.host)
         name, work = request.work.request, request.work
         if request.stage != PREFILL:
             engine.answers.add(name)
             return
         tokens = _count_uncached(engine, request)
-        engine.begin_reading(name, tokens, request.terms.priority, now)
+        engine.begin_reading(name, tokens, now)
         engine.cache.note(work.model, request.terms.parts)
+        self.on_demand(work.upstream, tokens, 0, now)
 
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
         engine = self._engines.get(host.host)
         if engine is None:
             return
-        name = request.work.request
-        engine.answers.discard(name)
-        engine.end_reading(name, self._clock(), request.kv is not None)
+        self._changed.add(host.host)
+        name, now = request.work.request, self._clock()
+        if name in engine.answers:
+            engine.answers.discard(name)
+            self.on_demand(request.work.upstream, 0, request.tokens, now)
+        engine.end_reading(name, now, request.kv is not None)
 
     def _place_prompt(
         self,
@@ -116,23 +164,25 @@
     ) -> Placed | Declined:
         """Choose the engine that will have read the prompt first."""
         homes = rank((engine.host for engine in engines), request.work.prefix)
-        best, soonest, handicapped = None, 0.0, 0.0
+        best, soonest, handicapped = None, Prospect(0, 0.0, 0.0), 0.0
         for engine in engines:
-            seconds = self._predict(engine, request, homes, now)
+            prospect = self._predict(engine, request, homes, now)
+            seconds = prospect.wait + prospect.reading
             handicap = 0.0 if engine.data_centre == place else FAR_SECONDS
             if engine.host == homes[1 % len(homes)]:
                 handicap += SECOND_HOME_SECONDS
             if best is None or seconds + handicap < handicapped:
-                best, soonest = engine, seconds
+                best, soonest = engine, prospect
                 handicapped = seconds + handicap
         objective = request.arrived + request.terms.objective - now
         patience = max(MIN_PATIENCE_SECONDS, PATIENCE * request.terms.objective)
-        if soonest > min(patience, request.deadline - now):
-            return Declined(max(0.0, soonest - request.terms.objective))
-        if soonest > objective and request.terms.priority < LATE_PRIORITY:
+        first_event = soonest.wait + soonest.reading + DECODE_SECONDS
+        if first_event > min(patience, request.deadline - now):
+            return Declined(max(0.0, first_event - request.terms.objective))
+        if first_event > objective and request.terms.priority < LATE_PRIORITY:
             priority = request.terms.priority + LATE_PRIORITY
             request.terms = request.terms._replace(priority=priority)
-        return Placed(PREFILL, best.host)
+        return Placed(PREFILL, best.host, soonest.describe(request.terms.priority))
 
     def _predict(
         self,
@@ -140,15 +190,33 @@
         request: OpenRequest,
         homes: Sequence[str],
         now: float,
-    ) -> float:
-        """Predict the seconds to the first event of the answer."""
+    ) -> "Prospect":
+        """Predict how the prompt would fare at an engine."""
         tokens = _count_uncached(engine, request)
         if engine.host == homes[0]:
             # Other entries send the prefix there too, whether we have or not.
             own = request.terms.parts[-1].tokens if request.terms.parts else tokens
             tokens = min(tokens, own)
-        wait = engine.predict_wait(request.terms.priority, now)
-        return wait + tokens / engine.rate + FIXED_SECONDS + DECODE_SECONDS
+        wait = engine.predict_wait(now)
+        return Prospect(tokens, wait, tokens / engine.rate + FIXED_SECONDS)
+
+
+class Prospect(NamedTuple):
+    """Predict how a prompt would fare at an engine."""
+
+    tokens: int
+    """Tokens that the engine has to read."""
+    wait: float
+    """Seconds until it begins."""
+    reading: float
+    """Seconds that it reads."""
+
+    def describe(self, priority: int) -> str:
+        """Say what was predicted, for the log."""
+        return (
+            f"{self.tokens} tokens in {self.reading:.3f} s behind {self.wait:.3f} s,"
+            f" priority {priority}"
+        )
 
 
 def _count_uncached(engine: EngineState, request: OpenRequest) -> int:
@@ -162,7 +230,7 @@
 
     def measure(engine: EngineState) -> tuple[int, str]:
         far = 0 if engine.data_centre == place else FAR_ANSWERS
-        return len(engine.answers) + far, engine.host
+        return engine.count_answers() + far, engine.host
 
     return min(engines, key=measure)
 
--- a/radishtally/entry/const.py
+++ b/radishtally/entry/const.py
@@ -24,6 +24,8 @@
 remember for twice as long, so neither a pause nor a slow clock makes it untrue."""
 REQUEUE_SECONDS: Final = 5.0
 """Time that accepted work which a leaving agent gave back waits for another host."""
+REFUSALS_TO_PASS_OVER: Final = 2
+"""Refusals in a row after which a host is left out for a while."""
 FIRST_FAILURE: Final = 500
 """Least status of an answer in which an upstream says that it failed."""
 MIN_RETRY_AFTER: Final = 0.5
--- a/radishtally/entry/core.py
+++ b/radishtally/entry/core.py
@@ -206,6 +206,7 @@
         return
     if host in core.hosts:
         core.hosts[host].breaker.succeeded()
+        core.hosts[host].refusals = 0
     request.phase = ACCEPTED
     wait(request, float("inf"), core)
     joined = ", joined to the answer of its key" if message.attached else ""
@@ -221,11 +222,12 @@
         return
     yield Note(message.request, f"refused by {host}: {message.reason}")
     core.leave_host(request)
-    request.owes_retry |= core.refusals_cost
-    if request.kv is not None:
+    if core.refusals_cost:
+        request.owes_retry = True
+        _pass_over(host, message.reason, core, now)
+    if request.kv is not None and request.tried:
+        # A second host can't have it either: the fault lies with the KV cache.
         yield from _give_up_kv(request)
-    if message.reason == REPLACED and host in core.hosts:
-        core.hosts[host].live = False
     if message.reason == KEY_REUSED:
         text = "the idempotency key was used with another request"
         yield from refuse(request, 422, const.CODE_KEY_REUSED, text, None, core)
@@ -304,11 +306,13 @@
     if not (yield from _confirm_end(message, request, host, core)):
         return
     yield Note(message.request, f"handed over by {host}")
-    core.leave_host(request)
-    request.maybe_ran = True
     request.kv = message.kv
+    core.leave_host(request)
+    # A prompt alone that was computed is no run of the request.
+    request.maybe_ran |= request.stage != PREFILL or bool(request.received)
     if request.stage == PREFILL and message.kv is not None:
         request.next_stage = DECODE
+        request.tried.clear()
         request.offers = 0
         request.patience = float("inf")
     else:
@@ -367,12 +371,31 @@
     return ran if young else Ran.UNKNOWN
 
 
+def _pass_over(host: str, reason: str, core: EntryCore, now: float) -> None:
+    """Leave a host out that refuses: for good if another one has its address.
+
+    An engine that changes its role refuses at once whatever comes, so it has the
+    fewest open requests of all and would be chosen for each new one.
+    """
+    known = core.hosts.get(host)
+    if known is None:
+        return
+    if reason == REPLACED:
+        known.live = False
+        return
+    # One refusal may be about what was offered, as a KV cache that can't be fetched.
+    known.refusals += 1
+    if known.refusals >= const.REFUSALS_TO_PASS_OVER:
+        known.breaker.failed(now)
+
+
 def _give_up_kv(request: OpenRequest) -> Iterator[Command]:
     """Go on without a KV cache: it is gone, or could not be fetched in time."""
     yield DropKv(request.kv)
     request.kv = None
     request.kv_lost = True
     request.next_stage = WHOLE
+    request.tried.clear()
 
 
 def _move(request: OpenRequest, host: str, patience: float) -> None:
--- a/radishtally/entry/hosts.py
+++ b/radishtally/entry/hosts.py
@@ -22,6 +22,8 @@
     load_at: float = 0.0
     in_flight: int = 0
     reported_in_flight: int = 0
+    refusals: int = 0
+    """Refusals since the host last took an offer."""
     breaker: Breaker = field(default_factory=Breaker)
 
     def note_load(self, load: Load, now: float) -> None:
--- a/radishtally/entry/offers.py
+++ b/radishtally/entry/offers.py
@@ -39,7 +39,7 @@
             request.retry_after = placed.retry_after
         yield from _go_without_host(request, core, now)
         return
-    stage, host = placed
+    stage, host, why = placed
     if request.owes_retry and not core.budget.spend(now):
         yield from _go_without_budget(request, core, now)
         return
@@ -52,12 +52,13 @@
     request.incarnation = core.links[host]
     request.offered_at = now
     request.asked_again_at = -1
-    wait(request, now + const.OFFER_SECONDS, core)
+    wait(request, now + core.offer_seconds, core)
     known = core.hosts[host]
     known.in_flight += 1
     core.placement.begin(request, known, now)
     known.breaker.offered(now)
-    yield Note(request.work.request, f"attempt {request.attempt} offered to {host}")
+    text = f"attempt {request.attempt} offered to {host}"
+    yield Note(request.work.request, f"{text}: {why}" if why else text)
     yield Send(host, request.make_offer(request.deadline - now))
 
 
@@ -197,11 +198,10 @@
 
 def _list_usable(request: OpenRequest, core: EntryCore, now: float) -> list[KnownHost]:
     pool = core.pools.get(request.work.upstream, {})
-    return [
-        known
-        for known in pool.values()
-        if known.host in core.links and known.is_usable(now)
-    ]
+    live = [known for known in pool.values() if known.live and known.host in core.links]
+    # Hosts that fail are left out only while others are there: with all of them left
+    # out each request would be refused, though some would have been served.
+    return [known for known in live if known.breaker.allows(now)] or live
 
 
 def _go_without_budget(
--- a/radishtally/entry/placement.py
+++ b/radishtally/entry/placement.py
@@ -14,6 +14,8 @@
 
     stage: str
     host: str
+    why: str = ""
+    """What decided it, for the log."""
 
 
 class Declined(NamedTuple):
--- a/radishtally/entry/state.py
+++ b/radishtally/entry/state.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass, field
 
+from radishtally.entry.const import OFFER_SECONDS
 from radishtally.entry.hosts import KnownHost
 from radishtally.entry.placement import Placement, RankedPlacement
 from radishtally.entry.requests import OpenRequest
@@ -19,6 +20,8 @@
     random: random.Random
     placement: Placement = field(default_factory=RankedPlacement)
     budget: RetryBudget = field(default_factory=lambda: RetryBudget(0.1))
+    offer_seconds: float = OFFER_SECONDS
+    """Longest time that a host may leave an offer without a word."""
     refusals_cost: bool = False
     """Whether an offer that follows a refused one is paid from the budget too."""
     hosts: dict[str, KnownHost] = field(default_factory=dict)
--- a/radishtally/gateway/config.py
+++ b/radishtally/gateway/config.py
@@ -33,6 +33,8 @@
     """IP and port for callers."""
     ready_address: Text
     """IP and port for the balancer's question and for metrics."""
+    peer_address: Text
+    """IP and port for the other gateways."""
     store_address: Text
     """IP and port of the platform's store."""
     bounds: Bounds
--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -29,3 +29,19 @@
 """Retries a second that a gateway allows itself whatever comes in."""
 BAD_GATEWAY: Final = 502
 GATEWAY_TIMEOUT: Final = 504
+STAGES: Final = "stages"
+"""Name of the lease under which engines are given their roles."""
+LEASE_SECONDS: Final = 6.0
+"""Time of the lease: twice what the deployments ask of two holders' turns, since a
+takeover within seconds buys little where roles stand as they are meanwhile."""
+LEASE_MARGIN: Final = 0.5
+LEASE_RENEW: Final = 2.0
+LEASE_READ: Final = 2.0
+"""Each read is a call to the store, and has its price."""
+BACKLOG_SECONDS: Final = 0.02
+"""Time over which changes of what is open are put together for the other gateways; a
+third of the least time that an engine takes for a prompt."""
+PEER_READ_SECONDS: Final = 10.0
+"""Time between two looks for new gateways; each look is a call to the store."""
+FIRST_PEER_READS: Final = 4
+"""Looks right after the start, while the others start too."""
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import random
+import secrets
 import time
 from functools import singledispatchmethod
 
 from eliot import log_message
 
+from radishtally.authority.holder import LeaseHolder
+from radishtally.authority.lease import LeaseTerms
 from radishtally.direct.core import Dialect, Instance
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
@@ -15,21 +18,29 @@
 from radishtally.entry.replies import Part, Replies
 from radishtally.gateway.config import GatewaySettings
 from radishtally.gateway.const import (
+    LEASE_MARGIN,
+    LEASE_READ,
+    LEASE_RENEW,
+    LEASE_SECONDS,
     LEAVE_MARGIN_SECONDS,
     LEAVE_POLL_SECONDS,
     LEAVE_SECONDS,
     RETRY_FLOOR,
     RETRY_RATIO,
+    STAGES,
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.front import Front
 from radishtally.gateway.members import Change, Forget, Members, Set
+from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import Routed, Router
 from radishtally.limits.retries import RetryBudget
 from radishtally.links.messages import Cancel, Hello, Message, Offer
 from radishtally.outcome import Refusal, Result
+from radishtally.platform.core import Table
 from radishtally.routes.config import CallerLimits, FleetConfiguration
 from radishtally.runtime import Runtime, Waker
+from radishtally.stages.keeper import StageKeeper
 
 
 class Gateway:
@@ -41,8 +52,11 @@
         callers: CallerDialect,
         upstreams: Dialect,
         placement: EnginePlacement,
+        table: Table,
     ) -> None:
         self.settings = settings
+        self.incarnation = secrets.token_hex(8)
+        self.table = table
         self.runtime = Runtime()
         self.router = Router()
         self.members = Members()
@@ -54,10 +68,21 @@
             random.Random(),
             placement,
             RetryBudget(RETRY_RATIO, RETRY_FLOOR),
+            # A host without an agent says nothing before its answer begins, and that
+            # may take as long as its queue: only the deadline bounds it.
+            offer_seconds=float("inf"),
             refusals_cost=True,
         )
         self.hosts = DirectHosts(upstreams, self.runtime.guard_call(self._receive))
         self.front = Front(self, callers)
+        self.lease = make_lease(self)
+        self.stages = StageKeeper(
+            settings.host, self.hosts, lambda: list(self.members), self.lease
+        )
+        self.peers = Peers(
+            self, settings.host, settings.data_centre, settings.peer_address
+        )
+        placement.on_demand = self.stages.note
         self.waker = Waker(lambda: self.handle(events.Tick()))
 
     @property
@@ -71,11 +96,16 @@
         self.runtime.watch_loop()
         await self.hosts.start()
         await self.front.start(self.settings.address, self.settings.ready_address)
+        self.lease.start()
+        self.runtime.spawn(self.stages.run())
+        self.runtime.spawn(self.peers.run())
         log_message("gateway:started", address=self.settings.address)
         await self.runtime.stopping.wait()
+        await self.lease.stop()
         await self._leave()
         self.waker.stop()
         await self.front.stop()
+        await self.peers.stop()
         await self.hosts.stop()
         self.runtime.cancel_tasks()
         log_message("gateway:stopped", open=len(self.replies))
@@ -144,7 +174,8 @@
         """Bring a request in."""
         work = routed.work
         queue = self.replies.open(work.request)
-        deadline = time.monotonic() + routed.timeout
+        now = time.monotonic()
+        deadline = now + routed.timeout
         self.handle(events.Arrived(work, deadline, routed.is_streamed, routed.terms))
         return queue
 
@@ -201,3 +232,17 @@
     @_execute.register
     def _(self, command: events.Note) -> None:
         log_message("request:step", request=command.request, text=command.text)
+
+
+def make_lease(gateway: Gateway) -> LeaseHolder:
+    """Make the lease under which one gateway gives engines their roles."""
+    terms = LeaseTerms(LEASE_SECONDS, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
+    return LeaseHolder(
+        gateway.table,
+        STAGES,
+        gateway.settings.host,
+        gateway.incarnation,
+        terms,
+        on_gained=lambda fencing: log_message("lease:gained", fencing=fencing),
+        on_lost=lambda cause: log_message("lease:lost", cause=cause),
+    )
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -291,6 +291,21 @@
     seconds: float
 
 
+class EngineShare(NamedTuple):
+    """Say what one entry has open at an engine that it reaches itself."""
+
+    host: str
+    tokens: int
+    """Prompt tokens that are still to be read."""
+    answers: int
+
+
+class Backlog(NamedTuple):
+    """Tell the other entries what the sender has open, where that has changed."""
+
+    shares: tuple[EngineShare, ...]
+
+
 Message = (
     Hello
     | Ping
@@ -313,6 +328,7 @@
     | FilesAsk
     | FilesGive
     | Interval
+    | Backlog
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -336,6 +352,7 @@
     FilesAsk,
     FilesGive,
     Interval,
+    Backlog,
 )
 """A kind's number is its place here: add at the end, never reorder, and give a message
 whose fields change a kind of its own; an older release reads neither more nor fewer."""
--- /dev/null
+++ b/radishtally/stages/core.py
@@ -0,0 +1,138 @@
+"""Decide how many engines compute prompts, and which."""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from radishtally.engines.state import START_RATE
+from radishtally.limits.pace import Decaying
+from radishtally.links.messages import DECODE, PREFILL
+from radishtally.stages import const
+
+
+class Engine(NamedTuple):
+    """Describe an engine that can be ordered."""
+
+    host: str
+    data_centre: str
+    role: str
+
+
+class Change(NamedTuple):
+    """Ask an engine to take another role."""
+
+    host: str
+    role: str
+
+
+class Demand:
+    """Sum up what arrives, in seconds of engines' time."""
+
+    def __init__(self) -> None:
+        self._prefill = Decaying(const.DEMAND_SECONDS)
+        self._decode = Decaying(const.DEMAND_SECONDS)
+
+    def note(self, uncached_tokens: int, output_tokens: int, now: float) -> None:
+        """Take in a prompt that is to be read, or an answer that was made."""
+        if uncached_tokens:
+            self._prefill.add(uncached_tokens / START_RATE, now)
+        if output_tokens:
+            seconds = output_tokens / const.DECODE_RATE + const.ANSWER_SECONDS
+            self._decode.add(seconds, now)
+
+    def find_share(self, now: float) -> float:
+        """Find the share of prompts in the engines' time.
+
+        Prompts differ by a hundredfold in length, so what has come is weighed against
+        the share that is assumed: a few long prompts are no shift of the mix.
+        """
+        prefill, decode = self._prefill.read(now), self._decode.read(now)
+        assumed = const.START_SHARE * const.ASSUMED_SECONDS
+        return (prefill + assumed) / (prefill + decode + const.ASSUMED_SECONDS)
+
+
+class StagePlan:
+    """Hold how the engines of one upstream are to be shared out."""
+
+    def __init__(self) -> None:
+        self._wanted = 0
+        """Engines that are to compute prompts."""
+        self._engines = 0
+        self._off_since: float | None = None
+        self._lack_since: float | None = None
+        self._moved_at = float("-inf")
+
+    def decide(
+        self, engines: Sequence[Engine], share: float, now: float
+    ) -> list[Change]:
+        """Give the changes of role that are due now."""
+        if not engines:
+            return []
+        self._follow(len(engines), share, now)
+        if not self._is_due(engines, now):
+            return []
+        return choose_changes(engines, self._wanted)
+
+    def _follow(self, count: int, share: float, now: float) -> None:
+        """Bring the wanted number up to date."""
+        exact = count * share
+        if count != self._engines:
+            # With other engines the old number says nothing.
+            self._engines = count
+            self._wanted = bound_prefill(round(exact), count)
+            self._off_since = None
+            return
+        wanted = bound_prefill(round(exact), count)
+        is_off = wanted != self._wanted and (
+            abs(exact - self._wanted) > 0.5 + const.SHARE_MARGIN
+        )
+        if not is_off:
+            self._off_since = None
+            return
+        if self._off_since is None:
+            self._off_since = now
+        settled = now >= self._off_since + const.SHIFT_SECONDS
+        if settled and now >= self._moved_at + const.REST_SECONDS:
+            self._wanted = wanted
+            self._moved_at = now
+            self._off_since = None
+
+    def _is_due(self, engines: Sequence[Engine], now: float) -> bool:
+        """Tell whether the roles have been other than wanted for long enough."""
+        roles = Counter(engine.role for engine in engines)
+        if roles[PREFILL] == self._wanted:
+            self._lack_since = None
+            return False
+        if self._lack_since is None:
+            self._lack_since = now
+        has_both = 0 < roles[PREFILL] < len(engines)
+        wait = const.LACK_SECONDS if has_both else const.SETTLE_SECONDS
+        return now >= self._lack_since + wait
+
+
+def bound_prefill(wanted: int, count: int) -> int:
+    """Bound the number of engines that compute prompts."""
+    if count < 2:
+        return 0
+    least_decode = const.MIN_DECODE if count >= const.MANY else 1
+    return min(max(wanted, 1), count - least_decode)
+
+
+def choose_changes(engines: Sequence[Engine], wanted: int) -> list[Change]:
+    """Choose the fewest changes that give the wanted number of prefill engines.
+
+    Engines are taken from where their role is most common, so that each data centre
+    keeps both roles if it can: a KV cache then need not cross between data centres.
+    """
+    roles = {engine.host: engine.role for engine in engines}
+    changes = []
+    while (prefill := sum(r == PREFILL for r in roles.values())) != wanted:
+        old, new = (DECODE, PREFILL) if prefill < wanted else (PREFILL, DECODE)
+        counts = Counter(e.data_centre for e in engines if roles[e.host] == old)
+        movable = [engine for engine in engines if roles[engine.host] == old]
+        if not movable:
+            break
+        chosen = max(movable, key=lambda e: (counts[e.data_centre], e.host))
+        roles[chosen.host] = new
+        changes.append(Change(chosen.host, new))
+    return changes
--- /dev/null
+++ b/radishtally/stages/keeper.py
@@ -0,0 +1,133 @@
+"""Give engines their roles while this process holds the lease."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from eliot import log_message
+
+from radishtally.direct.core import EngineReport, Instance, OrderOutcome
+from radishtally.outcome import Result
+from radishtally.stages import const
+from radishtally.stages.core import Change, Demand, Engine, StagePlan
+
+PENDING_OUTCOMES: Final = (OrderOutcome.TAKEN, OrderOutcome.UNCLEAR)
+
+
+class Lease(Protocol):
+    """Be what the keeper needs of the lease."""
+
+    @property
+    def fencing(self) -> int | None:
+        """Give the fencing number if the lease is held now."""
+
+
+class Orders(Protocol):
+    """Reach engines."""
+
+    async def read_report(self, instance: Instance) -> Result[EngineReport, str]:
+        """Ask an engine what it does."""
+
+    async def order_role(
+        self, instance: Instance, role: str, owner: str, fencing: int, sequence: int
+    ) -> OrderOutcome:
+        """Order an engine to take a role."""
+
+
+class StageKeeper:
+    """Watch the engines' roles and set them right."""
+
+    def __init__(
+        self,
+        host: str,
+        orders: Orders,
+        list_instances: Callable[[], list[Instance]],
+        lease: Lease,
+    ) -> None:
+        self._host = host
+        self._orders = orders
+        self._list_instances = list_instances
+        self._lease = lease
+        self._plans: dict[str, StagePlan] = {}
+        self._demands: dict[str, Demand] = {}
+        self._pending: dict[str, tuple[str, float]] = {}
+        """Role that an engine was ordered to take, and until when that counts."""
+        self._refused: set[int] = set()
+        """Fencing numbers that an engine found to be out of date."""
+
+    def note(
+        self, upstream: str, uncached_tokens: int, output_tokens: int, now: float
+    ) -> None:
+        """Take in a request."""
+        demand = self._demands.setdefault(upstream, Demand())
+        demand.note(uncached_tokens, output_tokens, now)
+
+    async def run(self) -> None:
+        """Keep the roles for good."""
+        while True:
+            await asyncio.sleep(const.TICK_SECONDS)
+            for instance, change in self._decide(time.monotonic()):
+                await self._carry_out(instance, change)
+
+    def _decide(self, now: float) -> list[tuple[Instance, Change]]:
+        """Give the changes that are due, the plan being followed lease or not."""
+        instances = [item for item in self._list_instances() if item.role]
+        due = []
+        for upstream in {item.upstream for item in instances}:
+            ours = {i.host: i for i in instances if i.upstream == upstream}
+            engines = [self._describe(i, now) for i in ours.values()]
+            plan = self._plans.setdefault(upstream, StagePlan())
+            share = self._demands.setdefault(upstream, Demand()).find_share(now)
+            for change in plan.decide(engines, share, now):
+                due.append((ours[change.host], change))
+        return due if self._may_order() else []
+
+    def _describe(self, instance: Instance, now: float) -> Engine:
+        role, until = self._pending.get(instance.host, ("", 0.0))
+        if now >= until or role == instance.role:
+            self._pending.pop(instance.host, None)
+            role = instance.role
+        return Engine(instance.host, instance.data_centre, role)
+
+    def _may_order(self) -> bool:
+        fencing = self._lease.fencing
+        return fencing is not None and fencing not in self._refused
+
+    async def _carry_out(self, instance: Instance, change: Change) -> None:
+        """Give one order, as the engine and the lease stand now."""
+        report = await self._orders.read_report(instance)
+        if report.is_error():
+            log_message("stage:engine_unread", host=change.host, reason=report.error)
+            self._wait(change.host, instance.role, const.RETRY_SECONDS)
+            return
+        if report.ok.is_busy or report.ok.role == change.role:
+            self._wait(change.host, change.role, const.PENDING_SECONDS)
+            return
+        # The lease may have lapsed while the engine was asked: an order is given only
+        # by who holds it at that moment.
+        fencing = self._lease.fencing
+        if fencing is None or fencing in self._refused:
+            return
+        outcome = await self._orders.order_role(
+            instance, change.role, self._host, fencing, report.ok.sequence
+        )
+        log_message(
+            "stage:ordered",
+            host=change.host,
+            role=change.role,
+            fencing=fencing,
+            sequence=report.ok.sequence,
+            outcome=outcome.value,
+        )
+        if outcome == OrderOutcome.STALE:
+            self._refused.add(fencing)
+        elif outcome in PENDING_OUTCOMES:
+            # An order without an answer may be carried out seconds later. Until then a
+            # second one would move one engine more than is wanted.
+            self._wait(change.host, change.role, const.PENDING_SECONDS)
+        else:
+            self._wait(change.host, instance.role, const.RETRY_SECONDS)
+
+    def _wait(self, host: str, role: str, seconds: float) -> None:
+        self._pending[host] = (role, time.monotonic() + seconds)
