Take a reset for no end of an answer; count an answer's tokens by its events

And roles moved towards prompts under load, because an event of ten tokens counted as one. Change: the response class keeps hold of the connection and checks how it ended; demand counts the tokens of events; roles weigh demand against an assumed share.

--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -29,7 +29,7 @@
 from radishtally.direct.sockets import open_socket
 from radishtally.direct.stream import EventCutter
 from radishtally.entry.terms import Terms
-from radishtally.exchange import BROKEN, SendOnce
+from radishtally.exchange import BROKEN, SendOnce, WatchedResponse
 from radishtally.links.messages import (
     CALL,
     LEAVING,
@@ -192,7 +192,7 @@
         )
 
     async def _read(
-        self, response: aiohttp.ClientResponse, instance: Instance, offer: Offer
+        self, response: WatchedResponse, instance: Instance, offer: Offer
     ) -> None:
         host = instance.host
         name = offer.work.request, offer.attempt
@@ -218,7 +218,7 @@
         await self._follow(response, host, offer, head)
 
     async def _read_handle(
-        self, response: aiohttp.ClientResponse, instance: Instance, offer: Offer
+        self, response: WatchedResponse, instance: Instance, offer: Offer
     ) -> None:
         name = offer.work.request, offer.attempt
         read = self._dialect.read_handle(await response.read(), instance)
@@ -232,7 +232,7 @@
         self._receive(instance.host, end)
 
     async def _collect(
-        self, response: aiohttp.ClientResponse, host: str, offer: Offer, head: Head
+        self, response: WatchedResponse, host: str, offer: Offer, head: Head
     ) -> None:
         """Take an answer as a whole before any of it is passed on."""
         name = offer.work.request, offer.attempt
@@ -242,6 +242,7 @@
             if len(body) > MAX_ANSWER_BYTES:
                 text = f"the answer is over {MAX_ANSWER_BYTES} bytes"
                 raise aiohttp.ClientPayloadError(text)
+        response.check_end()
         checksum = xxhash.xxh64_intdigest(bytes(body))
         if body:
             self._receive(host, Chunk(*name, 0, bytes(body), 0))
@@ -249,7 +250,7 @@
         self._receive(host, end)
 
     async def _follow(
-        self, response: aiohttp.ClientResponse, host: str, offer: Offer, head: Head
+        self, response: WatchedResponse, host: str, offer: Offer, head: Head
     ) -> None:
         """Pass on the events of a stream as they come whole."""
         name = offer.work.request, offer.attempt
@@ -262,6 +263,7 @@
                 continue
             progress.tokens = max(progress.tokens, found.last)
             self._pass_on(host, name, progress, found.data)
+        response.check_end()
         if cutter.rest:
             self._pass_on(host, name, progress, cutter.rest)
         length, checksum = progress.offset, progress.checksum.intdigest()
@@ -298,6 +300,7 @@
         connector=connector,
         timeout=timeout,
         auto_decompress=False,
+        response_class=WatchedResponse,
         skip_auto_headers=SKIPPED_HEADERS,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -23,11 +23,11 @@
     Backlog,
     EngineShare,
 )
-from radishtally.routes.config import UpstreamTerms
+from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.routing.core import rank
 
-START_CAPACITY: Final = 400_000
-"""Tokens that an engine keeps until the configuration says how many."""
+START_TERMS: Final = EngineTerms(64, 400_000, 1, 5.0, 3.0)
+"""What is taken of engines until the configuration says more."""
 FAR_SECONDS: Final = 0.005
 """Handicap of an engine in another data centre: the trips, and what its bytes cost."""
 SECOND_HOME_SECONDS: Final = 0.03
@@ -55,13 +55,13 @@
         """Take an upstream, tokens to be read, tokens that were made, and the time."""
         self._engines: dict[str, EngineState] = {}
         self._changed: set[str] = set()
-        self._capacities: dict[str, int] = {}
+        self._terms: dict[str, EngineTerms] = {}
 
     def configure(self, upstreams: Iterable[UpstreamTerms]) -> None:
         """Take what the configuration says of engines."""
         for upstream in upstreams:
             if upstream.engine is not None:
-                self._capacities[upstream.name] = upstream.engine.kv_tokens
+                self._terms[upstream.name] = upstream.engine
 
     def set_instance(self, instance: Instance) -> None:
         """Take what a host is."""
@@ -71,7 +71,8 @@
         if known is not None:
             known.role = instance.role
             return
-        capacity = self._capacities.get(instance.upstream, START_CAPACITY)
+        terms = self._terms.get(instance.upstream, START_TERMS)
+        capacity = terms.kv_tokens
         cache = PromptCache(int(capacity * CACHE_SHARE))
         self._engines[instance.host] = EngineState(
             instance.host, instance.data_centre, instance.role, cache
@@ -152,7 +153,9 @@
         name, now = request.work.request, self._clock()
         if name in engine.answers:
             engine.answers.discard(name)
-            self.on_demand(request.work.upstream, 0, request.tokens, now)
+            upstream = request.work.upstream
+            terms = self._terms.get(upstream, START_TERMS)
+            self.on_demand(upstream, 0, request.tokens * terms.event_tokens, now)
         engine.end_reading(name, now, request.kv is not None)
 
     def _place_prompt(
--- a/radishtally/stages/const.py
+++ b/radishtally/stages/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-START_SHARE: Final = 0.65
+START_SHARE: Final = 0.62
 """Share of the engines' time that goes into prompts, until traffic tells."""
 MIN_DECODE: Final = 2
 """Engines that make answers at least where there are MANY engines: with one alone its
@@ -27,12 +27,12 @@
 TICK_SECONDS: Final = 0.5
 DEMAND_SECONDS: Final = 12.0
 """Window of the demand: long enough for a burst to pass, short against a shift."""
-ASSUMED_SECONDS: Final = 6.0
-"""Engine-seconds of demand that the assumed share counts for: what one of a few
-gateways sees in the window at a moderate load."""
-DECODE_RATE: Final = 3_000.0
-"""Tokens a second of an engine that makes answers in a quarter of its slots."""
-ANSWER_SECONDS: Final = 0.02
-"""Time of an engine that each answer takes beside its tokens: its KV cache is fetched
-and held. Two engines for 68 short answers a second kept callers waiting for up to two
-seconds, three did not."""
+ASSUMED_SECONDS: Final = 20.0
+"""Engine-seconds of demand that the assumed share counts for: several times what one
+of a few gateways sees in the window, so that only a lasting shift changes roles."""
+DECODE_RATE: Final = 3_700.0
+"""Tokens a second of an engine that makes 20 answers at once: with more of them each
+answer slows down, and long ones don't end before their deadline."""
+PREFILL_RESERVE: Final = 2.0
+"""Engine-seconds kept for each one of prompts: their lengths differ by a hundredfold,
+and at half use what comes behind a long one still waits less than its objective."""
--- a/radishtally/stages/core.py
+++ b/radishtally/stages/core.py
@@ -34,11 +34,9 @@
 
     def note(self, uncached_tokens: int, output_tokens: int, now: float) -> None:
         """Take in a prompt that is to be read, or an answer that was made."""
-        if uncached_tokens:
-            self._prefill.add(uncached_tokens / START_RATE, now)
-        if output_tokens:
-            seconds = output_tokens / const.DECODE_RATE + const.ANSWER_SECONDS
-            self._decode.add(seconds, now)
+        prefill = uncached_tokens / START_RATE * const.PREFILL_RESERVE
+        self._prefill.add(prefill, now)
+        self._decode.add(output_tokens / const.DECODE_RATE, now)
 
     def find_share(self, now: float) -> float:
         """Find the share of prompts in the engines' time.
