--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -158,7 +158,9 @@
             return OrderOutcome.UNREACHED
         except BROKEN as error:
             log_message(
-                "upstream:order_unclear", host=instance.host, error=_describe(error)
+                "upstream:order_unclear",
+                upstream_host=instance.host,
+                error=_describe(error),
             )
             return OrderOutcome.UNCLEAR
 
@@ -172,7 +174,7 @@
                 await self._read(response, instance, offer)
         except NOT_CONNECTED as error:
             self._receive(host, Lost(*name, Ran.NO, UNREACHED, 0))
-            log_message("upstream:unreached", host=host, error=repr(error))
+            log_message("upstream:unreached", upstream_host=host, error=repr(error))
         except BROKEN as error:
             # A prompt that was to be computed has not run: no token was made of it.
             ran = Ran.NO if offer.stage == PREFILL else Ran.UNKNOWN
@@ -287,7 +289,9 @@
             ):
                 await response.read()
         except BROKEN as error:
-            log_message("upstream:kv_not_freed", host=kv.host, error=repr(error))
+            log_message(
+                "upstream:kv_not_freed", upstream_host=kv.host, error=repr(error)
+            )
 
 
 def _make_session(force_close: bool) -> aiohttp.ClientSession:
--- a/radishtally/gateway/config.py
+++ b/radishtally/gateway/config.py
@@ -22,6 +22,9 @@
     """Time for which two holders of a lease must not take turns."""
     retry_ratio: Ratio
     """Attempts beyond the first that all gateways together may make for a request."""
+    retry_slack: Annotated[float, Meta(ge=0)]
+    """Such attempts that they may make within the window whatever comes in."""
+    retry_window_seconds: PositiveSeconds
 
 
 class GatewaySettings(Part):
--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -22,11 +22,11 @@
 """Seconds until it is worth asking again where nothing better is known."""
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that promise the caller that its request did not run."""
-RETRY_RATIO: Final = 0.1
-"""Retries that one gateway allows itself for each request: half of what the deployment
-allows, since gateways don't share their counts and requests spread unevenly."""
-RETRY_FLOOR: Final = 0.2
-"""Retries a second that a gateway allows itself whatever comes in."""
+RETRY_PART: Final = 0.5
+"""Part of the retries that the deployment allows which gateways use: each counts its
+own alone, and requests spread unevenly over them."""
+ASSUMED_GATEWAYS: Final = 16
+"""Gateways that are taken to share the retries until they have been counted."""
 BAD_GATEWAY: Final = 502
 GATEWAY_TIMEOUT: Final = 504
 STAGES: Final = "stages"
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -16,8 +16,9 @@
 from radishtally.entry import events
 from radishtally.entry.core import EntryCore, handle_event
 from radishtally.entry.replies import Part, Replies
-from radishtally.gateway.config import GatewaySettings
+from radishtally.gateway.config import Bounds, GatewaySettings
 from radishtally.gateway.const import (
+    ASSUMED_GATEWAYS,
     LEASE_MARGIN,
     LEASE_READ,
     LEASE_RENEW,
@@ -25,8 +26,7 @@
     LEAVE_MARGIN_SECONDS,
     LEAVE_POLL_SECONDS,
     LEAVE_SECONDS,
-    RETRY_FLOOR,
-    RETRY_RATIO,
+    RETRY_PART,
     STAGES,
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
@@ -67,7 +67,10 @@
             settings.data_centre,
             random.Random(),
             placement,
-            RetryBudget(RETRY_RATIO, RETRY_FLOOR),
+            RetryBudget(
+                settings.bounds.retry_ratio * RETRY_PART,
+                find_retry_floor(settings.bounds, ASSUMED_GATEWAYS),
+            ),
             # A host without an agent says nothing before its answer begins, and that
             # may take as long as its queue: only the deadline bounds it.
             offer_seconds=float("inf"),
@@ -123,6 +126,10 @@
             if not self.front.close_idle():
                 return
 
+    def count_gateways(self, count: int) -> None:
+        """Take how many gateways there are: they share what retries are allowed."""
+        self.core.budget.floor = find_retry_floor(self.settings.bounds, count)
+
     def is_ready(self) -> bool:
         """Tell whether the balancer should send requests here."""
         return self.router.configuration is not None and not self.is_stopping()
@@ -147,15 +154,23 @@
                 case Set(instance):
                     self._set_instance(instance)
                 case Forget(host):
-                    log_message("upstream:gone", host=host)
+                    log_message("upstream:gone", upstream_host=host)
                     self.hosts.forget(host)
                     self.placement.forget(host)
                     self.core.forget_host(host)
                     self.core.links.pop(host, None)
 
     def _set_instance(self, instance: Instance) -> None:
-        log_message("upstream:seen", **instance._asdict())
         host = instance.host
+        log_message(
+            "upstream:seen",
+            upstream_host=host,
+            upstream=instance.upstream,
+            address=instance.address,
+            data_centre=instance.data_centre,
+            role=instance.role,
+            is_draining=instance.is_draining,
+        )
         self.hosts.set_instance(instance)
         self.placement.set_instance(instance)
         live = not instance.is_draining
@@ -234,6 +249,12 @@
         log_message("request:step", request=command.request, text=command.text)
 
 
+def find_retry_floor(bounds: Bounds, gateways: int) -> float:
+    """Find the retries a second that one of some gateways may always make."""
+    every_second = bounds.retry_slack / bounds.retry_window_seconds
+    return every_second * RETRY_PART / gateways
+
+
 def make_lease(gateway: Gateway) -> LeaseHolder:
     """Make the lease under which one gateway gives engines their roles."""
     terms = LeaseTerms(LEASE_SECONDS, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
--- a/radishtally/gateway/front.py
+++ b/radishtally/gateway/front.py
@@ -93,6 +93,11 @@
         )
         self._sweeper = asyncio.create_task(self._sweep())
 
+    @property
+    def is_listening(self) -> bool:
+        """Tell whether callers can connect."""
+        return self._sweeper is not None
+
     async def stop(self) -> None:
         """Close all connections and stop listening."""
         if self._sweeper is not None:
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -34,6 +34,9 @@
     placement: EnginePlacement
     table: Table
 
+    def count_gateways(self, count: int) -> None:
+        """Take how many gateways there are."""
+
 
 class Peers:
     """Keep links to the other gateways."""
@@ -111,6 +114,7 @@
         if read.is_error():
             log_message("peers:unread", reason=str(read.error))
             return
+        self._gateway.count_gateways(max(1, len(read.ok)))
         for row in read.ok:
             # One link is enough for both; who dials is settled by the names.
             if row.key.sk > self._host:
--- a/radishtally/limits/retries.py
+++ b/radishtally/limits/retries.py
@@ -22,10 +22,10 @@
 
     def __init__(self, ratio: float, floor: float = 1.0) -> None:
         self._ratio = ratio
-        self._floor = floor
+        self.floor = floor
         """Retries a second that are allowed whatever comes in."""
         self._earned = 0.0
-        self._spare = floor
+        self._spare = max(1.0, floor) if floor else 0.0
         self._seen: float | None = None
 
     def note_request(self) -> None:
@@ -46,8 +46,8 @@
     def _gather(self, now: float) -> None:
         passed = 0.0 if self._seen is None else max(0.0, now - self._seen)
         self._seen = now
-        gathered = self._spare + passed * self._floor
-        self._spare = min(max(1.0, RESERVE_SECONDS * self._floor), gathered)
+        gathered = self._spare + passed * self.floor
+        self._spare = min(max(1.0, RESERVE_SECONDS * self.floor), gathered)
 
 
 def backoff(attempt: int, random: Random) -> float:
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -98,7 +98,7 @@
         """Give one order, as the engine and the lease stand now."""
         report = await self._orders.read_report(instance)
         if report.is_error():
-            log_message("stage:engine_unread", host=change.host, reason=report.error)
+            log_message("stage:engine_unread", engine=change.host, reason=report.error)
             self._wait(change.host, instance.role, const.RETRY_SECONDS)
             return
         if report.ok.is_busy or report.ok.role == change.role:
@@ -114,7 +114,7 @@
         )
         log_message(
             "stage:ordered",
-            host=change.host,
+            engine=change.host,
             role=change.role,
             fencing=fencing,
             sequence=report.ok.sequence,
--- /dev/null
+++ b/standins/staged.py
@@ -0,0 +1,131 @@
+"""Stand-in for a model engine whose prompts and answers are computed apart."""
+
+import asyncio
+import itertools
+from collections import Counter
+from typing import Any, Final
+
+from aiohttp import web
+
+from standins.common import build_app, build_parser, reply_json, serve
+
+EVENTS: Final = 4
+SIGNATURE: Final = "X-Server-Signature"
+NOT_RUN: Final = {"X-Not-Executed": "1"}
+
+
+class StagedEngine:
+    """Read prompts or make answers, as its stage is, and count what it ran."""
+
+    def __init__(self, instance: str, phase: str, seconds: float = 0.0) -> None:
+        self.instance = instance
+        self.phase = phase
+        self.seconds = seconds
+        """Time of each event, and of a prompt."""
+        self.runs: Counter[str] = Counter()
+        self.handles: set[str] = set()
+        self.orders: list[dict[str, Any]] = []
+        self.highest_fence = 0
+        self.refuses = False
+        """Whether it says that it is full."""
+        self.loses_handles = False
+        self.cut_after: int | None = None
+        """Event after which it breaks the connection."""
+        self.dropped: list[str] = []
+        """Requests whose callers left before the end."""
+        self._names = itertools.count(1)
+
+    def build_app(self) -> web.Application:
+        """Build the application with its routes."""
+        app = build_app()
+        app.router.add_get("/api/report", self._report)
+        app.router.add_post("/api/order", self._order)
+        app.router.add_delete("/api/kv-handle/{name}", self._free)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        return app
+
+    async def _report(self, request: web.Request) -> web.Response:
+        state = {"phase": self.phase, "busy": False, "sequence": len(self.orders)}
+        return reply_json(state)
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if order["fenceToken"] < self.highest_fence:
+            return web.Response(status=412)
+        if order.get("expected", len(self.orders)) != len(self.orders):
+            return web.Response(status=409)
+        self.highest_fence = order["fenceToken"]
+        if order["phase"] == self.phase:
+            return web.Response(status=200)
+        self.orders.append(order)
+        self.phase = order["phase"]
+        return web.Response(status=202)
+
+    async def _free(self, request: web.Request) -> web.Response:
+        self.handles.discard(request.match_info["name"])
+        return web.Response()
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        await request.read()
+        if request.headers.get("X-Target-Instance") != self.instance:
+            return web.Response(status=421, headers={"X-Instance-Id": self.instance})
+        if self.refuses:
+            return web.Response(status=503, headers=NOT_RUN)
+        wants_prefill = request.headers.get("X-Serving-Phase") == "prefill"
+        if wants_prefill != (self.phase == "prefill"):
+            return web.Response(status=421, headers=NOT_RUN)
+        name = request.headers["X-Request-Id"]
+        if wants_prefill:
+            return await self._read_prompt()
+        if self.loses_handles and "X-Kv-Source" in request.headers:
+            return web.Response(status=503, headers=NOT_RUN)
+        return await self._stream(request, name)
+
+    async def _read_prompt(self) -> web.Response:
+        await asyncio.sleep(self.seconds)
+        handle = f"{self.instance}-{next(self._names)}"
+        self.handles.add(handle)
+        return reply_json({"kvHandle": handle, "tokens": 1, "version": 1})
+
+    async def _stream(self, request: web.Request, name: str) -> web.StreamResponse:
+        self.runs[name] += 1
+        headers = {
+            "Content-Type": "text/event-stream",
+            SIGNATURE: f"by-{self.instance}",
+            "X-Request-Id": name,
+        }
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        try:
+            for number in range(first, EVENTS + 1):
+                await asyncio.sleep(self.seconds)
+                await response.write(make_event(name, number))
+                if number == self.cut_after:
+                    await response.write(b"id: 99\ndata: half an ev")
+                    request.transport.abort()
+                    return response
+        except (ConnectionError, asyncio.CancelledError):
+            self.dropped.append(name)
+            raise
+        return response
+
+
+def make_event(name: str, number: int) -> bytes:
+    """Make one event of the answer to a request."""
+    return f"id: {number}\ndata: {name}.{number}\n\n".encode()
+
+
+def main() -> None:
+    """Run the engine."""
+    parser = build_parser("staged engine")
+    parser.add_argument("--instance", default="i-0")
+    parser.add_argument("--phase", default="decode", choices=["prefill", "decode"])
+    parser.add_argument("--seconds", type=float, default=0.0)
+    args = parser.parse_args()
+    engine = StagedEngine(args.instance, args.phase, args.seconds)
+    serve(engine.build_app(), args.address, args.port, cancel_on_disconnect=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/adapter/test_decoding.py
@@ -0,0 +1,153 @@
+"""Tests of reading what the platform and its callers send."""
+
+import json
+
+import pytest
+from adapter.callers import PlatformCallers
+from adapter.config import decode_configuration
+from adapter.instances import decode_instance
+from adapter.upstreams import PlatformUpstreams
+
+from radishtally.direct.core import Instance
+from radishtally.entry.terms import PromptPart, Terms
+from radishtally.links.messages import PREFILL, STREAM, KvRef, Offer, Work
+from radishtally.routes.core import RouteKind, Split
+
+ROUTE = {
+    "name": "r",
+    "host": "Desk.example",
+    "prefix": "/a/",
+    "kind": "streaming",
+    "timeoutMs": 8000,
+    "targetLatencyMs": 300,
+    "priority": 1,
+    "trafficSplit": [
+        {"service": "x", "weight": 90},
+        {"service": "y", "weight": 10},
+    ],
+    "maxAttempts": 2,
+    "resumable": True,
+    "aFieldOfTomorrow": 1,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "x", "engine": {"slots": 64, "kvCapacityTokens": 5, "stride": 10}},
+        {"name": "y"},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+}
+HEAD = (("Host", "desk.example"), ("X-Request-Id", "r1"))
+ENGINE = Instance("i-1", "llm", "127.0.0.1:1", "howrah", False, 64, "decode")
+
+
+def test_configuration_is_read() -> None:
+    configuration = decode_configuration(json.dumps(CONFIGURATION).encode()).ok
+    (route,) = configuration.routes
+    assert route.authority == "desk.example"
+    assert route.kind == RouteKind.STREAM
+    assert route.splits == (Split("x", 90), Split("y", 10))
+    assert (route.timeout, route.objective) == (8.0, 0.3)
+    assert configuration.upstreams["x"].engine.event_tokens == 10
+    assert configuration.upstreams["y"].engine is None
+    assert configuration.limits.idle_seconds == 15.0
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"[]",
+        json.dumps({**CONFIGURATION, "version": "7"}).encode(),
+        json.dumps({**CONFIGURATION, "routes": [{**ROUTE, "kind": "new"}]}).encode(),
+    ],
+)
+def test_configuration_that_cannot_be_read_is_an_error(data: bytes) -> None:
+    assert decode_configuration(data).is_error()
+
+
+def test_host_entry_is_read() -> None:
+    value = {
+        "service": "x",
+        "address": "10.0.0.1:80",
+        "zone": "howrah",
+        "slots": 6,
+        "state": "draining",
+        "phase": "prefill",
+    }
+    instance = decode_instance("i-1", json.dumps(value).encode()).ok
+    assert instance == Instance("i-1", "x", "10.0.0.1:80", "howrah", True, 6, PREFILL)
+
+
+def test_prompt_of_a_caller_is_read() -> None:
+    head = (
+        *HEAD,
+        ("X-Model", "m"),
+        ("X-Token-Count", "1460,80"),
+        ("X-Prompt-Prefix", "5c:800, 91:410,e4:250"),
+        ("X-Deadline-Ms", "1500"),
+    )
+    asked = PlatformCallers().read_request("/a/b?c", head).ok
+    assert asked.path == "/a/b"
+    assert asked.timeout == 1.5
+    assert (asked.prompt_tokens, asked.max_tokens) == (1460, 80)
+    assert asked.parts == tuple(
+        PromptPart(*part) for part in (("5c", 800), ("91", 410), ("e4", 250))
+    )
+
+
+@pytest.mark.parametrize("text", ["x", "x:", ":5", "x:-1", "x:9999999999999999"])
+def test_part_that_cannot_be_read_ends_the_parts(text: str) -> None:
+    head = (*HEAD, ("X-Prompt-Prefix", f"a:1,{text},b:2"))
+    asked = PlatformCallers().read_request("/a/b", head).ok
+    assert asked.parts == (PromptPart("a", 1),)
+
+
+def test_headers_of_one_connection_are_not_passed_on() -> None:
+    head = (*HEAD, ("Connection", "close, X-Mine"), ("X-Mine", "1"), ("TE", "x"))
+    asked = PlatformCallers().read_request("/a/b", head).ok
+    assert asked.headers == HEAD
+
+
+def make_offer(**more: object) -> Offer:
+    work = Work("r1", "", "llm", STREAM, b"", path="/a", headers=HEAD)
+    return Offer(work, 1, 1.2345, **more)
+
+
+def test_offer_says_for_whom_and_how_long() -> None:
+    call = PlatformUpstreams().encode_offer(make_offer(), Terms(priority=3), ENGINE)
+    assert call.headers == (
+        *HEAD,
+        ("x-deadline-ms", "1234"),
+        ("x-target-instance", "i-1"),
+        ("x-request-priority", "3"),
+    )
+
+
+def test_offer_of_a_computed_prompt_says_where_it_lies() -> None:
+    kv = KvRef("p", "10.0.0.1:80", "3f", 9)
+    offer = make_offer(kv=kv, done=b"e", tokens_done=4)
+    headers = dict(PlatformUpstreams().encode_offer(offer, Terms(), ENGINE).headers)
+    assert headers["x-kv-source"] == "10.0.0.1:80/3f"
+    assert headers["last-event-id"] == "4"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (503, (("X-Not-Executed", "1"),), True),
+        (421, (), True),
+        (503, (), False),
+        (429, (), False),
+    ],
+)
+def test_only_the_hosts_own_word_says_not_run(
+    status: int, headers: tuple[tuple[str, str], ...], not_run: bool
+) -> None:
+    assert PlatformUpstreams().read_head(status, headers).not_run == not_run
--- /dev/null
+++ b/tests/direct/test_stream.py
@@ -0,0 +1,29 @@
+"""Tests of cutting a stream into whole events."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishtally.direct.stream import EventCutter
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\r\ndata: d\r\n\r\n"
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_events_come_whole_however_they_are_cut(cuts: list[int]) -> None:
+    cutter = EventCutter()
+    places = [0, *sorted(cuts), len(STREAM)]
+    parts = []
+    for begin, end in zip(places, places[1:], strict=False):
+        found = cutter.feed(STREAM[begin:end])
+        if found is not None:
+            parts.append(found)
+            assert found.data.endswith((b"\n\n", b"\r\n\r\n"))
+    assert b"".join(part.data for part in parts) == STREAM
+    assert parts[-1].last == 3
+    assert not cutter.rest
+
+
+def test_half_event_is_held_back() -> None:
+    cutter = EventCutter()
+    assert cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda").data == b"id: 1\ndata: a\n\n"
+    assert cutter.rest == b"id: 2\nda"
--- /dev/null
+++ b/tests/engines/test_state.py
@@ -0,0 +1,74 @@
+"""Tests of what is known of an engine."""
+
+import pytest
+
+from radishtally.engines.cache import PromptCache
+from radishtally.engines.state import (
+    FIXED_SECONDS,
+    START_RATE,
+    EngineState,
+    PeerShare,
+)
+from radishtally.entry.terms import PromptPart
+
+
+def make_engine() -> EngineState:
+    return EngineState("e", "howrah", "prefill", PromptCache(10_000))
+
+
+def make_parts(*names: str, tokens: int = 100) -> list[PromptPart]:
+    return [PromptPart(name, tokens) for name in names]
+
+
+# An urgent prompt waits for seconds behind a long one though it was predicted to be
+# first: engines read what they have admitted in its order of arrival.
+def test_wait_counts_all_that_came_before() -> None:
+    engine = make_engine()
+    engine.begin_reading("long", int(START_RATE), 10.0)
+    assert engine.predict_wait(10.0) == pytest.approx(1.0)
+    assert engine.predict_wait(10.4) == pytest.approx(0.6)
+    engine.end_reading("long", 11.1, True)
+    assert engine.predict_wait(11.1) == 0.0
+
+
+def test_wait_counts_what_other_gateways_sent() -> None:
+    engine = make_engine()
+    engine.take_share("peer", PeerShare(int(START_RATE), 2), 10.0)
+    assert engine.predict_wait(10.5) == pytest.approx(0.5)
+    assert engine.count_answers() == 2
+    engine.take_share("peer", PeerShare(0, 0), 11.0)
+    assert engine.predict_wait(11.0) == 0.0
+
+
+def test_rate_is_learned_from_a_spell_of_work() -> None:
+    engine = make_engine()
+    for spell in range(60):
+        begin = 10.0 * spell
+        engine.begin_reading("a", 20_000, begin)
+        engine.begin_reading("b", 20_000, begin + 0.1)
+        engine.end_reading("a", begin + 0.5 + FIXED_SECONDS, True)
+        engine.end_reading("b", begin + 1.0 + FIXED_SECONDS, True)
+    assert engine.rate == pytest.approx(40_000, rel=0.01)
+
+
+def test_given_up_prompts_teach_nothing() -> None:
+    engine = make_engine()
+    engine.begin_reading("a", 20_000, 0.0)
+    engine.end_reading("a", 5.0, False)
+    assert engine.rate == START_RATE
+
+
+def test_part_counts_only_behind_kept_parts() -> None:
+    cache = PromptCache(10_000)
+    cache.note("m", make_parts("a", "b", "c"))
+    assert cache.count("m", make_parts("a", "b", "x")) == 200
+    assert cache.count("m", make_parts("b", "c")) == 0
+    assert cache.count("other", make_parts("a", "b")) == 0
+
+
+def test_least_recently_used_parts_go_first() -> None:
+    cache = PromptCache(300)
+    cache.note("m", make_parts("a", "b"))
+    cache.note("m", make_parts("x", "y"))
+    assert cache.count("m", make_parts("x", "y")) == 200
+    assert cache.count("m", make_parts("a", "b")) == 0
--- /dev/null
+++ b/tests/gateway/common.py
@@ -0,0 +1,212 @@
+"""A small deployment on loopback: store, engines, a plain service, one gateway."""
+
+import asyncio
+import base64
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from adapter.callers import PlatformCallers
+from adapter.store import StoreClient
+from adapter.table import StoreTable
+from adapter.upstreams import PlatformUpstreams
+from adapter.watch import Watcher
+from aiohttp import web
+
+from radishtally.engines.placement import EnginePlacement
+from radishtally.gateway.config import Bounds, GatewaySettings
+from radishtally.gateway.daemon import Gateway
+from standins.rows import Name, Rows
+from standins.staged import StagedEngine
+
+LOOPBACK = "127.0.0.1"
+WAIT_SECONDS = 10.0
+AUTHORITY = "desk.example"
+LIMITS = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 100_000,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+}
+ENGINE = {
+    "slots": 64,
+    "kvCapacityTokens": 500_000,
+    "kvTokenBytes": 35136,
+    "stride": 10,
+    "handleTtlS": 5.0,
+    "roleSwitchS": 3.0,
+}
+
+
+def make_route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Make a route for the path of its name."""
+    return {
+        "name": name,
+        "host": AUTHORITY,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 5000,
+        "targetLatencyMs": 1000,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        **more,
+    }
+
+
+ROUTES = (
+    make_route("read", "safe", "desk"),
+    make_route("book", "unsafe", "desk", maxAttempts=1),
+    make_route("draft", "streaming", "llm", resumable=True),
+    make_route("sheet", "streaming", "llm", maxAttempts=1),
+)
+
+
+@dataclass
+class Deployment:
+    """Hold what a test drives."""
+
+    rows: Rows = field(default_factory=Rows)
+    gateway: Gateway | None = None
+    url: str = ""
+    version: int = 0
+
+    def configure(self, *routes: dict[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        self.version += 3
+        value = {
+            "version": self.version,
+            "routes": routes or ROUTES,
+            "services": [{"name": "llm", "engine": ENGINE}, {"name": "desk"}],
+            "limits": LIMITS,
+        }
+        self.rows.write(Name("op", "", "config"), _encode(value))
+
+    def announce(self, host: str, address: str, service: str, **more: Any) -> None:
+        """Write a host's entry as the host does."""
+        value = {"service": service, "address": address, "zone": "howrah", **more}
+        self.rows.write(Name("servers", "", host), _encode({"slots": 6, **value}))
+
+    def withdraw(self, host: str) -> None:
+        """Remove a host's entry."""
+        self.rows.write(Name("servers", "", host), None)
+
+    async def serve_engine(self, engine: StagedEngine) -> None:
+        """Start an engine and wait until the gateway knows it."""
+        address = await serve(engine.build_app())
+        more = {"phase": engine.phase, "slots": 64}
+        self.announce(engine.instance, address, "llm", **more)
+        await self.wait_for(engine.instance)
+
+    async def serve_desk(self, host: str, handler: "Handler") -> None:
+        """Start a host of the plain service and wait until the gateway knows it."""
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", handler)
+        self.announce(host, await serve(app), "desk")
+        await self.wait_for(host)
+
+    async def wait_for(self, host: str) -> None:
+        """Wait until the gateway knows a host."""
+        await wait_until(lambda: host in self.gateway.core.links)
+
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@asynccontextmanager
+async def deployment() -> AsyncIterator[Deployment]:
+    """Run a store and a gateway that has a configuration."""
+    made = Deployment()
+    store = await serve(made.rows.build_app())
+    made.configure()
+    client = StoreClient(store)
+    await client.start()
+    gateway = make_gateway(client, store)
+    made.gateway = gateway
+    made.url = f"http://{gateway.settings.address}"
+    Watcher(client, gateway).start()
+    running = asyncio.create_task(gateway.run())
+    try:
+        await wait_until(lambda: gateway.router.configuration is not None)
+        await wait_until(lambda: gateway.front.is_listening)
+        yield made
+    finally:
+        gateway.runtime.broken |= running.done()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        await gateway.front.stop()
+        await gateway.hosts.stop()
+        await client.stop()
+
+
+def make_gateway(client: StoreClient, store: str) -> Gateway:
+    """Make a gateway on free ports."""
+    settings = GatewaySettings(
+        host="gateway-1",
+        data_centre="howrah",
+        address=f"{LOOPBACK}:{find_port()}",
+        ready_address=f"{LOOPBACK}:{find_port()}",
+        peer_address=f"{LOOPBACK}:{find_port()}",
+        store_address=store,
+        bounds=Bounds(
+            drain_ms=2000,
+            grace_seconds=8,
+            lease_ms=3000,
+            retry_ratio=0.2,
+            retry_slack=54,
+            retry_window_seconds=10,
+        ),
+    )
+    return Gateway(
+        settings,
+        PlatformCallers(),
+        PlatformUpstreams(),
+        EnginePlacement(),
+        StoreTable(client),
+    )
+
+
+async def serve(app: web.Application) -> str:
+    """Serve an application until the loop ends; give its address."""
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0)
+    await runner.setup()
+    site = web.TCPSite(runner, LOOPBACK, 0)
+    await site.start()
+    return "{}:{}".format(*runner.addresses[0][:2])
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; fail if it never comes."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def find_port() -> int:
+    """Find a port that is free now."""
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return probe.getsockname()[1]
+
+
+def make_headers(name: str, **more: str) -> dict[str, str]:
+    """Make the head that callers of the deployment send."""
+    return {"Host": AUTHORITY, "X-Request-Id": name, "X-Deadline-Ms": "4000", **more}
+
+
+def make_prompt(name: str, **more: str) -> dict[str, str]:
+    """Make the head of a request for an answer of the engines."""
+    prompt = {
+        "X-Model": "m",
+        "X-Token-Count": "1200,40",
+        "X-Prompt-Prefix": "aa:500,bb:400,cc:300",
+    }
+    return make_headers(name, **prompt, **more)
+
+
+def _encode(value: dict[str, Any]) -> str:
+    return base64.b64encode(json.dumps(value).encode()).decode()
--- /dev/null
+++ b/tests/gateway/test_calls.py
@@ -0,0 +1,233 @@
+"""Calls of plain services through a gateway, under failure."""
+
+import asyncio
+import socket
+import struct
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from radishtally.entry.const import REFUSALS_TO_PASS_OVER
+from radishtally.limits.retries import RetryBudget
+from tests.common import run
+from tests.gateway.common import AUTHORITY, Deployment, deployment, make_headers
+
+SIGNED = {"X-Server-Signature": "by-desk"}
+
+
+async def ask(
+    made: Deployment, path: str, name: str, method: str = "GET", body: bytes = b""
+) -> tuple[int, dict[str, str], bytes]:
+    """Send one request over a connection of its own."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(
+            method, made.url + path, headers=make_headers(name), data=body or None
+        ) as response,
+    ):
+        return response.status, dict(response.headers), await response.read()
+
+
+class Desk:
+    """Answer as told, and keep what arrived."""
+
+    def __init__(self, *answers: object) -> None:
+        self.answers = list(answers)
+        self.seen: list[web.Request] = []
+        self.bodies: list[bytes] = []
+
+    async def __call__(self, request: web.Request) -> web.StreamResponse:
+        """Give the next answer, the last one again and again."""
+        self.bodies.append(await request.read())
+        self.seen.append(request)
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        return await answer(request)
+
+
+async def answer_whole(request: web.Request) -> web.Response:
+    headers = {**SIGNED, "X-Request-Id": request.headers["X-Request-Id"]}
+    return web.Response(body=b"whole", headers=headers)
+
+
+async def answer_failure(request: web.Request) -> web.Response:
+    headers = {**SIGNED, "X-Request-Id": request.headers["X-Request-Id"]}
+    return web.Response(status=500, body=b"broken", headers=headers)
+
+
+async def answer_not_run(request: web.Request) -> web.Response:
+    return web.Response(status=503, headers={"X-Not-Executed": "1"})
+
+
+async def answer_other(request: web.Request) -> web.Response:
+    headers = {**SIGNED, "X-Request-Id": "another"}
+    return web.Response(body=b"another caller's", headers=headers)
+
+
+async def answer_unsigned(request: web.Request) -> web.Response:
+    return web.Response(body=b"who says so?")
+
+
+async def reset_without_answer(request: web.Request) -> web.Response:
+    request.transport.abort()
+    return web.Response()
+
+
+def reset(request: web.Request) -> None:
+    """End the connection by a reset, not by a close."""
+    peer = request.transport.get_extra_info("socket")
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    request.transport.abort()
+
+
+async def reset_unframed(request: web.Request) -> web.Response:
+    name = request.headers["X-Request-Id"].encode()
+    head = b"HTTP/1.1 200 OK\r\nX-Server-Signature: by-desk\r\nX-Request-Id: "
+    request.transport.write(head + name + b"\r\n\r\nonly a part")
+    await asyncio.sleep(0.05)
+    reset(request)
+    return web.Response()
+
+
+async def close_unframed(request: web.Request) -> web.Response:
+    name = request.headers["X-Request-Id"].encode()
+    head = b"HTTP/1.1 200 OK\r\nX-Server-Signature: by-desk\r\nX-Request-Id: "
+    request.transport.write(head + name + b"\r\n\r\nall of it")
+    request.transport.close()
+    return web.Response()
+
+
+def test_answer_passes_unchanged() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            desk = Desk(answer_whole)
+            await made.serve_desk("d-1", desk)
+            status, headers, body = await ask(
+                made, "/book/a?b=%20c", "r1", "POST", b"x"
+            )
+            assert (status, body) == (200, b"whole")
+            assert headers["X-Server-Signature"] == "by-desk"
+            (seen,) = desk.seen
+            assert seen.raw_path == "/book/a?b=%20c"
+            assert seen.headers["Host"] == AUTHORITY
+            assert seen.headers["X-Target-Instance"] == "d-1"
+            assert 0 < int(seen.headers["X-Deadline-Ms"]) <= 4000
+            assert desk.bodies == [b"x"]
+
+    run(play())
+
+
+# The caller sees 200 with a part of the body: the host sends an answer without a
+# length, which ends with its connection, and the connection is reset on the way. The
+# HTTP library takes any end of the connection for the end of the answer.
+def test_reset_does_not_end_answer_without_length() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(reset_unframed))
+            status, _, body = await ask(made, "/book/a", "r1", "POST")
+            assert status == 502
+            assert b"only a part" not in body
+
+    run(play())
+
+
+def test_close_ends_answer_without_length() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(close_unframed))
+            status, _, body = await ask(made, "/book/a", "r1", "POST")
+            assert (status, body) == (200, b"all of it")
+
+    run(play())
+
+
+# The caller is told "not run" and sends its call again, so it runs twice: the host ran
+# the call and its answer was lost. Only a refusal of the host's own says "not run".
+@pytest.mark.parametrize(
+    "answer", [reset_without_answer, answer_other, answer_unsigned]
+)
+def test_call_that_may_have_run_is_neither_repeated_nor_said_not_to_have_run(
+    answer: object,
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            first, second = Desk(answer), Desk(answer)
+            await made.serve_desk("d-1", first)
+            await made.serve_desk("d-2", second)
+            status, headers, body = await ask(made, "/book/a", "r1", "POST")
+            assert status == 502
+            assert headers["X-Ran"] == "unknown"
+            assert b"caller's" not in body
+            assert len(first.seen) + len(second.seen) == 1
+
+    run(play())
+
+
+def test_call_that_was_refused_goes_to_another_host() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            refusing, taking = Desk(answer_not_run), Desk(answer_whole)
+            await made.serve_desk("d-1", refusing)
+            await made.serve_desk("d-2", taking)
+            made.gateway.core.budget = RetryBudget(1.0, 1.0)
+            for number in range(4):
+                status, _, _ = await ask(made, "/book/a", f"r{number}", "POST")
+                assert status == 200
+            assert len(taking.seen) == 4
+            # A host that refuses again and again is left out for a while.
+            assert len(refusing.seen) <= REFUSALS_TO_PASS_OVER
+
+    run(play())
+
+
+def test_call_refused_everywhere_is_said_not_to_have_run() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(answer_not_run))
+            status, headers, _ = await ask(made, "/book/a", "r1", "POST")
+            assert status in (429, 503)
+            assert headers["X-Ran"] == "no"
+            assert float(headers["Retry-After"]) > 0
+
+    run(play())
+
+
+def test_failed_safe_call_is_tried_again() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            first, second = (Desk(answer_failure, answer_whole) for _ in range(2))
+            await made.serve_desk("d-1", first)
+            await made.serve_desk("d-2", second)
+            status, _, body = await ask(made, "/read/a", "r1")
+            assert (status, body) in [(200, b"whole"), (500, b"broken")]
+            assert len(first.seen) + len(second.seen) == 2
+
+    run(play())
+
+
+# The caller sees 502 where the host had said 500: the call failed there and was tried
+# at another host, and that one failed too. What a host says of its failure is the
+# answer, and nobody replaces it.
+def test_failure_everywhere_is_the_hosts_own_answer() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(answer_failure))
+            await made.serve_desk("d-2", Desk(answer_failure))
+            status, headers, body = await ask(made, "/read/a", "r1")
+            assert (status, body) == (500, b"broken")
+            assert headers["X-Server-Signature"] == "by-desk"
+
+    run(play())
+
+
+def test_failed_unsafe_call_is_not_tried_again() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            first, second = Desk(answer_failure), Desk(answer_failure)
+            await made.serve_desk("d-1", first)
+            await made.serve_desk("d-2", second)
+            status, _, body = await ask(made, "/book/a", "r1", "POST")
+            assert (status, body) == (500, b"broken")
+            assert len(first.seen) + len(second.seen) == 1
+
+    run(play())
--- /dev/null
+++ b/tests/gateway/test_front.py
@@ -0,0 +1,100 @@
+"""What callers get who send what they should not."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests.common import run
+from tests.gateway.common import Deployment, deployment, wait_until
+from tests.gateway.test_calls import Desk, answer_whole
+
+
+async def send_raw(made: Deployment, data: bytes) -> bytes:
+    """Send bytes and take all that comes until the connection ends."""
+    reader, writer = await asyncio.open_connection(
+        *made.url.removeprefix("http://").split(":")
+    )
+    writer.write(data)
+    async with asyncio.timeout(5):
+        answer = await reader.read()
+    writer.close()
+    return answer
+
+
+CLOSE = b"Connection: close\r\n"
+GOOD = b"Host: desk.example\r\nX-Request-Id: r1\r\n" + CLOSE
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (
+            b"GET /read/a HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n\r\n",
+            400,
+        ),
+        (b"GET /none/a HTTP/1.1\r\n" + GOOD + b"\r\n", 404),
+        (b"GET /read HTTP/1.1\r\n" + GOOD + b"\r\n", 404),
+        (b"GET /read/a HTTP/1.1\r\n" + GOOD + b"X-Request-Id: r2\r\n\r\n", 400),
+        (b"GET /read/a HTTP/1.1\r\n" + GOOD + b"X-Deadline-Ms: soon\r\n\r\n", 400),
+        (b"nonsense\r\n\r\n", 400),
+        (
+            b"POST /book/a HTTP/1.1\r\n"
+            + GOOD
+            + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /book/a HTTP/1.1\r\n"
+            + GOOD
+            + b"Content-Length: 100001\r\n\r\n"
+            + b"x" * 100_001,
+            413,
+        ),
+    ],
+)
+def test_bad_request_is_refused_and_reaches_no_host(data: bytes, status: int) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            desk = Desk(answer_whole)
+            await made.serve_desk("d-1", desk)
+            answer = await send_raw(made, data)
+            assert answer.startswith(f"HTTP/1.1 {status} ".encode()) or (
+                status == 400 and answer.startswith(b"HTTP/1.0 400 ")
+            )
+            assert not desk.seen
+
+    run(play())
+
+
+def test_gateway_without_configuration_is_not_ready() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            ready = f"http://{made.gateway.settings.ready_address}/api/ready"
+            async with aiohttp.ClientSession() as session:
+                async with session.get(ready) as response:
+                    assert response.status == 200
+                made.gateway.router.configuration = None
+                async with session.get(ready) as response:
+                    assert response.status == 503
+
+    run(play())
+
+
+# The caller gets 404 although the operator has added its route, or is served by a
+# route that was dropped: a configuration takes too long to come into force.
+def test_configuration_comes_into_force_and_never_goes_back() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(answer_whole))
+            made.configure()
+            newest = made.version
+            await wait_until(
+                lambda: made.gateway.router.configuration.version == newest
+            )
+            made.version -= 6
+            made.configure()
+            await made.serve_desk("d-2", Desk(answer_whole))
+            assert made.gateway.router.configuration.version == newest
+
+    run(play())
--- /dev/null
+++ b/tests/gateway/test_members.py
@@ -0,0 +1,44 @@
+"""Tests of following the hosts behind the upstreams."""
+
+from radishtally.direct.core import Instance
+from radishtally.gateway.members import LAPSE_SECONDS, Forget, Members, Set
+
+
+def make_instance(host: str, is_draining: bool = False) -> Instance:
+    return Instance(host, "desk", f"{host}:1", "howrah", is_draining, 6)
+
+
+A, B = make_instance("a"), make_instance("b")
+
+
+def test_list_sets_and_forgets() -> None:
+    members = Members()
+    assert members.replace([A, B], 0.0, False) == [Set(A), Set(B)]
+    assert members.replace([A], 1.0, False) == [Forget("b")]
+    assert members.replace([A], 2.0, False) == []
+
+
+def test_draining_is_passed_on() -> None:
+    members = Members()
+    members.set(A)
+    leaving = make_instance("a", is_draining=True)
+    assert members.set(leaving) == [Set(leaving)]
+
+
+# Callers are refused everywhere: the store was away, hosts could not renew their
+# entries, and the first list after its return lacks them though they serve.
+def test_entries_that_lapsed_with_the_store_away_are_kept_for_a_while() -> None:
+    members = Members()
+    members.replace([A, B], 0.0, False)
+    assert members.replace([], 10.0, True) == []
+    assert members.set(A) == []
+    assert members.expire(10.0 + LAPSE_SECONDS - 0.1) == []
+    assert members.expire(10.0 + LAPSE_SECONDS) == [Forget("b")]
+    assert list(members) == [A]
+
+
+def test_removal_that_is_read_just_after_an_outage_waits_too() -> None:
+    members = Members()
+    members.set(A)
+    assert members.remove("a", 5.0, True) == []
+    assert members.expire(5.0 + LAPSE_SECONDS) == [Forget("a")]
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,122 @@
+"""Answers of engines through a gateway, under failure."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from standins.staged import EVENTS, StagedEngine, make_event
+from tests.common import run
+from tests.gateway.common import Deployment, deployment, make_prompt, wait_until
+
+
+async def start_engines(made: Deployment, decode: int = 1) -> list[StagedEngine]:
+    """Start one engine for prompts and some for answers."""
+    engines = [StagedEngine("p-1", "prefill")]
+    engines += [StagedEngine(f"d-{n}", "decode") for n in range(1, decode + 1)]
+    for engine in engines:
+        await made.serve_engine(engine)
+    return engines
+
+
+async def stream(made: Deployment, path: str, name: str, **more: str) -> bytes:
+    """Send a request and take its whole answer."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(
+            made.url + path, headers=make_prompt(name, **more), data=b"prompt"
+        ) as response,
+    ):
+        assert response.status == 200, await response.read()
+        assert response.headers["X-Server-Signature"].startswith("by-d-")
+        return await response.read()
+
+
+def make_whole(name: str) -> bytes:
+    """Make the whole answer to a request."""
+    return b"".join(make_event(name, number) for number in range(1, EVENTS + 1))
+
+
+def test_prompt_and_answer_run_at_engines_of_their_stage() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            prefill, decode = await start_engines(made)
+            assert await stream(made, "/sheet/a", "r1") == make_whole("r1")
+            assert decode.runs == {"r1": 1}
+            assert len(prefill.handles) == 1
+
+    run(play())
+
+
+# The caller sees an event twice, or half of one, or a stream that ends early: an
+# engine breaks off within an event and another one goes on behind the last whole one.
+def test_stream_goes_on_elsewhere_without_gap_or_repeat() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            _, first, second = await start_engines(made, decode=2)
+            first.cut_after = second.cut_after = 2
+            assert await stream(made, "/draft/a", "r1") == make_whole("r1")
+            assert first.runs + second.runs == {"r1": 2}
+
+    run(play())
+
+
+# The caller takes a part for the whole: the engine breaks off, the stream may not be
+# resumed, and the end of what has come is marked like the end of an answer.
+def test_stream_that_breaks_off_does_not_look_complete() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            _, decode = await start_engines(made)
+            decode.cut_after = 2
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await stream(made, "/sheet/a", "r1")
+            assert decode.runs == {"r1": 1}
+
+    run(play())
+
+
+# The caller is refused though engines are idle: the engine that made the KV cache has
+# lost it, and each engine that is to fetch it refuses.
+def test_lost_kv_cache_is_made_again() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            _, first, second = await start_engines(made, decode=2)
+            first.loses_handles = second.loses_handles = True
+            assert await stream(made, "/sheet/a", "r1") == make_whole("r1")
+
+    run(play())
+
+
+# An engine works on for a caller that has left: the gateway does not notice, or tells
+# nobody.
+def test_engine_stops_when_the_caller_leaves() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            _, decode = await start_engines(made)
+            decode.seconds = 0.5
+            task = asyncio.create_task(stream(made, "/sheet/a", "r1"))
+            await wait_until(lambda: decode.runs["r1"] == 1)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await wait_until(lambda: decode.dropped == ["r1"])
+
+    run(play())
+
+
+# A caller jumps the queue or takes memory of the engines: it sends headers that only
+# the system sets.
+def test_headers_of_the_system_are_not_taken_from_callers() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            _, decode = await start_engines(made)
+            forged = {
+                "X-Kv-Source": "127.0.0.1:1/x",
+                "X-Serving-Phase": "decode",
+                "X-Target-Instance": "someone",
+                "X-Kv-Hold": "h",
+                "X-Pin-Ms": "4000",
+            }
+            assert await stream(made, "/sheet/a", "r1", **forged) == make_whole("r1")
+            assert decode.runs == {"r1": 1}
+
+    run(play())
--- /dev/null
+++ b/tests/stages/test_core.py
@@ -0,0 +1,82 @@
+"""Tests of sharing engines out between prompts and answers."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishtally.links.messages import DECODE, PREFILL
+from radishtally.stages import const
+from radishtally.stages.core import (
+    Demand,
+    Engine,
+    StagePlan,
+    bound_prefill,
+    choose_changes,
+)
+
+PLACES = ("a", "b", "c")
+
+
+def make_engines(prefill: int, decode: int) -> list[Engine]:
+    roles = [PREFILL] * prefill + [DECODE] * decode
+    return [
+        Engine(f"e{number}", PLACES[number % 3], role)
+        for number, role in enumerate(roles)
+    ]
+
+
+def test_roles_are_set_once_the_list_has_settled() -> None:
+    plan = StagePlan()
+    engines = make_engines(3, 6)
+    assert plan.decide(engines, const.START_SHARE, 0.0) == []
+    changes = plan.decide(engines, const.START_SHARE, const.LACK_SECONDS)
+    wanted = round(9 * const.START_SHARE)
+    assert [change.role for change in changes] == [PREFILL] * (wanted - 3)
+
+
+def test_shift_of_demand_must_last() -> None:
+    plan = StagePlan()
+    engines = make_engines(6, 3)
+    plan.decide(engines, 0.66, 0.0)
+    assert plan.decide(engines, 0.3, 1.0) == []
+    assert plan.decide(engines, 0.66, 2.0) == []
+    assert plan.decide(engines, 0.3, 10.0) == []
+    plan.decide(engines, 0.3, 10.0 + const.SHIFT_SECONDS)
+    later = 10.0 + const.SHIFT_SECONDS + const.LACK_SECONDS
+    assert plan.decide(engines, 0.3, later)
+
+
+# All answers stop: the only engine that makes answers crashes, and the others compute
+# prompts. One of them is moved over without waiting for demand to show it.
+def test_engine_is_moved_when_a_role_is_gone() -> None:
+    plan = StagePlan()
+    plan.decide(make_engines(4, 2), 0.66, 0.0)
+    left = make_engines(4, 0)
+    plan.decide(left, 0.66, 1.0)
+    changes = plan.decide(left, 0.66, 1.0 + const.SETTLE_SECONDS)
+    assert [change.role for change in changes] == [DECODE] * 2
+
+
+@given(st.integers(0, 12), st.integers(0, 12))
+def test_changes_give_the_wanted_number(prefill: int, decode: int) -> None:
+    engines = make_engines(prefill, decode)
+    for share in (0.0, 0.5, 1.0):
+        wanted = bound_prefill(round(share * len(engines)), len(engines))
+        changes = choose_changes(engines, wanted)
+        assert len(changes) == abs(prefill - wanted)
+        roles = {engine.host: engine.role for engine in engines}
+        roles |= dict(changes)
+        assert sum(role == PREFILL for role in roles.values()) == wanted
+
+
+def test_few_engines_keep_one_for_answers() -> None:
+    assert bound_prefill(3, 3) == 2
+    assert bound_prefill(9, 9) == 9 - const.MIN_DECODE
+    assert bound_prefill(1, 1) == 0
+
+
+def test_few_requests_say_little_against_the_assumed_share() -> None:
+    demand = Demand()
+    assert demand.find_share(0.0) == pytest.approx(const.START_SHARE)
+    demand.note(0, 3_700, 0.0)
+    assert abs(demand.find_share(0.0) - const.START_SHARE) < 0.05
