Keep prompts with their shared parts while in time; logs without waiting; metrics

KV caches went to engines near the gateway, not near the engine that made them. Change: among engines that are surely in time the one with the least to read again is chosen; answers are made near the KV cache. Tests: the log writer against a reader that stops, floods and a closed pipe.

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -30,10 +30,15 @@
 """What is taken of engines until the configuration says more."""
 FAR_SECONDS: Final = 0.005
 """Handicap of an engine in another data centre: the trips, and what its bytes cost."""
-SECOND_HOME_SECONDS: Final = 0.03
-"""Handicap of a prefix's second home: the first one is used while it is free."""
-FAR_ANSWERS: Final = 4
-"""Answers more that the least busy engine of another data centre must be ahead by."""
+AGAIN_SECONDS: Final = 40e-6
+"""Handicap for each token of a shared part that is read again, beside the time that it
+takes: the work is done twice, and the part then fills two engines' memory."""
+IN_TIME_SHARE: Final = 0.7
+"""Share of the objective within which a prompt is predicted to be in time surely
+enough, so that where its shared parts lie decides and not who is first."""
+FAR_ANSWERS: Final = 5
+"""Answers more that the least busy engine of another data centre must be ahead by: a
+KV cache takes twice as long there, and its transfer costs more."""
 FAR_CALLS: Final = 0.5
 """The same for a call of a plain service: it decides between equals only."""
 DECODE_SECONDS: Final = 0.03
@@ -126,7 +131,9 @@
             return Declined(None)
         if request.next_stage == DECODE or request.kv_lost or not prefill:
             stage = DECODE if request.next_stage == DECODE else WHOLE
-            return Placed(stage, _choose_decode(decode, place).host)
+            source = self._engines.get(request.kv.host) if request.kv else None
+            near = source.data_centre if source is not None else place
+            return Placed(stage, _choose_decode(decode, near).host)
         return self._place_prompt(request, prefill, place, now)
 
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
@@ -165,43 +172,48 @@
         place: str,
         now: float,
     ) -> Placed | Declined:
-        """Choose the engine that will have read the prompt first."""
+        """Choose the engine that has the shared parts, if it is in time."""
         homes = rank((engine.host for engine in engines), request.work.prefix)
-        best, soonest, handicapped = None, Prospect(0, 0.0, 0.0), 0.0
-        for engine in engines:
-            prospect = self._predict(engine, request, homes, now)
-            seconds = prospect.wait + prospect.reading
-            handicap = 0.0 if engine.data_centre == place else FAR_SECONDS
-            if engine.host == homes[1 % len(homes)]:
-                handicap += SECOND_HOME_SECONDS
-            if best is None or seconds + handicap < handicapped:
-                best, soonest = engine, prospect
-                handicapped = seconds + handicap
+        prospects = {
+            engine.host: self._predict(engine, request, homes[0]) for engine in engines
+        }
         objective = request.arrived + request.terms.objective - now
+        in_time = [
+            engine
+            for engine in engines
+            if prospects[engine.host].seconds <= objective * IN_TIME_SHARE
+        ]
+
+        def measure(engine: EngineState) -> tuple[float, str]:
+            prospect = prospects[engine.host]
+            again = prospect.again * AGAIN_SECONDS if in_time else 0.0
+            far = 0.0 if engine.data_centre == place else FAR_SECONDS
+            return prospect.seconds + again + far, engine.host
+
+        best = min(in_time or engines, key=measure)
+        prospect = prospects[best.host]
         patience = max(MIN_PATIENCE_SECONDS, PATIENCE * request.terms.objective)
-        first_event = soonest.wait + soonest.reading + DECODE_SECONDS
-        if first_event > min(patience, request.deadline - now):
-            return Declined(max(0.0, first_event - request.terms.objective))
-        if first_event > objective and request.terms.priority < LATE_PRIORITY:
+        if prospect.seconds > min(patience, request.deadline - now):
+            return Declined(max(0.0, prospect.seconds - request.terms.objective))
+        if prospect.seconds > objective and request.terms.priority < LATE_PRIORITY:
             priority = request.terms.priority + LATE_PRIORITY
             request.terms = request.terms._replace(priority=priority)
-        return Placed(PREFILL, best.host, soonest.describe(request.terms.priority))
+        return Placed(PREFILL, best.host, prospect.describe(request.terms.priority))
 
     def _predict(
-        self,
-        engine: EngineState,
-        request: OpenRequest,
-        homes: Sequence[str],
-        now: float,
+        self, engine: EngineState, request: OpenRequest, home: str
     ) -> "Prospect":
         """Predict how the prompt would fare at an engine."""
-        tokens = _count_uncached(engine, request)
-        if engine.host == homes[0]:
+        parts = request.terms.parts
+        kept = engine.cache.count(request.work.model, parts)
+        shared = sum(part.tokens for part in parts[:-1])
+        if engine.host == home:
             # Other entries send the prefix there too, whether we have or not.
-            own = request.terms.parts[-1].tokens if request.terms.parts else tokens
-            tokens = min(tokens, own)
-        wait = engine.predict_wait(now)
-        return Prospect(tokens, wait, tokens / engine.rate + FIXED_SECONDS)
+            kept = max(kept, shared)
+        tokens = max(0, request.work.prompt_tokens - kept)
+        wait = engine.predict_wait(self._clock())
+        reading = tokens / engine.rate + FIXED_SECONDS
+        return Prospect(tokens, max(0, shared - kept), wait, reading)
 
 
 class Prospect(NamedTuple):
@@ -209,11 +221,18 @@
 
     tokens: int
     """Tokens that the engine has to read."""
+    again: int
+    """Those of them that another engine has read for others before."""
     wait: float
     """Seconds until it begins."""
     reading: float
     """Seconds that it reads."""
 
+    @property
+    def seconds(self) -> float:
+        """Give the seconds until the first event of the answer."""
+        return self.wait + self.reading + DECODE_SECONDS
+
     def describe(self, priority: int) -> str:
         """Say what was predicted, for the log."""
         return (
@@ -228,11 +247,11 @@
     return max(0, work.prompt_tokens - kept)
 
 
-def _choose_decode(engines: Sequence[EngineState], place: str) -> EngineState:
-    """Choose the engine with the fewest answers, rather in the entry's data centre."""
+def _choose_decode(engines: Sequence[EngineState], data_centre: str) -> EngineState:
+    """Choose the engine with the fewest answers, rather in a data centre."""
 
     def measure(engine: EngineState) -> tuple[int, str]:
-        far = 0 if engine.data_centre == place else FAR_ANSWERS
+        far = 0 if engine.data_centre == data_centre else FAR_ANSWERS
         return engine.count_answers() + far, engine.host
 
     return min(engines, key=measure)
--- a/radishtally/gateway/config.py
+++ b/radishtally/gateway/config.py
@@ -35,7 +35,9 @@
     address: Text
     """IP and port for callers."""
     ready_address: Text
-    """IP and port for the balancer's question and for metrics."""
+    """IP and port for the balancer's question."""
+    metrics_address: Text
+    """IP and port for counters and histograms."""
     peer_address: Text
     """IP and port for the other gateways."""
     store_address: Text
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -14,6 +14,7 @@
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
 from radishtally.entry import events
+from radishtally.entry.const import FIRST_FAILURE
 from radishtally.entry.core import EntryCore, handle_event
 from radishtally.entry.replies import Part, Replies
 from radishtally.gateway.config import Bounds, GatewaySettings
@@ -32,6 +33,7 @@
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.front import Front
 from radishtally.gateway.members import Change, Forget, Members, Set
+from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import Routed, Router
 from radishtally.limits.retries import RetryBudget
@@ -62,6 +64,7 @@
         self.members = Members()
         self.placement = placement
         self.replies = Replies()
+        self.metrics = GatewayMetrics()
         self.core = EntryCore(
             settings.host,
             settings.data_centre,
@@ -98,7 +101,10 @@
         """Serve until a planned stop."""
         self.runtime.watch_loop()
         await self.hosts.start()
-        await self.front.start(self.settings.address, self.settings.ready_address)
+        settings = self.settings
+        await self.front.start(
+            settings.address, settings.ready_address, settings.metrics_address
+        )
         self.lease.start()
         self.runtime.spawn(self.stages.run())
         self.runtime.spawn(self.peers.run())
@@ -130,6 +136,10 @@
         """Take how many gateways there are: they share what retries are allowed."""
         self.core.budget.floor = find_retry_floor(self.settings.bounds, count)
 
+    def render_metrics(self) -> bytes:
+        """Give the figures of the metrics address."""
+        return self.metrics.render()
+
     def is_ready(self) -> bool:
         """Tell whether the balancer should send requests here."""
         return self.router.configuration is not None and not self.is_stopping()
@@ -189,6 +199,15 @@
         """Bring a request in."""
         work = routed.work
         queue = self.replies.open(work.request)
+        self.metrics.opened(routed)
+        log_message(
+            "request:arrived",
+            request=work.request,
+            upstream=work.upstream,
+            kind=work.kind,
+            timeout=round(routed.timeout, 3),
+            version=self.router.configuration.version,
+        )
         now = time.monotonic()
         deadline = now + routed.timeout
         self.handle(events.Arrived(work, deadline, routed.is_streamed, routed.terms))
@@ -199,6 +218,13 @@
         self.replies.close(request)
         if not done:
             self.handle(events.CallerGone(request))
+        outcome, seconds = self.metrics.closed(request)
+        log_message(
+            "request:closed",
+            request=request,
+            outcome=outcome,
+            seconds=round(seconds, 4),
+        )
 
     def handle(self, event: events.Event) -> None:
         """Give the core an event and carry out its commands."""
@@ -219,6 +245,7 @@
         message = command.message
         if isinstance(message, Offer):
             terms = self.core.requests[message.work.request].terms
+            self.metrics.offered(message.stage)
             self.hosts.run(command.host, message, terms)
         elif isinstance(message, Cancel):
             self.hosts.cancel(message)
@@ -227,13 +254,26 @@
     def _(self, command: events.DropKv) -> None:
         self.hosts.drop(command.kv)
 
-    @_execute.register(events.Begin | events.Deliver | events.Finish)
-    def _(self, command: Part) -> None:
+    @_execute.register
+    def _(self, command: events.Begin) -> None:
+        self.metrics.begun(command.request)
+        self.replies.put(command)
+
+    @_execute.register
+    def _(self, command: events.Deliver) -> None:
+        self.replies.put(command)
+
+    @_execute.register
+    def _(self, command: events.Finish) -> None:
+        is_good = command.end.status < FIRST_FAILURE
+        self.metrics.ended(command.request, ANSWERED if is_good else FAILED)
         self.replies.put(command)
 
     @_execute.register
     def _(self, command: events.Refuse) -> None:
         refusal = command.refusal
+        self.metrics.refused(refusal.code, refusal.ran)
+        self.metrics.ended(command.request, REFUSED)
         log_message(
             "request:refused",
             request=command.request,
--- a/radishtally/gateway/front.py
+++ b/radishtally/gateway/front.py
@@ -4,6 +4,7 @@
 import logging
 import math
 import time
+from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple, Protocol
 
 import msgspec
@@ -24,6 +25,7 @@
     SWEEP_SECONDS,
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
+from radishtally.gateway.metrics import CONTENT_TYPE
 from radishtally.gateway.requests import Routed
 from radishtally.outcome import Error, Ok, Ran, Refusal, Result
 from radishtally.routes.config import CallerLimits
@@ -53,6 +55,9 @@
     def is_ready(self) -> bool:
         """Tell whether the balancer should send requests here."""
 
+    def render_metrics(self) -> bytes:
+        """Give the figures of the metrics address."""
+
     def is_stopping(self) -> bool:
         """Tell whether connections should be brought to an end."""
 
@@ -75,7 +80,9 @@
         self._server: web.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
-    async def start(self, address: str, ready_address: str) -> None:
+    async def start(
+        self, address: str, ready_address: str, metrics_address: str
+    ) -> None:
         """Listen."""
         logging.getLogger("aiohttp.server").addHandler(_EliotHandler())
         self._server = web.Server(
@@ -88,9 +95,8 @@
             access_log=None,
         )
         await self._listen(self._server, address)
-        await self._listen(
-            web.Server(self._answer_ready, access_log=None), ready_address
-        )
+        await self._listen(_serve(self._answer_ready), ready_address)
+        await self._listen(_serve(self._answer_metrics), metrics_address)
         self._sweeper = asyncio.create_task(self._sweep())
 
     @property
@@ -126,6 +132,10 @@
             return web.Response(status=404)
         return web.Response(status=200 if self._gate.is_ready() else 503)
 
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        headers = {"Content-Type": CONTENT_TYPE}
+        return web.Response(body=self._gate.render_metrics(), headers=headers)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self._note(request.protocol, 1)
@@ -273,6 +283,10 @@
                 connection.close()
 
 
+def _serve(handler: Callable[..., Awaitable[web.Response]]) -> web.Server:
+    return web.Server(handler, access_log=None)
+
+
 def _find_status(refusal: Refusal) -> int:
     """Give the status that says no more than is known.
 
--- /dev/null
+++ b/radishtally/gateway/metrics.py
@@ -0,0 +1,118 @@
+"""Count what a gateway does, for the metrics address."""
+
+import time
+from typing import Final
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from radishtally.gateway.requests import Routed
+
+CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+LATENCY_BUCKETS: Final = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.4,
+    0.6,
+    0.8,
+    1.0,
+    1.5,
+    2.5,
+    5.0,
+    10.0,
+)
+"""Bounds in seconds; the deployments' objectives, 0.15 to 0.85 s, lie between them."""
+ANSWERED: Final = "answered"
+FAILED: Final = "failed"
+REFUSED: Final = "refused"
+BROKEN_OFF: Final = "broken_off"
+LEFT: Final = "caller_left"
+
+
+class GatewayMetrics:
+    """Hold the counters and histograms of one gateway."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._ended = Counter(
+            "radishtally_requests",
+            "Requests by kind of route and by how they ended",
+            ["kind", "outcome"],
+            registry=self._registry,
+        )
+        self._refusals = Counter(
+            "radishtally_refusals",
+            "Answers of the gateway's own by code",
+            ["code", "ran"],
+            registry=self._registry,
+        )
+        self._offers = Counter(
+            "radishtally_offers",
+            "Offers to hosts by stage",
+            ["stage"],
+            registry=self._registry,
+        )
+        self._first = self._make_histogram("first_part", "first part of the answer")
+        self._whole = self._make_histogram("whole", "end of the answer")
+        self._open = Gauge(
+            "radishtally_open_requests", "Open requests", registry=self._registry
+        )
+        self._started: dict[str, tuple[float, str]] = {}
+        """Time at which an open request came, and its kind."""
+        self._outcomes: dict[str, str] = {}
+
+    def _make_histogram(self, name: str, what: str) -> Histogram:
+        return Histogram(
+            f"radishtally_{name}_seconds",
+            f"Time to the {what}",
+            ["kind"],
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+
+    def opened(self, routed: Routed) -> None:
+        """Count a request that came in."""
+        self._started[routed.work.request] = time.monotonic(), routed.work.kind
+        self._open.inc()
+
+    def offered(self, stage: str) -> None:
+        """Count an offer."""
+        self._offers.labels(stage).inc()
+
+    def begun(self, request: str) -> None:
+        """Time the first part of an answer."""
+        began, kind = self._started.get(request, (None, ""))
+        if began is not None:
+            self._first.labels(kind).observe(time.monotonic() - began)
+
+    def ended(self, request: str, outcome: str) -> None:
+        """Note how a request ended."""
+        self._outcomes[request] = outcome
+
+    def refused(self, code: str, ran: str) -> None:
+        """Count an answer of the gateway's own."""
+        self._refusals.labels(code, ran).inc()
+
+    def closed(self, request: str) -> tuple[str, float]:
+        """Count a request that is over; give its outcome and how long it took."""
+        began, kind = self._started.pop(request, (time.monotonic(), ""))
+        outcome = self._outcomes.pop(request, LEFT)
+        seconds = time.monotonic() - began
+        self._open.dec()
+        self._ended.labels(kind, outcome).inc()
+        if outcome == ANSWERED:
+            self._whole.labels(kind).observe(seconds)
+        return outcome, seconds
+
+    def render(self) -> bytes:
+        """Give all figures in the text format."""
+        return generate_latest(self._registry)
--- a/radishtally/stages/const.py
+++ b/radishtally/stages/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-START_SHARE: Final = 0.62
+START_SHARE: Final = 0.6
 """Share of the engines' time that goes into prompts, until traffic tells."""
 MIN_DECODE: Final = 2
 """Engines that make answers at least where there are MANY engines: with one alone its
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -148,6 +148,7 @@
         data_centre="howrah",
         address=f"{LOOPBACK}:{find_port()}",
         ready_address=f"{LOOPBACK}:{find_port()}",
+        metrics_address=f"{LOOPBACK}:{find_port()}",
         peer_address=f"{LOOPBACK}:{find_port()}",
         store_address=store,
         bounds=Bounds(
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -7,7 +7,7 @@
 
 from tests.common import run
 from tests.gateway.common import Deployment, deployment, wait_until
-from tests.gateway.test_calls import Desk, answer_whole
+from tests.gateway.test_calls import Desk, answer_whole, ask
 
 
 async def send_raw(made: Deployment, data: bytes) -> bytes:
@@ -98,3 +98,20 @@
             assert made.gateway.router.configuration.version == newest
 
     run(play())
+
+
+def test_metrics_tell_how_requests_ended() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(answer_whole))
+            await ask(made, "/read/a", "r1")
+            await ask(made, "/draft/a", "r2", "POST")
+            url = f"http://{made.gateway.settings.metrics_address}/metrics"
+            async with aiohttp.ClientSession() as session, session.get(url) as response:
+                text = await response.text()
+            ended = "radishtally_requests_total"
+            assert f'{ended}{{kind="call",outcome="answered"}} 1.0' in text
+            assert f'{ended}{{kind="stream",outcome="refused"}} 1.0' in text
+            assert 'radishtally_whole_seconds_count{kind="call"} 1.0' in text
+
+    run(play())
--- /dev/null
+++ b/tests/test_log_writer.py
@@ -0,0 +1,84 @@
+"""Tests of writing logs without waiting for their reader."""
+
+import json
+import os
+
+from radishtally.logs import BURST_LINES, LINES_PER_SECOND, MAX_BUFFER_BYTES, LogWriter
+
+
+class Clock:
+    """Stand still until it is moved."""
+
+    now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def make_writer() -> tuple[LogWriter, int, Clock]:
+    """Make a writer, the end of the pipe to read from, and its clock."""
+    reader, descriptor = os.pipe()
+    clock = Clock()
+    return LogWriter(descriptor, clock), reader, clock
+
+
+def read_lines(reader: int) -> list[dict]:
+    """Read the lines that are there."""
+    os.set_blocking(reader, False)
+    data = b""
+    while True:
+        try:
+            data += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            return [json.loads(line) for line in data.splitlines()]
+
+
+def test_lines_are_json() -> None:
+    writer, reader, _ = make_writer()
+    writer({"message_type": "a", "error": OSError("x")})
+    assert read_lines(reader) == [{"message_type": "a", "error": "OSError('x')"}]
+
+
+# Every request stands still: whoever reads the log has stopped, the pipe is full, and
+# the next write waits for room with the whole loop behind it.
+def test_reader_that_stops_costs_lines_and_no_time() -> None:
+    writer, reader, _ = make_writer()
+    text = "x" * 1000
+    for number in range(3 * MAX_BUFFER_BYTES // len(text)):
+        writer({"message_type": "process:state", "number": number, "text": text})
+    lines = read_lines(reader)
+    while batch := (writer.flush(), read_lines(reader))[1]:
+        lines += batch
+    writer({"message_type": "process:state", "number": -1})
+    lines += read_lines(reader)
+    said = [line["lines"] for line in lines if line["message_type"] == "log:left_out"]
+    kept = [line for line in lines if line["message_type"] != "log:left_out"]
+    assert len(said) == 1
+    assert len(kept) + said[0] == 3 * MAX_BUFFER_BYTES // len(text) + 1
+
+
+def test_flood_of_requests_is_cut_and_counted() -> None:
+    writer, reader, clock = make_writer()
+    taken = []
+    flood = int(BURST_LINES) + 500
+    for number in range(flood):
+        writer({"message_type": "request:step", "number": number})
+        if number % 100 == 0:
+            taken += read_lines(reader)
+    clock.now += 1.0
+    writer({"message_type": "stage:ordered"})
+    taken += read_lines(reader)
+    said = [line["lines"] for line in taken if line["message_type"] == "log:left_out"]
+    assert said == [500]
+    assert taken[-1]["message_type"] == "stage:ordered"
+    for number in range(int(LINES_PER_SECOND) + 100):
+        writer({"message_type": "request:step", "number": number})
+        if number % 100 == 0:
+            taken += read_lines(reader)
+    assert writer._left_out == 100
+
+
+def test_closed_reader_ends_nothing() -> None:
+    writer, reader, _ = make_writer()
+    os.close(reader)
+    writer({"message_type": "a"})
