Refuse what can't end before the end of a stop; count suspended time in leases

Ruled out: new connections of the balancer. Change: once the balancer has had time to stop sending, a request whose time-out lies behind the end is refused as not run. The lease's clock goes on while suspended, SIGHUP reads the settings again instead of ending the process, parts unload together. Test: test_long_request_late_in_a_stop_is_refused_at_once.

--- a/radishtally/entry/core.py
+++ b/radishtally/entry/core.py
@@ -250,6 +250,8 @@
     if request is None or request.begun:
         return
     request.begun = True
+    # What was fetched is the engine's own now, and is nobody's to free.
+    request.kv = None
     if not request.answered:
         yield Begin(message.request, message.status, message.headers)
 
--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -15,8 +15,11 @@
 LEAVE_SECONDS: Final = 3.0
 """Time that a stopping gateway goes on taking connections: the balancer asks once a
 second and stops sending after two answers that are not 200."""
-LEAVE_MARGIN_SECONDS: Final = 0.4
-"""Time before the platform's kill at which a stopping gateway ends by itself."""
+LEAVE_MARGIN_SECONDS: Final = 0.9
+"""Time before the platform's kill at which a stopping gateway ends by itself: time to
+unload, and some for a machine that is slow just then."""
+UNLOAD_SECONDS: Final = 0.4
+"""Longest time that a stopping gateway waits for its parts."""
 LEAVE_POLL_SECONDS: Final = 0.05
 DEFAULT_RETRY_AFTER: Final = 1.0
 """Seconds until it is worth asking again where nothing better is known."""
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -6,6 +6,7 @@
 import time
 from functools import singledispatchmethod
 
+import msgspec
 from eliot import log_message
 
 from radishtally.authority.holder import LeaseHolder
@@ -29,19 +30,20 @@
     LEAVE_SECONDS,
     RETRY_PART,
     STAGES,
+    UNLOAD_SECONDS,
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.front import Front
 from radishtally.gateway.members import Change, Forget, Members, Set
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
-from radishtally.gateway.requests import Routed, Router
+from radishtally.gateway.requests import STOPPING, Routed, Router
 from radishtally.limits.retries import RetryBudget
 from radishtally.links.messages import Cancel, Hello, Message, Offer
-from radishtally.outcome import Refusal, Result
+from radishtally.outcome import Error, Refusal, Result
 from radishtally.platform.core import Table
 from radishtally.routes.config import CallerLimits, FleetConfiguration
-from radishtally.runtime import Runtime, Waker
+from radishtally.runtime import Runtime, Waker, read_boot_clock
 from radishtally.stages.keeper import StageKeeper
 
 
@@ -81,6 +83,7 @@
         )
         self.hosts = DirectHosts(upstreams, self.runtime.guard_call(self._receive))
         self.front = Front(self, callers)
+        self._stop_begun: float | None = None
         self.lease = make_lease(self)
         self.stages = StageKeeper(
             settings.host, self.hosts, lambda: list(self.members), self.lease
@@ -110,12 +113,10 @@
         self.runtime.spawn(self.peers.run())
         log_message("gateway:started", address=self.settings.address)
         await self.runtime.stopping.wait()
-        await self.lease.stop()
+        resigning = self.runtime.spawn(self.lease.stop())
         await self._leave()
         self.waker.stop()
-        await self.front.stop()
-        await self.peers.stop()
-        await self.hosts.stop()
+        await self._unload(resigning)
         self.runtime.cancel_tasks()
         log_message("gateway:stopped", open=len(self.replies))
         self.runtime.exit()
@@ -123,15 +124,28 @@
     async def _leave(self) -> None:
         """Leave in good order: red to the balancer, then out when nothing is open."""
         log_message("gateway:leaving", open=len(self.replies))
-        begin = time.monotonic()
-        until = begin + self.settings.bounds.grace_seconds - LEAVE_MARGIN_SECONDS
+        self._stop_begun = time.monotonic()
+        until = self._stop_begun + self._grace()
         while time.monotonic() < until and not self.runtime.broken:
             await asyncio.sleep(LEAVE_POLL_SECONDS)
-            if time.monotonic() < begin + LEAVE_SECONDS:
+            if time.monotonic() < self._stop_begun + LEAVE_SECONDS:
                 continue
             if not self.front.close_idle():
                 return
 
+    async def _unload(self, *more: asyncio.Task) -> None:
+        """Stop the parts together: what hangs would outlast the platform's grace."""
+        parts = self.front.stop(), self.peers.stop(), self.hosts.stop()
+        tasks = [*more, *map(asyncio.create_task, parts)]
+        await asyncio.wait(tasks, timeout=UNLOAD_SECONDS)
+
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Take settings that were read again; addresses stay until the next start."""
+        bounds = self.settings.bounds
+        fixed = msgspec.structs.replace(settings, bounds=bounds)
+        log_message("settings:reloaded", needs_restart=fixed != self.settings)
+        self.settings = msgspec.structs.replace(self.settings, bounds=settings.bounds)
+
     def count_gateways(self, count: int) -> None:
         """Take how many gateways there are: they share what retries are allowed."""
         self.core.budget.floor = find_retry_floor(self.settings.bounds, count)
@@ -193,7 +207,26 @@
         self, method: str, target: str, asked: CallerRequest, body: bytes
     ) -> Result[Routed, Refusal]:
         """Find where a request goes."""
-        return self.router.route(method, target, asked, body)
+        routed = self.router.route(method, target, asked, body)
+        if routed.is_ok() and not self._may_finish(routed.ok.timeout):
+            return Error(STOPPING)
+        return routed
+
+    def _may_finish(self, timeout: float) -> bool:
+        """Tell whether a request that comes now will have its answer in time.
+
+        Callers whose connections are open when the stop begins go on sending, and
+        where few gateways are left the balancer sends to this one all the same. What
+        comes late and lasts long would be cut off by the end of the process.
+        """
+        if self._stop_begun is None:
+            return True
+        passed = time.monotonic() - self._stop_begun
+        left = self._grace() - passed
+        return passed < LEAVE_SECONDS or timeout < left
+
+    def _grace(self) -> float:
+        return self.settings.bounds.grace_seconds - LEAVE_MARGIN_SECONDS
 
     def open(self, routed: Routed) -> asyncio.Queue[Part]:
         """Bring a request in."""
@@ -306,4 +339,5 @@
         terms,
         on_gained=lambda fencing: log_message("lease:gained", fencing=fencing),
         on_lost=lambda cause: log_message("lease:lost", cause=cause),
+        clock=read_boot_clock,
     )
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -14,6 +14,9 @@
 NOT_READY: Final = Refusal(
     503, "not_ready", "no configuration is in force yet", Ran.NO, retry_after=1.0
 )
+STOPPING: Final = Refusal(
+    503, "stopping", "this gateway is stopping", Ran.NO, retry_after=0.05
+)
 NO_ROUTE: Final = Refusal(404, "no_route", "no route leads from this path")
 
 
--- a/radishtally/runtime.py
+++ b/radishtally/runtime.py
@@ -16,6 +16,15 @@
 PACKAGE: Final = str(Path(__file__).parent)
 
 
+def read_boot_clock() -> float:
+    """Give seconds on a steady clock that goes on while the machine is suspended.
+
+    The usual steady clock stands still meanwhile: a holder that was suspended past the
+    end of its lease would wake in the belief that it still holds it.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Runtime:
     """Hold a process's tasks and its way to end."""
 
@@ -31,6 +40,11 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
 
+    def on_hangup(self, callback: Callable[[], None]) -> None:
+        """Call back when the settings are to be read again."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.guard_call(callback))
+
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a coroutine until it ends or the process unloads."""
         task = asyncio.create_task(coroutine)
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -1,6 +1,7 @@
 """What callers get who send what they should not."""
 
 import asyncio
+import time
 
 import aiohttp
 import pytest
@@ -115,3 +116,20 @@
             assert 'radishtally_whole_seconds_count{kind="call"} 1.0' in text
 
     run(play())
+
+
+# A caller's stream is cut off without an answer: its connection was open when the
+# process was told to stop, and seconds later it sends one more request on it, which
+# can't end before the platform kills the process.
+def test_long_request_late_in_a_stop_is_refused_at_once() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(answer_whole))
+            gateway = made.gateway
+            gateway._stop_begun = time.monotonic() - 5.0
+            status, headers, _ = await ask(made, "/read/a", "r1")
+            assert (status, headers["X-Ran"]) == (503, "no")
+            gateway._stop_begun = time.monotonic() - 1.0
+            assert (await ask(made, "/read/a", "r2"))[0] == 200
+
+    run(play())
