Name the product's store contracts apart from the adapter's folder

Cause: radishtally/platform/ and platform/ could be confused, and python has a module of that name. Change: radishtally/store/ and tests/store/, nothing else. Ruled out: removing the clients of guessed protocols now; entry and agent of the demo run on them.

--- a/bench/capacity/claims.py
+++ b/bench/capacity/claims.py
@@ -11,7 +11,7 @@
 from bench.fleet import Fleet, get_json
 from radishtally.claims.events import Granted
 from radishtally.claims.store import ClaimStore
-from radishtally.platform.table import HttpTable
+from radishtally.store.table import HttpTable
 
 CLAIMS: Final = 600
 BODY: Final = b"x" * 200
--- a/bench/capacity/members.py
+++ b/bench/capacity/members.py
@@ -15,9 +15,9 @@
     Server,
     Tick,
 )
-from radishtally.platform.client import Reply
-from radishtally.platform.core import LIVE, ListedHost
-from radishtally.platform.hostlist import _parse_reply
+from radishtally.store.client import Reply
+from radishtally.store.core import LIVE, ListedHost
+from radishtally.store.hostlist import _parse_reply
 
 HOSTS: Final = (100, 350, 1_400)
 POOLS: Final = 34
--- a/radishtally/agent/orders.py
+++ b/radishtally/agent/orders.py
@@ -16,7 +16,7 @@
 from radishtally.authority.plan import name_drain, read_drain_row
 from radishtally.authority.plans import Plans
 from radishtally.driver import CoreDriver
-from radishtally.platform.core import Table
+from radishtally.store.core import Table
 
 DRAIN_REASON: Final = "drained by an operator"
 CHANGE_REASON: Final = "change of the engine"
--- a/radishtally/audit/core.py
+++ b/radishtally/audit/core.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Final, NamedTuple
 
-from radishtally.platform.core import Key, Put, Row
+from radishtally.store.core import Key, Put, Row
 
 AUDIT: Final = "audit"
 
--- a/radishtally/audit/store.py
+++ b/radishtally/audit/store.py
@@ -11,7 +11,7 @@
 
 from radishtally.audit.core import AUDIT, AuditEntry, make_audit_put, read_entry
 from radishtally.outcome import Ok, Result
-from radishtally.platform.core import Put, ReadError, Row, Table
+from radishtally.store.core import Put, ReadError, Row, Table
 
 BUFFERED_ENTRIES: Final = 1000
 GROUP_ENTRIES: Final = 50
--- a/radishtally/authority/holder.py
+++ b/radishtally/authority/holder.py
@@ -22,8 +22,8 @@
     WriteSettled,
 )
 from radishtally.driver import CoreDriver
-from radishtally.platform.core import Check, Table
-from radishtally.platform.settle import transact_settled
+from radishtally.store.core import Check, Table
+from radishtally.store.settle import transact_settled
 
 CALL_PART: Final = 0.25
 """Part of the lease time that one call to the table may take."""
--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -9,7 +9,7 @@
 from typing import Final, NamedTuple, TypedDict
 
 from radishtally.outcome import Result
-from radishtally.platform.core import (
+from radishtally.store.core import (
     ABSENT,
     Check,
     Conflict,
--- a/radishtally/authority/plan.py
+++ b/radishtally/authority/plan.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Final, NamedTuple
 
-from radishtally.platform.core import ABSENT, Check, Key, Put, Row, Write
+from radishtally.store.core import ABSENT, Check, Key, Put, Row, Write
 
 PLAN: Final = "plan"
 DRAIN: Final = "drain"
--- a/radishtally/authority/plans.py
+++ b/radishtally/authority/plans.py
@@ -21,7 +21,7 @@
     read_plan_row,
 )
 from radishtally.outcome import Error, Ok, Result
-from radishtally.platform.core import (
+from radishtally.store.core import (
     ABSENT,
     Check,
     Conflict,
@@ -32,7 +32,7 @@
     TableError,
     Write,
 )
-from radishtally.platform.settle import transact_settled
+from radishtally.store.settle import transact_settled
 
 WRITE_SECONDS: Final = 2.0
 ATTEMPTS: Final = 3
--- a/radishtally/claims/core.py
+++ b/radishtally/claims/core.py
@@ -47,7 +47,7 @@
     name_claim,
     read_answer,
 )
-from radishtally.platform.core import (
+from radishtally.store.core import (
     ABSENT,
     MAX_WRITES,
     Conflict,
--- a/radishtally/claims/events.py
+++ b/radishtally/claims/events.py
@@ -9,7 +9,7 @@
     StoredAnswer,
 )
 from radishtally.outcome import Result
-from radishtally.platform.core import (
+from radishtally.store.core import (
     Key,
     Put,
     Row,
--- a/radishtally/claims/record.py
+++ b/radishtally/claims/record.py
@@ -3,7 +3,7 @@
 import base64
 from typing import Any, Final, NamedTuple, TypedDict
 
-from radishtally.platform.core import Key, Row
+from radishtally.store.core import Key, Row
 
 CLAIM_PREFIX: Final = "claim#"
 CLAIMED: Final = "claimed"
--- a/radishtally/claims/store.py
+++ b/radishtally/claims/store.py
@@ -28,7 +28,7 @@
 )
 from radishtally.claims.record import Claim, StoredAnswer
 from radishtally.driver import CoreDriver
-from radishtally.platform.core import Table
+from radishtally.store.core import Table
 
 CLAIM_SECONDS: Final = 2.0
 """Time after which a claim that is not clearly ours is refused."""
--- a/radishtally/configuration/core.py
+++ b/radishtally/configuration/core.py
@@ -13,7 +13,7 @@
     parse_text,
 )
 from radishtally.outcome import Error, Fault, Ok, Result
-from radishtally.platform.core import ENTRY
+from radishtally.store.core import ENTRY
 
 MERGED: Final = "merged folder"
 """Place of a fault that no single file brought in."""
--- a/radishtally/configuration/store.py
+++ b/radishtally/configuration/store.py
@@ -25,7 +25,7 @@
     plan_change,
 )
 from radishtally.outcome import Error, Fault, Ok, Result
-from radishtally.platform.core import (
+from radishtally.store.core import (
     ABSENT,
     Conflict,
     Invalid,
@@ -38,7 +38,7 @@
     Unavailable,
     Unclear,
 )
-from radishtally.platform.settle import transact_settled
+from radishtally.store.settle import transact_settled
 
 HEAD_KEY: Final = Key("head", "configuration")
 HISTORY: Final = "head-history"
--- a/radishtally/entry/faults.py
+++ b/radishtally/entry/faults.py
@@ -8,7 +8,7 @@
 from radishtally.configuration.head import Raced
 from radishtally.entry.http import respond_json
 from radishtally.outcome import Fault
-from radishtally.platform.core import Conflict, Invalid, Unavailable, Unclear
+from radishtally.store.core import Conflict, Invalid, Unavailable, Unclear
 
 
 def respond_error(status: int, message: str, **more: Any) -> HTTPResponse:
--- a/radishtally/entry/members.py
+++ b/radishtally/entry/members.py
@@ -11,8 +11,8 @@
 from radishtally.links.messages import Hello
 from radishtally.membership import events as membership
 from radishtally.membership.core import LIVE, Membership, handle
-from radishtally.platform.core import ENTRY, ListedHost
 from radishtally.settings.config import Settings
+from radishtally.store.core import ENTRY, ListedHost
 
 SEED: Final = "seed "
 """Begins the name under which a seed is dialled before its host is known."""
--- a/radishtally/entry/planning.py
+++ b/radishtally/entry/planning.py
@@ -16,7 +16,7 @@
 from radishtally.links.messages import Hint, Load
 from radishtally.planner import core as planner
 from radishtally.planner.core import Planner, Pool, handle
-from radishtally.platform.core import Table
+from radishtally.store.core import Table
 
 StartTask = Callable[[Coroutine[Any, Any, Any]], asyncio.Task]
 
--- a/radishtally/entry/watch.py
+++ b/radishtally/entry/watch.py
@@ -8,7 +8,7 @@
 
 from radishtally.distribution.core import hash_files
 from radishtally.links.messages import FilesGive
-from radishtally.platform.core import ENTRY, ListedHost
+from radishtally.store.core import ENTRY, ListedHost
 
 if TYPE_CHECKING:
     from radishtally.entry.daemon import EntryDaemon
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -41,10 +41,10 @@
 from radishtally.limits.retries import RetryBudget
 from radishtally.links.messages import Cancel, Hello, Message, Offer
 from radishtally.outcome import Error, Refusal, Result
-from radishtally.platform.core import Table
 from radishtally.routes.config import CallerLimits, FleetConfiguration
 from radishtally.runtime import Runtime, Waker, read_boot_clock
 from radishtally.stages.keeper import StageKeeper
+from radishtally.store.core import Table
 
 
 class Gateway:
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -16,9 +16,9 @@
 from radishtally.links.hub import Callbacks, LinkHub
 from radishtally.links.messages import Backlog, Hello, Message
 from radishtally.outcome import Result
-from radishtally.platform.core import ABSENT, Key, Put, Table
-from radishtally.platform.settle import transact_settled
 from radishtally.runtime import Runtime
+from radishtally.store.core import ABSENT, Key, Put, Table
+from radishtally.store.settle import transact_settled
 
 GATEWAYS: Final = "gateways"
 """Partition of the rows in which gateways say where they listen for each other."""
--- a/radishtally/membership/core.py
+++ b/radishtally/membership/core.py
@@ -19,8 +19,8 @@
     StateChanged,
     Tick,
 )
-from radishtally.platform.core import ENTRY, ListedHost
-from radishtally.platform.core import LEAVING as LISTED_LEAVING
+from radishtally.store.core import ENTRY, ListedHost
+from radishtally.store.core import LEAVING as LISTED_LEAVING
 
 LIVE: Final = "live"
 LEAVING: Final = "leaving"
--- a/radishtally/membership/events.py
+++ b/radishtally/membership/events.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from radishtally.platform.core import ListedHost
+from radishtally.store.core import ListedHost
 
 
 class Listed(NamedTuple):
--- a/radishtally/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Reach the platform: its table service, object store and host list."""
--- a/radishtally/process.py
+++ b/radishtally/process.py
@@ -18,11 +18,11 @@
     Pong,
 )
 from radishtally.metrics import make_metrics
-from radishtally.platform.hostlist import HttpHostList
-from radishtally.platform.objects import HttpObjects
-from radishtally.platform.table import HttpTable
 from radishtally.runtime import Runtime
 from radishtally.settings.config import Settings
+from radishtally.store.hostlist import HttpHostList
+from radishtally.store.objects import HttpObjects
+from radishtally.store.table import HttpTable
 
 
 class Process(Runtime):
--- a/radishtally/platform/hostlist.py
+++ b/radishtally/store/hostlist.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from radishtally.outcome import Error, Ok, Result
-from radishtally.platform.client import HttpClient, Reply
-from radishtally.platform.core import LEAVING, LIVE, ListedHost, Unavailable
+from radishtally.store.client import HttpClient, Reply
+from radishtally.store.core import LEAVING, LIVE, ListedHost, Unavailable
 
 DEFAULT_TIMEOUT_SECONDS: Final = 2.0
 PATH: Final = "/hosts"
--- a/radishtally/platform/objects.py
+++ b/radishtally/store/objects.py
@@ -3,8 +3,8 @@
 from typing import Final
 
 from radishtally.outcome import Error, Ok, Result
-from radishtally.platform.client import CallError, HttpClient, NotSent, Reply
-from radishtally.platform.core import Unavailable
+from radishtally.store.client import CallError, HttpClient, NotSent, Reply
+from radishtally.store.core import Unavailable
 
 DEFAULT_TIMEOUT_SECONDS: Final = 3.0
 TRIES: Final = 2
--- a/radishtally/platform/settle.py
+++ b/radishtally/store/settle.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from radishtally.outcome import Error, Ok, Result
-from radishtally.platform.core import (
+from radishtally.store.core import (
     ABSENT,
     Conflict,
     Delete,
--- a/radishtally/platform/table.py
+++ b/radishtally/store/table.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from radishtally.outcome import Error, Ok, Result
-from radishtally.platform.client import CallError, HttpClient, NoReply, NotSent, Reply
-from radishtally.platform.core import (
+from radishtally.store.client import CallError, HttpClient, NoReply, NotSent, Reply
+from radishtally.store.core import (
     ABSENT,
     Check,
     Conflict,
--- a/tests/adapter/test_table.py
+++ b/tests/adapter/test_table.py
@@ -6,7 +6,7 @@
 from adapter.store import StoreClient
 from adapter.table import StoreTable
 
-from radishtally.platform.core import ABSENT, Check, Conflict, Delete, Key, Put, Unclear
+from radishtally.store.core import ABSENT, Check, Conflict, Delete, Key, Put, Unclear
 from standins.rows import Rows
 from tests.common import run
 from tests.gateway.common import serve
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -7,7 +7,7 @@
 from adapter.watch import FEED_SECONDS, TableWatch
 
 from radishtally.outcome import Error, Ok, Result
-from radishtally.platform.core import Unavailable
+from radishtally.store.core import Unavailable
 from tests.common import run
 
 ROW = StoredRow("k", b"v", 1)
--- a/tests/audit/test_audit.py
+++ b/tests/audit/test_audit.py
@@ -8,7 +8,7 @@
 from radishtally.audit import store
 from radishtally.audit.core import make_audit_put, read_entry
 from radishtally.audit.store import AuditLog
-from radishtally.platform.core import Row
+from radishtally.store.core import Row
 from tests.common import MemoryTable, run
 
 POLL_SECONDS = 0.005
--- a/tests/authority/test_lease.py
+++ b/tests/authority/test_lease.py
@@ -32,7 +32,7 @@
 )
 from radishtally.authority.plan import follow_plan, make_plan_writes, name_plan
 from radishtally.outcome import Error
-from radishtally.platform.core import ABSENT, Check, Unavailable, Unclear
+from radishtally.store.core import ABSENT, Check, Unavailable, Unclear
 from tests.common import Rows
 
 PLACE = "salt-lake"
--- a/tests/authority/test_plans.py
+++ b/tests/authority/test_plans.py
@@ -10,7 +10,7 @@
 from radishtally.authority.lease import LeaseTerms
 from radishtally.authority.plan import Drain, Wanted
 from radishtally.authority.plans import NotHeld, Plans, Superseded
-from radishtally.platform.core import Check, Key, Put, Unavailable
+from radishtally.store.core import Check, Key, Put, Unavailable
 from tests.common import MemoryTable, run
 
 PLACE = "salt-lake"
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -34,7 +34,7 @@
 from radishtally.claims.record import BODY_BYTES, Claim, StoredAnswer, name_claim
 from radishtally.claims.store import ClaimStore
 from radishtally.outcome import Error, Ok
-from radishtally.platform.core import Invalid, Put, Unavailable, Unclear
+from radishtally.store.core import Invalid, Put, Unavailable, Unclear
 from tests.common import MemoryTable, Rows, run
 
 TERMS = ClaimTerms()
--- a/tests/common.py
+++ b/tests/common.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from radishtally.outcome import Error, Ok, Result
-from radishtally.platform.core import (
+from radishtally.store.core import (
     ABSENT,
     Conflict,
     Delete,
@@ -27,7 +27,7 @@
     Unclear,
     Write,
 )
-from radishtally.platform.table import compute_revision
+from radishtally.store.table import compute_revision
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 START_SECONDS: Final = 60.0
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -17,11 +17,11 @@
 from radishtally.configuration.head import EMPTY, HeadTracker, Raced, get_content
 from radishtally.configuration.store import HEAD_KEY, ConfigurationStore
 from radishtally.outcome import Fault
-from radishtally.platform import settle
-from radishtally.platform.core import Key, Unavailable, Unclear
+from radishtally.store import settle
+from radishtally.store.core import Key, Unavailable, Unclear
 from tests.common import run
 from tests.configuration.common import BASE, build_team, write_teams
-from tests.platform.memory import (
+from tests.store.memory import (
     KEPT,
     LAST,
     LATE,
--- a/tests/integration/common.py
+++ b/tests/integration/common.py
@@ -11,7 +11,7 @@
 from bench.network import Network
 from radishtally.authority.plan import Plan
 from radishtally.authority.plans import Plans
-from radishtally.platform.table import HttpTable
+from radishtally.store.table import HttpTable
 from tests.integration.callers import Stream
 
 PLACE: Final = "salt-lake"
--- a/tests/integration/test_lease.py
+++ b/tests/integration/test_lease.py
@@ -13,8 +13,8 @@
 from radishtally.authority.lease import LeaseTerms
 from radishtally.authority.plan import Plan, Wanted, follow_plan, make_plan_writes
 from radishtally.authority.plans import NotHeld, Plans
-from radishtally.platform.core import ABSENT, Key, Put
-from radishtally.platform.table import HttpTable
+from radishtally.store.core import ABSENT, Key, Put
+from radishtally.store.table import HttpTable
 from tests.common import StandIn, StartStandIn
 from tests.integration.common import PLACE, run
 
--- a/tests/membership/test_core.py
+++ b/tests/membership/test_core.py
@@ -28,7 +28,7 @@
     StateChanged,
     Tick,
 )
-from radishtally.platform.core import ListedHost
+from radishtally.store.core import ListedHost
 
 
 def make_listed(*hosts, state="live", address="127.0.0.1:9"):
--- a/tests/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of radishtally.platform."""
--- a/tests/platform/memory.py
+++ b/tests/store/memory.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from radishtally.outcome import Error, Ok, Result
-from radishtally.platform.core import (
+from radishtally.store.core import (
     ABSENT,
     Key,
     Put,
--- a/tests/platform/test_hostlist.py
+++ b/tests/store/test_hostlist.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from radishtally.platform.core import LEAVING, LIVE, ListedHost
-from radishtally.platform.hostlist import HttpHostList
+from radishtally.store.core import LEAVING, LIVE, ListedHost
+from radishtally.store.hostlist import HttpHostList
 from tests.common import run
-from tests.platform.common import DISTURBED, TIMEOUT, use
-from tests.platform.scripted import build_reply, serve_replies
+from tests.store.common import DISTURBED, TIMEOUT, use
+from tests.store.scripted import build_reply, serve_replies
 
 GOWN = ListedHost("gown-1", "howrah", "gown-llm", "127.0.0.9:7000", LIVE)
 
--- a/tests/platform/test_objects.py
+++ b/tests/store/test_objects.py
@@ -3,11 +3,11 @@
 import pytest
 
 from radishtally.outcome import Ok
-from radishtally.platform.objects import HttpObjects
+from radishtally.store.objects import HttpObjects
 from tests.common import run
-from tests.platform import common
-from tests.platform.common import DISTURBED, TIMEOUT, name_outcome
-from tests.platform.scripted import build_reply, serve_replies
+from tests.store import common
+from tests.store.common import DISTURBED, TIMEOUT, name_outcome
+from tests.store.scripted import build_reply, serve_replies
 
 
 @pytest.fixture(scope="module")
--- a/tests/platform/test_settle.py
+++ b/tests/store/test_settle.py
@@ -9,12 +9,12 @@
 from hypothesis import strategies as st
 
 from radishtally.outcome import Error
-from radishtally.platform import settle
-from radishtally.platform.core import ABSENT, Check, Conflict, Key, Put, Unavailable
-from radishtally.platform.settle import transact_settled
+from radishtally.store import settle
+from radishtally.store.core import ABSENT, Check, Conflict, Key, Put, Unavailable
+from radishtally.store.settle import transact_settled
 from tests.common import run
-from tests.platform.common import name_outcome
-from tests.platform.memory import (
+from tests.store.common import name_outcome
+from tests.store.memory import (
     KEPT,
     LAST,
     LATE,
--- a/tests/platform/test_table.py
+++ b/tests/store/test_table.py
@@ -6,7 +6,7 @@
 import pytest
 
 from radishtally.outcome import Error, Ok
-from radishtally.platform.core import (
+from radishtally.store.core import (
     ABSENT,
     Check,
     Conflict,
@@ -15,11 +15,11 @@
     Put,
     Row,
 )
-from radishtally.platform.table import HttpTable, compute_revision
+from radishtally.store.table import HttpTable, compute_revision
 from tests.common import run
-from tests.platform import common
-from tests.platform.common import DISTURBED, TIMEOUT, name_outcome
-from tests.platform.scripted import build_reply, serve_replies
+from tests.store import common
+from tests.store.common import DISTURBED, TIMEOUT, name_outcome
+from tests.store.scripted import build_reply, serve_replies
 
 SILENCE_TIMEOUT = 1.5
 
