Close idle connections for good in a stop

Ruled out: new connections, the new refusal of what can't end in time (the requests were never read). Change: idle connections are closed at once; the listener is closed before the last look. Prompts are placed with the bytes that cross between data centres in mind. Test: test_idle_connection_is_closed_in_a_stop fails with close().

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -29,16 +29,20 @@
 START_TERMS: Final = EngineTerms(64, 400_000, 1, 5.0, 3.0)
 """What is taken of engines until the configuration says more."""
 FAR_SECONDS: Final = 0.005
-"""Handicap of an engine in another data centre: the trips, and what its bytes cost."""
+"""Handicap of an engine in another data centre, for the trips."""
+FAR_BYTE_SECONDS: Final = 2e-6
+"""The same for each byte that is sent there: a long prompt of 12 KB is worth sending
+far for 24 ms, or for 600 tokens that need not be read again."""
 AGAIN_SECONDS: Final = 40e-6
 """Handicap for each token of a shared part that is read again, beside the time that it
 takes: the work is done twice, and the part then fills two engines' memory."""
 IN_TIME_SHARE: Final = 0.7
 """Share of the objective within which a prompt is predicted to be in time surely
 enough, so that where its shared parts lie decides and not who is first."""
-FAR_ANSWERS: Final = 5
-"""Answers more that the least busy engine of another data centre must be ahead by: a
-KV cache takes twice as long there, and its transfer costs more."""
+FAR_ANSWERS: Final = 4
+"""Answers more that the least busy engine of another data centre than the gateway's
+must be ahead by: prompt and answer cross between the two. As much again if the KV cache
+crosses, which takes twice as long then."""
 FAR_CALLS: Final = 0.5
 """The same for a call of a plain service: it decides between equals only."""
 DECODE_SECONDS: Final = 0.03
@@ -133,7 +137,7 @@
             stage = DECODE if request.next_stage == DECODE else WHOLE
             source = self._engines.get(request.kv.host) if request.kv else None
             near = source.data_centre if source is not None else place
-            return Placed(stage, _choose_decode(decode, near).host)
+            return Placed(stage, _choose_decode(decode, (place, near)).host)
         return self._place_prompt(request, prefill, place, now)
 
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
@@ -184,11 +188,13 @@
             if prospects[engine.host].seconds <= objective * IN_TIME_SHARE
         ]
 
+        far = FAR_SECONDS + FAR_BYTE_SECONDS * len(request.work.body)
+
         def measure(engine: EngineState) -> tuple[float, str]:
             prospect = prospects[engine.host]
             again = prospect.again * AGAIN_SECONDS if in_time else 0.0
-            far = 0.0 if engine.data_centre == place else FAR_SECONDS
-            return prospect.seconds + again + far, engine.host
+            is_far = engine.data_centre != place
+            return prospect.seconds + again + is_far * far, engine.host
 
         best = min(in_time or engines, key=measure)
         prospect = prospects[best.host]
@@ -247,12 +253,14 @@
     return max(0, work.prompt_tokens - kept)
 
 
-def _choose_decode(engines: Sequence[EngineState], data_centre: str) -> EngineState:
-    """Choose the engine with the fewest answers, rather in a data centre."""
+def _choose_decode(
+    engines: Sequence[EngineState], data_centres: tuple[str, str]
+) -> EngineState:
+    """Choose the engine with the fewest answers, rather near gateway and KV cache."""
 
     def measure(engine: EngineState) -> tuple[int, str]:
-        far = 0 if engine.data_centre == data_centre else FAR_ANSWERS
-        return engine.count_answers() + far, engine.host
+        far = sum(engine.data_centre != near for near in data_centres)
+        return engine.count_answers() + far * FAR_ANSWERS, engine.host
 
     return min(engines, key=measure)
 
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -131,7 +131,12 @@
             if time.monotonic() < self._stop_begun + LEAVE_SECONDS:
                 continue
             if not self.front.close_idle():
-                return
+                break
+        # What comes in between the last look and the end would be read by nobody.
+        await self.front.stop_listening()
+        await asyncio.sleep(LEAVE_POLL_SECONDS)
+        while self.front.close_idle() and time.monotonic() < until:
+            await asyncio.sleep(LEAVE_POLL_SECONDS)
 
     async def _unload(self, *more: asyncio.Task) -> None:
         """Stop the parts together: what hangs would outlast the platform's grace."""
--- a/radishtally/gateway/front.py
+++ b/radishtally/gateway/front.py
@@ -76,6 +76,8 @@
         self._gate = gate
         self._dialect = dialect
         self._connections: dict[RequestHandler, _Connection] = {}
+        self._sites: list[web.TCPSite] = []
+        """Where callers connect."""
         self._runners: list[web.ServerRunner] = []
         self._server: web.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
@@ -94,7 +96,7 @@
             auto_decompress=False,
             access_log=None,
         )
-        await self._listen(self._server, address)
+        self._sites.append(await self._listen(self._server, address))
         await self._listen(_serve(self._answer_ready), ready_address)
         await self._listen(_serve(self._answer_metrics), metrics_address)
         self._sweeper = asyncio.create_task(self._sweep())
@@ -111,21 +113,31 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    async def stop_listening(self) -> None:
+        """Take no new connections; those that are open go on."""
+        for site in self._sites:
+            await site.stop()
+        self._sites.clear()
+
     def close_idle(self) -> int:
         """Close connections that carry no request; count those that do."""
         if self._server is None:
             return 0
         for connection in list(self._server.connections):
             if not self._is_open(connection):
-                connection.close()
+                # Its close() reads no more but leaves the connection open: what a
+                # caller sent on it after that would wait for the process to end.
+                connection.force_close()
         return sum(map(self._is_open, self._server.connections))
 
-    async def _listen(self, server: web.Server, address: str) -> None:
+    async def _listen(self, server: web.Server, address: str) -> web.TCPSite:
         runner = web.ServerRunner(server, shutdown_timeout=0)
         await runner.setup()
         ip, port = address.rsplit(":", 1)
-        await web.TCPSite(runner, ip, int(port), backlog=BACKLOG).start()
+        site = web.TCPSite(runner, ip, int(port), backlog=BACKLOG)
+        await site.start()
         self._runners.append(runner)
+        return site
 
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         if request.path != self._dialect.ready_path:
@@ -280,7 +292,7 @@
                 not known.open_requests
                 and idle > limits.idle_seconds + IDLE_MARGIN_SECONDS
             ):
-                connection.close()
+                connection.force_close()
 
 
 def _serve(handler: Callable[..., Awaitable[web.Response]]) -> web.Server:
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -133,3 +133,27 @@
             assert (await ask(made, "/read/a", "r2"))[0] == 200
 
     run(play())
+
+
+# A caller's request gets no answer: its connection was idle when the process began to
+# end it, stayed open, and what was sent on it was not read until the process was gone.
+@pytest.mark.parametrize("used", [True, False])
+def test_idle_connection_is_closed_in_a_stop(used: bool) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(answer_whole))
+            address = made.url.removeprefix("http://").split(":")
+            reader, writer = await asyncio.open_connection(*address)
+            if used:
+                kept = GOOD.replace(CLOSE, b"")
+                writer.write(b"GET /read/a HTTP/1.1\r\n" + kept + b"\r\n")
+                async with asyncio.timeout(5):
+                    assert await reader.readuntil(b"whole")
+            await wait_until(lambda: len(made.gateway.front._server.connections) == 1)
+            await asyncio.sleep(0.05)
+            assert made.gateway.front.close_idle() == 0
+            async with asyncio.timeout(5):
+                assert await reader.read() == b""
+            writer.close()
+
+    run(play())
