--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -8,10 +8,13 @@
 START_RATE: Final = 75_000.0
 """Prompt tokens that an engine reads in a second until it was timed: four fifths of
 what the deployments' pages say, as steps and attention take their time too."""
-RATE_WEIGHT: Final = 0.1
-"""Weight of one timed spell of work in the engine's rate."""
+RATE_WEIGHT: Final = 0.15
+"""Weight of one timed stretch of work in the engine's rate."""
 RATE_TOKENS: Final = 5_000
-"""Least tokens of a spell whose time tells the rate."""
+"""Least tokens of a stretch whose time tells the rate."""
+RATE_SECONDS: Final = 0.5
+"""Time after which the rate is learned though the engine is still at work: under a
+lasting load it has no idle moment, and just then the rate decides."""
 RATE_BOUNDS: Final = (10_000.0, 200_000.0)
 """Rates outside are taken for errors of the measurement, as of a paused process."""
 FIXED_SECONDS: Final = 0.06
@@ -45,14 +48,14 @@
     """What the other entries have open there, by their names."""
     moved_at: float = float("-inf")
     """Time at which it last finished a prompt, or was given one while it had none."""
-    busy_since: float = float("-inf")
-    """Time at which the present spell of work began."""
+    timed_since: float = float("-inf")
+    """Time from which the present stretch of work is timed."""
     finished: int = 0
-    """Tokens read in the present spell."""
+    """Tokens read in the present stretch."""
 
     def begin_reading(self, request: str, tokens: int, now: float) -> None:
         """Note that a prompt was given to it."""
-        self._begin_spell(now)
+        self._begin_work(now)
         self.readings[request] = tokens
 
     def end_reading(self, request: str, now: float, was_read: bool) -> None:
@@ -62,19 +65,19 @@
             return
         self.moved_at = now
         self.finished += tokens if was_read else 0
-        self._end_spell(now)
+        self._learn_rate(now)
 
     def take_share(self, peer: str, share: PeerShare, now: float) -> None:
         """Take what another entry has open there."""
         old = self.peers.get(peer)
         less = (old.tokens if old else 0) - share.tokens
         if share.tokens:
-            self._begin_spell(now)
+            self._begin_work(now)
         if less > 0:
             self.moved_at = now
             self.finished += less
         self.peers[peer] = share
-        self._end_spell(now)
+        self._learn_rate(now)
 
     def make_share(self) -> PeerShare:
         """Give what this entry has open there."""
@@ -101,19 +104,22 @@
         # It has worked on the first of them since it finished the last one.
         return max(0.0, tokens / self.rate - (now - self.moved_at))
 
-    def _begin_spell(self, now: float) -> None:
+    def _begin_work(self, now: float) -> None:
         if self.count_tokens():
             return
-        self.busy_since = now
+        # The fixed time of the first prompt is no time that tokens take.
+        self.timed_since = now + FIXED_SECONDS
         self.moved_at = now
         self.finished = 0
 
-    def _end_spell(self, now: float) -> None:
-        """Learn the rate from a spell of work that has ended."""
-        seconds = now - self.busy_since - FIXED_SECONDS
-        if self.count_tokens() or self.finished < RATE_TOKENS or seconds <= 0:
+    def _learn_rate(self, now: float) -> None:
+        """Learn from a stretch of work that is over, or has lasted long enough."""
+        seconds = now - self.timed_since
+        if self.count_tokens() and seconds < RATE_SECONDS:
             return
-        low, high = RATE_BOUNDS
-        seen = min(max(self.finished / seconds, low), high)
-        self.rate += RATE_WEIGHT * (seen - self.rate)
+        if self.finished >= RATE_TOKENS and seconds > 0:
+            low, high = RATE_BOUNDS
+            seen = min(max(self.finished / seconds, low), high)
+            self.rate += RATE_WEIGHT * (seen - self.rate)
+        self.timed_since = now
         self.finished = 0
--- a/tests/engines/test_state.py
+++ b/tests/engines/test_state.py
@@ -51,6 +51,17 @@
     assert engine.rate == pytest.approx(40_000, rel=0.01)
 
 
+# Prompts are sent to an engine that has turned slow as if it were fast: it is never
+# idle under the load, and its rate was learned when it was.
+def test_rate_is_learned_while_the_engine_is_at_work() -> None:
+    engine = make_engine()
+    engine.begin_reading("always", 1_000_000, 0.0)
+    for number in range(200):
+        engine.begin_reading("a", 10_000, 0.4 * number)
+        engine.end_reading("a", 0.4 * (number + 1), True)
+    assert engine.rate == pytest.approx(25_000, rel=0.05)
+
+
 def test_given_up_prompts_teach_nothing() -> None:
     engine = make_engine()
     engine.begin_reading("a", 20_000, 0.0)
