Let roles follow the demand of all gateways, counted as it comes

Change: gateways tell each other their demand once a second; prompt and expected answer (the caller's estimate, else the most it asked for) are counted when the prompt is placed; a shift must last 2.5 s.

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -26,7 +26,7 @@
 from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.routing.core import rank
 
-START_TERMS: Final = EngineTerms(64, 400_000, 1, 5.0, 3.0)
+START_TERMS: Final = EngineTerms(64, 400_000, 5.0, 3.0)
 """What is taken of engines until the configuration says more."""
 FAR_SECONDS: Final = 0.005
 """Handicap of an engine in another data centre, for the trips."""
@@ -61,7 +61,7 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self.on_demand: Callable[[str, int, int, float], None] = lambda *_: None
-        """Take an upstream, tokens to be read, tokens that were made, and the time."""
+        """Take an upstream, tokens to be read, tokens to be made, and the time."""
         self._engines: dict[str, EngineState] = {}
         self._changed: set[str] = set()
         self._terms: dict[str, EngineTerms] = {}
@@ -153,7 +153,9 @@
         tokens = _count_uncached(engine, request)
         engine.begin_reading(name, tokens, now)
         engine.cache.note(work.model, request.terms.parts)
-        self.on_demand(work.upstream, tokens, 0, now)
+        # Both at once, as it comes: counted when they end, answers that engines are
+        # too slow for would not count, and still fewer engines would be left to them.
+        self.on_demand(work.upstream, tokens, request.terms.output_tokens, now)
 
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
@@ -162,11 +164,7 @@
             return
         self._changed.add(host.host)
         name, now = request.work.request, self._clock()
-        if name in engine.answers:
-            engine.answers.discard(name)
-            upstream = request.work.upstream
-            terms = self._terms.get(upstream, START_TERMS)
-            self.on_demand(upstream, 0, request.tokens * terms.event_tokens, now)
+        engine.answers.discard(name)
         engine.end_reading(name, now, request.kv is not None)
 
     def _place_prompt(
--- a/radishtally/entry/terms.py
+++ b/radishtally/entry/terms.py
@@ -21,6 +21,8 @@
     """Time to the first part of an answer that is on time, seconds."""
     priority: int = 0
     """Lower goes first."""
+    output_tokens: int = 0
+    """Tokens that the answer is expected to have."""
     parts: tuple[PromptPart, ...] = ()
     """The prompt's parts in their order; the last one is the request's own."""
 
--- a/radishtally/gateway/core.py
+++ b/radishtally/gateway/core.py
@@ -20,6 +20,8 @@
     model: str
     prompt_tokens: int
     max_tokens: int
+    output_tokens: int
+    """Tokens that the caller expects of the answer; 0 if it does not say."""
     parts: tuple[PromptPart, ...]
     headers: Headers
     """To be passed on to an upstream."""
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -14,9 +14,11 @@
     PEER_READ_SECONDS,
 )
 from radishtally.links.hub import Callbacks, LinkHub
-from radishtally.links.messages import Backlog, Hello, Message
+from radishtally.links.messages import Backlog, DemandReport, Hello, Message
 from radishtally.outcome import Result
 from radishtally.runtime import Runtime
+from radishtally.stages.const import TELL_SECONDS
+from radishtally.stages.keeper import StageKeeper
 from radishtally.store.core import ABSENT, Key, Put, Table
 from radishtally.store.settle import transact_settled
 
@@ -32,6 +34,7 @@
 
     runtime: Runtime
     placement: EnginePlacement
+    stages: StageKeeper
     table: Table
 
     def count_gateways(self, count: int) -> None:
@@ -62,6 +65,7 @@
         self._hub = LinkHub(hello, secret, callbacks)
         await self._hub.start(self._address)
         self._gateway.runtime.spawn(self._tell())
+        self._gateway.runtime.spawn(self._tell_demand())
         await self._write_own()
         reads = 0
         while True:
@@ -132,6 +136,14 @@
             for peer in self._hub.hosts:
                 self._hub.send(peer, backlog)
 
+    async def _tell_demand(self) -> None:
+        """Tell the others what has come here: one of them decides on roles for all."""
+        while True:
+            await asyncio.sleep(TELL_SECONDS)
+            for report in self._gateway.stages.make_reports(time.monotonic()):
+                for peer in self._hub.hosts:
+                    self._hub.send(peer, report)
+
     def _link_up(self, hello: Hello) -> None:
         self._hub.send(hello.host, self._gateway.placement.make_backlog())
 
@@ -139,9 +151,11 @@
         self._gateway.placement.forget_peer(host)
 
     def _receive(self, host: str, message: Message) -> None:
+        now = time.monotonic()
         if isinstance(message, Backlog):
-            now = time.monotonic()
             self._gateway.placement.take_backlog(host, message, now)
+        elif isinstance(message, DemandReport):
+            self._gateway.stages.take_report(host, message, now)
 
 
 def _is_busy(host: str) -> bool:
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -74,7 +74,13 @@
             max_tokens=asked.max_tokens,
             prefix=hash_shared_parts(asked),
         )
-        terms = Terms(route.max_attempts, route.objective, route.priority, asked.parts)
+        terms = Terms(
+            route.max_attempts,
+            route.objective,
+            route.priority,
+            asked.output_tokens or asked.max_tokens,
+            asked.parts,
+        )
         timeout = min(route.timeout, asked.timeout or route.timeout)
         return Ok(Routed(work, terms, timeout, is_streamed))
 
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -306,6 +306,15 @@
     shares: tuple[EngineShare, ...]
 
 
+class DemandReport(NamedTuple):
+    """Tell the other entries what has come to the sender of late."""
+
+    upstream: str
+    prefill: float
+    """Seconds of engines' time, as is the next."""
+    decode: float
+
+
 Message = (
     Hello
     | Ping
@@ -329,6 +338,7 @@
     | FilesGive
     | Interval
     | Backlog
+    | DemandReport
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -353,6 +363,7 @@
     FilesGive,
     Interval,
     Backlog,
+    DemandReport,
 )
 """A kind's number is its place here: add at the end, never reorder, and give a message
 whose fields change a kind of its own; an older release reads neither more nor fewer."""
--- a/radishtally/routes/config.py
+++ b/radishtally/routes/config.py
@@ -12,8 +12,6 @@
     """Requests that one engine computes at once."""
     kv_tokens: int
     """Tokens that fit into one engine's memory."""
-    event_tokens: int
-    """Tokens that one event of an answer holds, about."""
     handle_seconds: float
     """Time for which an engine keeps a KV cache that nobody has fetched."""
     switch_seconds: float
--- a/radishtally/stages/const.py
+++ b/radishtally/stages/const.py
@@ -16,7 +16,7 @@
 LACK_SECONDS: Final = 2.0
 """Time for which too few engines of a role must be seen before one is moved over: an
 engine that restarts is back sooner than another one has changed."""
-SHIFT_SECONDS: Final = 5.0
+SHIFT_SECONDS: Final = 2.5
 """Time for which demand must ask for other roles."""
 REST_SECONDS: Final = 8.0
 """Least time between two changes for demand's sake."""
@@ -25,11 +25,15 @@
 RETRY_SECONDS: Final = 1.0
 """Time until an engine that could not be asked is asked again."""
 TICK_SECONDS: Final = 0.5
-DEMAND_SECONDS: Final = 12.0
+DEMAND_SECONDS: Final = 6.0
 """Window of the demand: long enough for a burst to pass, short against a shift."""
-ASSUMED_SECONDS: Final = 20.0
-"""Engine-seconds of demand that the assumed share counts for: several times what one
-of a few gateways sees in the window, so that only a lasting shift changes roles."""
+ASSUMED_SECONDS: Final = 10.0
+"""Engine-seconds of demand that the assumed share counts for: a fifth of what all
+gateways together see in the window at a moderate load."""
+TELL_SECONDS: Final = 1.0
+"""Time between two reports of demand to the other gateways."""
+STALE_SECONDS: Final = 5.0
+"""Age from which another gateway's report counts no more."""
 DECODE_RATE: Final = 3_700.0
 """Tokens a second of an engine that makes 20 answers at once: with more of them each
 answer slows down, and long ones don't end before their deadline."""
--- a/radishtally/stages/core.py
+++ b/radishtally/stages/core.py
@@ -25,26 +25,48 @@
     role: str
 
 
+class DemandSums(NamedTuple):
+    """Hold what has come within the window, in seconds of engines' time."""
+
+    prefill: float
+    decode: float
+
+
 class Demand:
-    """Sum up what arrives, in seconds of engines' time."""
+    """Sum up what comes to all gateways."""
 
     def __init__(self) -> None:
         self._prefill = Decaying(const.DEMAND_SECONDS)
         self._decode = Decaying(const.DEMAND_SECONDS)
+        self._others: dict[str, tuple[DemandSums, float]] = {}
+        """Last report of each other gateway, and when it came."""
 
     def note(self, uncached_tokens: int, output_tokens: int, now: float) -> None:
-        """Take in a prompt that is to be read, or an answer that was made."""
+        """Take in a prompt that is to be read and the answer that is to be made."""
         prefill = uncached_tokens / START_RATE * const.PREFILL_RESERVE
         self._prefill.add(prefill, now)
         self._decode.add(output_tokens / const.DECODE_RATE, now)
 
+    def take_report(self, peer: str, sums: DemandSums, now: float) -> None:
+        """Take what has come to another gateway."""
+        self._others[peer] = sums, now
+
+    def read_own(self, now: float) -> DemandSums:
+        """Give what has come to this gateway."""
+        return DemandSums(self._prefill.read(now), self._decode.read(now))
+
     def find_share(self, now: float) -> float:
         """Find the share of prompts in the engines' time.
 
         Prompts differ by a hundredfold in length, so what has come is weighed against
         the share that is assumed: a few long prompts are no shift of the mix.
         """
-        prefill, decode = self._prefill.read(now), self._decode.read(now)
+        fresh = [
+            sums for sums, at in self._others.values() if now - at < const.STALE_SECONDS
+        ]
+        known = [self.read_own(now), *fresh]
+        prefill = sum(sums.prefill for sums in known)
+        decode = sum(sums.decode for sums in known)
         assumed = const.START_SHARE * const.ASSUMED_SECONDS
         return (prefill + assumed) / (prefill + decode + const.ASSUMED_SECONDS)
 
@@ -94,6 +116,8 @@
             self._wanted = wanted
             self._moved_at = now
             self._off_since = None
+            # Demand has been watched for long enough already.
+            self._lack_since = float("-inf")
 
     def _is_due(self, engines: Sequence[Engine], now: float) -> bool:
         """Tell whether the roles have been other than wanted for long enough."""
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -8,9 +8,16 @@
 from eliot import log_message
 
 from radishtally.direct.core import EngineReport, Instance, OrderOutcome
+from radishtally.links.messages import DemandReport
 from radishtally.outcome import Result
 from radishtally.stages import const
-from radishtally.stages.core import Change, Demand, Engine, StagePlan
+from radishtally.stages.core import (
+    Change,
+    Demand,
+    DemandSums,
+    Engine,
+    StagePlan,
+)
 
 PENDING_OUTCOMES: Final = (OrderOutcome.TAKEN, OrderOutcome.UNCLEAR)
 
@@ -63,6 +70,19 @@
         demand = self._demands.setdefault(upstream, Demand())
         demand.note(uncached_tokens, output_tokens, now)
 
+    def take_report(self, peer: str, report: DemandReport, now: float) -> None:
+        """Take what has come to another gateway."""
+        demand = self._demands.setdefault(report.upstream, Demand())
+        sums = DemandSums(report.prefill, report.decode)
+        demand.take_report(peer, sums, now)
+
+    def make_reports(self, now: float) -> list[DemandReport]:
+        """Give what has come to this gateway."""
+        return [
+            DemandReport(upstream, *demand.read_own(now))
+            for upstream, demand in self._demands.items()
+        ]
+
     async def run(self) -> None:
         """Keep the roles for good."""
         while True:
