Split what follows from hosts' messages from the entry's other events

Change: entry/attempts.py takes hosts' messages about attempts, entry/core.py callers, links and time; an unused setting goes, and the lease lasts at least twice what the deployment asks between two holders. Ruled out: further splits, each half has one dispatch.

--- /dev/null
+++ b/radishtally/entry/attempts.py
@@ -0,0 +1,318 @@
+"""Decide what follows from what a host says of a request's attempt."""
+
+from collections.abc import Generator, Iterator
+from functools import singledispatch
+
+from radishtally.entry import const
+from radishtally.entry.events import (
+    Begin,
+    Command,
+    Deliver,
+    DropKv,
+    Finish,
+    Note,
+    Send,
+    Settle,
+)
+from radishtally.entry.offers import (
+    fail,
+    lose,
+    offer,
+    refuse,
+    wait,
+)
+from radishtally.entry.requests import (
+    ACCEPTED,
+    OFFERED,
+    WITHDRAWING,
+    OpenRequest,
+)
+from radishtally.entry.state import EntryCore
+from radishtally.links.messages import (
+    DECODE,
+    KEY_REUSED,
+    LEAVING,
+    NOT_KNOWN,
+    PREFILL,
+    REPLACED,
+    STREAM,
+    WHOLE,
+    Accepted,
+    Ack,
+    Attach,
+    Begun,
+    Cancel,
+    Cancelled,
+    Chunk,
+    Finished,
+    Handover,
+    Load,
+    Lost,
+    Message,
+    Refused,
+)
+from radishtally.outcome import Ran
+
+
+@singledispatch
+def receive(
+    message: Message, host: str, core: EntryCore, now: float
+) -> Iterator[Command]:
+    """Take a message about an attempt and give the commands that follow from it."""
+    yield from ()
+
+
+@receive.register
+def _(message: Load, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    if host in core.hosts:
+        core.hosts[host].note_load(message, now)
+    yield from ()
+
+
+@receive.register
+def _(message: Accepted, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    request = _find(message, host, core)
+    if request is None:
+        # The attempt was given up, or its request ended: without a word the agent
+        # would run it for nobody.
+        yield Send(host, Cancel(message.request, message.attempt))
+        return
+    if request.phase != OFFERED:
+        return
+    if host in core.hosts:
+        core.hosts[host].breaker.succeeded()
+        core.hosts[host].refusals = 0
+    request.phase = ACCEPTED
+    wait(request, float("inf"), core)
+    joined = ", joined to the answer of its key" if message.attached else ""
+    yield Note(message.request, f"accepted by {host}{joined}")
+
+
+@receive.register
+def _(message: Refused, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    if message.load is not None and host in core.hosts:
+        core.hosts[host].note_load(message.load, now)
+    request = _find(message, host, core)
+    if request is None:
+        return
+    yield Note(message.request, f"refused by {host}: {message.reason}")
+    core.leave_host(request)
+    if core.refusals_cost:
+        request.owes_retry = True
+        _pass_over(host, message.reason, core, now)
+    if request.kv is not None and request.tried:
+        # A second host can't have it either: the fault lies with the KV cache.
+        yield from _give_up_kv(request)
+    if message.reason == KEY_REUSED:
+        text = "the idempotency key was used with another request"
+        yield from refuse(request, 422, const.CODE_KEY_REUSED, text, None, core)
+        return
+    known = request.retry_after
+    asked = message.retry_after
+    request.retry_after = asked if known is None else min(known, asked)
+    if request.phase == ACCEPTED and message.reason == LEAVING:
+        # Its host had taken the work and gives it back for a planned change.
+        _move(request, host, now + const.REQUEUE_SECONDS)
+    else:
+        request.tried.add(host)
+    yield from offer(request, core, now)
+
+
+@receive.register
+def _(message: Begun, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    request = _find(message, host, core)
+    # An answer that goes on elsewhere keeps the head that the caller has.
+    if request is None or request.begun:
+        return
+    request.begun = True
+    # What was fetched is the engine's own now, and is nobody's to free.
+    request.kv = None
+    if not request.answered:
+        yield Begin(message.request, message.status, message.headers)
+
+
+@receive.register
+def _(message: Chunk, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    request = _find(message, host, core)
+    if request is None:
+        return
+    new = request.append(message.offset, message.data, message.tokens)
+    if new is None:
+        yield from _ask_again(request, host)
+        return
+    if not new:
+        return
+    if request.phase in (OFFERED, WITHDRAWING):
+        request.phase = ACCEPTED
+        wait(request, float("inf"), core)
+    if request.first_token is None:
+        request.first_token = now
+    is_open = request.begun or request.work.kind != STREAM
+    if request.streamed and is_open and not request.answered:
+        yield Deliver(message.request, new)
+
+
+@receive.register
+def _(message: Finished, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    request = _find(message, host, core)
+    if request is None:
+        return
+    if not (yield from _confirm_end(message, request, host, core)):
+        return
+    body = bytes(request.received)
+    if message.status >= const.FIRST_FAILURE and request.work.idempotent:
+        request.failure = Finish(message.request, message, body)
+        reason = f"status {message.status}"
+        yield from lose(request, Ran.UNKNOWN, reason, core, now)
+        return
+    if host in core.hosts:
+        core.hosts[host].breaker.succeeded()
+    core.leave_host(request)
+    core.requests.pop(message.request)
+    if not request.answered:
+        yield Finish(message.request, message, body)
+    if request.is_claimed:
+        yield Settle(request.work, message.status, message.headers, body)
+
+
+@receive.register
+def _(message: Handover, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    request = _find(message, host, core)
+    if request is None:
+        return
+    if not (yield from _confirm_end(message, request, host, core)):
+        return
+    yield Note(message.request, f"handed over by {host}")
+    request.kv = message.kv
+    core.leave_host(request)
+    # A prompt alone that was computed is no run of the request.
+    request.maybe_ran |= request.stage != PREFILL or bool(request.received)
+    if request.stage == PREFILL and message.kv is not None:
+        request.next_stage = DECODE
+        request.tried.clear()
+        request.offers = 0
+        request.patience = float("inf")
+    else:
+        request.next_stage = WHOLE
+        _move(request, host, float("inf"))
+    yield from offer(request, core, now)
+
+
+@receive.register
+def _(message: Lost, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    request = _find(message, host, core)
+    if request is None:
+        return
+    yield _ack(message, host)
+    if message.reason != NOT_KNOWN and host in core.hosts:
+        core.hosts[host].breaker.failed(now)
+    ran = _believe(message.ran, request, now)
+    yield from lose(request, ran, message.reason, core, now)
+
+
+@receive.register
+def _(message: Cancelled, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    request = _find(message, host, core)
+    if request is None or request.phase != WITHDRAWING:
+        return
+    if message.ran == Ran.NO:
+        ran = _believe(message.ran, request, now)
+        yield from lose(request, ran, "offer went unanswered", core, now)
+        return
+    # The call has begun and is left to end: its outcome is there to be had.
+    request.phase = ACCEPTED
+    wait(request, float("inf"), core)
+    yield Send(host, Attach(*_name(message), len(request.received)))
+
+
+def _find(message: Message, host: str, core: EntryCore) -> OpenRequest | None:
+    """Find the request a message is about, unless the message is out of date.
+
+    An answer to another request, or from an attempt that was given up, may come at
+    any time later; only the present attempt at its own host is listened to.
+    """
+    request = core.requests.get(message.request)
+    if request is None or request.host != host or request.attempt != message.attempt:
+        return None
+    return request
+
+
+def _believe(ran: str, request: OpenRequest, now: float) -> str:
+    """Take an agent's "not run" for what it is still worth.
+
+    An agent that remembers no such attempt says that it did not run, but it forgets
+    in time: an entry that was paused for long would call "not run" what had run. The
+    offer's age, counted from before it was sent, bounds what can have been forgotten.
+    """
+    young = now - request.offered_at < const.BELIEVE_SECONDS
+    return ran if young else Ran.UNKNOWN
+
+
+def _pass_over(host: str, reason: str, core: EntryCore, now: float) -> None:
+    """Leave a host out that refuses: for good if another one has its address.
+
+    An engine that changes its role refuses at once whatever comes, so it has the
+    fewest open requests of all and would be chosen for each new one.
+    """
+    known = core.hosts.get(host)
+    if known is None:
+        return
+    if reason == REPLACED:
+        known.live = False
+        return
+    # One refusal may be about what was offered, as a KV cache that can't be fetched.
+    known.refusals += 1
+    if known.refusals >= const.REFUSALS_TO_PASS_OVER:
+        known.breaker.failed(now)
+
+
+def _give_up_kv(request: OpenRequest) -> Iterator[Command]:
+    """Go on without a KV cache: it is gone, or could not be fetched in time."""
+    yield DropKv(request.kv)
+    request.kv = None
+    request.kv_lost = True
+    request.next_stage = WHOLE
+    request.tried.clear()
+
+
+def _move(request: OpenRequest, host: str, patience: float) -> None:
+    """Take note that a planned change moves the request: it is not cut for that."""
+    request.tried = {host}
+    request.offers = 0
+    request.rounds = 0
+    request.patience = max(request.patience, patience)
+
+
+def _confirm_end(
+    message: Finished | Handover, request: OpenRequest, host: str, core: EntryCore
+) -> Generator[Command, None, bool]:
+    """Tell whether the answer has come as its agent has it, and confirm that."""
+    # The final frame may overtake a chunk that a broken link has lost: what has come
+    # is right only if its length and checksum are the agent's.
+    if len(request.received) < message.length:
+        yield from _ask_again(request, host)
+        return False
+    yield _ack(message, host)
+    if message.checksum == request.checksum():
+        return True
+    text = "the answer differs from what the upstream gave"
+    yield from fail(request, 502, const.CODE_CORRUPT, text, core)
+    return False
+
+
+def _ask_again(request: OpenRequest, host: str) -> Iterator[Command]:
+    """Ask for the answer from the first missing byte, once for each gap."""
+    offset = len(request.received)
+    if request.asked_again_at == offset:
+        return
+    request.asked_again_at = offset
+    yield Note(request.work.request, f"part missing from byte {offset}")
+    yield Send(host, Attach(request.work.request, request.attempt, offset))
+
+
+def _ack(message: Finished | Handover | Lost, host: str) -> Send:
+    return Send(host, Ack(*_name(message), message.length))
+
+
+def _name(message: Message) -> tuple[str, int]:
+    return message.request, message.attempt
--- a/radishtally/gateway/config.py
+++ b/radishtally/gateway/config.py
@@ -14,8 +14,6 @@
 class Bounds(Part):
     """Hold what the deployment promises of its times and budgets."""
 
-    drain_ms: Milliseconds
-    """Time after which a host that leaves may get no more work."""
     grace_seconds: PositiveSeconds
     """Time from the request to stop to the kill."""
     lease_ms: Milliseconds
--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -37,6 +37,8 @@
 LEASE_SECONDS: Final = 6.0
 """Time of the lease: twice what the deployments ask of two holders' turns, since a
 takeover within seconds buys little where roles stand as they are meanwhile."""
+LEASE_TURNS: Final = 2.0
+"""Times the least time between two holders' turns that the lease lasts at least."""
 LEASE_MARGIN: Final = 0.5
 LEASE_RENEW: Final = 2.0
 LEASE_READ: Final = 2.0
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -25,6 +25,7 @@
     LEASE_READ,
     LEASE_RENEW,
     LEASE_SECONDS,
+    LEASE_TURNS,
     LEAVE_MARGIN_SECONDS,
     LEAVE_POLL_SECONDS,
     LEAVE_SECONDS,
@@ -335,7 +336,9 @@
 
 def make_lease(gateway: Gateway) -> LeaseHolder:
     """Make the lease under which one gateway gives engines their roles."""
-    terms = LeaseTerms(LEASE_SECONDS, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
+    least = LEASE_TURNS * gateway.settings.bounds.lease_ms / 1000
+    granted = max(LEASE_SECONDS, least)
+    terms = LeaseTerms(granted, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
     return LeaseHolder(
         gateway.table,
         STAGES,
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -152,7 +152,6 @@
         peer_address=f"{LOOPBACK}:{find_port()}",
         store_address=store,
         bounds=Bounds(
-            drain_ms=2000,
             grace_seconds=8,
             lease_ms=3000,
             retry_ratio=0.2,
