--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -55,6 +55,11 @@
 MIN_PATIENCE_SECONDS: Final = 2.0
 
 
+NO_ENGINE_SECONDS: Final = 2.0
+"""Time after which it is worth asking again where no engine makes answers: about what
+an engine takes to come back or to change its role."""
+
+
 class EnginePlacement:
     """Place prompts where their shared parts lie, and answers where there is room."""
 
@@ -132,7 +137,8 @@
         prefill = [engine for engine in engines if engine.role == PREFILL]
         decode = [engine for engine in engines if engine.role != PREFILL]
         if not decode:
-            return Declined(None)
+            why = f"no engine makes answers, of {len(hosts)} known and {len(left)} left"
+            return Declined(NO_ENGINE_SECONDS, why)
         if request.next_stage == DECODE or request.kv_lost or not prefill:
             stage = DECODE if request.next_stage == DECODE else WHOLE
             source = self._engines.get(request.kv.host) if request.kv else None
@@ -198,7 +204,9 @@
         prospect = prospects[best.host]
         patience = max(MIN_PATIENCE_SECONDS, PATIENCE * request.terms.objective)
         if prospect.seconds > min(patience, request.deadline - now):
-            return Declined(max(0.0, prospect.seconds - request.terms.objective))
+            wait = max(0.0, prospect.seconds - request.terms.objective)
+            why = f"soonest at {best.host}: {prospect.describe(request.terms.priority)}"
+            return Declined(wait, why)
         if prospect.seconds > objective and request.terms.priority < LATE_PRIORITY:
             priority = request.terms.priority + LATE_PRIORITY
             request.terms = request.terms._replace(priority=priority)
@@ -266,7 +274,7 @@
 def _place_call(hosts: Sequence[KnownHost], place: str) -> Placed | Declined:
     """Choose the host with the fewest open calls."""
     if not hosts:
-        return Declined(None)
+        return Declined(None, "no host is left")
 
     def measure(host: KnownHost) -> tuple[float, str]:
         return host.in_flight + (0.0 if host.place == place else FAR_CALLS), host.host
--- a/radishtally/entry/offers.py
+++ b/radishtally/entry/offers.py
@@ -37,6 +37,8 @@
     if isinstance(placed, Declined):
         if placed.retry_after is not None:
             request.retry_after = placed.retry_after
+        if placed.why:
+            yield Note(request.work.request, f"not offered: {placed.why}")
         yield from _go_without_host(request, core, now)
         return
     stage, host, why = placed
@@ -66,7 +68,8 @@
     request: OpenRequest, ran: str, reason: str, core: EntryCore, now: float
 ) -> Iterator[Command]:
     """Go on after an attempt has failed: elsewhere, or with a refusal."""
-    yield Note(request.work.request, f"attempt {request.attempt} lost: {reason}")
+    text = f"attempt {request.attempt} at {request.host} lost: {reason}, ran {ran}"
+    yield Note(request.work.request, text)
     # A host that the offer never reached has refused nothing.
     if request.host is not None and reason != NOT_KNOWN:
         request.tried.add(request.host)
--- a/radishtally/entry/placement.py
+++ b/radishtally/entry/placement.py
@@ -23,6 +23,8 @@
 
     retry_after: float | None
     """Seconds until it is worth asking again, if that is known."""
+    why: str = ""
+    """What decided it, for the log."""
 
 
 class Placement(Protocol):
--- /dev/null
+++ b/tests/engines/test_placement.py
@@ -0,0 +1,114 @@
+"""Tests of choosing engines."""
+
+from radishtally.direct.core import Instance
+from radishtally.engines.placement import EnginePlacement
+from radishtally.engines.state import START_RATE, PeerShare
+from radishtally.entry.hosts import KnownHost
+from radishtally.entry.placement import Declined, Placed
+from radishtally.entry.requests import OpenRequest
+from radishtally.entry.terms import PromptPart, Terms
+from radishtally.links.messages import (
+    CALL,
+    DECODE,
+    PREFILL,
+    STREAM,
+    KvRef,
+    Work,
+)
+from radishtally.routing.core import rank
+
+PLACES = ("howrah", "new-town")
+PARTS = (PromptPart("a", 500), PromptPart("b", 5_000), PromptPart("c", 500))
+HOSTS = {f"p{n}": PREFILL for n in range(4)} | {f"d{n}": DECODE for n in range(2)}
+
+
+class World:
+    """Hold a placement and the hosts that it chooses among."""
+
+    def __init__(self, hosts: dict[str, str] = HOSTS) -> None:
+        self.placement = EnginePlacement(lambda: 0.0)
+        self.hosts = []
+        for number, (host, role) in enumerate(hosts.items()):
+            place = PLACES[number % 2]
+            instance = Instance(host, "llm", f"{host}:1", place, False, 64, role)
+            self.placement.set_instance(instance)
+            self.hosts.append(KnownHost(host, place, "llm", live=True))
+
+    def place(self, request: OpenRequest) -> Placed | Declined:
+        return self.placement.place(request, self.hosts, "howrah", 0.0)
+
+    def load(self, host: str, seconds: float, answers: int = 0) -> None:
+        """Let another gateway have prompts of so many seconds at an engine."""
+        share = PeerShare(int(seconds * START_RATE), answers)
+        self.placement._engines[host].take_share("peer", share, 0.0)
+
+
+def make_request(objective: float = 0.6, **more: object) -> OpenRequest:
+    work = Work("r", "", "llm", STREAM, b"", "m", prompt_tokens=6_000, prefix=5, **more)
+    terms = Terms(objective=objective, parts=PARTS)
+    return OpenRequest(work, 10.0, True, 0.0, terms)
+
+
+HOME = rank([host for host, role in HOSTS.items() if role == PREFILL], 5)[0]
+
+
+def test_prompt_goes_to_the_home_of_its_shared_parts() -> None:
+    placed = World().place(make_request())
+    assert placed[:2] == (PREFILL, HOME)
+
+
+def test_prompt_stays_at_home_while_it_is_in_time() -> None:
+    world = World()
+    world.load(HOME, 0.15)
+    assert world.place(make_request()).host == HOME
+
+
+def test_prompt_leaves_home_when_it_would_be_late_there() -> None:
+    world = World()
+    world.load(HOME, 0.6)
+    placed = world.place(make_request())
+    assert placed.stage == PREFILL
+    assert placed.host != HOME
+
+
+def test_prompt_that_nobody_can_begin_in_time_is_refused_with_a_time() -> None:
+    world = World()
+    for host, role in HOSTS.items():
+        if role == PREFILL:
+            world.load(host, 5.0)
+    declined = world.place(make_request())
+    assert isinstance(declined, Declined)
+    assert declined.retry_after > 2.0
+
+
+def test_answer_is_made_near_its_kv_cache_by_the_least_busy_engine() -> None:
+    world = World()
+    request = make_request()
+    request.next_stage = DECODE
+    request.kv = KvRef("p0", "p0:1", "h", 1)
+    assert world.place(request)[:2] == (DECODE, "d0")
+    world.load("d0", 0.0, answers=30)
+    assert world.place(request)[:2] == (DECODE, "d1")
+
+
+# Every request is refused though engines are there: with no engine for prompts left,
+# those that make answers read them as well, if more slowly.
+def test_engines_for_answers_read_prompts_when_no_other_is_left() -> None:
+    world = World({"d0": DECODE, "d1": DECODE})
+    assert world.place(make_request()).host in ("d0", "d1")
+
+
+def test_nothing_is_placed_when_no_engine_makes_answers() -> None:
+    declined = World({"p0": PREFILL}).place(make_request())
+    assert isinstance(declined, Declined)
+    assert "no engine makes answers" in declined.why
+
+
+def test_call_goes_to_the_host_with_the_fewest_open_calls() -> None:
+    world = World()
+    work = Work("r", "", "llm", CALL, b"")
+    request = OpenRequest(work, 10.0, False, 0.0)
+    for host in world.hosts:
+        host.in_flight = 2
+    world.hosts[3].in_flight = 0
+    assert world.place(request).host == world.hosts[3].host
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import base64
+import itertools
 import json
+import os
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -22,6 +24,7 @@
 from standins.staged import StagedEngine
 
 LOOPBACK = "127.0.0.1"
+ADDRESSES = itertools.count()
 WAIT_SECONDS = 10.0
 AUTHORITY = "desk.example"
 LIMITS = {
@@ -143,13 +146,14 @@
 
 def make_gateway(client: StoreClient, store: str) -> Gateway:
     """Make a gateway on free ports."""
+    ip = find_address()
     settings = GatewaySettings(
         host="gateway-1",
         data_centre="howrah",
-        address=f"{LOOPBACK}:{find_port()}",
-        ready_address=f"{LOOPBACK}:{find_port()}",
-        metrics_address=f"{LOOPBACK}:{find_port()}",
-        peer_address=f"{LOOPBACK}:{find_port()}",
+        address=f"{ip}:8101",
+        ready_address=f"{ip}:8102",
+        metrics_address=f"{ip}:8103",
+        peer_address=f"{ip}:8104",
         store_address=store,
         bounds=Bounds(
             grace_seconds=8,
@@ -184,13 +188,15 @@
             await asyncio.sleep(0.005)
 
 
-def find_port() -> int:
-    """Find a port that is free now."""
-    import socket
+def find_address() -> str:
+    """Give a loopback address that no other test uses at the same time.
 
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+    A port that is free when it is looked for may be taken when the gateway binds it, by
+    any connection that goes out meanwhile; on an address of its own none is.
+    """
+    number = next(ADDRESSES)
+    process = os.getpid() % 62_000
+    return f"127.{1 + process // 250}.{1 + process % 250}.{1 + number % 250}"
 
 
 def make_headers(name: str, **more: str) -> dict[str, str]:
--- /dev/null
+++ b/tests/stages/test_keeper.py
@@ -0,0 +1,102 @@
+"""Tests of giving engines their roles."""
+
+import pytest
+
+from radishtally.direct.core import EngineReport, Instance, OrderOutcome
+from radishtally.links.messages import DECODE, PREFILL
+from radishtally.outcome import Error, Ok, Result
+from radishtally.stages.core import Change
+from radishtally.stages.keeper import StageKeeper
+from tests.common import run
+
+
+def make_instance(number: int, role: str = DECODE) -> Instance:
+    return Instance(f"e{number}", "llm", f"e{number}:1", "howrah", False, 64, role)
+
+
+ENGINE = make_instance(1)
+CHANGE = Change(ENGINE.host, PREFILL)
+
+
+class FakeLease:
+    """Be held under a number, or not."""
+
+    def __init__(self, *numbers: int | None) -> None:
+        self.numbers = list(numbers)
+
+    @property
+    def fencing(self) -> int | None:
+        return self.numbers.pop(0) if len(self.numbers) > 1 else self.numbers[0]
+
+
+class FakeOrders:
+    """Answer orders as told, and keep them."""
+
+    def __init__(self, outcome: OrderOutcome, report: Result | None = None) -> None:
+        self.outcome = outcome
+        self.report = report or Ok(EngineReport(DECODE, 7, False))
+        self.given: list[tuple] = []
+
+    async def read_report(self, instance: Instance) -> Result[EngineReport, str]:
+        return self.report
+
+    async def order_role(self, instance: Instance, *order: object) -> OrderOutcome:
+        self.given.append((instance.host, *order))
+        return self.outcome
+
+
+def make_keeper(orders: FakeOrders, lease: FakeLease) -> StageKeeper:
+    return StageKeeper("gateway-1", orders, lambda: [ENGINE], lease)
+
+
+def test_order_carries_fencing_number_and_count() -> None:
+    orders = FakeOrders(OrderOutcome.TAKEN)
+    keeper = make_keeper(orders, FakeLease(4))
+    run(keeper._carry_out(ENGINE, CHANGE))
+    assert orders.given == [("e1", PREFILL, "gateway-1", 4, 7)]
+
+
+# Two gateways order one engine: the first one's lease lapsed while it asked the engine
+# what it does, and it gave its order all the same.
+def test_lease_is_asked_again_right_before_the_order() -> None:
+    orders = FakeOrders(OrderOutcome.TAKEN)
+    keeper = make_keeper(orders, FakeLease(None))
+    run(keeper._carry_out(ENGINE, CHANGE))
+    assert orders.given == []
+
+
+def test_number_that_is_out_of_date_is_used_no_more() -> None:
+    orders = FakeOrders(OrderOutcome.STALE)
+    keeper = make_keeper(orders, FakeLease(4))
+    run(keeper._carry_out(ENGINE, CHANGE))
+    run(keeper._carry_out(ENGINE, CHANGE))
+    assert len(orders.given) == 1
+    keeper._lease = FakeLease(5)
+    run(keeper._carry_out(ENGINE, CHANGE))
+    assert len(orders.given) == 2
+
+
+# One engine more than wanted changes its role: an order had no answer, was given again
+# to another engine, and both were carried out.
+@pytest.mark.parametrize("outcome", [OrderOutcome.TAKEN, OrderOutcome.UNCLEAR])
+def test_order_that_may_be_carried_out_counts_as_done(outcome: OrderOutcome) -> None:
+    keeper = make_keeper(FakeOrders(outcome), FakeLease(4))
+    run(keeper._carry_out(ENGINE, CHANGE))
+    pending, until = keeper._pending[ENGINE.host]
+    assert pending == PREFILL
+    assert keeper._describe(ENGINE, until - 0.1).role == PREFILL
+    assert keeper._describe(ENGINE, until).role == DECODE
+
+
+@pytest.mark.parametrize(
+    "report",
+    [
+        Error("no answer"),
+        Ok(EngineReport(DECODE, 7, True)),
+        Ok(EngineReport(PREFILL, 7, False)),
+    ],
+)
+def test_engine_that_is_busy_changed_or_silent_gets_no_order(report: Result) -> None:
+    orders = FakeOrders(OrderOutcome.TAKEN, report)
+    run(make_keeper(orders, FakeLease(4))._carry_out(ENGINE, CHANGE))
+    assert orders.given == []
