Drop what of the configuration nothing uses

Cause: engines' slots, handle and switch times and the head's time-out were decoded and read by nobody. Change: they are no fields any more; a head that comes slowly is ended by the idle bound. Ruled out: using the head's own time-out, the HTTP library gives no sign of a head that has begun.

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -26,7 +26,7 @@
 from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.routing.core import rank
 
-START_TERMS: Final = EngineTerms(64, 400_000, 5.0, 3.0)
+START_TERMS: Final = EngineTerms(400_000)
 """What is taken of engines until the configuration says more."""
 FAR_SECONDS: Final = 0.005
 """Handicap of an engine in another data centre, for the trips."""
--- a/radishtally/routes/config.py
+++ b/radishtally/routes/config.py
@@ -8,14 +8,8 @@
 class EngineTerms(NamedTuple):
     """Describe the model engines of an upstream."""
 
-    slots: int
-    """Requests that one engine computes at once."""
     kv_tokens: int
     """Tokens that fit into one engine's memory."""
-    handle_seconds: float
-    """Time for which an engine keeps a KV cache that nobody has fetched."""
-    switch_seconds: float
-    """Time that an engine needs to change its role."""
 
 
 class UpstreamTerms(NamedTuple):
@@ -27,12 +21,10 @@
 
 
 class CallerLimits(NamedTuple):
-    """Bound what a caller may send, and how slowly."""
+    """Bound what a caller may send, and how long it may be idle."""
 
     header_bytes: int
     body_bytes: int
-    header_seconds: float
-    """Longest time in which the head of a request may arrive."""
     idle_seconds: float
     """Time after which a connection without a request is closed."""
 
