Replace an engine's role when it begins to leave

Ruled out: the store's outage before, the prompts' waits. Change: leaving engines don't count. Test: test_engine_that_leaves_is_replaced_at_once fails without it.

--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -92,7 +92,13 @@
 
     def _decide(self, now: float) -> list[tuple[Instance, Change]]:
         """Give the changes that are due, the plan being followed lease or not."""
-        instances = [item for item in self._list_instances() if item.role]
+        # An engine that leaves takes no new work. Counted as one of its role it would be
+        # missed only once it is gone, with the others of that role overloaded till then.
+        instances = [
+            item
+            for item in self._list_instances()
+            if item.role and not item.is_draining
+        ]
         due = []
         for upstream in {item.upstream for item in instances}:
             ours = {i.host: i for i in instances if i.upstream == upstream}
--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -5,6 +5,7 @@
 from radishtally.direct.core import EngineReport, Instance, OrderOutcome
 from radishtally.links.messages import DECODE, PREFILL
 from radishtally.outcome import Error, Ok, Result
+from radishtally.stages.const import LACK_SECONDS
 from radishtally.stages.core import Change
 from radishtally.stages.keeper import StageKeeper
 from tests.common import run
@@ -88,6 +89,21 @@
     assert keeper._describe(ENGINE, until).role == DECODE
 
 
+# Answers come seconds late: one of two engines that make them is leaving, and the other
+# one gets help only once it is gone from the list.
+def test_engine_that_leaves_is_replaced_at_once() -> None:
+    engines = [make_instance(n, PREFILL) for n in range(3)]
+    engines += [make_instance(n, DECODE) for n in range(3, 5)]
+    keeper = StageKeeper(
+        "gateway-1", FakeOrders(OrderOutcome.TAKEN), lambda: engines, FakeLease(4)
+    )
+    assert keeper._decide(0.0) == []
+    engines[4] = engines[4]._replace(is_draining=True)
+    keeper._decide(10.0)
+    ((_, change),) = keeper._decide(10.0 + LACK_SECONDS)
+    assert change.role == DECODE
+
+
 @pytest.mark.parametrize(
     "report",
     [
