--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -92,8 +92,9 @@
 
     def _decide(self, now: float) -> list[tuple[Instance, Change]]:
         """Give the changes that are due, the plan being followed lease or not."""
-        # An engine that leaves takes no new work. Counted as one of its role it would be
-        # missed only once it is gone, with the others of that role overloaded till then.
+        # An engine that leaves takes no new work. Counted as one of its role it would
+        # be missed only once it is gone, and the others of that role are overloaded
+        # until then.
         instances = [
             item
             for item in self._list_instances()
