--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -35,8 +35,8 @@
 far for 24 ms, or for 600 tokens that need not be read again."""
 AGAIN_SECONDS: Final = 40e-6
 """Handicap for each token of a shared part that is read again, beside the time that it
-takes: the work is done twice, and the part then fills two engines' memory. With it,
-worth rose by 0.01 to 0.03 on quiet days (docs/RESULTS.md)."""
+takes: the work is done twice, and the part then fills two engines' memory. Chosen with
+other changes at once; what it buys alone is not measured."""
 IN_TIME_SHARE: Final = 0.7
 """Share of the objective within which a prompt is predicted to be in time surely
 enough, so that where its shared parts lie decides and not who is first."""
