Answer a request that was read just as a stop closes idle connections

The HTTP library wakes a connection's handler two turns of the loop after it has read the request; between the two the connection looks unused, and was closed. The handler began all the same.

Test first: both sockets ready in one turn, failed before with no answer.

A run that puts another server on the killed stand-in's port gives the outcome seen, ("Unclear", "Unavailable"): the port was free for any other test's server.

--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -18,6 +18,9 @@
 LEAVE_MARGIN_SECONDS: Final = 0.9
 """Time before the platform's kill at which a stopping gateway ends by itself: time to
 unload, and some for a machine that is slow just then."""
+HANDLER_TURNS: Final = 3
+"""Turns of the loop from a request that has been read to its handler: the HTTP library
+wakes the connection's task, which makes one for the handler; and one to spare."""
 UNLOAD_SECONDS: Final = 0.4
 """Longest time that a stopping gateway waits for its parts."""
 LEAVE_POLL_SECONDS: Final = 0.05
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -131,12 +131,12 @@
             await asyncio.sleep(LEAVE_POLL_SECONDS)
             if time.monotonic() < self._stop_begun + LEAVE_SECONDS:
                 continue
-            if not self.front.close_idle():
+            if not await self.front.close_idle():
                 break
         # What comes in between the last look and the end would be read by nobody.
         await self.front.stop_listening()
         await asyncio.sleep(LEAVE_POLL_SECONDS)
-        while self.front.close_idle() and time.monotonic() < until:
+        while await self.front.close_idle() and time.monotonic() < until:
             await asyncio.sleep(LEAVE_POLL_SECONDS)
 
     async def _unload(self, *more: asyncio.Task) -> None:
--- a/radishtally/gateway/front.py
+++ b/radishtally/gateway/front.py
@@ -4,7 +4,7 @@
 import logging
 import math
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Final, NamedTuple, Protocol
 
 import msgspec
@@ -19,6 +19,7 @@
     BAD_GATEWAY,
     DEFAULT_RETRY_AFTER,
     GATEWAY_TIMEOUT,
+    HANDLER_TURNS,
     HEADER_BYTES,
     IDLE_MARGIN_SECONDS,
     NOT_RUN_STATUSES,
@@ -119,15 +120,11 @@
             await site.stop()
         self._sites.clear()
 
-    def close_idle(self) -> int:
+    async def close_idle(self) -> int:
         """Close connections that carry no request; count those that do."""
         if self._server is None:
             return 0
-        for connection in list(self._server.connections):
-            if not self._is_open(connection):
-                # Its close() reads no more but leaves the connection open: what a
-                # caller sent on it after that would wait for the process to end.
-                connection.force_close()
+        await self._close_unused(self._server.connections)
         return sum(map(self._is_open, self._server.connections))
 
     async def _listen(self, server: web.Server, address: str) -> web.TCPSite:
@@ -268,6 +265,32 @@
         count = (known.open_requests if known else 0) + change
         self._connections[connection] = _Connection(time.monotonic(), count)
 
+    async def _close_unused(self, connections: Iterable[RequestHandler]) -> None:
+        """Close those of some connections on which no request has come.
+
+        A request that has been read reaches its handler some turns of the loop later. A
+        close between the two would leave its caller without an answer, while a host
+        runs it. So reading is paused meanwhile, and what shows by then is not closed.
+        """
+        paused = [connection for connection in connections if self._pause(connection)]
+        for _ in range(HANDLER_TURNS):
+            await asyncio.sleep(0)
+        for connection in paused:
+            if self._is_open(connection):
+                connection.transport.resume_reading()
+            else:
+                # Its close() reads no more but leaves the connection open: what a
+                # caller sent on it after that would wait for the process to end.
+                connection.force_close()
+
+    def _pause(self, connection: RequestHandler) -> bool:
+        """Stop reading from a connection if it stands and carries no request."""
+        transport = connection.transport
+        if transport is None or transport.is_closing() or self._is_open(connection):
+            return False
+        transport.pause_reading()
+        return True
+
     def _is_open(self, connection: RequestHandler) -> bool:
         known = self._connections.get(connection)
         return known is not None and known.open_requests > 0
@@ -275,9 +298,9 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
-            self._close_long_idle(time.monotonic())
+            await self._close_long_idle(time.monotonic())
 
-    def _close_long_idle(self, now: float) -> None:
+    async def _close_long_idle(self, now: float) -> None:
         """Close connections on which no request has come whole for too long."""
         limits = self._gate.limits
         if self._server is None or limits is None:
@@ -285,14 +308,14 @@
         connections = set(self._server.connections)
         for gone in self._connections.keys() - connections:
             del self._connections[gone]
-        for connection in connections:
-            known = self._connections.setdefault(connection, _Connection(now, 0))
-            idle = now - known.idle_since
-            if (
-                not known.open_requests
-                and idle > limits.idle_seconds + IDLE_MARGIN_SECONDS
-            ):
-                connection.force_close()
+        longest = limits.idle_seconds + IDLE_MARGIN_SECONDS
+        start = _Connection(now, 0)
+        await self._close_unused(
+            connection
+            for connection in connections
+            if now - self._connections.setdefault(connection, start).idle_since
+            > longest
+        )
 
 
 def _serve(handler: Callable[..., Awaitable[web.Response]]) -> web.Server:
--- a/tests/common.py
+++ b/tests/common.py
@@ -1,5 +1,6 @@
 """Helpers that the tests share."""
 
+import itertools
 import json
 import os
 import select
@@ -31,6 +32,7 @@
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 START_SECONDS: Final = 60.0
+ADDRESSES: Final = itertools.count()
 
 T = TypeVar("T")
 
@@ -67,6 +69,18 @@
     return uvloop.run(coroutine)
 
 
+def find_address() -> str:
+    """Give a loopback address that no other test uses at the same time.
+
+    A port that is free may be taken at any moment by what another test starts: a server
+    can't bind it then, or answers where a test counts on nobody. On an address of its
+    own none is.
+    """
+    number = next(ADDRESSES)
+    process = os.getpid() % 62_000
+    return f"127.{1 + process // 250}.{1 + process % 250}.{1 + number % 250}"
+
+
 @contextmanager
 def standin(name: str, *args: str) -> Iterator[StandIn]:
     """Run a stand-in and end it at the exit."""
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import base64
-import itertools
 import json
-import os
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -22,9 +20,9 @@
 from radishtally.gateway.daemon import Gateway
 from standins.rows import Name, Rows
 from standins.staged import StagedEngine
+from tests.common import find_address
 
 LOOPBACK = "127.0.0.1"
-ADDRESSES = itertools.count()
 WAIT_SECONDS = 10.0
 AUTHORITY = "desk.example"
 LIMITS = {
@@ -188,17 +186,6 @@
             await asyncio.sleep(0.005)
 
 
-def find_address() -> str:
-    """Give a loopback address that no other test uses at the same time.
-
-    A port that is free when it is looked for may be taken when the gateway binds it, by
-    any connection that goes out meanwhile; on an address of its own none is.
-    """
-    number = next(ADDRESSES)
-    process = os.getpid() % 62_000
-    return f"127.{1 + process // 250}.{1 + process % 250}.{1 + number % 250}"
-
-
 def make_headers(name: str, **more: str) -> dict[str, str]:
     """Make the head that callers of the deployment send."""
     return {"Host": AUTHORITY, "X-Request-Id": name, "X-Deadline-Ms": "4000", **more}
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -1,7 +1,10 @@
 """What callers get who send what they should not."""
 
 import asyncio
+import socket
 import time
+from collections.abc import Coroutine
+from contextlib import suppress
 
 import aiohttp
 import pytest
@@ -151,9 +154,52 @@
                     assert await reader.readuntil(b"whole")
             await wait_until(lambda: len(made.gateway.front._server.connections) == 1)
             await asyncio.sleep(0.05)
-            assert made.gateway.front.close_idle() == 0
+            assert await made.gateway.front.close_idle() == 0
             async with asyncio.timeout(5):
                 assert await reader.read() == b""
             writer.close()
 
     run(play())
+
+
+# A caller's request gets no answer although a host runs it. A stop closes the idle
+# connections just when the request has been read from one of them and its handler has
+# not begun; the handler then offers it to a host for a caller that is cut off.
+def test_request_that_was_just_read_is_answered_in_a_stop() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(answer_whole))
+            front = made.gateway.front
+            ip, port = made.url.removeprefix("http://").split(":")
+            caller = socket.create_connection((ip, int(port)))
+            await wait_until(lambda: len(front._server.connections) == 1)
+            await asyncio.sleep(0.05)
+
+            # Both sockets are ready in the same turn of the loop, the caller's first.
+            ours, theirs = socket.socketpair()
+            loop = asyncio.get_running_loop()
+            loop.add_reader(ours, start_at_once, ours, front.close_idle())
+            caller.sendall(b"GET /read/a HTTP/1.1\r\n" + GOOD + b"\r\n")
+            theirs.send(b"now")
+            reader, writer = await asyncio.open_connection(sock=caller)
+            async with asyncio.timeout(5):
+                answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            assert answer.endswith(b"whole")
+            for end in (writer, ours, theirs):
+                end.close()
+
+    run(play())
+
+
+def start_at_once(ours: socket.socket, work: Coroutine[None, None, int]) -> None:
+    """Run work up to its first wait in this turn of the loop, the rest later."""
+    asyncio.get_running_loop().remove_reader(ours)
+    run_next(work)
+
+
+def run_next(work: Coroutine[None, None, int]) -> None:
+    """Run work that waits for nothing but the loop's next turn."""
+    with suppress(StopIteration):
+        work.send(None)
+        asyncio.get_running_loop().call_soon(run_next, work)
