Read prompts beside answers where all others are late; let roles rest

Ruled out: too little work done by the processes (0.1 of a core); the store.

Change: a prompt that no engine for prompts can begin in time is read by one that makes answers, if that has few answers and little to read (WHOLE stage); the first part of the answer frees its share. Engines that come or go leave the shares of the roles as they are; demand must ask for 5 s and by 1.1 engines.

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -2,16 +2,17 @@
 
 import time
 from collections.abc import Callable, Iterable, Sequence
-from typing import Final, NamedTuple
+from typing import Final
 
 from radishtally.direct.core import Instance
 from radishtally.engines.cache import PromptCache
-from radishtally.engines.state import (
-    CACHE_SHARE,
-    FIXED_SECONDS,
-    EngineState,
-    PeerShare,
+from radishtally.engines.prospects import (
+    Prospect,
+    count_uncached,
+    predict_prefill,
+    predict_whole,
 )
+from radishtally.engines.state import CACHE_SHARE, EngineState, PeerShare
 from radishtally.entry.hosts import KnownHost
 from radishtally.entry.placement import Declined, Placed
 from radishtally.entry.requests import OpenRequest
@@ -44,11 +45,14 @@
 """Answers more that the least busy engine of another data centre than the gateway's
 must be ahead by: prompt and answer cross between the two. As much again if the KV cache
 crosses, which takes twice as long then."""
+WHOLE_ANSWERS: Final = 24
+"""Answers at once up to which an engine that makes answers also takes a prompt that no
+other engine can begin in time: with more, the answers slow down already."""
+WHOLE_TOKENS: Final = 4_000
+"""Prompt tokens that such an engine has to read at most: each piece of them holds up
+all of its answers, whose events must not pause for long."""
 FAR_CALLS: Final = 0.5
 """The same for a call of a plain service: it decides between equals only."""
-DECODE_SECONDS: Final = 0.03
-"""Time from a computed prompt to the first event of its answer, as seen in the middle
-of many requests."""
 LATE_PRIORITY: Final = 5
 """Added to the priority of work that will be late: it goes behind all that can still be
 in time."""
@@ -144,7 +148,7 @@
             source = self._engines.get(request.kv.host) if request.kv else None
             near = source.data_centre if source is not None else place
             return Placed(stage, _choose_decode(decode, (place, near)).host)
-        return self._place_prompt(request, prefill, place, now)
+        return self._place_prompt(request, prefill, decode, place, now)
 
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
@@ -155,14 +159,23 @@
         name, work = request.work.request, request.work
         if request.stage != PREFILL:
             engine.answers.add(name)
+        tokens = count_uncached(engine, request)
+        engine.cache.note(work.model, request.terms.parts)
+        if request.kv is not None:
             return
-        tokens = _count_uncached(engine, request)
         engine.begin_reading(name, tokens, now)
-        engine.cache.note(work.model, request.terms.parts)
         # Both at once, as it comes: counted when they end, answers that engines are
         # too slow for would not count, and still fewer engines would be left to them.
         self.on_demand(work.upstream, tokens, request.terms.output_tokens, now)
 
+    def answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
+        """Note that the first part of an answer has come: its prompt is read."""
+        engine = self._engines.get(host.host)
+        if engine is None or request.work.request not in engine.readings:
+            return
+        self._changed.add(host.host)
+        engine.end_reading(request.work.request, now, False)
+
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
         engine = self._engines.get(host.host)
@@ -177,13 +190,15 @@
         self,
         request: OpenRequest,
         engines: Sequence[EngineState],
+        decode: Sequence[EngineState],
         place: str,
         now: float,
     ) -> Placed | Declined:
         """Choose the engine that has the shared parts, if it is in time."""
         homes = rank((engine.host for engine in engines), request.work.prefix)
         prospects = {
-            engine.host: self._predict(engine, request, homes[0]) for engine in engines
+            engine.host: predict_prefill(engine, request, engine.host == homes[0], now)
+            for engine in engines
         }
         objective = request.arrived + request.terms.objective - now
         in_time = [
@@ -200,6 +215,12 @@
             is_far = engine.data_centre != place
             return prospect.seconds + again + is_far * far, engine.host
 
+        if not in_time:
+            # Read at half the speed, but without a KV cache to be moved: this serves
+            # short prompts in time while long ones fill the engines for prompts.
+            whole = _choose_whole(request, decode, place, objective)
+            if whole is not None:
+                return whole
         best = min(in_time or engines, key=measure)
         prospect = prospects[best.host]
         patience = max(MIN_PATIENCE_SECONDS, PATIENCE * request.terms.objective)
@@ -212,51 +233,30 @@
             request.terms = request.terms._replace(priority=priority)
         return Placed(PREFILL, best.host, prospect.describe(request.terms.priority))
 
-    def _predict(
-        self, engine: EngineState, request: OpenRequest, home: str
-    ) -> "Prospect":
-        """Predict how the prompt would fare at an engine."""
-        parts = request.terms.parts
-        kept = engine.cache.count(request.work.model, parts)
-        shared = sum(part.tokens for part in parts[:-1])
-        if engine.host == home:
-            # Other entries send the prefix there too, whether we have or not.
-            kept = max(kept, shared)
-        tokens = max(0, request.work.prompt_tokens - kept)
-        wait = engine.predict_wait(self._clock())
-        reading = tokens / engine.rate + FIXED_SECONDS
-        return Prospect(tokens, max(0, shared - kept), wait, reading)
-
-
-class Prospect(NamedTuple):
-    """Predict how a prompt would fare at an engine."""
-
-    tokens: int
-    """Tokens that the engine has to read."""
-    again: int
-    """Those of them that another engine has read for others before."""
-    wait: float
-    """Seconds until it begins."""
-    reading: float
-    """Seconds that it reads."""
-
-    @property
-    def seconds(self) -> float:
-        """Give the seconds until the first event of the answer."""
-        return self.wait + self.reading + DECODE_SECONDS
-
-    def describe(self, priority: int) -> str:
-        """Say what was predicted, for the log."""
-        return (
-            f"{self.tokens} tokens in {self.reading:.3f} s behind {self.wait:.3f} s,"
-            f" priority {priority}"
-        )
-
 
-def _count_uncached(engine: EngineState, request: OpenRequest) -> int:
-    work = request.work
-    kept = engine.cache.count(work.model, request.terms.parts)
-    return max(0, work.prompt_tokens - kept)
+def _choose_whole(
+    request: OpenRequest, engines: Iterable[EngineState], place: str, objective: float
+) -> Placed | None:
+    """Choose an engine that makes answers to read the prompt too, if it has room."""
+    found = []
+    for engine in engines:
+        prospect = predict_whole(engine, request)
+        is_late = prospect.seconds > objective * IN_TIME_SHARE
+        if is_late or not _has_room(engine, prospect):
+            continue
+        is_far = engine.data_centre != place
+        found.append((prospect.seconds + is_far * FAR_SECONDS, engine.host, prospect))
+    if not found:
+        return None
+    _, host, prospect = min(found)
+    return Placed(WHOLE, host, prospect.describe(request.terms.priority))
+
+
+def _has_room(engine: EngineState, prospect: Prospect) -> bool:
+    """Tell whether an engine that makes answers can read a prompt beside them."""
+    if engine.count_answers() >= WHOLE_ANSWERS:
+        return False
+    return engine.count_tokens() + prospect.tokens <= WHOLE_TOKENS
 
 
 def _choose_decode(
--- /dev/null
+++ b/radishtally/engines/prospects.py
@@ -0,0 +1,69 @@
+"""Predict how prompts would fare at engines."""
+
+from typing import Final, NamedTuple
+
+from radishtally.engines.state import FIXED_SECONDS, EngineState
+from radishtally.entry.requests import OpenRequest
+
+DECODE_SECONDS: Final = 0.03
+"""Time from a computed prompt to the first event of its answer, as seen in the middle
+of many requests."""
+WHOLE_RATE: Final = 30_000.0
+"""Prompt tokens that an engine reads in a second beside answers: it reads at half the
+speed of one that only reads, and in the pauses between the answers' tokens."""
+
+
+class Prospect(NamedTuple):
+    """Hold how a prompt would fare at an engine."""
+
+    tokens: int
+    """Tokens that the engine has to read."""
+    again: int
+    """Those of them that another engine has read for others before."""
+    wait: float
+    """Seconds until it begins."""
+    reading: float
+    """Seconds that it reads."""
+
+    @property
+    def seconds(self) -> float:
+        """Give the seconds until the first event of the answer."""
+        return self.wait + self.reading + DECODE_SECONDS
+
+    def describe(self, priority: int) -> str:
+        """Say what was predicted, for the log."""
+        return (
+            f"{self.tokens} tokens in {self.reading:.3f} s behind {self.wait:.3f} s,"
+            f" priority {priority}"
+        )
+
+
+def predict_prefill(
+    engine: EngineState, request: OpenRequest, is_home: bool, now: float
+) -> Prospect:
+    """Predict for an engine that only reads prompts."""
+    parts = request.terms.parts
+    kept = engine.cache.count(request.work.model, parts)
+    shared = sum(part.tokens for part in parts[:-1])
+    if is_home:
+        # Other entries send the prefix there too, whether we have or not.
+        kept = max(kept, shared)
+    tokens = max(0, request.work.prompt_tokens - kept)
+    reading = tokens / engine.rate + FIXED_SECONDS
+    again = max(0, shared - kept)
+    return Prospect(tokens, again, engine.predict_wait(now), reading)
+
+
+def predict_whole(engine: EngineState, request: OpenRequest) -> Prospect:
+    """Predict for an engine that reads the prompt beside the answers it makes."""
+    tokens = count_uncached(engine, request)
+    wait = engine.count_tokens() / WHOLE_RATE
+    reading = tokens / WHOLE_RATE + FIXED_SECONDS
+    return Prospect(tokens, 0, wait, reading)
+
+
+def count_uncached(engine: EngineState, request: OpenRequest) -> int:
+    """Count the tokens of a prompt that an engine would have to read."""
+    work = request.work
+    kept = engine.cache.count(work.model, request.terms.parts)
+    return max(0, work.prompt_tokens - kept)
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from radishtally.engines.cache import PromptCache
+from radishtally.links.messages import PREFILL
 
 START_RATE: Final = 75_000.0
 """Prompt tokens that an engine reads in a second until it was timed: four fifths of
@@ -117,7 +118,9 @@
         seconds = now - self.timed_since
         if self.count_tokens() and seconds < RATE_SECONDS:
             return
-        if self.finished >= RATE_TOKENS and seconds > 0:
+        # What an engine reads beside answers says nothing of its rate without them.
+        is_timed = self.role == PREFILL and self.finished >= RATE_TOKENS
+        if is_timed and seconds > 0:
             low, high = RATE_BOUNDS
             seen = min(max(self.finished / seconds, low), high)
             self.rate += RATE_WEIGHT * (seen - self.rate)
--- a/radishtally/entry/attempts.py
+++ b/radishtally/entry/attempts.py
@@ -147,6 +147,8 @@
         wait(request, float("inf"), core)
     if request.first_token is None:
         request.first_token = now
+        if host in core.hosts:
+            core.placement.answer(request, core.hosts[host], now)
     is_open = request.begun or request.work.kind != STREAM
     if request.streamed and is_open and not request.answered:
         yield Deliver(message.request, new)
--- a/radishtally/entry/placement.py
+++ b/radishtally/entry/placement.py
@@ -38,6 +38,9 @@
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
 
+    def answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
+        """Note that the first part of an answer has come from a host."""
+
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
 
@@ -64,6 +67,9 @@
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
 
+    def answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
+        """Note that the first part of an answer has come from a host."""
+
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
 
--- a/radishtally/stages/const.py
+++ b/radishtally/stages/const.py
@@ -8,17 +8,19 @@
 """Engines that make answers at least where there are MANY engines: with one alone its
 crash would stop all answers until another one has changed its role."""
 MANY: Final = 4
-SHARE_MARGIN: Final = 0.35
+SHARE_MARGIN: Final = 0.6
 """Engines by which the wanted number must differ beyond rounding before roles change:
-each change takes an engine away for seconds."""
+each change takes an engine away for seconds, and one that made answers for as long as
+its longest answer lasts besides."""
 SETTLE_SECONDS: Final = 1.0
 """Time for which the list of engines must stand before the first roles are set."""
 LACK_SECONDS: Final = 2.0
 """Time for which too few engines of a role must be seen before one is moved over: an
 engine that restarts is back sooner than another one has changed."""
-SHIFT_SECONDS: Final = 2.5
-"""Time for which demand must ask for other roles."""
-REST_SECONDS: Final = 8.0
+SHIFT_SECONDS: Final = 5.0
+"""Time for which demand must ask for other roles. With 2.5 s and less of a margin roles
+followed each burst, and came back wrong for the next one."""
+REST_SECONDS: Final = 12.0
 """Least time between two changes for demand's sake."""
 PENDING_SECONDS: Final = 4.0
 """Time for which an order that was given, or may have been, counts as carried out."""
--- a/radishtally/stages/core.py
+++ b/radishtally/stages/core.py
@@ -95,13 +95,14 @@
 
     def _follow(self, count: int, share: float, now: float) -> None:
         """Bring the wanted number up to date."""
-        exact = count * share
         if count != self._engines:
-            # With other engines the old number says nothing.
+            # The shares stay as they are: the mix has not changed with the engines.
+            old = self._wanted / self._engines if self._engines else share
             self._engines = count
-            self._wanted = bound_prefill(round(exact), count)
+            self._wanted = bound_prefill(round(count * old), count)
             self._off_since = None
             return
+        exact = count * share
         wanted = bound_prefill(round(exact), count)
         is_off = wanted != self._wanted and (
             abs(exact - self._wanted) > 0.5 + const.SHARE_MARGIN
--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -1,7 +1,11 @@
 """Tests of choosing engines."""
 
 from radishtally.direct.core import Instance
-from radishtally.engines.placement import EnginePlacement
+from radishtally.engines.placement import (
+    WHOLE_ANSWERS,
+    WHOLE_TOKENS,
+    EnginePlacement,
+)
 from radishtally.engines.state import START_RATE, PeerShare
 from radishtally.entry.hosts import KnownHost
 from radishtally.entry.placement import Declined, Placed
@@ -12,6 +16,7 @@
     DECODE,
     PREFILL,
     STREAM,
+    WHOLE,
     KvRef,
     Work,
 )
@@ -104,6 +109,65 @@
     assert "no engine makes answers" in declined.why
 
 
+def make_short(name: str = "s") -> OpenRequest:
+    work = Work(name, "", "llm", STREAM, b"", "m", prompt_tokens=600, prefix=5)
+    parts = (PromptPart("own-" + name, 600),)
+    return OpenRequest(work, 10.0, True, 0.0, Terms(objective=0.3, parts=parts))
+
+
+def fill_prefill(world: World, seconds: float) -> None:
+    for host, role in HOSTS.items():
+        if role == PREFILL:
+            world.load(host, seconds)
+
+
+# A short question's answer begins late although engines have time: all engines for
+# prompts read long ones, and it waits behind them.
+def test_prompt_late_everywhere_is_read_where_answers_are_made() -> None:
+    world = World()
+    assert world.place(make_short()).stage == PREFILL
+    fill_prefill(world, 0.5)
+    placed = world.place(make_short())
+    assert (placed.stage, HOSTS[placed.host]) == (WHOLE, DECODE)
+
+
+def test_prompts_stay_away_from_busy_answers() -> None:
+    world = World()
+    fill_prefill(world, 0.5)
+    for host in ("d0", "d1"):
+        world.load(host, 0.0, answers=WHOLE_ANSWERS)
+    assert world.place(make_short()).stage == PREFILL
+
+
+# All answers of an engine pause: prompts are given to it beside them without a bound.
+def test_prompts_beside_answers_are_bounded() -> None:
+    world = World()
+    fill_prefill(world, 0.5)
+    for number in range(2 * WHOLE_TOKENS // 600 + 2):
+        request = make_short(f"s{number}")
+        request.host = world.place(request).host
+        known = next(host for host in world.hosts if host.host == request.host)
+        request.stage = WHOLE if HOSTS[request.host] == DECODE else PREFILL
+        world.placement.begin(request, known, 0.0)
+    assert HOSTS[request.host] == PREFILL
+    for host in ("d0", "d1"):
+        assert 0 < world.placement._engines[host].count_tokens() <= WHOLE_TOKENS
+
+
+def test_prompt_beside_answers_is_read_once_the_answer_begins() -> None:
+    world = World()
+    request = make_short()
+    request.stage, request.host = WHOLE, "d0"
+    known = next(host for host in world.hosts if host.host == "d0")
+    world.placement.begin(request, known, 0.0)
+    engine = world.placement._engines["d0"]
+    assert (engine.count_tokens(), engine.count_answers()) == (600, 1)
+    world.placement.answer(request, known, 0.1)
+    assert (engine.count_tokens(), engine.count_answers()) == (0, 1)
+    world.placement.end(request, known)
+    assert (engine.count_tokens(), engine.count_answers()) == (0, 0)
+
+
 def test_call_goes_to_the_host_with_the_fewest_open_calls() -> None:
     world = World()
     work = Work("r", "", "llm", CALL, b"")
--- a/tests/stages/test_core.py
+++ b/tests/stages/test_core.py
@@ -47,6 +47,16 @@
     assert plan.decide(engines, 0.3, later + const.TICK_SECONDS)
 
 
+# Answers slow down until long ones miss their deadlines: an engine for prompts leaves,
+# and two of those for answers are moved over since the list is a new one.
+def test_roles_keep_their_shares_when_an_engine_leaves() -> None:
+    plan = StagePlan()
+    plan.decide(make_engines(5, 4), 0.6, 0.0)
+    left = make_engines(4, 4)
+    for second in range(4):
+        assert plan.decide(left, 0.75, second + 1.0) == []
+
+
 # All answers stop: the only engine that makes answers crashes, and the others compute
 # prompts. One of them is moved over without waiting for demand to show it.
 def test_engine_is_moved_when_a_role_is_gone() -> None:
