Keep late prompts near their shared parts, and engines in their roles

(3) While the list of engines grew at the start, the rounding of a share of two engines was kept for nine.

Change: the handicap for shared parts counts for late prompts too. Roles move for demand only if those that lose an engine can do without it, by their answers at once and their waits. The plan keeps a share, not a number, and moves nobody for less than 0.85 of an engine.

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -12,7 +12,12 @@
     predict_prefill,
     predict_whole,
 )
-from radishtally.engines.state import CACHE_SHARE, EngineState, PeerShare
+from radishtally.engines.state import (
+    CACHE_SHARE,
+    EngineLoad,
+    EngineState,
+    PeerShare,
+)
 from radishtally.entry.hosts import KnownHost
 from radishtally.entry.placement import Declined, Placed
 from radishtally.entry.requests import OpenRequest
@@ -29,6 +34,7 @@
 
 START_TERMS: Final = EngineTerms(400_000)
 """What is taken of engines until the configuration says more."""
+NO_LOAD: Final = EngineLoad(0, 0.0)
 FAR_SECONDS: Final = 0.005
 """Handicap of an engine in another data centre, for the trips: two of 1 to 2 ms."""
 FAR_BYTE_SECONDS: Final = 2e-6
@@ -128,6 +134,11 @@
         changed, self._changed = self._changed, set()
         return changed
 
+    def measure(self, host: str) -> EngineLoad:
+        """Give an engine's load; none if it was never seen."""
+        engine = self._engines.get(host)
+        return NO_LOAD if engine is None else engine.measure(self._clock())
+
     def place(
         self, request: OpenRequest, hosts: Sequence[KnownHost], place: str, now: float
     ) -> Placed | Declined:
@@ -211,7 +222,7 @@
 
         def measure(engine: EngineState) -> tuple[float, str]:
             prospect = prospects[engine.host]
-            again = prospect.again * AGAIN_SECONDS if in_time else 0.0
+            again = prospect.again * AGAIN_SECONDS
             is_far = engine.data_centre != place
             return prospect.seconds + again + is_far * far, engine.host
 
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -32,6 +32,14 @@
     answers: int
 
 
+class EngineLoad(NamedTuple):
+    """Hold what an engine has been given by all entries."""
+
+    answers: int
+    wait: float
+    """Seconds until one more prompt is begun."""
+
+
 @dataclass(slots=True)
 class EngineState:
     """Hold what is known of one engine."""
@@ -93,6 +101,10 @@
         """Count the answers that all entries have open there."""
         return len(self.answers) + sum(peer.answers for peer in self.peers.values())
 
+    def measure(self, now: float) -> EngineLoad:
+        """Give its load."""
+        return EngineLoad(self.count_answers(), self.predict_wait(now))
+
     def predict_wait(self, now: float) -> float:
         """Predict the seconds until one more prompt is begun.
 
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -87,7 +87,11 @@
         self._stop_begun: float | None = None
         self.lease = make_lease(self)
         self.stages = StageKeeper(
-            settings.host, self.hosts, lambda: list(self.members), self.lease
+            settings.host,
+            self.hosts,
+            lambda: list(self.members),
+            self.lease,
+            placement.measure,
         )
         self.peers = Peers(
             self, settings.host, settings.data_centre, settings.peer_address
--- a/radishtally/stages/const.py
+++ b/radishtally/stages/const.py
@@ -8,10 +8,19 @@
 """Engines that make answers at least where there are MANY engines: with one alone its
 crash would stop all answers until another one has changed its role."""
 MANY: Final = 4
+ROUNDING_MARGIN: Final = 0.35
+"""Engines beyond rounding by which roles may differ from their shares and stay: an
+engine that moves serves nobody for seconds."""
 SHARE_MARGIN: Final = 0.6
 """Engines by which the wanted number must differ beyond rounding before roles change:
 each change takes an engine away for seconds, and one that made answers for as long as
 its longest answer lasts besides."""
+FEW_ANSWERS: Final = 24.0
+"""Answers at once that each other engine may have when one is taken away from them: at
+a third more the longest ones miss their deadlines."""
+SHORT_WAIT: Final = 0.15
+"""Mean time until a prompt is begun, in seconds, up to which one of the engines for
+prompts can be taken away: half of the shortest objective seen."""
 SETTLE_SECONDS: Final = 1.0
 """Time for which the list of engines must stand before the first roles are set."""
 LACK_SECONDS: Final = 2.0
--- a/radishtally/stages/core.py
+++ b/radishtally/stages/core.py
@@ -16,6 +16,10 @@
     host: str
     data_centre: str
     role: str
+    answers: int = 0
+    """Answers that it is making."""
+    wait: float = 0.0
+    """Seconds until it begins one more prompt."""
 
 
 class Change(NamedTuple):
@@ -75,55 +79,61 @@
     """Hold how the engines of one upstream are to be shared out."""
 
     def __init__(self) -> None:
-        self._wanted = 0
-        """Engines that are to compute prompts."""
-        self._engines = 0
+        self._share = const.START_SHARE
+        """Share of the engines that are to compute prompts."""
         self._off_since: float | None = None
         self._lack_since: float | None = None
         self._moved_at = float("-inf")
 
     def decide(
-        self, engines: Sequence[Engine], share: float, now: float
+        self, engines: Sequence[Engine], demand: float, now: float
     ) -> list[Change]:
-        """Give the changes of role that are due now."""
+        """Give the changes of role that are due now, by the share of demand."""
         if not engines:
             return []
-        self._follow(len(engines), share, now)
-        if not self._is_due(engines, now):
+        self._follow(engines, demand, now)
+        wanted = self._count_wanted(engines)
+        if not self._is_due(engines, wanted, now):
             return []
-        return choose_changes(engines, self._wanted)
-
-    def _follow(self, count: int, share: float, now: float) -> None:
-        """Bring the wanted number up to date."""
-        if count != self._engines:
-            # The shares stay as they are: the mix has not changed with the engines.
-            old = self._wanted / self._engines if self._engines else share
-            self._engines = count
-            self._wanted = bound_prefill(round(count * old), count)
-            self._off_since = None
-            return
-        exact = count * share
-        wanted = bound_prefill(round(exact), count)
-        is_off = wanted != self._wanted and (
-            abs(exact - self._wanted) > 0.5 + const.SHARE_MARGIN
-        )
-        if not is_off:
+        return choose_changes(engines, wanted)
+
+    def _count_wanted(self, engines: Sequence[Engine]) -> int:
+        """Count the engines that are to compute prompts.
+
+        The share stays as it is when engines come or go: the mix has not changed. Nor
+        is an engine moved for what is little more than rounding.
+        """
+        count = len(engines)
+        exact = count * self._share
+        present = sum(engine.role == PREFILL for engine in engines)
+        is_near = abs(present - exact) <= 0.5 + const.ROUNDING_MARGIN
+        if is_near and bound_prefill(present, count) == present:
+            return present
+        return bound_prefill(round(exact), count)
+
+    def _follow(self, engines: Sequence[Engine], demand: float, now: float) -> None:
+        """Bring the share up to date."""
+        count = len(engines)
+        old = self._count_wanted(engines)
+        new = bound_prefill(round(count * demand), count)
+        is_off = abs(count * demand - old) > 0.5 + const.SHARE_MARGIN
+        if new == old or not is_off or not can_spare(engines, more_prefill=new > old):
             self._off_since = None
             return
         if self._off_since is None:
             self._off_since = now
         settled = now >= self._off_since + const.SHIFT_SECONDS
         if settled and now >= self._moved_at + const.REST_SECONDS:
-            self._wanted = wanted
+            self._share = new / count
             self._moved_at = now
             self._off_since = None
             # Demand has been watched for long enough already.
             self._lack_since = float("-inf")
 
-    def _is_due(self, engines: Sequence[Engine], now: float) -> bool:
+    def _is_due(self, engines: Sequence[Engine], wanted: int, now: float) -> bool:
         """Tell whether the roles have been other than wanted for long enough."""
         roles = Counter(engine.role for engine in engines)
-        if roles[PREFILL] == self._wanted:
+        if roles[PREFILL] == wanted:
             self._lack_since = None
             return False
         if self._lack_since is None:
@@ -133,6 +143,19 @@
         return now >= self._lack_since + wait
 
 
+def can_spare(engines: Sequence[Engine], more_prefill: bool) -> bool:
+    """Tell whether the role that would lose an engine can do without it.
+
+    Demand is an estimate: moved by it alone, engines were taken from answers while the
+    others had twice as many as let long ones end before their deadline.
+    """
+    if more_prefill:
+        answers = [engine.answers for engine in engines if engine.role != PREFILL]
+        return sum(answers) <= const.FEW_ANSWERS * (len(answers) - 1)
+    waits = [engine.wait for engine in engines if engine.role == PREFILL]
+    return sum(waits) <= const.SHORT_WAIT * len(waits)
+
+
 def bound_prefill(wanted: int, count: int) -> int:
     """Bound the number of engines that compute prompts."""
     if count < 2:
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 
 from radishtally.direct.core import EngineReport, Instance, OrderOutcome
+from radishtally.engines.state import EngineLoad
 from radishtally.links.messages import DemandReport
 from radishtally.outcome import Result
 from radishtally.stages import const
@@ -51,11 +52,13 @@
         orders: Orders,
         list_instances: Callable[[], list[Instance]],
         lease: Lease,
+        measure: Callable[[str], EngineLoad],
     ) -> None:
         self._host = host
         self._orders = orders
         self._list_instances = list_instances
         self._lease = lease
+        self._measure = measure
         self._plans: dict[str, StagePlan] = {}
         self._demands: dict[str, Demand] = {}
         self._pending: dict[str, tuple[str, float]] = {}
@@ -115,7 +118,8 @@
         if now >= until or role == instance.role:
             self._pending.pop(instance.host, None)
             role = instance.role
-        return Engine(instance.host, instance.data_centre, role)
+        load = self._measure(instance.host)
+        return Engine(instance.host, instance.data_centre, role, *load)
 
     def _may_order(self) -> bool:
         fencing = self._lease.fencing
--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -76,6 +76,16 @@
     assert placed.host != HOME
 
 
+# Engines are still later: each late prompt is read by whoever is soonest, with all of
+# its shared parts, though it would be late at their home as well.
+def test_late_prompt_stays_near_its_shared_parts() -> None:
+    world = World()
+    for host, role in HOSTS.items():
+        if role == PREFILL:
+            world.load(host, 0.9 if host == HOME else 0.75)
+    assert world.place(make_request()).host == HOME
+
+
 def test_prompt_that_nobody_can_begin_in_time_is_refused_with_a_time() -> None:
     world = World()
     for host, role in HOSTS.items():
--- a/tests/stages/test_core.py
+++ b/tests/stages/test_core.py
@@ -57,6 +57,39 @@
         assert plan.decide(left, 0.75, second + 1.0) == []
 
 
+# Most engines have the wrong role as traffic begins: the list was short when roles were
+# first thought of, and the rounding of a share of two engines was kept for nine.
+def test_share_is_not_rounded_for_a_list_that_grows() -> None:
+    plan = StagePlan()
+    plan.decide(make_engines(2, 0), 0.6, 0.0)
+    engines = make_engines(3, 6)
+    plan.decide(engines, 0.6, 0.1)
+    changes = plan.decide(engines, 0.6, 0.1 + const.LACK_SECONDS)
+    assert len(changes) == round(9 * const.START_SHARE) - 3
+
+
+# Long answers miss their deadlines: estimated demand asks for more engines for prompts
+# while those that make answers have all they can do.
+@pytest.mark.parametrize(("answers", "moved"), [(30, False), (10, True)])
+def test_engines_for_answers_are_taken_only_where_they_can_be_spared(
+    answers: int, moved: bool
+) -> None:
+    plan = StagePlan()
+    engines = [engine._replace(answers=answers) for engine in make_engines(5, 4)]
+    changes = [plan.decide(engines, 0.9, now / 2) for now in range(20)]
+    assert any(changes) == moved
+
+
+@pytest.mark.parametrize(("wait", "moved"), [(0.3, False), (0.0, True)])
+def test_engines_for_prompts_are_taken_only_where_no_prompt_waits(
+    wait: float, moved: bool
+) -> None:
+    plan = StagePlan()
+    engines = [engine._replace(wait=wait) for engine in make_engines(5, 4)]
+    changes = [plan.decide(engines, 0.2, now / 2) for now in range(20)]
+    assert any(changes) == moved
+
+
 # All answers stop: the only engine that makes answers crashes, and the others compute
 # prompts. One of them is moved over without waiting for demand to show it.
 def test_engine_is_moved_when_a_role_is_gone() -> None:
--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -3,6 +3,7 @@
 import pytest
 
 from radishtally.direct.core import EngineReport, Instance, OrderOutcome
+from radishtally.engines.state import EngineLoad
 from radishtally.links.messages import DECODE, PREFILL
 from radishtally.outcome import Error, Ok, Result
 from radishtally.stages.const import LACK_SECONDS
@@ -46,8 +47,12 @@
         return self.outcome
 
 
+def no_load(host: str) -> EngineLoad:
+    return EngineLoad(0, 0.0)
+
+
 def make_keeper(orders: FakeOrders, lease: FakeLease) -> StageKeeper:
-    return StageKeeper("gateway-1", orders, lambda: [ENGINE], lease)
+    return StageKeeper("gateway-1", orders, lambda: [ENGINE], lease, no_load)
 
 
 def test_order_carries_fencing_number_and_count() -> None:
@@ -94,9 +99,8 @@
 def test_engine_that_leaves_is_replaced_at_once() -> None:
     engines = [make_instance(n, PREFILL) for n in range(3)]
     engines += [make_instance(n, DECODE) for n in range(3, 5)]
-    keeper = StageKeeper(
-        "gateway-1", FakeOrders(OrderOutcome.TAKEN), lambda: engines, FakeLease(4)
-    )
+    orders = FakeOrders(OrderOutcome.TAKEN)
+    keeper = StageKeeper("gateway-1", orders, lambda: engines, FakeLease(4), no_load)
     assert keeper._decide(0.0) == []
     engines[4] = engines[4]._replace(is_draining=True)
     keeper._decide(10.0)
