Prove retries of several gateways, readiness in a stop and a start from nothing

No fault was found: these tests pass on the code as it is.

Change: the tests' deployment can run a second gateway on the same store; tests/gateway/test_peers.py begins with it.

--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -70,6 +70,7 @@
     """Hold what a test drives."""
 
     rows: Rows = field(default_factory=Rows)
+    store: str = ""
     gateway: Gateway | None = None
     url: str = ""
     version: int = 0
@@ -120,33 +121,42 @@
 async def deployment() -> AsyncIterator[Deployment]:
     """Run a store and a gateway that has a configuration."""
     made = Deployment()
-    store = await serve(made.rows.build_app())
+    made.store = await serve(made.rows.build_app())
     made.configure()
+    async with run_gateway(made.store) as gateway:
+        made.gateway = gateway
+        made.url = f"http://{gateway.settings.address}"
+        yield made
+
+
+@asynccontextmanager
+async def run_gateway(store: str, host: str = "gateway-1") -> AsyncIterator[Gateway]:
+    """Run a gateway until it has a configuration, and end it without a word."""
     client = StoreClient(store)
     await client.start()
-    gateway = make_gateway(client, store)
-    made.gateway = gateway
-    made.url = f"http://{gateway.settings.address}"
-    Watcher(client, gateway).start()
+    gateway = make_gateway(client, store, host)
+    watcher = Watcher(client, gateway)
+    watcher.start()
     running = asyncio.create_task(gateway.run())
     try:
         await wait_until(lambda: gateway.router.configuration is not None)
         await wait_until(lambda: gateway.front.is_listening)
-        yield made
+        yield gateway
     finally:
         gateway.runtime.broken |= running.done()
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
         await gateway.front.stop()
+        await gateway.peers.stop()
         await gateway.hosts.stop()
         await client.stop()
 
 
-def make_gateway(client: StoreClient, store: str) -> Gateway:
-    """Make a gateway on free ports."""
+def make_gateway(client: StoreClient, store: str, host: str) -> Gateway:
+    """Make a gateway on addresses of its own."""
     ip = find_address()
     settings = GatewaySettings(
-        host="gateway-1",
+        host=host,
         data_centre="howrah",
         address=f"{ip}:8101",
         ready_address=f"{ip}:8102",
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -85,6 +85,21 @@
     run(play())
 
 
+# The balancer goes on sending to a gateway that was told to stop, and its end cuts off
+# those requests: it still calls itself ready. What comes until then is served.
+def test_gateway_is_not_ready_from_the_signal_on() -> None:
+    async def play() -> None:
+        async with deployment() as made, aiohttp.ClientSession() as session:
+            await made.serve_desk("d-1", Desk(answer_whole))
+            made.gateway.runtime.stopping.set()
+            ready = f"http://{made.gateway.settings.ready_address}/api/ready"
+            async with session.get(ready) as response:
+                assert response.status == 503
+            assert (await ask(made, "/read/a", "r1"))[0] == 200
+
+    run(play())
+
+
 # The caller gets 404 although the operator has added its route, or is served by a
 # route that was dropped: a configuration takes too long to come into force.
 def test_configuration_comes_into_force_and_never_goes_back() -> None:
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,72 @@
+"""What gateways know of each other, and what a new one needs."""
+
+import asyncio
+
+from radishtally.gateway.daemon import Gateway, find_retry_floor
+from tests.common import run
+from tests.gateway.common import Deployment, deployment, run_gateway, wait_until
+from tests.gateway.test_calls import Desk, answer_whole, ask
+from tests.gateway.test_streams import start_engines, stream
+
+
+def count_answers(gateway: Gateway, host: str) -> int:
+    return gateway.placement.measure(host).answers
+
+
+async def begin_stream(made: Deployment, gateway: Gateway) -> asyncio.Task:
+    """Send a request to another gateway than the deployment's first."""
+    other = Deployment(url=f"http://{gateway.settings.address}")
+    return asyncio.create_task(stream(other, "/draft/a", "r1"))
+
+
+# An engine is given more than it can do in time: each gateway counts only what it has
+# sent there itself. What a gateway had open must not count for ever once it is gone.
+def test_gateways_count_each_others_open_work() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            engines = await start_engines(made)
+            answering = next(e for e in engines if e.phase == "decode")
+            host = answering.instance
+            async with run_gateway(made.store, "gateway-2") as second:
+                await wait_until(lambda: host in second.core.links)
+                await wait_until(lambda: second.peers._hub and second.peers._hub.hosts)
+                answering.seconds = 30.0
+                work = await begin_stream(made, second)
+                await wait_until(lambda: count_answers(second, host) == 1)
+                await wait_until(lambda: count_answers(made.gateway, host) == 1)
+                work.cancel()
+            await wait_until(lambda: count_answers(made.gateway, host) == 0)
+
+    run(play())
+
+
+# Hosts that fail are asked far more often than agreed: each of many gateways makes as
+# many retries as the whole deployment may.
+def test_gateways_share_the_retries_that_are_always_allowed() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            first = made.gateway
+            bounds = first.settings.bounds
+            async with run_gateway(made.store, "gateway-2") as second:
+                shared = find_retry_floor(bounds, 2)
+                for gateway in (first, second):
+                    await wait_until(lambda g=gateway: g.core.budget.floor == shared)
+                allowed = bounds.retry_slack / bounds.retry_window_seconds
+                assert first.core.budget.floor + second.core.budget.floor <= allowed
+
+    run(play())
+
+
+# Nobody is served after all processes were lost at once: what the configuration said
+# and which hosts there are was known to them alone.
+def test_new_gateway_serves_by_what_the_store_holds() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(answer_whole))
+            assert (await ask(made, "/read/a", "r1"))[0] == 200
+        async with run_gateway(made.store) as gateway:
+            made.url = f"http://{gateway.settings.address}"
+            await wait_until(lambda: "d-1" in gateway.core.links)
+            assert (await ask(made, "/read/a", "r2"))[0] == 200
+
+    run(play())
