Let the links' hub be stopped while it starts

Cause: gateways that are told to stop within their first moments ended with "Server is not started" from the RPC library: the hub kept its server before that had started, and stopping closed it.

Ruled out: taken ports (every address is a test's own).

Change: the hub keeps its server once it has started. Test first: it failed with that error.

--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -64,10 +64,13 @@
     async def start(self, address: str) -> None:
         """Listen on the host's fixed address; fail if another process has it."""
         ip, port = address.rsplit(":", 1)
-        self._server = Server([_Exchange(self)], codec=FrameCodec())
+        server = Server([_Exchange(self)], codec=FrameCodec())
         # Without SO_REUSEPORT the kernel lets one process have the port, and gives it
         # back at its death but not at a pause: see DESIGN.md, "One agent per host".
-        await self._server.start(ip, int(port), reuse_port=False)
+        await server.start(ip, int(port), reuse_port=False)
+        # Only now: a server that has not started can't be closed, and a stop that comes
+        # meanwhile would end in an error.
+        self._server = server
 
     async def stop(self) -> None:
         """Close all links and stop listening."""
--- a/tests/links/test_hub.py
+++ b/tests/links/test_hub.py
@@ -202,3 +202,16 @@
         await asyncio.gather(link, return_exceptions=True)
 
     run(check())
+
+
+# A process that is told to stop while it starts ends with an error, and whoever watches
+# it takes a planned stop for a crash: its parts are stopped before they have started.
+def test_hub_can_be_stopped_while_it_starts() -> None:
+    async def check() -> None:
+        peer = Peer("agent-0")
+        starting = asyncio.create_task(peer.start())
+        await asyncio.sleep(0)
+        await peer.hub.stop()
+        starting.cancel()
+
+    run(check())
