Have one of many gateways collect what all have open; share looks at the lease

Cause: each gateway told each other one of its open work 50 times a second.

Change: up to 12 gateways nothing changes. Beyond, all agree on an order; the first that is up collects, and tells each what all but itself have, as if it was its own work: no new message. Links go to two gateways instead of to all. Gateways that don't answer are passed over. Looks at the lease are shared by the gateways, up to 5.5 s apart.

The choice of an engine for prompts is now short functions of its own, with the same result.

--- a/radishtally/authority/holder.py
+++ b/radishtally/authority/holder.py
@@ -27,6 +27,8 @@
 
 CALL_PART: Final = 0.25
 """Part of the lease time that one call to the table may take."""
+READERS: Final = 4
+"""Contenders that look at the lease as often as its terms say; more share that."""
 RESIGN_SECONDS: Final = 1.0
 
 
@@ -61,6 +63,17 @@
         """Tell whether an order may be given now; ask before each one."""
         return self._core.holds(self._clock())
 
+    def share_reads(self, contenders: int) -> None:
+        """Look more seldom the more contend: the first look after a lapse takes over.
+
+        Looks stay less than the lease's time apart. A row that was renewed in between
+        would seem to have lapsed, and be written to in vain.
+        """
+        least = self._terms.read_every
+        longest = max(least, self._terms.granted - self._terms.margin)
+        wanted = least * contenders / READERS
+        self._core.read_every = min(max(least, wanted), longest)
+
     def make_check(self) -> Check | None:
         """Form the check that binds a transaction to the lease as held now."""
         return self._core.make_check(self._clock())
--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -131,6 +131,8 @@
         self._holder = holder
         self._incarnation = incarnation
         self._terms = terms
+        self.read_every = terms.read_every
+        """Seconds between two looks at a lease that another one holds."""
         self._row: Row | None = None
         self._row_since = 0.0
         self._seen = False
@@ -305,7 +307,7 @@
     def _next_read(self) -> float:
         if self._known and self._held is not None:
             return float("inf")
-        return self._read_at + self._terms.read_every
+        return self._read_at + self.read_every
 
     def _next_time(self) -> float:
         if self._held is None:
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -42,8 +42,9 @@
 far for 24 ms, or for 600 tokens that need not be read again."""
 AGAIN_SECONDS: Final = 40e-6
 """Handicap for each token of a shared part that is read again, beside the time that it
-takes: the work is done twice, and the part then fills two engines' memory. Chosen with
-other changes at once; what it buys alone is not measured."""
+takes: the work is done twice, and the part then fills two engines' memory. Counted for
+late prompts too, it spared a quarter of the tokens read again; what it buys for those
+that are in time was not measured alone."""
 IN_TIME_SHARE: Final = 0.7
 """Share of the objective within which a prompt is predicted to be in time surely
 enough, so that where its shared parts lie decides and not who is first."""
@@ -118,12 +119,17 @@
             if engine is not None:
                 engine.take_share(peer, PeerShare(tokens, answers), now)
 
-    def make_backlog(self, hosts: Iterable[str] | None = None) -> Backlog:
-        """Give what this entry has open at some engines, or at all of them."""
+    def make_backlog(
+        self, hosts: Iterable[str] | None = None, collected_for: str | None = None
+    ) -> Backlog:
+        """Give what this entry has open at some engines, or at all of them.
+
+        Collected for another entry, that is what all entries but itself have.
+        """
         engines = self._engines
         names = engines.keys() if hosts is None else hosts
         shares = [
-            EngineShare(host, *engines[host].make_share())
+            EngineShare(host, *engines[host].make_share(collected_for))
             for host in names
             if host in engines
         ]
@@ -159,7 +165,7 @@
             source = self._engines.get(request.kv.host) if request.kv else None
             near = source.data_centre if source is not None else place
             return Placed(stage, _choose_decode(decode, (place, near)).host)
-        return self._place_prompt(request, prefill, decode, place, now)
+        return _place_prompt(request, prefill, decode, place, now)
 
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
@@ -197,63 +203,65 @@
         engine.answers.discard(name)
         engine.end_reading(name, now, request.kv is not None)
 
-    def _place_prompt(
-        self,
-        request: OpenRequest,
-        engines: Sequence[EngineState],
-        decode: Sequence[EngineState],
-        place: str,
-        now: float,
-    ) -> Placed | Declined:
-        """Choose the engine that has the shared parts, if it is in time."""
-        homes = rank((engine.host for engine in engines), request.work.prefix)
-        prospects = {
-            engine.host: predict_prefill(engine, request, engine.host == homes[0], now)
-            for engine in engines
-        }
-        objective = request.arrived + request.terms.objective - now
-        in_time = [
-            engine
-            for engine in engines
-            if prospects[engine.host].seconds <= objective * IN_TIME_SHARE
-        ]
 
-        far = FAR_SECONDS + FAR_BYTE_SECONDS * len(request.work.body)
-
-        def measure(engine: EngineState) -> tuple[float, str]:
-            prospect = prospects[engine.host]
-            again = prospect.again * AGAIN_SECONDS
-            is_far = engine.data_centre != place
-            return prospect.seconds + again + is_far * far, engine.host
-
-        if not in_time:
-            # Read at half the speed, but without a KV cache to be moved: this serves
-            # short prompts in time while long ones fill the engines for prompts.
-            whole = _choose_whole(request, decode, place, objective)
-            if whole is not None:
-                return whole
-        best = min(in_time or engines, key=measure)
-        prospect = prospects[best.host]
-        patience = max(MIN_PATIENCE_SECONDS, PATIENCE * request.terms.objective)
-        if prospect.seconds > min(patience, request.deadline - now):
-            wait = max(0.0, prospect.seconds - request.terms.objective)
-            why = f"soonest at {best.host}: {prospect.describe(request.terms.priority)}"
-            return Declined(wait, why)
-        if prospect.seconds > objective and request.terms.priority < LATE_PRIORITY:
-            priority = request.terms.priority + LATE_PRIORITY
-            request.terms = request.terms._replace(priority=priority)
-        return Placed(PREFILL, best.host, prospect.describe(request.terms.priority))
+def _place_prompt(
+    request: OpenRequest,
+    prefill: Sequence[EngineState],
+    decode: Iterable[EngineState],
+    place: str,
+    now: float,
+) -> Placed | Declined:
+    """Choose who reads a prompt."""
+    terms = request.terms
+    objective = request.arrived + terms.objective - now
+    in_time = objective * IN_TIME_SHARE
+    host, prospect = _choose_prefill(request, prefill, place, in_time, now)
+    if prospect.seconds > in_time:
+        # Read at half the speed, but without a KV cache to be moved: this serves short
+        # prompts in time while long ones fill the engines for prompts.
+        whole = _choose_whole(request, decode, place, in_time)
+        if whole is not None:
+            return whole
+    patience = max(MIN_PATIENCE_SECONDS, PATIENCE * terms.objective)
+    if prospect.seconds > min(patience, request.deadline - now):
+        wait = max(0.0, prospect.seconds - terms.objective)
+        return Declined(wait, f"soonest at {host}: {prospect.describe(terms.priority)}")
+    priority = terms.priority
+    if prospect.seconds > objective and priority < LATE_PRIORITY:
+        priority += LATE_PRIORITY
+        request.terms = terms._replace(priority=priority)
+    return Placed(PREFILL, host, prospect.describe(priority))
+
+
+def _choose_prefill(
+    request: OpenRequest,
+    engines: Sequence[EngineState],
+    place: str,
+    in_time: float,
+    now: float,
+) -> tuple[str, Prospect]:
+    """Choose the engine that has the shared parts, rather one that is in time."""
+    home = rank((engine.host for engine in engines), request.work.prefix)[0]
+    far = FAR_SECONDS + FAR_BYTE_SECONDS * len(request.work.body)
+    found = []
+    for engine in engines:
+        prospect = predict_prefill(engine, request, engine.host == home, now)
+        cost = prospect.seconds + prospect.again * AGAIN_SECONDS
+        if engine.data_centre != place:
+            cost += far
+        found.append((prospect.seconds > in_time, cost, engine.host, prospect))
+    _, _, host, prospect = min(found)
+    return host, prospect
 
 
 def _choose_whole(
-    request: OpenRequest, engines: Iterable[EngineState], place: str, objective: float
+    request: OpenRequest, engines: Iterable[EngineState], place: str, in_time: float
 ) -> Placed | None:
     """Choose an engine that makes answers to read the prompt too, if it has room."""
     found = []
     for engine in engines:
         prospect = predict_whole(engine, request)
-        is_late = prospect.seconds > objective * IN_TIME_SHARE
-        if is_late or not _has_room(engine, prospect):
+        if prospect.seconds > in_time or not _has_room(engine, prospect):
             continue
         is_far = engine.data_centre != place
         found.append((prospect.seconds + is_far * FAR_SECONDS, engine.host, prospect))
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -88,9 +88,16 @@
         self.peers[peer] = share
         self._learn_rate(now)
 
-    def make_share(self) -> PeerShare:
-        """Give what this entry has open there."""
-        return PeerShare(sum(self.readings.values()), len(self.answers))
+    def make_share(self, collected_for: str | None = None) -> PeerShare:
+        """Give what this entry has open there, or all but one peer."""
+        tokens, answers = sum(self.readings.values()), len(self.answers)
+        if collected_for is None:
+            return PeerShare(tokens, answers)
+        others = [share for peer, share in self.peers.items() if peer != collected_for]
+        return PeerShare(
+            tokens + sum(share.tokens for share in others),
+            answers + sum(share.answers for share in others),
+        )
 
     def count_tokens(self) -> int:
         """Count the prompt tokens that it has to read for all entries."""
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -157,7 +157,8 @@
         self.settings = msgspec.structs.replace(self.settings, bounds=settings.bounds)
 
     def count_gateways(self, count: int) -> None:
-        """Take how many gateways there are: they share what retries are allowed."""
+        """Take how many gateways share the retries, and the looks at the lease."""
+        self.lease.share_reads(count)
         self.core.budget.floor = find_retry_floor(self.settings.bounds, count)
 
     def render_metrics(self) -> bytes:
--- /dev/null
+++ b/radishtally/gateway/loads.py
@@ -0,0 +1,132 @@
+"""Tell the other gateways what is open at engines and what has come, and hear it."""
+
+import asyncio
+import time
+from collections.abc import Collection, Iterable
+from typing import Final
+
+from eliot import log_message
+
+from radishtally.engines.placement import EnginePlacement
+from radishtally.gateway.const import BACKLOG_SECONDS
+from radishtally.gateway.topology import choose_collector
+from radishtally.links.hub import LinkHub
+from radishtally.links.messages import Backlog, DemandReport, Message
+from radishtally.stages.const import TELL_SECONDS
+from radishtally.stages.keeper import StageKeeper
+
+COLLECT_SECONDS: Final = 0.002
+"""Time between two rounds of a collector for each gateway: whatever their number, it
+sends and takes 500 messages a second each."""
+REFRESH_SECONDS: Final = 2.0
+"""Time between two rounds that name all engines where one collects: whoever has just
+found another collector knows nothing of what has not changed since."""
+
+
+class LoadExchange:
+    """Exchange loads with the gateways that links are up to.
+
+    Few gateways tell each other directly. Of many, one collects what the others have
+    open, and tells each what all but itself have, as if that was its own: the messages
+    then grow with the gateways and not with their square.
+    """
+
+    def __init__(
+        self, own: str, hub: LinkHub, placement: EnginePlacement, stages: StageKeeper
+    ) -> None:
+        self._own = own
+        self._hub = hub
+        self._placement = placement
+        self._stages = stages
+        self._names: Collection[str] = (own,)
+        self._collector: str | None = None
+        """Who collects, where one does."""
+        self._heard: set[str] = set()
+        """Engines that others have told of since the last round."""
+        self._refreshed_at = float("-inf")
+
+    def set_names(self, names: Collection[str]) -> None:
+        """Take which gateways there are."""
+        self._names = names
+
+    async def run(self) -> None:
+        """Tell for good."""
+        told_demand = time.monotonic()
+        while True:
+            await asyncio.sleep(self._find_interval())
+            now = time.monotonic()
+            self._follow_collector()
+            self._tell_backlog(now)
+            if now >= told_demand + TELL_SECONDS:
+                told_demand = now
+                self._tell_demand(now)
+
+    def greet(self, peer: str) -> None:
+        """Tell a gateway all, as its link has come up."""
+        if peer in self._list_audience():
+            self._hub.send(peer, self._make_backlog(None, peer))
+
+    def forget(self, peer: str) -> None:
+        """Forget what a gateway has told, as its link is down."""
+        self._placement.forget_peer(peer)
+        self._stages.forget_report(peer)
+
+    def take(self, peer: str, message: Message) -> None:
+        """Take what a gateway tells."""
+        # Another one than the collector tells this one only while the two disagree on
+        # who collects: what it has open would count twice.
+        if peer not in self._list_audience():
+            return
+        now = time.monotonic()
+        if isinstance(message, Backlog):
+            self._placement.take_backlog(peer, message, now)
+            self._heard.update(share.host for share in message.shares)
+        elif isinstance(message, DemandReport):
+            self._stages.take_report(peer, message, now)
+
+    def _find_interval(self) -> float:
+        if self._collector is None:
+            return BACKLOG_SECONDS
+        return max(BACKLOG_SECONDS, len(self._names) * COLLECT_SECONDS)
+
+    def _follow_collector(self) -> None:
+        collector = choose_collector(self._names, self._own, self._hub.hosts)
+        if collector == self._collector:
+            return
+        log_message("peers:collector", collector=collector, gateways=len(self._names))
+        old, self._collector = self._collector, collector
+        self._refreshed_at = float("-inf")
+        # What a collector told stood for others too; and what others told directly is
+        # told by the collector from now on.
+        outdated = [old or ""] if collector == self._own else self._hub.hosts
+        for peer in outdated:
+            self.forget(peer)
+
+    def _list_audience(self) -> list[str]:
+        """List the gateways that are told, and believed."""
+        if self._collector in (None, self._own):
+            return self._hub.hosts
+        return [self._collector]
+
+    def _tell_backlog(self, now: float) -> None:
+        hosts: set[str] | None = self._placement.take_changed()
+        if self._collector == self._own:
+            hosts |= self._heard
+        self._heard.clear()
+        if self._collector is not None and now >= self._refreshed_at + REFRESH_SECONDS:
+            self._refreshed_at = now
+            hosts = None
+        if hosts is not None and not hosts:
+            return
+        for peer in self._list_audience():
+            self._hub.send(peer, self._make_backlog(hosts, peer))
+
+    def _make_backlog(self, hosts: Iterable[str] | None, peer: str) -> Backlog:
+        collects = self._collector == self._own
+        return self._placement.make_backlog(hosts, peer if collects else None)
+
+    def _tell_demand(self, now: float) -> None:
+        collects = self._collector == self._own
+        for peer in self._list_audience():
+            for report in self._stages.make_reports(now, peer if collects else None):
+                self._hub.send(peer, report)
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -8,16 +8,13 @@
 from eliot import log_message
 
 from radishtally.engines.placement import EnginePlacement
-from radishtally.gateway.const import (
-    BACKLOG_SECONDS,
-    FIRST_PEER_READS,
-    PEER_READ_SECONDS,
-)
+from radishtally.gateway.const import FIRST_PEER_READS, PEER_READ_SECONDS
+from radishtally.gateway.loads import LoadExchange
+from radishtally.gateway.topology import choose_dialled
 from radishtally.links.hub import Callbacks, LinkHub
-from radishtally.links.messages import Backlog, DemandReport, Hello, Message
+from radishtally.links.messages import Hello, Message
 from radishtally.outcome import Result
 from radishtally.runtime import Runtime
-from radishtally.stages.const import TELL_SECONDS
 from radishtally.stages.keeper import StageKeeper
 from radishtally.store.core import ABSENT, Key, Put, Table
 from radishtally.store.settle import transact_settled
@@ -53,19 +50,24 @@
         self._address = address
         self._incarnation = secrets.token_hex(8)
         self._hub: LinkHub | None = None
+        self._loads: LoadExchange | None = None
+        self._dialled: set[str] = set()
 
     async def run(self) -> None:
         """Join the other gateways and keep up with them for good."""
         secret = await self._find_secret()
         hello = Hello(self._host, self._data_centre, GATEWAYS, self._incarnation, 0)
-        guard = self._gateway.runtime.guard_call
+        gateway = self._gateway
+        guard = gateway.runtime.guard_call
         callbacks = Callbacks(
             guard(self._link_up), guard(self._link_down), guard(self._receive), _is_busy
         )
         self._hub = LinkHub(hello, secret, callbacks)
+        self._loads = LoadExchange(
+            self._host, self._hub, gateway.placement, gateway.stages
+        )
         await self._hub.start(self._address)
-        self._gateway.runtime.spawn(self._tell())
-        self._gateway.runtime.spawn(self._tell_demand())
+        gateway.runtime.spawn(self._loads.run())
         await self._write_own()
         reads = 0
         while True:
@@ -118,44 +120,26 @@
         if read.is_error():
             log_message("peers:unread", reason=str(read.error))
             return
-        self._gateway.count_gateways(max(1, len(read.ok)))
-        for row in read.ok:
-            # One link is enough for both; who dials is settled by the names.
-            if row.key.sk > self._host:
-                self._hub.dial(row.key.sk, row.value["address"])
-
-    async def _tell(self) -> None:
-        """Tell the others what has changed, as often as it is of use."""
-        placement = self._gateway.placement
-        while True:
-            await asyncio.sleep(BACKLOG_SECONDS)
-            changed = placement.take_changed()
-            if not changed or not self._hub.hosts:
-                continue
-            backlog = placement.make_backlog(changed)
-            for peer in self._hub.hosts:
-                self._hub.send(peer, backlog)
-
-    async def _tell_demand(self) -> None:
-        """Tell the others what has come here: one of them decides on roles for all."""
-        while True:
-            await asyncio.sleep(TELL_SECONDS)
-            for report in self._gateway.stages.make_reports(time.monotonic()):
-                for peer in self._hub.hosts:
-                    self._hub.send(peer, report)
+        addresses = {row.key.sk: row.value["address"] for row in read.ok}
+        self._gateway.count_gateways(max(1, len(addresses)))
+        names = addresses.keys() | {self._host}
+        self._loads.set_names(names)
+        silent = self._dialled - set(self._hub.hosts)
+        dialled = set(choose_dialled(names, self._host, silent))
+        for name in self._dialled - dialled:
+            self._hub.forget(name)
+        for name in dialled:
+            self._hub.dial(name, addresses[name])
+        self._dialled = dialled
 
     def _link_up(self, hello: Hello) -> None:
-        self._hub.send(hello.host, self._gateway.placement.make_backlog())
+        self._loads.greet(hello.host)
 
     def _link_down(self, host: str, reason: str) -> None:
-        self._gateway.placement.forget_peer(host)
+        self._loads.forget(host)
 
     def _receive(self, host: str, message: Message) -> None:
-        now = time.monotonic()
-        if isinstance(message, Backlog):
-            self._gateway.placement.take_backlog(host, message, now)
-        elif isinstance(message, DemandReport):
-            self._gateway.stages.take_report(host, message, now)
+        self._loads.take(host, message)
 
 
 def _is_busy(host: str) -> bool:
--- a/radishtally/stages/core.py
+++ b/radishtally/stages/core.py
@@ -55,9 +55,16 @@
         """Take what has come to another gateway."""
         self._others[peer] = sums, now
 
-    def read_own(self, now: float) -> DemandSums:
-        """Give what has come to this gateway."""
-        return DemandSums(self._prefill.read(now), self._decode.read(now))
+    def forget_report(self, peer: str) -> None:
+        """Forget what has come to another gateway."""
+        self._others.pop(peer, None)
+
+    def collect(self, now: float, collected_for: str | None = None) -> DemandSums:
+        """Give what has come to this gateway, or to all but one other."""
+        own = DemandSums(self._prefill.read(now), self._decode.read(now))
+        if collected_for is None:
+            return own
+        return _add_up([own, *self._list_others(now, collected_for)])
 
     def find_share(self, now: float) -> float:
         """Find the share of prompts in the engines' time.
@@ -65,15 +72,24 @@
         Prompts differ by a hundredfold in length, so what has come is weighed against
         the share that is assumed: a few long prompts are no shift of the mix.
         """
-        fresh = [
-            sums for sums, at in self._others.values() if now - at < const.STALE_SECONDS
-        ]
-        known = [self.read_own(now), *fresh]
-        prefill = sum(sums.prefill for sums in known)
-        decode = sum(sums.decode for sums in known)
+        prefill, decode = _add_up([self.collect(now), *self._list_others(now)])
         assumed = const.START_SHARE * const.ASSUMED_SECONDS
         return (prefill + assumed) / (prefill + decode + const.ASSUMED_SECONDS)
 
+    def _list_others(self, now: float, but: str | None = None) -> list[DemandSums]:
+        """List what the other gateways have told of late."""
+        return [
+            sums
+            for peer, (sums, at) in self._others.items()
+            if peer != but and now - at < const.STALE_SECONDS
+        ]
+
+
+def _add_up(sums: Sequence[DemandSums]) -> DemandSums:
+    return DemandSums(
+        sum(item.prefill for item in sums), sum(item.decode for item in sums)
+    )
+
 
 class StagePlan:
     """Hold how the engines of one upstream are to be shared out."""
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -79,10 +79,17 @@
         sums = DemandSums(report.prefill, report.decode)
         demand.take_report(peer, sums, now)
 
-    def make_reports(self, now: float) -> list[DemandReport]:
-        """Give what has come to this gateway."""
+    def forget_report(self, peer: str) -> None:
+        """Forget what came to a gateway that tells no more."""
+        for demand in self._demands.values():
+            demand.forget_report(peer)
+
+    def make_reports(
+        self, now: float, collected_for: str | None = None
+    ) -> list[DemandReport]:
+        """Give what has come to this gateway, or to all but one other."""
         return [
-            DemandReport(upstream, *demand.read_own(now))
+            DemandReport(upstream, *demand.collect(now, collected_for))
             for upstream, demand in self._demands.items()
         ]
 
--- /dev/null
+++ b/tests/gateway/test_loads.py
@@ -0,0 +1,142 @@
+"""Tests of gateways that hear of each other's work, without links."""
+
+import pytest
+
+from radishtally.direct.core import Instance
+from radishtally.engines.placement import EnginePlacement
+from radishtally.entry.hosts import KnownHost
+from radishtally.entry.requests import OpenRequest
+from radishtally.gateway.loads import REFRESH_SECONDS, LoadExchange
+from radishtally.gateway.topology import MESH_GATEWAYS
+from radishtally.links.messages import DECODE, STREAM, WHOLE, KvRef, Message, Work
+from radishtally.stages.keeper import StageKeeper
+
+MANY = MESH_GATEWAYS + 8
+ENGINE = Instance("d-1", "llm", "d-1:1", "howrah", False, 64, DECODE)
+
+
+class Net:
+    """Pass messages between gateways at once, and count them."""
+
+    def __init__(self, count: int) -> None:
+        self.sent = 0
+        self.gateways: dict[str, Gateway] = {}
+        for number in range(count):
+            self.add(f"g-{number}")
+
+    def add(self, name: str) -> None:
+        self.gateways[name] = Gateway(name, self)
+        for gateway in self.gateways.values():
+            gateway.loads.set_names(list(self.gateways))
+
+    def remove(self, name: str) -> None:
+        """Cut a gateway's links; it stays listed."""
+        del self.gateways[name]
+        for gateway in self.gateways.values():
+            gateway.loads.forget(name)
+
+    def play(self, now: float) -> None:
+        """Let each gateway have two rounds, and two more once all is told again."""
+        later = now + REFRESH_SECONDS
+        for at in (now, now, later, later):
+            for gateway in self.gateways.values():
+                gateway.loads._follow_collector()
+                gateway.loads._tell_backlog(at)
+                gateway.loads._tell_demand(at)
+
+
+class Gateway:
+    """Hold one gateway's side, and stand for its hub."""
+
+    def __init__(self, name: str, net: Net) -> None:
+        self.name = name
+        self.net = net
+        self.placement = EnginePlacement(lambda: 0.0)
+        self.placement.set_instance(ENGINE)
+        self.stages = StageKeeper(
+            name, None, lambda: [ENGINE], None, self.placement.measure
+        )
+        self.loads = LoadExchange(name, self, self.placement, self.stages)
+
+    @property
+    def hosts(self) -> list[str]:
+        return [name for name in self.net.gateways if name != self.name]
+
+    def send(self, peer: str, message: Message) -> bool:
+        self.net.sent += 1
+        self.net.gateways[peer].loads.take(self.name, message)
+        return True
+
+    def begin(self, number: int) -> None:
+        """Have an answer made."""
+        work = Work(f"{self.name}-{number}", "", "llm", STREAM, b"")
+        request = OpenRequest(work, 10.0, True, 0.0)
+        request.stage, request.kv = WHOLE, KvRef("p", "p:1", "h", 1)
+        host = KnownHost(ENGINE.host, "howrah", "llm", live=True)
+        self.placement.begin(request, host, 0.0)
+
+    def count(self) -> int:
+        return self.placement.measure(ENGINE.host).answers
+
+
+# An engine is given more than it can do in time, or less, as gateways miss what others
+# have open, or count it twice: what one collects for all must add up for each.
+@pytest.mark.parametrize("count", [2, MESH_GATEWAYS, MANY])
+def test_each_gateway_counts_all_work_once(count: int) -> None:
+    net = Net(count)
+    for number, gateway in enumerate(net.gateways.values()):
+        gateway.begin(number)
+    net.play(0.0)
+    assert {gateway.count() for gateway in net.gateways.values()} == {count}
+
+
+def test_messages_of_a_round_grow_with_the_gateways() -> None:
+    sent = {}
+    for count in (MANY, 10 * MANY):
+        net = Net(count)
+        net.play(0.0)
+        net.sent = 0
+        for gateway in net.gateways.values():
+            gateway.begin(1)
+        net.play(0.1)
+        sent[count] = net.sent / count
+    assert sent[10 * MANY] <= 1.1 * sent[MANY]
+
+
+# The work of all is forgotten, or that of the dead one counts for ever: the gateway
+# that collected is killed, and another one takes over.
+def test_another_gateway_collects_when_the_first_is_gone() -> None:
+    net = Net(MANY)
+    net.play(0.0)
+    for number, gateway in enumerate(net.gateways.values()):
+        gateway.begin(number)
+    net.play(2.0)
+    net.remove(next(iter(net.gateways.values())).loads._collector)
+    net.play(4.0)
+    assert {gateway.count() for gateway in net.gateways.values()} == {MANY - 1}
+
+
+# All work counts twice: gateways come one by one until they are too many to tell each
+# other directly, and what they have told is told by the one that collects as well.
+def test_work_counts_once_when_one_begins_to_collect() -> None:
+    net = Net(MESH_GATEWAYS)
+    for number, gateway in enumerate(net.gateways.values()):
+        gateway.begin(number)
+    net.play(0.0)
+    net.add("late")
+    net.play(2.0)
+    counts = {gateway.count() for gateway in net.gateways.values()}
+    assert counts == {MESH_GATEWAYS}
+
+
+def test_demand_of_all_counts_where_one_collects() -> None:
+    net = Net(MANY)
+    net.play(0.0)
+    for gateway in net.gateways.values():
+        gateway.stages.note("llm", 750_000, 0, 0.0)
+    net.play(2.0)
+    shares = [
+        gateway.stages._demands["llm"].find_share(4.0)
+        for gateway in net.gateways.values()
+    ]
+    assert max(shares) - min(shares) < 1e-6
