Say why a gateway knows no other one yet

Cause: while the store was away, a gateway that looked for the others' secret, or wrote where it listens, tried again each second without a line in its log.

Change: `peers:not_joined` with the reason, each second; the second has a name. No change of what is done; tests of the gateway pass (63).

--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -24,6 +24,8 @@
 SECRET: Final = Key("secrets", "peer-key")
 """Row of the secret that gateways share; the first one draws it."""
 WRITE_SECONDS: Final = 2.0
+JOIN_SECONDS: Final = 1.0
+"""Time between two calls to the store while this gateway or others are starting."""
 
 
 class Place(Protocol):
@@ -74,7 +76,7 @@
             await self._read_others()
             reads += 1
             fast = reads < FIRST_PEER_READS
-            await asyncio.sleep(1.0 if fast else PEER_READ_SECONDS)
+            await asyncio.sleep(JOIN_SECONDS if fast else PEER_READ_SECONDS)
 
     async def stop(self) -> None:
         """Leave the other gateways."""
@@ -91,7 +93,7 @@
                 drawn = {"secret": secrets.token_hex(16)}
                 await self._write(Put(SECRET, drawn, ABSENT))
                 continue
-            await asyncio.sleep(1.0)
+            await self._wait_for_store(str(read.error))
 
     async def _write_own(self) -> None:
         key = Key(GATEWAYS, self._host)
@@ -103,9 +105,17 @@
                 if row is not None and row.value == value:
                     return
                 rev = ABSENT if row is None else row.rev
-                if (await self._write(Put(key, value, rev))).is_ok():
+                written = await self._write(Put(key, value, rev))
+                if written.is_ok():
                     return
-            await asyncio.sleep(1.0)
+                await self._wait_for_store(str(written.error))
+                continue
+            await self._wait_for_store(str(read.error))
+
+    async def _wait_for_store(self, reason: str) -> None:
+        """Wait until it is worth asking the store again."""
+        log_message("peers:not_joined", reason=reason)
+        await asyncio.sleep(JOIN_SECONDS)
 
     async def _write(self, put: Put) -> Result:
         return await transact_settled(
