--- a/radishtally/gateway/core.py
+++ b/radishtally/gateway/core.py
@@ -37,3 +37,6 @@
         self, target: str, headers: Headers
     ) -> Result[CallerRequest, Refusal]:
         """Read the head of a request; its target is path and query as sent."""
+
+    def read_name(self, headers: Headers) -> str:
+        """Read a request's name, for the log; empty if it has none."""
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -257,6 +257,18 @@
         self.handle(events.Arrived(work, deadline, routed.is_streamed, routed.terms))
         return queue
 
+    def refused(self, request: str, refusal: Refusal) -> None:
+        """Take note of an answer of the gateway's own."""
+        self.metrics.refused(refusal.code, refusal.ran)
+        log_message(
+            "request:refused",
+            request=request,
+            code=refusal.code,
+            status=refusal.status,
+            ran=refusal.ran,
+            text=refusal.message,
+        )
+
     def close(self, request: str, done: bool) -> None:
         """Say that the caller has its answer, or is gone."""
         self.replies.close(request)
@@ -315,17 +327,8 @@
 
     @_execute.register
     def _(self, command: events.Refuse) -> None:
-        refusal = command.refusal
-        self.metrics.refused(refusal.code, refusal.ran)
+        self.refused(command.request, command.refusal)
         self.metrics.ended(command.request, REFUSED)
-        log_message(
-            "request:refused",
-            request=command.request,
-            code=refusal.code,
-            status=refusal.status,
-            ran=refusal.ran,
-            text=refusal.message,
-        )
         self.replies.put(command)
 
     @_execute.register
--- a/radishtally/gateway/front.py
+++ b/radishtally/gateway/front.py
@@ -11,6 +11,7 @@
 from aiohttp.web_protocol import RequestHandler
 from eliot import log_message
 
+from radishtally.direct.core import Headers
 from radishtally.entry.events import Begin, Deliver, Finish, Refuse
 from radishtally.entry.replies import Part
 from radishtally.gateway.connections import Connections
@@ -46,6 +47,9 @@
     ) -> Result[Routed, Refusal]:
         """Find where a request goes."""
 
+    def refused(self, request: str, refusal: Refusal) -> None:
+        """Take note that a request was turned away before it came in."""
+
     def open(self, routed: Routed) -> asyncio.Queue[Part]:
         """Bring a request in."""
 
@@ -145,6 +149,8 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         admitted = await self._admit(request)
         if admitted.is_error():
+            name = self._dialect.read_name(_read_headers(request))
+            self._gate.refused(name, admitted.error)
             return self._respond_refusal(admitted.error)
         routed = admitted.ok
         name = routed.work.request
@@ -161,12 +167,8 @@
         body = await self._read_body(request)
         if body.is_error():
             return body
-        headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in request.raw_headers
-        )
         target = request.raw_path
-        asked = self._dialect.read_request(target, headers)
+        asked = self._dialect.read_request(target, _read_headers(request))
         if asked.is_error():
             return asked
         return self._gate.route(request.method, target, asked.ok, body.ok)
@@ -261,6 +263,13 @@
     return web.Server(handler, access_log=None)
 
 
+def _read_headers(request: web.BaseRequest) -> Headers:
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in request.raw_headers
+    )
+
+
 def _find_status(refusal: Refusal) -> int:
     """Give the status that says no more than is known.
 
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import pytest
+from eliot import add_destinations, remove_destination
 
 from tests.common import run
 from tests.gateway.common import Deployment, deployment, wait_until
@@ -136,6 +137,31 @@
     run(play())
 
 
+# On call, nobody finds the request in any log: it was turned away before it came in,
+# for a route that is not there or a stop, and the log begins with what comes in.
+def test_request_turned_away_is_logged() -> None:
+    lines: list[dict[str, object]] = []
+
+    async def play() -> None:
+        async with deployment() as made:
+            assert (await ask(made, "/none/a", "r1"))[0] == 404
+            made.gateway._stop_begun = time.monotonic() - 5.0
+            assert (await ask(made, "/read/a", "r2"))[0] == 503
+
+    add_destinations(lines.append)
+    # The first destination is given what other tests have logged.
+    lines.clear()
+    try:
+        run(play())
+    finally:
+        remove_destination(lines.append)
+    refused = [line for line in lines if line["message_type"] == "request:refused"]
+    assert [(line["request"], line["status"]) for line in refused] == [
+        ("r1", 404),
+        ("r2", 503),
+    ]
+
+
 # A caller's stream is cut off without an answer: its connection was open when the
 # process was told to stop, and seconds later it sends one more request on it, which
 # can't end before the platform kills the process.
