--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -98,7 +98,10 @@
         self._refreshed_at = float("-inf")
         # What a collector told stood for others too; and what others told directly is
         # told by the collector from now on.
-        outdated = [old or ""] if collector == self._own else self._hub.hosts
+        if collector != self._own:
+            outdated = self._hub.hosts
+        else:
+            outdated = [] if old is None else [old]
         for peer in outdated:
             self.forget(peer)
 
