--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -1,10 +1,12 @@
 """Answers of engines through a gateway, under failure."""
 
 import asyncio
+import time
 
 import aiohttp
 import pytest
 
+from radishtally.engines.state import START_RATE, PeerShare
 from standins.staged import EVENTS, StagedEngine, make_event
 from tests.common import run
 from tests.gateway.common import Deployment, deployment, make_prompt, wait_until
@@ -61,6 +63,23 @@
     run(play())
 
 
+# The caller sees a gap or an event twice: its prompt was read by an engine that makes
+# answers, as the other one had too much to read, and that engine breaks off.
+def test_prompt_read_beside_answers_goes_on_elsewhere_without_gap_or_repeat() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            prefill, first, second = await start_engines(made, decode=2)
+            first.cut_after = second.cut_after = 2
+            busy = PeerShare(int(3.0 * START_RATE), 0)
+            engine = made.gateway.placement._engines[prefill.instance]
+            engine.take_share("peer", busy, time.monotonic())
+            assert await stream(made, "/draft/a", "r1") == make_whole("r1")
+            assert first.runs + second.runs == {"r1": 2}
+            assert not prefill.handles
+
+    run(play())
+
+
 # The caller takes a part for the whole: the engine breaks off, the stream may not be
 # resumed, and the end of what has come is marked like the end of an answer.
 def test_stream_that_breaks_off_does_not_look_complete() -> None:
