Remove the rows of gateways that are gone for good

Cause: found by reading. Machines are replaced under new names, and nothing ever removed a gateway's row: each gateway would dial more and more that never answer, share its retries with the dead, and from 1,000 rows on not see the living.

Ruled out: rows with a time that is written again and again (calls to the store have their price), and removing one's own row in a stop (a restart would write it again, and who is killed removes nothing).

Change: the first gateway of an order that all agree on removes rows of those that no link has been up to for 600 s; whoever finds its own row missing writes it again. Two tests; without the removal the first fails, without the rewriting the second.

--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -3,20 +3,22 @@
 import asyncio
 import secrets
 import time
+from collections.abc import Mapping
 from typing import Final, Protocol
 
 from eliot import log_message
 
 from radishtally.engines.placement import EnginePlacement
+from radishtally.gateway.absences import Absences
 from radishtally.gateway.const import FIRST_PEER_READS, PEER_READ_SECONDS
 from radishtally.gateway.loads import LoadExchange
-from radishtally.gateway.topology import choose_dialled
+from radishtally.gateway.topology import choose_dialled, find_first
 from radishtally.links.hub import Callbacks, LinkHub
 from radishtally.links.messages import Hello, Message
 from radishtally.outcome import Result
 from radishtally.runtime import Runtime
 from radishtally.stages.keeper import StageKeeper
-from radishtally.store.core import ABSENT, Key, Put, Table
+from radishtally.store.core import ABSENT, Delete, Key, Put, Row, Table, Write
 from radishtally.store.settle import transact_settled
 
 GATEWAYS: Final = "gateways"
@@ -24,6 +26,11 @@
 SECRET: Final = Key("secrets", "peer-key")
 """Row of the secret that gateways share; the first one draws it."""
 WRITE_SECONDS: Final = 2.0
+GONE_SECONDS: Final = 600.0
+"""Time out of reach after which a gateway's row is removed: longer than any outage of a
+machine that comes back as itself is likely to last."""
+MAX_GATEWAYS: Final = 1_000
+"""Rows that are read at most: three times the gateways that are planned for."""
 JOIN_SECONDS: Final = 1.0
 """Time between two calls to the store while this gateway or others are starting."""
 
@@ -54,6 +61,7 @@
         self._hub: LinkHub | None = None
         self._loads: LoadExchange | None = None
         self._dialled: set[str] = set()
+        self._absences = Absences()
 
     async def run(self) -> None:
         """Join the other gateways and keep up with them for good."""
@@ -117,31 +125,57 @@
         log_message("peers:not_joined", reason=reason)
         await asyncio.sleep(JOIN_SECONDS)
 
-    async def _write(self, put: Put) -> Result:
+    async def _write(self, write: Write) -> Result:
         return await transact_settled(
             self._gateway.table,
-            [put],
+            [write],
             secrets.token_hex(8),
             deadline=time.monotonic() + WRITE_SECONDS,
         )
 
     async def _read_others(self) -> None:
-        read = await self._gateway.table.query(GATEWAYS, limit=1_000)
+        read = await self._gateway.table.query(GATEWAYS, limit=MAX_GATEWAYS)
         if read.is_error():
             log_message("peers:unread", reason=str(read.error))
             return
-        addresses = {row.key.sk: row.value["address"] for row in read.ok}
-        self._gateway.count_gateways(max(1, len(addresses)))
-        names = addresses.keys() | {self._host}
+        rows = {row.key.sk: row for row in read.ok}
+        if self._host not in rows:
+            # Another one has taken this gateway for gone, and it is back.
+            await self._write_own()
+        self._gateway.count_gateways(max(1, len(rows)))
+        self._dial(rows)
+        await self._remove_gone(rows)
+
+    def _dial(self, rows: Mapping[str, Row]) -> None:
+        """Dial those that links are wanted to, and no others."""
+        names = rows.keys() | {self._host}
         self._loads.set_names(names)
         silent = self._dialled - set(self._hub.hosts)
         dialled = set(choose_dialled(names, self._host, silent))
         for name in self._dialled - dialled:
             self._hub.forget(name)
         for name in dialled:
-            self._hub.dial(name, addresses[name])
+            self._hub.dial(name, rows[name].value["address"])
         self._dialled = dialled
 
+    async def _remove_gone(self, rows: Mapping[str, Row]) -> None:
+        """Remove the rows of gateways that are gone for good.
+
+        Machines are replaced under new names. Left alone, the rows would grow in number
+        for good: each gateway would dial more and more that never answer, and retries
+        would be shared out among the dead. One that lives, and was only out of reach,
+        writes its row again.
+        """
+        now = time.monotonic()
+        others = rows.keys() - {self._host}
+        self._absences.note(others, self._hub.hosts, now)
+        if find_first(rows, self._host, self._hub.hosts) != self._host:
+            return
+        for name in self._absences.list_longer(GONE_SECONDS, now):
+            removed = await self._write(Delete(rows[name].key, rows[name].rev))
+            outcome = "removed" if removed.is_ok() else str(removed.error)
+            log_message("peers:gone", peer=name, outcome=outcome)
+
     def _link_up(self, hello: Hello) -> None:
         self._loads.greet(hello.host)
 
--- a/radishtally/gateway/topology.py
+++ b/radishtally/gateway/topology.py
@@ -1,6 +1,6 @@
 """Decide which gateways keep links, and who collects what all have open."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from typing import Final
 
 from radishtally.routing.core import rank
@@ -43,7 +43,10 @@
     names: Collection[str], own: str, linked: Collection[str]
 ) -> str | None:
     """Choose who collects, among this gateway and those that it has links to."""
-    if is_mesh(names):
-        return None
+    return None if is_mesh(names) else find_first(names, own, linked)
+
+
+def find_first(names: Iterable[str], own: str, linked: Collection[str]) -> str:
+    """Find the first in an order that all agree on, of those in reach."""
     order = rank(names, COLLECTOR_SEED)
     return next((name for name in order if name == own or name in linked), own)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -2,7 +2,12 @@
 
 import asyncio
 
+import pytest
+
+from radishtally.gateway import peers
 from radishtally.gateway.daemon import Gateway, find_retry_floor
+from radishtally.gateway.peers import GATEWAYS
+from radishtally.store.core import ABSENT, Delete, Key, Put
 from tests.common import run
 from tests.gateway.common import Deployment, deployment, run_gateway, wait_until
 from tests.gateway.test_calls import Desk, answer_whole, ask
@@ -70,3 +75,41 @@
             assert (await ask(made, "/read/a", "r2"))[0] == 200
 
     run(play())
+
+
+# Gateways share their retries with machines that were replaced long ago, and dial them
+# for good: nobody removes their rows. One that was only cut off must not be lost so.
+def test_rows_of_gone_gateways_are_removed(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def read_names(gateway: Gateway) -> set[str]:
+        return {row.key.sk for row in (await gateway.table.query(GATEWAYS)).ok}
+
+    async def play() -> None:
+        async with deployment() as made, run_gateway(made.store, "gateway-2") as second:
+            both = (made.gateway, second)
+            for gateway in both:
+                await wait_until(lambda g=gateway: g.peers._hub and g.peers._hub.hosts)
+            gone = Put(Key(GATEWAYS, "gateway-0"), {"address": "127.0.0.1:9"}, ABSENT)
+            assert (await second.table.transact([gone], "w")).is_ok()
+            for gateway in both:
+                await gateway.peers._read_others()
+            assert "gateway-0" in await read_names(second)
+            monkeypatch.setattr(peers, "GONE_SECONDS", -1.0)
+            for gateway in both:
+                await gateway.peers._read_others()
+            assert await read_names(second) == {"gateway-1", "gateway-2"}
+
+    run(play())
+
+
+def test_gateway_whose_row_was_removed_writes_it_again() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            table = made.gateway.table
+            key = Key(GATEWAYS, "gateway-1")
+            while (row := (await table.get(key)).ok) is None:
+                await asyncio.sleep(0.01)
+            assert (await table.transact([Delete(key, row.rev)], "w")).is_ok()
+            await made.gateway.peers._read_others()
+            assert (await table.get(key)).ok.value == row.value
+
+    run(play())
