--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -257,7 +257,7 @@
         self.handle(events.Arrived(work, deadline, routed.is_streamed, routed.terms))
         return queue
 
-    def refused(self, request: str, refusal: Refusal) -> None:
+    def note_refusal(self, request: str, refusal: Refusal) -> None:
         """Take note of an answer of the gateway's own."""
         self.metrics.refused(refusal.code, refusal.ran)
         log_message(
@@ -327,7 +327,7 @@
 
     @_execute.register
     def _(self, command: events.Refuse) -> None:
-        self.refused(command.request, command.refusal)
+        self.note_refusal(command.request, command.refusal)
         self.metrics.ended(command.request, REFUSED)
         self.replies.put(command)
 
--- a/radishtally/gateway/front.py
+++ b/radishtally/gateway/front.py
@@ -47,7 +47,7 @@
     ) -> Result[Routed, Refusal]:
         """Find where a request goes."""
 
-    def refused(self, request: str, refusal: Refusal) -> None:
+    def note_refusal(self, request: str, refusal: Refusal) -> None:
         """Take note that a request was turned away before it came in."""
 
     def open(self, routed: Routed) -> asyncio.Queue[Part]:
@@ -150,7 +150,7 @@
         admitted = await self._admit(request)
         if admitted.is_error():
             name = self._dialect.read_name(_read_headers(request))
-            self._gate.refused(name, admitted.error)
+            self._gate.note_refusal(name, admitted.error)
             return self._respond_refusal(admitted.error)
         routed = admitted.ok
         name = routed.work.request
