Run attempts at upstreams as tasks in one place

Cause: the same bookkeeping stood four times (engine, service, direct hosts, and what is kept after an attempt). Each forgot a task by its name as it ended: had an attempt begun again under the same name, the end of the first took the second off the list, and it could not be cancelled any more. Not seen to happen: attempts of a request are numbered.

Change: radishtally/attempts.py holds them; a task is forgotten only if it is still the one under its name.

--- a/radishtally/agent/engine.py
+++ b/radishtally/agent/engine.py
@@ -17,6 +17,7 @@
     UPSTREAM_CONNECT_SECONDS,
 )
 from radishtally.agent.sse import Done, read_parts
+from radishtally.attempts import AttemptTasks
 from radishtally.exchange import BROKEN
 from radishtally.links.messages import CHAT, PREFILL, KvRef, Offer
 from radishtally.outcome import Fault, Ran
@@ -64,15 +65,14 @@
             read_bufsize=MAX_LINE_BYTES,
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
         )
-        self._tasks: dict[tuple[str, int], asyncio.Task] = {}
+        self._tasks = AttemptTasks()
         self._patience: dict[tuple[str, int], float] = {}
         """Time until which each running attempt's next token is waited for."""
         self._prefill_rate = float("inf")
 
     async def close(self) -> None:
         """End all work and connections."""
-        for task in self._tasks.values():
-            task.cancel()
+        self._tasks.cancel_all()
         await self._session.close()
 
     async def read_state(self) -> Result[EngineState, Fault]:
@@ -102,17 +102,12 @@
 
     def run(self, offer: Offer) -> None:
         """Begin work; what comes of it is reported as events."""
-        name = offer.work.request, offer.attempt
-        task = asyncio.create_task(self._run(offer))
-        self._tasks[name] = task
-        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+        self._tasks.start(offer.work.request, offer.attempt, self._run(offer))
 
     def abort(self, request: str, attempt: int) -> None:
         """End work without an outcome."""
-        task = self._tasks.pop((request, attempt), None)
-        if task is not None:
-            task.cancel()
-        self._keep(self._cancel(request, attempt))
+        self._tasks.cancel(request, attempt)
+        self._tasks.keep(self._cancel(request, attempt))
 
     def drop_silent(self, now: float) -> None:
         """Give up streams whose tokens have stopped coming.
@@ -135,14 +130,8 @@
 
     def export(self, request: str, attempt: int) -> None:
         """End work in good order and keep its KV cache for another engine."""
-        task = self._tasks.pop((request, attempt), None)
-        self._keep(self._export(request, attempt, task))
-
-    def _keep(self, coroutine: Any) -> None:
-        task = asyncio.create_task(coroutine)
-        name = "", id(task)
-        self._tasks[name] = task
-        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+        task = self._tasks.take(request, attempt)
+        self._tasks.keep(self._export(request, attempt, task))
 
     async def _run(self, offer: Offer) -> None:
         name = offer.work.request, offer.attempt
--- a/radishtally/agent/service.py
+++ b/radishtally/agent/service.py
@@ -9,6 +9,7 @@
 
 from radishtally.agent import events
 from radishtally.agent.const import CALL_SECONDS, UPSTREAM_CONNECT_SECONDS
+from radishtally.attempts import AttemptTasks
 from radishtally.exchange import BROKEN, SendOnce
 from radishtally.links.messages import Offer
 from radishtally.outcome import Ran
@@ -25,7 +26,7 @@
     def __init__(self, url: str, report: Callable[[events.Event], None]) -> None:
         self._url = url
         self._report = report
-        self._tasks: dict[tuple[str, int], asyncio.Task] = {}
+        self._tasks = AttemptTasks()
         # A connection that is kept open may be closed by the service just as a call
         # goes out on it; whether the call ran can't be told then. A new connection
         # that fails surely carried nothing.
@@ -36,8 +37,7 @@
 
     async def close(self) -> None:
         """End all calls and connections."""
-        for task in self._tasks.values():
-            task.cancel()
+        self._tasks.cancel_all()
         await self._session.close()
 
     async def is_up(self) -> bool:
@@ -53,16 +53,11 @@
 
     def run(self, offer: Offer) -> None:
         """Begin a call; what comes of it is reported as events."""
-        name = offer.work.request, offer.attempt
-        task = asyncio.create_task(self._run(offer))
-        self._tasks[name] = task
-        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+        self._tasks.start(offer.work.request, offer.attempt, self._run(offer))
 
     def abort(self, request: str, attempt: int) -> None:
         """End a call that may be run again."""
-        task = self._tasks.pop((request, attempt), None)
-        if task is not None:
-            task.cancel()
+        self._tasks.cancel(request, attempt)
 
     async def _run(self, offer: Offer) -> None:
         work = offer.work
--- /dev/null
+++ b/radishtally/attempts.py
@@ -0,0 +1,51 @@
+"""Hold the tasks that carry out attempts at upstreams."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+Work = Coroutine[Any, Any, None]
+
+
+class AttemptTasks:
+    """Run each attempt as a task, and what is left to do after attempts."""
+
+    def __init__(self) -> None:
+        self._running: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._kept: set[asyncio.Task[None]] = set()
+
+    def start(self, request: str, attempt: int, work: Work) -> None:
+        """Begin an attempt."""
+        name = request, attempt
+        task = asyncio.create_task(work)
+        self._running[name] = task
+        task.add_done_callback(lambda ended: self._forget(name, ended))
+
+    def keep(self, work: Work) -> None:
+        """Do what belongs to no running attempt."""
+        task = asyncio.create_task(work)
+        self._kept.add(task)
+        task.add_done_callback(self._kept.discard)
+
+    def take(self, request: str, attempt: int) -> asyncio.Task[None] | None:
+        """Take out an attempt that is to end in another way than by itself."""
+        return self._running.pop((request, attempt), None)
+
+    def cancel(self, request: str, attempt: int) -> None:
+        """End an attempt if it runs."""
+        task = self.take(request, attempt)
+        if task is not None:
+            task.cancel()
+
+    def cancel_all(self) -> list[asyncio.Task[None]]:
+        """Cancel all, and give them to be waited for."""
+        tasks = [*self._running.values(), *self._kept]
+        for task in tasks:
+            task.cancel()
+        return tasks
+
+    def _forget(self, name: tuple[str, int], ended: asyncio.Task[None]) -> None:
+        # A task that was taken out ends later; another one may have its name by then,
+        # and could not be cancelled any more.
+        if self._running.get(name) is ended:
+            del self._running[name]
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 from yarl import URL
 
+from radishtally.attempts import AttemptTasks
 from radishtally.direct.const import (
     CONNECT_SECONDS,
     DROP_SECONDS,
@@ -77,8 +78,7 @@
     def __init__(self, dialect: Dialect, receive: Receive) -> None:
         self._dialect = dialect
         self._receive = receive
-        self._tasks: dict[Name, asyncio.Task[None]] = {}
-        self._drops: set[asyncio.Task[None]] = set()
+        self._tasks = AttemptTasks()
         self._instances: dict[str, Instance] = {}
 
     async def start(self) -> None:
@@ -91,10 +91,7 @@
 
     async def stop(self) -> None:
         """End all that is under way and close the connections."""
-        tasks = [*self._tasks.values(), *self._drops]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._tasks.cancel_all(), return_exceptions=True)
         await self._pooled.close()
         await self._fresh.close()
 
@@ -114,21 +111,15 @@
             loop = asyncio.get_running_loop()
             loop.call_soon(self._receive, host, Refused(*name, LEAVING, 0.0))
             return
-        task = asyncio.create_task(self._run(instance, offer, terms))
-        self._tasks[name] = task
-        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+        self._tasks.start(*name, self._run(instance, offer, terms))
 
     def cancel(self, message: Cancel) -> None:
         """End an attempt: the closed connection tells its host to drop the work."""
-        task = self._tasks.pop((message.request, message.attempt), None)
-        if task is not None:
-            task.cancel()
+        self._tasks.cancel(message.request, message.attempt)
 
     def drop(self, kv: KvRef) -> None:
         """Free a KV cache that nobody will fetch."""
-        task = asyncio.create_task(self._drop(kv))
-        self._drops.add(task)
-        task.add_done_callback(self._drops.discard)
+        self._tasks.keep(self._drop(kv))
 
     async def read_report(self, instance: Instance) -> Result[EngineReport, str]:
         """Ask an engine what it does."""
