--- a/radishtally/agent/engine.py
+++ b/radishtally/agent/engine.py
@@ -17,10 +17,10 @@
     UPSTREAM_CONNECT_SECONDS,
 )
 from radishtally.agent.sse import Done, read_parts
-from radishtally.attempts import AttemptTasks
 from radishtally.exchange import BROKEN
 from radishtally.links.messages import CHAT, PREFILL, KvRef, Offer
 from radishtally.outcome import Fault, Ran
+from radishtally.tasks import AttemptTasks
 
 CALL_TIMEOUT: Final = aiohttp.ClientTimeout(total=2.0)
 KV_TIMEOUT: Final = aiohttp.ClientTimeout(total=2.0)
--- a/radishtally/agent/service.py
+++ b/radishtally/agent/service.py
@@ -9,10 +9,10 @@
 
 from radishtally.agent import events
 from radishtally.agent.const import CALL_SECONDS, UPSTREAM_CONNECT_SECONDS
-from radishtally.attempts import AttemptTasks
 from radishtally.exchange import BROKEN, SendOnce
 from radishtally.links.messages import Offer
 from radishtally.outcome import Ran
+from radishtally.tasks import AttemptTasks
 
 ATTR_KEY: Final = "Idempotency-Key"
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -10,7 +10,6 @@
 from eliot import log_message
 from yarl import URL
 
-from radishtally.attempts import AttemptTasks
 from radishtally.direct.const import (
     CONNECT_SECONDS,
     DROP_SECONDS,
@@ -50,6 +49,7 @@
     Refused,
 )
 from radishtally.outcome import Error, Ran, Result
+from radishtally.tasks import AttemptTasks
 
 OK: Final = 200
 SKIPPED_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -185,7 +185,7 @@
         # too slow for would not count, and still fewer engines would be left to them.
         self.on_demand(work.upstream, tokens, request.terms.output_tokens, now)
 
-    def answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
+    def note_answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the first part of an answer has come: its prompt is read."""
         engine = self._engines.get(host.host)
         if engine is None or request.work.request not in engine.readings:
--- a/radishtally/entry/attempts.py
+++ b/radishtally/entry/attempts.py
@@ -148,7 +148,7 @@
     if request.first_token is None:
         request.first_token = now
         if host in core.hosts:
-            core.placement.answer(request, core.hosts[host], now)
+            core.placement.note_answer(request, core.hosts[host], now)
     is_open = request.begun or request.work.kind != STREAM
     if request.streamed and is_open and not request.answered:
         yield Deliver(message.request, new)
--- a/radishtally/entry/placement.py
+++ b/radishtally/entry/placement.py
@@ -38,7 +38,7 @@
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
 
-    def answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
+    def note_answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the first part of an answer has come from a host."""
 
     def end(self, request: OpenRequest, host: KnownHost) -> None:
@@ -67,7 +67,7 @@
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
 
-    def answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
+    def note_answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the first part of an answer has come from a host."""
 
     def end(self, request: OpenRequest, host: KnownHost) -> None:
--- a/tests/test_attempts.py
+++ b/tests/test_tasks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from radishtally.attempts import AttemptTasks
+from radishtally.tasks import AttemptTasks
 from tests.common import run
 
 
