--- /dev/null
+++ b/tests/adapter/test_store.py
@@ -0,0 +1,37 @@
+"""Tests of calls to the platform's store."""
+
+from adapter.store import StoreClient
+
+from standins.rows import Name, Rows
+from tests.common import run
+from tests.gateway.common import serve
+
+HOSTS = 600
+
+
+# A host that has left gets work for good: its entry was removed while a long list was
+# read in several answers, behind the one it stood in; the changes are then followed
+# from the newest version, and the removal lies before that.
+def test_change_while_a_long_table_is_read_is_not_missed() -> None:
+    async def play() -> None:
+        rows = Rows()
+        for number in range(HOSTS):
+            rows.write(Name("servers", "", f"h{number:04}"), "e30=")
+        client = StoreClient(await serve(rows.build_app()))
+        await client.start()
+        read_page = client._read_page
+
+        async def read_first(*asked):
+            client._read_page = read_page
+            page = await read_page(*asked)
+            rows.write(Name("servers", "", "h0000"), None)
+            return page
+
+        client._read_page = read_first
+        page = (await client.read_table("servers")).ok
+        assert len(page.rows) == HOSTS
+        changes = (await client.follow_table("servers", page.version, 0.0)).ok
+        assert [(row.key, row.value) for row in changes.rows] == [("h0000", None)]
+        await client.stop()
+
+    run(play())
--- a/tests/adapter/test_table.py
+++ b/tests/adapter/test_table.py
@@ -87,3 +87,20 @@
             assert [row.key.sk for row in listed] == ["b", "c"]
 
     run(play())
+
+
+# Gateways beyond the first 500 are never seen: one answer of the store holds no more
+# rows than that, and the rest of what was asked for is not fetched.
+def test_query_of_more_rows_than_an_answer_holds() -> None:
+    async def play() -> None:
+        rows = Rows()
+        async with table(rows) as store:
+            keys = [Key("p", f"{number:04}") for number in range(600)]
+            for start in range(0, 600, 100):
+                puts = [Put(key, {}, ABSENT) for key in keys[start : start + 100]]
+                assert (await store.transact(puts, f"w{start}")).is_ok()
+            found = (await store.query("p", limit=1_000)).ok
+            assert [row.key for row in found] == keys
+            assert len((await store.query("p", limit=550)).ok) == 550
+
+    run(play())
