Bound the log lines of refusals, apart from those of steps

Cause: since requests turned away at the door are logged, each bad request costs its sender nothing and gives a line without a bound: the rate held only for steps, arrivals and ends. Found by reading.

Ruled out: counting refusals with the steps, where a flood of one kind would leave no lines of the other, and refusals are what on call looks for.

Change: an allowance of its own, 200 a second and 1,000 at once; the same class serves the steps. Test first: 1,300 refusals gave no `log:left_out`.

--- a/radishtally/logs.py
+++ b/radishtally/logs.py
@@ -18,12 +18,41 @@
 load, and some percent of a core."""
 BURST_LINES: Final = 4_000.0
 """Lines that may come at once before the rate binds."""
+REFUSALS_PER_SECOND: Final = 200.0
+"""Lines of refusals in a lasting flood: five times what one of the planned nodes is
+asked in a second, 14,000 over 330."""
+BURST_REFUSALS: Final = 1_000.0
 STEP_KINDS: Final = ("request:step", "request:closed", "request:arrived")
-"""Kinds that grow with the load; all others are few and are never left out for it."""
+"""Kinds that grow with the load."""
+REFUSAL_KINDS: Final = ("request:refused",)
+"""Kinds that grow with what callers send wrongly too. They are bounded apart: a flood
+of either leaves the other's lines. All other kinds are few and are never left out."""
 
 Clock = Callable[[], float]
 
 
+class Allowance:
+    """Allow lines at a lasting rate, and some at once."""
+
+    def __init__(self, rate: float, burst: float, clock: Clock) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._clock = clock
+        self._left = burst
+        self._filled_at = clock()
+
+    def take(self) -> bool:
+        """Take one line's part; tell whether there was one."""
+        now = self._clock()
+        filled = self._left + (now - self._filled_at) * self._rate
+        self._left = min(self._burst, filled)
+        self._filled_at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
 class LogWriter:
     """Write lines to a file descriptor without ever waiting for its reader.
 
@@ -34,19 +63,21 @@
 
     def __init__(self, descriptor: int, clock: Clock = time.monotonic) -> None:
         self._descriptor = descriptor
-        self._clock = clock
         self._waiting: deque[bytes] = deque()
         self._waiting_bytes = 0
         self._left_out = 0
-        self._tokens = BURST_LINES
-        self._filled_at = clock()
+        steps = Allowance(LINES_PER_SECOND, BURST_LINES, clock)
+        refusals = Allowance(REFUSALS_PER_SECOND, BURST_REFUSALS, clock)
+        self._allowances = dict.fromkeys(STEP_KINDS, steps)
+        self._allowances |= dict.fromkeys(REFUSAL_KINDS, refusals)
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Take one message of eliot's."""
-        if message.get("message_type") in STEP_KINDS and not self._may_write():
-            self._left_out += 1
-        else:
+        allowance = self._allowances.get(message.get("message_type"))
+        if allowance is None or allowance.take():
             self._add(_encode(message))
+        else:
+            self._left_out += 1
         self.flush()
 
     def flush(self) -> None:
@@ -83,16 +114,6 @@
         self._waiting.append(line)
         self._waiting_bytes += len(line)
 
-    def _may_write(self) -> bool:
-        now = self._clock()
-        filled = self._tokens + (now - self._filled_at) * LINES_PER_SECOND
-        self._tokens = min(BURST_LINES, filled)
-        self._filled_at = now
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
     def _is_writable(self) -> bool:
         _, writable, _ = select.select([], [self._descriptor], [], 0)
         return bool(writable)
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -3,7 +3,13 @@
 import json
 import os
 
-from radishtally.logs import BURST_LINES, LINES_PER_SECOND, MAX_BUFFER_BYTES, LogWriter
+from radishtally.logs import (
+    BURST_LINES,
+    BURST_REFUSALS,
+    LINES_PER_SECOND,
+    MAX_BUFFER_BYTES,
+    LogWriter,
+)
 
 
 class Clock:
@@ -78,6 +84,22 @@
     assert writer._left_out == 100
 
 
+# The log fills up with requests that were turned away: each costs its sender nothing,
+# and one caller's flood of bad requests leaves no room for anybody's lines.
+def test_flood_of_refusals_is_cut_and_leaves_room_for_the_rest() -> None:
+    writer, reader, _ = make_writer()
+    taken = []
+    for number in range(int(BURST_REFUSALS) + 300):
+        writer({"message_type": "request:refused", "number": number})
+        if number % 100 == 0:
+            taken += read_lines(reader)
+    writer({"message_type": "request:step"})
+    taken += read_lines(reader)
+    said = [line["lines"] for line in taken if line["message_type"] == "log:left_out"]
+    assert said == [300]
+    assert taken[-1]["message_type"] == "request:step"
+
+
 def test_closed_reader_ends_nothing() -> None:
     writer, reader, _ = make_writer()
     os.close(reader)
