--- a/radishtally/agent/orders.py
+++ b/radishtally/agent/orders.py
@@ -21,7 +21,6 @@
 DRAIN_REASON: Final = "drained by an operator"
 CHANGE_REASON: Final = "change of the engine"
 DRAIN_POLL_SECONDS: Final = 10.0
-DEFAULT_DRAIN_SECONDS: Final = 20.0
 TAKEN_STATUSES: Final = (200, 202)
 STALE_STATUS: Final = 409
 BUSY_STATUS: Final = 423
--- a/radishtally/gateway/front.py
+++ b/radishtally/gateway/front.py
@@ -34,7 +34,6 @@
 NEVER_SECONDS: Final = 86_400.0
 """Stands for no bound of the library's own on idle connections: it can't follow the
 configuration."""
-CLOSING: Final = {"Connection": "close"}
 
 
 class Gate(Protocol):
--- a/radishtally/membership/core.py
+++ b/radishtally/membership/core.py
@@ -126,10 +126,6 @@
             and self._is_configured(host, member)
         }
 
-    def list_unlinked(self) -> list[str]:
-        """List the known hosts to which no link is up."""
-        return [host for host, member in self.members.items() if not member.links]
-
     def list_unreachable(self, now: float) -> tuple[str, ...]:
         """List the hosts that are cut off from here, to tell the peers."""
         return tuple(
--- a/radishtally/store/core.py
+++ b/radishtally/store/core.py
@@ -130,10 +130,3 @@
 ENTRY: Final = "entry"
 LIVE: Final = "live"
 LEAVING: Final = "leaving"
-
-
-class HostList(Protocol):
-    """Read the platform's lagging list of hosts."""
-
-    async def read(self) -> Result[list[ListedHost], Unavailable]:
-        """Read the whole list."""
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -94,6 +94,22 @@
     run(play())
 
 
+# On call, an answer that broke off is looked for among the refusals: the log and the
+# metrics say that the request was refused, though the caller had half of an answer.
+def test_stream_that_breaks_off_is_not_counted_as_refused() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            _, decode = await start_engines(made)
+            decode.cut_after = 2
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await stream(made, "/sheet/a", "r1")
+            await wait_until(lambda: not made.gateway.replies)
+            text = made.gateway.render_metrics().decode()
+            assert 'requests_total{kind="stream",outcome="broken_off"} 1.0' in text
+
+    run(play())
+
+
 # The caller is refused though engines are idle: the engine that made the KV cache has
 # lost it, and each engine that is to fetch it refuses.
 def test_lost_kv_cache_is_made_again() -> None:
