--- a/radishtally/stages/const.py
+++ b/radishtally/stages/const.py
@@ -17,8 +17,7 @@
 its longest answer lasts besides."""
 FEW_ANSWERS: Final = 24.0
 """Answers at once that each other engine may have when one is taken away from them: at
-a third more, a thousand tokens at 7 ms each come near the callers' shortest deadlines of
-8 s for them (worked out)."""
+a third more, a thousand tokens of 7 ms come near a deadline of 8 s (worked out)."""
 SHORT_WAIT: Final = 0.15
 """Mean time until a prompt is begun, in seconds, up to which one of the engines for
 prompts can be taken away: half of the shortest objective seen."""
