Count a prompt as read when an answer goes on at another engine

Cause, found by reading: the first part of an answer tells the placement that its prompt is read, but only once for each request. An answer that broke off and went on elsewhere left its prompt counted as unread there until the end, and prompts stayed away from an engine that had room.

Change: each part tells it; the placement passes over those it knows. The field that held the time of the first one was never read and is gone.

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -186,7 +186,7 @@
         self.on_demand(work.upstream, tokens, request.terms.output_tokens, now)
 
     def note_answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
-        """Note that the first part of an answer has come: its prompt is read."""
+        """Note that a part of an answer has come: its prompt is read."""
         engine = self._engines.get(host.host)
         if engine is None or request.work.request not in engine.readings:
             return
--- a/radishtally/entry/attempts.py
+++ b/radishtally/entry/attempts.py
@@ -145,10 +145,8 @@
     if request.phase in (OFFERED, WITHDRAWING):
         request.phase = ACCEPTED
         wait(request, float("inf"), core)
-    if request.first_token is None:
-        request.first_token = now
-        if host in core.hosts:
-            core.placement.note_answer(request, core.hosts[host], now)
+    if host in core.hosts:
+        core.placement.note_answer(request, core.hosts[host], now)
     is_open = request.begun or request.work.kind != STREAM
     if request.streamed and is_open and not request.answered:
         yield Deliver(message.request, new)
--- a/radishtally/entry/placement.py
+++ b/radishtally/entry/placement.py
@@ -39,7 +39,7 @@
         """Note that the request was offered to a host."""
 
     def note_answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
-        """Note that the first part of an answer has come from a host."""
+        """Note that a part of an answer has come from a host."""
 
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
@@ -68,7 +68,7 @@
         """Note that the request was offered to a host."""
 
     def note_answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
-        """Note that the first part of an answer has come from a host."""
+        """Note that a part of an answer has come from a host."""
 
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
--- a/radishtally/entry/requests.py
+++ b/radishtally/entry/requests.py
@@ -62,7 +62,6 @@
     received: bytearray = field(default_factory=bytearray)
     tokens: int = 0
     asked_again_at: int = -1
-    first_token: float | None = None
     begun: bool = False
     """Whether the head of an answer that is passed on as it comes has been."""
     failure: Finish | None = None
