Log hosts that are kept though the list lacks them

Cause: a host whose removal follows an outage of the store is kept for a while, and no line said so; three hypotheses on an incident could not be told apart.

Change: upstream:missing and upstream:returned, and a gauge of the hosts that are kept. Two tests compared with an empty list where there is a change to tell now; they compare with that change.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -35,7 +35,15 @@
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.front import Front
-from radishtally.gateway.members import Change, Forget, Members, Set
+from radishtally.gateway.members import (
+    LAPSE_SECONDS,
+    Change,
+    Forget,
+    Members,
+    Miss,
+    Return,
+    Set,
+)
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import STOPPING, Routed, Router
@@ -188,12 +196,19 @@
             match change:
                 case Set(instance):
                     self._set_instance(instance)
+                case Miss(host):
+                    log_message(
+                        "upstream:missing", upstream_host=host, seconds=LAPSE_SECONDS
+                    )
+                case Return(host):
+                    log_message("upstream:returned", upstream_host=host)
                 case Forget(host):
                     log_message("upstream:gone", upstream_host=host)
                     self.hosts.forget(host)
                     self.placement.forget(host)
                     self.core.forget_host(host)
                     self.core.links.pop(host, None)
+        self.metrics.set_missing(self.members.count_missing())
 
     def _set_instance(self, instance: Instance) -> None:
         host = instance.host
--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -23,7 +23,19 @@
     host: str
 
 
-Change = Set | Forget
+class Miss(NamedTuple):
+    """Say that the list lacks a host, which is kept until it may have written again."""
+
+    host: str
+
+
+class Return(NamedTuple):
+    """Say that a host that was missing is on the list again."""
+
+    host: str
+
+
+Change = Set | Forget | Miss | Return
 
 
 class Members:
@@ -52,11 +64,13 @@
 
     def set(self, instance: Instance) -> list[Change]:
         """Take one entry."""
-        self._missing.pop(instance.host, None)
+        returned: list[Change] = []
+        if self._missing.pop(instance.host, None) is not None:
+            returned = [Return(instance.host)]
         if self._instances.get(instance.host) == instance:
-            return []
+            return returned
         self._instances[instance.host] = instance
-        return [Set(instance)]
+        return [*returned, Set(instance)]
 
     def remove(self, host: str, now: float, after_outage: bool) -> list[Change]:
         """Take that an entry is gone.
@@ -66,13 +80,22 @@
         at once, whole upstreams would be empty until their hosts have written again.
         """
         if after_outage:
-            self._missing.setdefault(host, now + LAPSE_SECONDS)
-            return []
+            return self._miss(host, now)
         self._missing.pop(host, None)
         if self._instances.pop(host, None) is None:
             return []
         return [Forget(host)]
 
+    def count_missing(self) -> int:
+        """Count the hosts that the list lacks and that are kept all the same."""
+        return len(self._missing)
+
+    def _miss(self, host: str, now: float) -> list[Change]:
+        if host in self._missing or host not in self._instances:
+            return []
+        self._missing[host] = now + LAPSE_SECONDS
+        return [Miss(host)]
+
     def expire(self, now: float) -> list[Change]:
         """Give up the hosts that have not come back."""
         late = [host for host, until in self._missing.items() if until <= now]
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -67,6 +67,11 @@
         self._open = Gauge(
             "radishtally_open_requests", "Open requests", registry=self._registry
         )
+        self._missing = Gauge(
+            "radishtally_missing_hosts",
+            "Hosts that the list lacks and that get work all the same for a while",
+            registry=self._registry,
+        )
         self._started: dict[str, tuple[float, str]] = {}
         """Time at which an open request came, and its kind."""
         self._outcomes: dict[str, str] = {}
@@ -82,6 +87,10 @@
             registry=self._registry,
         )
 
+    def set_missing(self, count: int) -> None:
+        """Take how many hosts are kept that the list lacks."""
+        self._missing.set(count)
+
     def opened(self, routed: Routed) -> None:
         """Count a request that came in."""
         self._started[routed.work.request] = time.monotonic(), routed.work.kind
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -1,7 +1,14 @@
 """Tests of following the hosts behind the upstreams."""
 
 from radishtally.direct.core import Instance
-from radishtally.gateway.members import LAPSE_SECONDS, Forget, Members, Set
+from radishtally.gateway.members import (
+    LAPSE_SECONDS,
+    Forget,
+    Members,
+    Miss,
+    Return,
+    Set,
+)
 
 
 def make_instance(host: str, is_draining: bool = False) -> Instance:
@@ -30,8 +37,10 @@
 def test_entries_that_lapsed_with_the_store_away_are_kept_for_a_while() -> None:
     members = Members()
     members.replace([A, B], 0.0, False)
-    assert members.replace([], 10.0, True) == []
-    assert members.set(A) == []
+    missed = members.replace([], 10.0, True)
+    assert sorted(missed) == [Miss("a"), Miss("b")]
+    assert members.count_missing() == 2
+    assert members.set(A) == [Return("a")]
     assert members.expire(10.0 + LAPSE_SECONDS - 0.1) == []
     assert members.expire(10.0 + LAPSE_SECONDS) == [Forget("b")]
     assert list(members) == [A]
@@ -50,5 +59,5 @@
 def test_removal_that_is_read_just_after_an_outage_waits_too() -> None:
     members = Members()
     members.set(A)
-    assert members.remove("a", 5.0, True) == []
+    assert members.remove("a", 5.0, True) == [Miss("a")]
     assert members.expire(5.0 + LAPSE_SECONDS) == [Forget("a")]
