--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -96,6 +96,10 @@
         self._missing[host] = now + LAPSE_SECONDS
         return [Miss(host)]
 
+    def next_expiry(self) -> float:
+        """Give the time at which the next missing host counts as gone."""
+        return min(self._missing.values(), default=float("inf"))
+
     def expire(self, now: float) -> list[Change]:
         """Give up the hosts that have not come back."""
         late = [host for host, until in self._missing.items() if until <= now]
