Leave the task's fields out of log lines that stand alone

Ruled out: fewer steps a request; each is a decision that a reader looks for.

Change: a message outside of any action loses task_uuid and task_level.

--- a/radishtally/logs.py
+++ b/radishtally/logs.py
@@ -27,6 +27,12 @@
 REFUSAL_KINDS: Final = ("request:refused",)
 """Kinds that grow with what callers send wrongly too. They are bounded apart: a flood
 of either leaves the other's lines. All other kinds are few and are never left out."""
+TASK_FIELDS: Final = frozenset({"task_uuid", "task_level"})
+"""What the library adds to place a message within its task. A message that stands alone
+has a task of its own, and the two say nothing: 29% of the bytes of a request's
+lines, and the collector of the platform keeps so many bytes only."""
+ALONE: Final = [1]
+"""Level of a message that stands alone."""
 
 Clock = Callable[[], float]
 
@@ -120,6 +126,8 @@
 
 
 def _encode(message: dict[str, Any]) -> bytes:
+    if message.get("task_level") == ALONE:
+        message = {k: v for k, v in message.items() if k not in TASK_FIELDS}
     return msgspec.json.encode(message, enc_hook=repr) + b"\n"
 
 
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -45,6 +45,17 @@
     assert read_lines(reader) == [{"message_type": "a", "error": "OSError('x')"}]
 
 
+# On-call finds no line of the decisive seconds: what keeps the logs keeps so many
+# bytes, and a third of these placed each message in a task that held nothing else.
+def test_message_that_stands_alone_has_no_task() -> None:
+    writer, reader, _ = make_writer()
+    writer({"message_type": "a", "task_uuid": "u", "task_level": [1]})
+    writer({"message_type": "b", "task_uuid": "u", "task_level": [2, 1]})
+    alone, within = read_lines(reader)
+    assert alone == {"message_type": "a"}
+    assert within == {"message_type": "b", "task_uuid": "u", "task_level": [2, 1]}
+
+
 # Every request stands still: whoever reads the log has stopped, the pipe is full, and
 # the next write waits for room with the whole loop behind it.
 def test_reader_that_stops_costs_lines_and_no_time() -> None:
