--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -9,7 +9,7 @@
 from adapter.store import Compacted, Page, StoredRow
 from adapter.watch import FEED_SECONDS, TableWatch, Watcher
 
-from radishtally.gateway.members import Change, Forget, Members
+from radishtally.gateway.members import Change, Forget, Members, Miss, Set
 from radishtally.outcome import Error, Ok, Result
 from radishtally.runtime import Runtime
 from radishtally.store.core import Unavailable
@@ -86,8 +86,10 @@
 
 
 class EarlyLoop(asyncio.SelectorEventLoop):
-    """Fire timers early, as uvloop does by up to a millisecond: its own clock counts
-    whole ones. This loop waits for whole ones, so more is taken off here.
+    """Fire timers 10 ms early.
+
+    uvloop's are early by up to a millisecond. This loop rounds its waits up to whole
+    milliseconds, which would hide so little.
     """
 
     def call_later(
@@ -135,8 +137,9 @@
         store = HostsStore(Ok(Page((listed,), 4)), AWAY, Ok(Page((removed,), 5)))
         listener = Listener()
         Watcher(store, listener).start()
-        await wait_until(lambda: any(isinstance(c, Forget) for c in listener.changes))
+        await wait_until(lambda: len(listener.changes) == 3)
         listener.runtime.cancel_tasks()
+        assert [type(change) for change in listener.changes] == [Set, Miss, Forget]
 
     with asyncio.Runner(loop_factory=EarlyLoop) as runner:
         runner.run(play())
