--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -77,8 +77,11 @@
         "service": "x",
         "address": "10.0.0.1:80",
         "zone": "howrah",
+        "version": "v1",
         "slots": 6,
         "state": "draining",
+        "coldRemainingMs": 0,
+        "sequence": 4,
         "phase": "prefill",
     }
     instance = decode_instance("i-1", json.dumps(value).encode()).ok
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -1,6 +1,7 @@
 """Tests of following the tables of the store."""
 
 import asyncio
+import json
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -14,7 +15,7 @@
 from radishtally.runtime import Runtime
 from radishtally.store.core import Unavailable
 from tests.common import run
-from tests.gateway.common import wait_until
+from tests.gateway.common import ENTRY, wait_until
 
 ROW = StoredRow("k", b"v", 1)
 AWAY = Error(Unavailable("away"))
@@ -130,8 +131,11 @@
     monkeypatch.setattr("adapter.watch.MIN_OUTAGE_SECONDS", 0.0)
     for module in ("adapter.watch", "radishtally.gateway.members"):
         monkeypatch.setattr(f"{module}.LAPSE_SECONDS", 0.05)
-    entry = b'{"service": "desk", "address": "a:1", "zone": "howrah"}'
-    listed, removed = StoredRow("a", entry, 1), StoredRow("a", None, 5)
+    value = {**ENTRY, "service": "desk", "address": "10.0.0.1:80"}
+    listed, removed = (
+        StoredRow("a", json.dumps(value).encode(), 1),
+        StoredRow("a", None, 5),
+    )
 
     async def play() -> None:
         store = HostsStore(Ok(Page((listed,), 4)), AWAY, Ok(Page((removed,), 5)))
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -39,6 +39,15 @@
     "handleTtlS": 5.0,
     "roleSwitchS": 3.0,
 }
+ENTRY = {
+    "zone": "howrah",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 1,
+}
+"""What a host's entry holds besides its service and address."""
 
 
 def make_route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
@@ -88,8 +97,8 @@
 
     def announce(self, host: str, address: str, service: str, **more: Any) -> None:
         """Write a host's entry as the host does."""
-        value = {"service": service, "address": address, "zone": "howrah", **more}
-        self.rows.write(Name("servers", "", host), _encode({"slots": 6, **value}))
+        value = {**ENTRY, "service": service, "address": address, **more}
+        self.rows.write(Name("servers", "", host), _encode(value))
 
     def withdraw(self, host: str) -> None:
         """Remove a host's entry."""
