Order roles to engines of configured upstreams only

Cause: the list of hosts may name any service, and the keeper of roles asked and ordered whatever the list called an engine.

Change: it is given the hosts of upstreams that the configuration names. The test fails without it (three engines of an unknown upstream are listed).

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -97,7 +97,7 @@
         self.stages = StageKeeper(
             settings.host,
             self.hosts,
-            lambda: list(self.members),
+            self.list_served_hosts,
             self.lease,
             placement.measure,
         )
@@ -190,6 +190,18 @@
         self.placement.configure(configuration.upstreams.values())
         log_message("configuration:in_force", version=configuration.version)
 
+    def list_served_hosts(self) -> list[Instance]:
+        """List the hosts of the upstreams that the configuration names.
+
+        Whoever may write to the list can name any service there. An order would go to
+        the entry's address, whoever listens there.
+        """
+        configuration = self.router.configuration
+        if configuration is None:
+            return []
+        named = configuration.upstreams
+        return [host for host in self.members if host.upstream in named]
+
     def apply(self, changes: list[Change]) -> None:
         """Take what became of the upstreams' hosts."""
         for change in changes:
