Add a failing test: requests of long ago pay for retries

Each of 31 gateways may put by a tenth of up to 1,000 requests; at second 23 that was some 380 between them, spent within one window.

Ruled out: offers that cost nothing: each refused one is followed by one that is paid.

--- a/radishtally/limits/retries.py
+++ b/radishtally/limits/retries.py
@@ -28,7 +28,7 @@
         self._spare = max(1.0, floor) if floor else 0.0
         self._seen: float | None = None
 
-    def note_request(self) -> None:
+    def note_request(self, now: float) -> None:
         """Count a request that came in."""
         self._earned = min(RESERVE_RETRIES, self._earned + self._ratio)
 
--- a/tests/limits/test_retries.py
+++ b/tests/limits/test_retries.py
@@ -25,7 +25,7 @@
     retries = 0
     for second in range(seconds):
         for _ in range(rate):
-            budget.note_request()
+            budget.note_request(float(second))
             retries += budget.spend(float(second))
         retries += sum(budget.spend(float(second)) for _ in range(100))
     assert retries <= ratio * rate * seconds + floor * (seconds + 1) + 1
@@ -45,6 +45,20 @@
     assert burst == RESERVE_SECONDS
 
 
+# An upstream's failing hosts get half as many requests again as come in, for seconds:
+# while all went well the entry had put by its share of every request since its start,
+# and thirty entries spent it within the same seconds.
+def test_requests_of_long_ago_pay_for_no_retry():
+    ratio, rate, window = 0.1, 10, 10.0
+    budget = RetryBudget(ratio, 0.0)
+    for number in range(1_000):
+        budget.note_request(number / rate)
+    retries = sum(budget.spend(1_000 / rate) for _ in range(1_000))
+    assert 0 < retries <= ratio * rate * window
+    budget.note_request(1_000 / rate + 5 * window)
+    assert not budget.spend(1_000 / rate + 5 * window)
+
+
 def test_time_that_steps_back_gathers_nothing():
     budget = RetryBudget(0.0, 1.0)
     assert budget.spend(10.0)
