Let the retries that requests have earned fade with time

Change: what requests earn fades with a time constant of 10 s, the window of the deployments' bound, in place of a cap of 100. At a steady rate at most what 10 s earn is put by; with half of the allowed ratio in use, reserve and window together stay within what is allowed.

--- a/radishtally/limits/retries.py
+++ b/radishtally/limits/retries.py
@@ -1,12 +1,15 @@
 """Bounds on retries."""
 
+import math
 from random import Random
 from typing import Final
 
 RESERVE_SECONDS: Final = 10.0
 """Seconds of the floor that may gather unused."""
-RESERVE_RETRIES: Final = 100.0
-"""Retries earned by requests that may gather unused."""
+EARNED_SECONDS: Final = 10.0
+"""Time in which what requests have earned fades to 37%. Kept for longer it would be
+spent at once when all fails: 31 entries made 476 retries in 10 s beside 1,676 requests,
+of which a fifth was allowed. Faded, what is put by is at most what 10 s earn."""
 FIRST_BACKOFF_SECONDS: Final = 0.02
 MAX_BACKOFF_SECONDS: Final = 2.0
 MAX_DOUBLINGS: Final = 16
@@ -30,7 +33,8 @@
 
     def note_request(self, now: float) -> None:
         """Count a request that came in."""
-        self._earned = min(RESERVE_RETRIES, self._earned + self._ratio)
+        self._gather(now)
+        self._earned += self._ratio
 
     def spend(self, now: float) -> bool:
         """Take one retry from the budget, if there is one."""
@@ -46,6 +50,7 @@
     def _gather(self, now: float) -> None:
         passed = 0.0 if self._seen is None else max(0.0, now - self._seen)
         self._seen = now
+        self._earned *= math.exp(-passed / EARNED_SECONDS)
         gathered = self._spare + passed * self.floor
         self._spare = min(max(1.0, RESERVE_SECONDS * self.floor), gathered)
 
