Give each upstream a retry budget of its own

Cause: one budget for all: the requests of a large upstream pay for the retries of a small one, though the deployments bound the retries at each.

Change: RetryBudgets holds one for each upstream; floor and ratio as before.

--- a/radishtally/entry/core.py
+++ b/radishtally/entry/core.py
@@ -53,7 +53,7 @@
 @_handle.register
 def _(event: events.Arrived, core: EntryCore, now: float) -> Iterator[Command]:
     work = event.work
-    core.budget.note_request(now)
+    core.budgets.note_request(work.upstream, now)
     request = OpenRequest(work, event.deadline, event.streamed, now, event.terms)
     core.requests[work.request] = request
     core.schedule(request)
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -35,7 +35,7 @@
 from radishtally.entry.planning import Parts
 from radishtally.entry.replies import Part, Replies
 from radishtally.entry.watch import Watcher
-from radishtally.limits.retries import RetryBudget
+from radishtally.limits.retries import RetryBudgets
 from radishtally.links.hub import Callbacks
 from radishtally.links.messages import Hello, Leaving, Load, Message, Work
 from radishtally.outcome import Ran, Refusal
@@ -241,7 +241,7 @@
         current = self.process.keeper.current
         self.directory = Directory(current.configuration)
         policy = current.configuration.policy
-        self.core.budget = RetryBudget(policy.retry_budget)
+        self.core.budgets = RetryBudgets(policy.retry_budget)
         self.core.placement = RankedPlacement(POLICIES[policy.routing])
         self.members.configure(current.configuration)
         self.planning.configure(current.configuration)
--- a/radishtally/entry/offers.py
+++ b/radishtally/entry/offers.py
@@ -42,7 +42,8 @@
         yield from _go_without_host(request, core, now)
         return
     stage, host, why = placed
-    if request.owes_retry and not core.budget.spend(now):
+    upstream = request.work.upstream
+    if request.owes_retry and not core.budgets.spend(upstream, now):
         yield from _go_without_budget(request, core, now)
         return
     request.owes_retry = False
--- a/radishtally/entry/state.py
+++ b/radishtally/entry/state.py
@@ -8,7 +8,7 @@
 from radishtally.entry.hosts import KnownHost
 from radishtally.entry.placement import Placement, RankedPlacement
 from radishtally.entry.requests import OpenRequest
-from radishtally.limits.retries import RetryBudget
+from radishtally.limits.retries import RetryBudgets
 
 
 @dataclass(slots=True)
@@ -19,7 +19,7 @@
     place: str
     random: random.Random
     placement: Placement = field(default_factory=RankedPlacement)
-    budget: RetryBudget = field(default_factory=lambda: RetryBudget(0.1))
+    budgets: RetryBudgets = field(default_factory=lambda: RetryBudgets(0.1))
     offer_seconds: float = OFFER_SECONDS
     """Longest time that a host may leave an offer without a word."""
     refusals_cost: bool = False
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -47,7 +47,7 @@
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import STOPPING, Routed, Router
-from radishtally.limits.retries import RetryBudget
+from radishtally.limits.retries import RetryBudgets
 from radishtally.links.messages import Cancel, Hello, Message, Offer
 from radishtally.outcome import Error, Refusal, Result
 from radishtally.routes.config import CallerLimits, FleetConfiguration
@@ -81,7 +81,7 @@
             settings.data_centre,
             random.Random(),
             placement,
-            RetryBudget(
+            RetryBudgets(
                 settings.bounds.retry_ratio * RETRY_PART,
                 find_retry_floor(settings.bounds, ASSUMED_GATEWAYS),
             ),
@@ -167,7 +167,7 @@
     def count_gateways(self, count: int) -> None:
         """Take how many gateways share the retries, and the looks at the lease."""
         self.lease.share_reads(count)
-        self.core.budget.floor = find_retry_floor(self.settings.bounds, count)
+        self.core.budgets.floor = find_retry_floor(self.settings.bounds, count)
 
     def render_metrics(self) -> bytes:
         """Give the figures of the metrics address."""
--- a/radishtally/limits/retries.py
+++ b/radishtally/limits/retries.py
@@ -55,6 +55,43 @@
         self._spare = min(max(1.0, RESERVE_SECONDS * self.floor), gathered)
 
 
+class RetryBudgets:
+    """Hold a budget for each upstream.
+
+    With one for all, a large upstream's requests would pay for the retries of a small
+    one whose hosts fail: its load would be multiplied just then.
+    """
+
+    def __init__(self, ratio: float, floor: float = 1.0) -> None:
+        self._ratio = ratio
+        self._floor = floor
+        self._budgets: dict[str, RetryBudget] = {}
+
+    @property
+    def floor(self) -> float:
+        """Give the retries a second that each upstream is allowed in any case."""
+        return self._floor
+
+    @floor.setter
+    def floor(self, floor: float) -> None:
+        self._floor = floor
+        for budget in self._budgets.values():
+            budget.floor = floor
+
+    def note_request(self, upstream: str, now: float) -> None:
+        """Count a request that came in for an upstream."""
+        self._find(upstream).note_request(now)
+
+    def spend(self, upstream: str, now: float) -> bool:
+        """Take one retry from an upstream's budget, if there is one."""
+        return self._find(upstream).spend(now)
+
+    def _find(self, upstream: str) -> RetryBudget:
+        if upstream not in self._budgets:
+            self._budgets[upstream] = RetryBudget(self._ratio, self._floor)
+        return self._budgets[upstream]
+
+
 def backoff(attempt: int, random: Random) -> float:
     """Draw the seconds to wait before the attempt; the first retry is attempt 1."""
     doublings = min(max(0, attempt - 1), MAX_DOUBLINGS)
--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -4,7 +4,7 @@
 
 from radishtally.entry import const
 from radishtally.entry.events import Deliver, Finish, LinkDown, Refuse
-from radishtally.limits.retries import MAX_BACKOFF_SECONDS, RetryBudget
+from radishtally.limits.retries import MAX_BACKOFF_SECONDS, RetryBudgets
 from radishtally.links.messages import (
     NOT_KNOWN,
     Accepted,
@@ -54,8 +54,8 @@
     # retry budget lets only some go on at first, so that the rest of the fleet is not
     # flooded. The others wait their turn.
     driver = Driver(hosts=2)
-    driver.core.budget = RetryBudget(0.0, floor=0.1)
-    while driver.core.budget.spend(driver.now):
+    driver.core.budgets = RetryBudgets(0.0, floor=0.1)
+    while driver.core.budgets.spend(make_text().upstream, driver.now):
         pass
     driver.open(make_text())
     host, _ = driver.find_offer()
@@ -72,7 +72,7 @@
     # cost no upstream anything; charged to the budget, a host whose engine is away
     # would use up what the crashed streams of others need.
     driver = Driver(hosts=2)
-    driver.core.budget = RetryBudget(0.0, floor=0.0)
+    driver.core.budgets = RetryBudgets(0.0, floor=0.0)
     driver.open(make_text())
     host, _ = driver.find_offer()
     driver.receive(host, Lost("r", 1, Ran.NO, "connection refused", 0))
@@ -81,7 +81,7 @@
 
 def test_repeated_crashes_end_the_request() -> None:
     driver = Driver(hosts=2)
-    driver.core.budget = RetryBudget(1.0, floor=100.0)
+    driver.core.budgets = RetryBudgets(1.0, floor=100.0)
     driver.open(make_text(), seconds=300.0)
     host, offer = driver.find_offer()
     for number in range(const.MAX_LOST):
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from radishtally.entry.const import REFUSALS_TO_PASS_OVER
-from radishtally.limits.retries import RetryBudget
+from radishtally.limits.retries import RetryBudgets
 from tests.common import run
 from tests.gateway.common import AUTHORITY, Deployment, deployment, make_headers
 
@@ -169,7 +169,7 @@
             refusing, taking = Desk(answer_not_run), Desk(answer_whole)
             await made.serve_desk("d-1", refusing)
             await made.serve_desk("d-2", taking)
-            made.gateway.core.budget = RetryBudget(1.0, 1.0)
+            made.gateway.core.budgets = RetryBudgets(1.0, 1.0)
             for number in range(4):
                 status, _, _ = await ask(made, "/book/a", f"r{number}", "POST")
                 assert status == 200
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -55,9 +55,9 @@
             async with run_gateway(made.store, "gateway-2") as second:
                 shared = find_retry_floor(bounds, 2)
                 for gateway in (first, second):
-                    await wait_until(lambda g=gateway: g.core.budget.floor == shared)
+                    await wait_until(lambda g=gateway: g.core.budgets.floor == shared)
                 allowed = bounds.retry_slack / bounds.retry_window_seconds
-                assert first.core.budget.floor + second.core.budget.floor <= allowed
+                assert first.core.budgets.floor + second.core.budgets.floor <= allowed
 
     run(play())
 
