--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -1,5 +1,6 @@
 """Follow which hosts stand behind the upstreams."""
 
+from collections import Counter, deque
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -9,6 +10,13 @@
 """Time for which an entry is kept that is missing just after the store's return. One
 that lapsed meanwhile is back within two seconds, most within a heartbeat of 1.2 s; one
 that was removed must be given up within two seconds, and was noticed a little late."""
+MASS_SHARE: Final = 0.25
+"""Share of an upstream's hosts above which removals within LAPSE_SECONDS are taken for
+entries that lapsed in an outage that went unseen: a question for changes that the store
+holds all the while tells of none. Planned work takes out fewer without a word; where it
+takes out more, they are kept no longer than a leaving host may get requests."""
+MASS_HOSTS: Final = 2
+"""Fewest such removals: that one host leaves a small upstream is ordinary."""
 
 
 class Set(NamedTuple):
@@ -38,6 +46,13 @@
 Change = Set | Forget | Miss | Return
 
 
+class _Removal(NamedTuple):
+    """Remember that a host was removed that had not said that it leaves."""
+
+    at: float
+    instance: Instance
+
+
 class Members:
     """Hold the hosts by the store's list, and those that the list may have lost."""
 
@@ -45,6 +60,8 @@
         self._instances: dict[str, Instance] = {}
         self._missing: dict[str, float] = {}
         """Times at which hosts that the list lacks count as gone."""
+        self._removals: deque[_Removal] = deque()
+        """Removals of hosts in service, the last LAPSE_SECONDS' ones."""
 
     def __iter__(self):  # noqa: ANN204
         """Iterate over the hosts."""
@@ -55,9 +72,8 @@
     ) -> list[Change]:
         """Take the whole list."""
         listed = {instance.host: instance for instance in instances}
-        changes: list[Change] = []
-        for host in self._instances.keys() - listed.keys():
-            changes += self.remove(host, now, after_outage)
+        gone = self._instances.keys() - listed.keys()
+        changes = self.remove(gone, now, after_outage)
         for instance in listed.values():
             changes += self.set(instance)
         return changes
@@ -72,29 +88,67 @@
         self._instances[instance.host] = instance
         return [*returned, Set(instance)]
 
-    def remove(self, host: str, now: float, after_outage: bool) -> list[Change]:
-        """Take that an entry is gone.
+    def remove(
+        self, hosts: Iterable[str], now: float, after_outage: bool
+    ) -> list[Change]:
+        """Take that entries are gone, all that are known to be at this time.
 
         While the store is away hosts can't renew their entries, and entries lapse:
         the list after its return may lack hosts that serve as well as before. Dropped
         at once, whole upstreams would be empty until their hosts have written again.
         """
-        if after_outage:
-            return self._miss(host, now)
-        self._missing.pop(host, None)
-        if self._instances.pop(host, None) is None:
-            return []
-        return [Forget(host)]
+        known = (self._instances.get(host) for host in hosts)
+        removed = [
+            instance
+            for instance in known
+            if instance is not None and instance.host not in self._missing
+        ]
+        self._note_removals(removed, now)
+        emptied = self._find_emptied()
+        changes: list[Change] = []
+        for instance in removed:
+            if after_outage or instance.upstream in emptied:
+                changes.append(self._miss(instance.host, now))
+                continue
+            changes.append(self._forget(instance.host))
+        return changes
+
+    def _note_removals(self, removed: Iterable[Instance], now: float) -> None:
+        while self._removals and self._removals[0].at <= now - LAPSE_SECONDS:
+            self._removals.popleft()
+        for instance in removed:
+            # A host that says that it leaves has written, so its entry did not lapse.
+            if not instance.is_draining:
+                self._removals.append(_Removal(now, instance))
+
+    def _find_emptied(self) -> frozenset[str]:
+        """Find the upstreams that lose more hosts at once than leave by themselves."""
+        lost = {removal.instance.host: removal.instance for removal in self._removals}
+        in_service = {
+            host: instance
+            for host, instance in self._instances.items()
+            if not instance.is_draining
+        }
+        counts = Counter(instance.upstream for instance in lost.values())
+        totals = Counter(i.upstream for i in (in_service | lost).values())
+        return frozenset(
+            upstream
+            for upstream, count in counts.items()
+            if count >= MASS_HOSTS and count > MASS_SHARE * totals[upstream]
+        )
 
     def count_missing(self) -> int:
         """Count the hosts that the list lacks and that are kept all the same."""
         return len(self._missing)
 
-    def _miss(self, host: str, now: float) -> list[Change]:
-        if host in self._missing or host not in self._instances:
-            return []
+    def _miss(self, host: str, now: float) -> Change:
         self._missing[host] = now + LAPSE_SECONDS
-        return [Miss(host)]
+        return Miss(host)
+
+    def _forget(self, host: str) -> Change:
+        self._missing.pop(host, None)
+        del self._instances[host]
+        return Forget(host)
 
     def next_expiry(self) -> float:
         """Give the time at which the next missing host counts as gone."""
@@ -103,4 +157,4 @@
     def expire(self, now: float) -> list[Change]:
         """Give up the hosts that have not come back."""
         late = [host for host, until in self._missing.items() if until <= now]
-        return [change for host in late for change in self.remove(host, now, False)]
+        return [self._forget(host) for host in late]
--- a/radishtally/limits/retries.py
+++ b/radishtally/limits/retries.py
@@ -50,9 +50,9 @@
         self._spare = min(max(1.0, RESERVE_SECONDS * self.floor), gathered)
 
 
-def backoff(attempt: int, random: Random) -> float:
+def backoff(attempt: int, random: Random, most: float = MAX_BACKOFF_SECONDS) -> float:
     """Draw the seconds to wait before the attempt; the first retry is attempt 1."""
     doublings = min(max(0, attempt - 1), MAX_DOUBLINGS)
-    longest = min(MAX_BACKOFF_SECONDS, FIRST_BACKOFF_SECONDS * 2**doublings)
+    longest = min(most, FIRST_BACKOFF_SECONDS * 2**doublings)
     # Without jitter all that failed together come back together.
     return random.uniform(longest / 2, longest)
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -55,7 +55,7 @@
     drain_seconds, late_seconds = 2.0, 0.3
     members = Members()
     members.set(A)
-    members.remove("a", 5.0, True)
+    members.remove(["a"], 5.0, True)
     gone = members.expire(5.0 + drain_seconds - late_seconds)
     assert describe(gone) == ["Forget a"]
 
@@ -63,5 +63,5 @@
 def test_removal_that_is_read_just_after_an_outage_waits_too() -> None:
     members = Members()
     members.set(A)
-    assert describe(members.remove("a", 5.0, True)) == ["Miss a"]
+    assert describe(members.remove(["a"], 5.0, True)) == ["Miss a"]
     assert describe(members.expire(5.0 + LAPSE_SECONDS)) == ["Forget a"]
