--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,10 +1,14 @@
 """Tests of calls to the platform's store."""
 
+import asyncio
+
+import pytest
 from adapter.store import StoreClient
+from aiohttp import web
 
 from standins.rows import Name, Rows
 from tests.common import run
-from tests.gateway.common import serve
+from tests.gateway.common import WAIT_SECONDS, serve
 
 HOSTS = 600
 
@@ -35,3 +39,27 @@
         await client.stop()
 
     run(play())
+
+
+# A gateway learns of a host's leaving seconds late: the store was back, but the
+# question that was to tell so had been asked before, and its answer never came.
+def test_question_whose_answer_is_lost_is_given_up_early(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("adapter.store.CALL_SECONDS", 3600.0)
+    monkeypatch.setattr("adapter.store.ANSWER_SECONDS", 0.05, raising=False)
+
+    async def keep_silent(request: web.Request) -> web.Response:
+        return await asyncio.Event().wait()
+
+    async def play() -> None:
+        app = web.Application()
+        app.router.add_get("/api/rows-feed", keep_silent)
+        client = StoreClient(await serve(app))
+        await client.start()
+        async with asyncio.timeout(WAIT_SECONDS):
+            asked = await client.follow_table("servers", 4, 0.0)
+        assert asked.is_error()
+        await client.stop()
+
+    run(play())
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -10,7 +10,7 @@
 from adapter.store import Compacted, Page, StoredRow
 from adapter.watch import FEED_SECONDS, TableWatch, Watcher
 
-from radishtally.gateway.members import Change, Forget, Members, Miss, Set
+from radishtally.gateway.members import Change, Forget, Members, Miss, Return, Set
 from radishtally.outcome import Error, Ok, Result
 from radishtally.runtime import Runtime
 from radishtally.store.core import Unavailable
@@ -190,6 +190,34 @@
         runner.run(play())
 
 
+# All callers are refused until the store is back: it went away again just after its
+# return, so hosts whose entries had lapsed could not write anew, but they were given
+# up when their time had come. Proved by the log of a day: a gateway that has lost the
+# store again gives up what the list lacked, and sees it again four seconds later.
+def test_missing_hosts_are_kept_while_the_store_is_away_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("adapter.watch.MIN_OUTAGE_SECONDS", 0.0)
+    for module in ("adapter.watch", "radishtally.gateway.members"):
+        monkeypatch.setattr(f"{module}.LAPSE_SECONDS", 0.05)
+    entry = b'{"service": "desk", "address": "a:1", "zone": "howrah"}'
+    listed = tuple(StoredRow(host, entry, 1) for host in "ab")
+    removed = tuple(StoredRow(host, None, 5) for host in "ab")
+
+    async def play() -> list[Change]:
+        first, lapsed, back = Page(listed, 4), Page(removed, 5), Page(listed, 9)
+        away = [AWAY] * 4
+        store = HostsStore(Ok(first), AWAY, Ok(lapsed), *away, Ok(back))
+        listener = Listener()
+        Watcher(store, listener).start()
+        await wait_until(lambda: len(listener.changes) >= 6)
+        listener.runtime.cancel_tasks()
+        return listener.changes
+
+    kinds = [type(change) for change in run(play())]
+    assert kinds == [Set, Set, Miss, Miss, Return, Return]
+
+
 # All callers are refused for a second: the store was away, but the gateway's question
 # for changes was held all the while, so it saw no outage. The first answer after the
 # return removed every entry, as none had been renewed, and all hosts were dropped.
