Give up missing hosts on an answer of the store, not by a timer

Cause: a host that the list lacks after an outage was given up by a timer of the gateway's own. When the store went away again just after its return, hosts could not write anew, and all of an upstream's were given up until it was back. Answers to questions for changes were waited for two seconds beyond their time.

Ruled out: a longer time. It would have to last as long as the next outage, and removed hosts would get requests.

LAPSE_SECONDS is 1.6, as one of some hundred hosts wrote 1.54 s after the return.

--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -6,10 +6,11 @@
 
 from radishtally.direct.core import Instance
 
-LAPSE_SECONDS: Final = 1.5
+LAPSE_SECONDS: Final = 1.6
 """Time for which an entry is kept that is missing just after the store's return. One
-that lapsed meanwhile is back within two seconds, most within a heartbeat of 1.2 s; one
-that was removed must be given up within two seconds, and was noticed a little late."""
+that lapsed meanwhile is back within two seconds, most within a heartbeat of 1.2 s, the
+last of some hundreds after 1.54 s; one that was removed must be given up within two
+seconds, and was noticed a little late."""
 MASS_SHARE: Final = 0.25
 """Share of an upstream's hosts above which removals within LAPSE_SECONDS are taken for
 entries that lapsed in an outage that went unseen: a question for changes that the store
@@ -154,7 +155,14 @@
         """Give the time at which the next missing host counts as gone."""
         return min(self._missing.values(), default=float("inf"))
 
-    def expire(self, now: float) -> list[Change]:
-        """Give up the hosts that have not come back."""
+    def expire(self, now: float, after_outage: bool) -> list[Change]:
+        """Give up the hosts that have not come back, on an answer of the store.
+
+        A timer of the gateway's own would give them up while the store is away again
+        just after its return, when they can't write anew, and whole upstreams would be
+        empty until it is back. Just after that return they get their time once more.
+        """
+        if after_outage:
+            return []
         late = [host for host, until in self._missing.items() if until <= now]
         return [self._forget(host) for host in late]
