--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -196,9 +196,12 @@
             match change:
                 case Set(instance):
                     self._set_instance(instance)
-                case Miss(host):
+                case Miss(host, reason):
                     log_message(
-                        "upstream:missing", upstream_host=host, seconds=LAPSE_SECONDS
+                        "upstream:missing",
+                        upstream_host=host,
+                        reason=reason,
+                        seconds=LAPSE_SECONDS,
                     )
                 case Return(host):
                     log_message("upstream:returned", upstream_host=host)
--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, deque
 from collections.abc import Iterable
+from enum import StrEnum
 from typing import Final, NamedTuple
 
 from radishtally.direct.core import Instance
@@ -32,10 +33,18 @@
     host: str
 
 
+class MissReason(StrEnum):
+    """Say why a host is kept whose entry is gone."""
+
+    OUTAGE = "outage"
+    MANY_AT_ONCE = "many at once"
+
+
 class Miss(NamedTuple):
     """Say that the list lacks a host, which is kept until it may have written again."""
 
     host: str
+    reason: MissReason
 
 
 class Return(NamedTuple):
@@ -108,10 +117,12 @@
         emptied = self._find_emptied()
         changes: list[Change] = []
         for instance in removed:
-            if after_outage or instance.upstream in emptied:
-                changes.append(self._miss(instance.host, now))
-                continue
-            changes.append(self._forget(instance.host))
+            if after_outage:
+                changes.append(self._miss(instance.host, now, MissReason.OUTAGE))
+            elif instance.upstream in emptied:
+                changes.append(self._miss(instance.host, now, MissReason.MANY_AT_ONCE))
+            else:
+                changes.append(self._forget(instance.host))
         return changes
 
     def _note_removals(self, removed: Iterable[Instance], now: float) -> None:
@@ -142,9 +153,9 @@
         """Count the hosts that the list lacks and that are kept all the same."""
         return len(self._missing)
 
-    def _miss(self, host: str, now: float) -> Change:
+    def _miss(self, host: str, now: float, reason: MissReason) -> Change:
         self._missing[host] = now + LAPSE_SECONDS
-        return Miss(host)
+        return Miss(host, reason)
 
     def _forget(self, host: str) -> Change:
         self._missing.pop(host, None)
--- a/tests/gateway/test_members_machine.py
+++ b/tests/gateway/test_members_machine.py
@@ -94,8 +94,10 @@
     @rule()
     def look(self) -> None:
         """Hear from the store that nothing has changed."""
-        self._apply(self.members.expire(self.now, self.after_outage))
+        changes = self.members.expire(self.now, self.after_outage)
+        self._apply(changes)
         if self.after_outage:
+            assert changes == []
             return
         kept = self.present - self.listed.keys()
         assert all(self.removed_at[host] + LAPSE_SECONDS > self.now for host in kept)
