--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -65,3 +65,15 @@
     members.set(A)
     assert describe(members.remove(["a"], 5.0, True)) == ["Miss a"]
     assert describe(members.expire(5.0 + LAPSE_SECONDS, False)) == ["Forget a"]
+
+
+# Callers of a small upstream are refused for half a second: its only host's entry had
+# lapsed in an outage behind a held question, and one removal is not many at once.
+# Proved by the log of a day: the host is gone and seen again 0.5 s later, and in
+# between 42 callers are told that no host is there.
+def test_last_host_of_an_upstream_is_kept_for_a_while() -> None:
+    members = Members()
+    members.replace([A, B], 0.0, False)
+    assert describe(members.remove(["b"], 5.0, False)) == ["Forget b"]
+    assert describe(members.remove(["a"], 20.0, False)) == ["Miss a"]
+    assert describe(members.expire(20.0 + LAPSE_SECONDS, False)) == ["Forget a"]
