--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -173,7 +173,8 @@
             gateway._stop_begun = time.monotonic() - 5.0
             status, headers, _ = await ask(made, "/read/a", "r1")
             assert (status, headers["X-Ran"]) == (503, "no")
-            gateway._stop_begun = time.monotonic() - 1.0
+            # Early in a stop, however long this takes on a busy machine.
+            gateway._stop_begun = time.monotonic() + 60.0
             assert (await ask(made, "/read/a", "r2"))[0] == 200
 
     run(play())
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -44,8 +44,8 @@
     assert describe(missed) == ["Miss a", "Miss b"]
     assert members.count_missing() == 2
     assert describe(members.set(A)) == ["Return a"]
-    assert members.expire(10.0 + LAPSE_SECONDS - 0.1) == []
-    assert describe(members.expire(10.0 + LAPSE_SECONDS)) == ["Forget b"]
+    assert members.expire(10.0 + LAPSE_SECONDS - 0.1, False) == []
+    assert describe(members.expire(10.0 + LAPSE_SECONDS, False)) == ["Forget b"]
     assert list(members) == [A]
 
 
@@ -55,13 +55,25 @@
     drain_seconds, late_seconds = 2.0, 0.3
     members = Members()
     members.set(A)
-    members.remove("a", 5.0, True)
-    gone = members.expire(5.0 + drain_seconds - late_seconds)
+    members.remove(["a"], 5.0, True)
+    gone = members.expire(5.0 + drain_seconds - late_seconds, False)
     assert describe(gone) == ["Forget a"]
 
 
 def test_removal_that_is_read_just_after_an_outage_waits_too() -> None:
     members = Members()
     members.set(A)
-    assert describe(members.remove("a", 5.0, True)) == ["Miss a"]
-    assert describe(members.expire(5.0 + LAPSE_SECONDS)) == ["Forget a"]
+    assert describe(members.remove(["a"], 5.0, True)) == ["Miss a"]
+    assert describe(members.expire(5.0 + LAPSE_SECONDS, False)) == ["Forget a"]
+
+
+# Callers of a small upstream are refused for a second: its only host's entry had
+# lapsed in an outage behind a held question, and one removal is not many at once.
+# Proved by the log of a day: the host is gone and seen again 0.98 s later, and in
+# between 42 callers are told that no host is there.
+def test_last_host_of_an_upstream_is_kept_for_a_while() -> None:
+    members = Members()
+    members.replace([A, B], 0.0, False)
+    assert describe(members.remove(["b"], 5.0, False)) == ["Forget b"]
+    assert describe(members.remove(["a"], 20.0, False)) == ["Miss a"]
+    assert describe(members.expire(20.0 + LAPSE_SECONDS, False)) == ["Forget a"]
