Show that an engine that can't be asked is chosen again and again

Cause: the wait of an engine that could not be asked is kept as a role it was ordered to take. That role is the one it has, so the next look takes the wait for done.

Ruled out: the planner choosing by chance; it takes the last of the names each time.

--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -53,12 +53,14 @@
         list_instances: Callable[[], list[Instance]],
         lease: Lease,
         measure: Callable[[str], EngineLoad],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._host = host
         self._orders = orders
         self._list_instances = list_instances
         self._lease = lease
         self._measure = measure
+        self._clock = clock
         self._plans: dict[str, StagePlan] = {}
         self._demands: dict[str, Demand] = {}
         self._pending: dict[str, tuple[str, float]] = {}
@@ -97,8 +99,12 @@
         """Keep the roles for good."""
         while True:
             await asyncio.sleep(const.TICK_SECONDS)
-            for instance, change in self._decide(time.monotonic()):
-                await self._carry_out(instance, change)
+            await self._set_roles()
+
+    async def _set_roles(self) -> None:
+        """Give the orders that are due now."""
+        for instance, change in self._decide(self._clock()):
+            await self._carry_out(instance, change)
 
     def _decide(self, now: float) -> list[tuple[Instance, Change]]:
         """Give the changes that are due, the plan being followed lease or not."""
@@ -168,4 +174,4 @@
             self._wait(change.host, instance.role, const.RETRY_SECONDS)
 
     def _wait(self, host: str, role: str, seconds: float) -> None:
-        self._pending[host] = (role, time.monotonic() + seconds)
+        self._pending[host] = (role, self._clock() + seconds)
--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -6,7 +6,12 @@
 from radishtally.engines.state import EngineLoad
 from radishtally.links.messages import DECODE, PREFILL
 from radishtally.outcome import Error, Ok, Result
-from radishtally.stages.const import LACK_SECONDS
+from radishtally.stages.const import (
+    LACK_SECONDS,
+    RETRY_SECONDS,
+    SETTLE_SECONDS,
+    TICK_SECONDS,
+)
 from radishtally.stages.core import Change
 from radishtally.stages.keeper import StageKeeper
 from tests.common import run
@@ -20,6 +25,15 @@
 CHANGE = Change(ENGINE.host, PREFILL)
 
 
+class Clock:
+    """Stand still until it is moved."""
+
+    now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
 class FakeLease:
     """Be held under a number, or not."""
 
@@ -38,9 +52,13 @@
         self.outcome = outcome
         self.report = report or Ok(EngineReport(DECODE, 7, False))
         self.given: list[tuple] = []
+        self.silent: set[str] = set()
+        """Engines that don't say what they do."""
+        self.asked: list[str] = []
 
     async def read_report(self, instance: Instance) -> Result[EngineReport, str]:
-        return self.report
+        self.asked.append(instance.host)
+        return Error("no answer") if instance.host in self.silent else self.report
 
     async def order_role(self, instance: Instance, *order: object) -> OrderOutcome:
         self.given.append((instance.host, *order))
@@ -120,3 +138,34 @@
     orders = FakeOrders(OrderOutcome.TAKEN, report)
     run(make_keeper(orders, FakeLease(4))._carry_out(ENGINE, CHANGE))
     assert orders.given == []
+
+
+def play(keeper: StageKeeper, clock: Clock, seconds: float) -> None:
+    """Let the keeper look as often as it does within a time."""
+    for _ in range(round(seconds / TICK_SECONDS)):
+        clock.now += TICK_SECONDS
+        run(keeper._set_roles())
+
+
+# Prompts wait for the one engine that reads them: the engine that is chosen to help it
+# can't be asked what it does, for as long as it is listed. It is chosen again at each
+# look, since nothing tells it from the others.
+def test_another_engine_is_ordered_where_one_is_silent() -> None:
+    engines = [make_instance(0, PREFILL), *map(make_instance, range(1, 4))]
+    orders, clock = FakeOrders(OrderOutcome.TAKEN), Clock()
+    keeper = StageKeeper("g", orders, lambda: engines, FakeLease(4), no_load, clock)
+    orders.silent = {"e3"}
+    play(keeper, clock, LACK_SECONDS + 2 * TICK_SECONDS)
+    assert orders.asked[0] == "e3"
+    assert [host for host, *_ in orders.given] == ["e2"]
+
+
+# Each question to an engine has its price: one that can't be reached was asked at each
+# look, twice as often as meant, since its wait ended as soon as it had begun.
+def test_silent_engine_is_left_alone_for_a_while() -> None:
+    engines = [make_instance(number) for number in range(3)]
+    orders, clock = FakeOrders(OrderOutcome.TAKEN), Clock()
+    keeper = StageKeeper("g", orders, lambda: engines, FakeLease(4), no_load, clock)
+    orders.silent = {engine.host for engine in engines}
+    play(keeper, clock, SETTLE_SECONDS + 10 * RETRY_SECONDS)
+    assert 1 <= orders.asked.count("e2") <= 11
