Choose other engines before one that could not be ordered

Cause: the wait of an engine that could not be ordered was kept as its present role, which the next look took for reached. Nothing told that engine from the others, so the same one was chosen for as long as it was listed.

Ruled out: a longer wait alone; the same engine is still the first one after it.

Change: engines that could not be ordered are passed over for RETRY_SECONDS. The last one that can be ordered stays in its role, since the others may be dead. An engine that holds the order already, or is changing by another one, counts as done for a while: it was asked again at once, and passing it over would move one engine too many. What no longer counts is forgotten, of engines that are gone as well.

--- a/radishtally/stages/const.py
+++ b/radishtally/stages/const.py
@@ -34,7 +34,7 @@
 PENDING_SECONDS: Final = 4.0
 """Time for which an order that was given, or may have been, counts as carried out."""
 RETRY_SECONDS: Final = 1.0
-"""Time until an engine that could not be asked is asked again."""
+"""Time for which others are chosen before an engine that could not be ordered."""
 TICK_SECONDS: Final = 0.5
 DEMAND_SECONDS: Final = 6.0
 """Window of the demand: long enough for a burst to pass, short against a shift."""
--- a/radishtally/stages/core.py
+++ b/radishtally/stages/core.py
@@ -20,6 +20,8 @@
     """Answers that it is making."""
     wait: float = 0.0
     """Seconds until it begins one more prompt."""
+    is_orderable: bool = True
+    """Whether it can be ordered now, as far as is known."""
 
 
 class Change(NamedTuple):
@@ -187,12 +189,16 @@
     keeps both roles if it can: a KV cache then need not cross between data centres.
     """
     roles = {engine.host: engine.role for engine in engines}
+    wanted_roles = {PREFILL: wanted, DECODE: len(engines) - wanted}
     changes = []
     while (prefill := sum(r == PREFILL for r in roles.values())) != wanted:
         old, new = (DECODE, PREFILL) if prefill < wanted else (PREFILL, DECODE)
-        counts = Counter(e.data_centre for e in engines if roles[e.host] == old)
-        movable = [engine for engine in engines if roles[engine.host] == old]
-        if not movable:
+        having = [engine for engine in engines if roles[engine.host] == old]
+        counts = Counter(engine.data_centre for engine in having)
+        movable = [engine for engine in having if engine.is_orderable]
+        # An engine that can't be ordered may be dead. Were the last one that can taken
+        # from a role, nobody might be left in it until the list says so.
+        if len(movable) <= min(wanted_roles[old], 1):
             break
         chosen = max(movable, key=lambda e: (counts[e.data_centre], e.host))
         roles[chosen.host] = new
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -20,7 +20,17 @@
     StagePlan,
 )
 
-PENDING_OUTCOMES: Final = (OrderOutcome.TAKEN, OrderOutcome.UNCLEAR)
+PENDING_SECONDS: Final = {
+    OrderOutcome.TAKEN: const.PENDING_SECONDS,
+    OrderOutcome.HOLDS: const.PENDING_SECONDS,
+    # An order without an answer may be carried out seconds later. Until then a second
+    # one would move one engine more than is wanted.
+    OrderOutcome.UNCLEAR: const.PENDING_SECONDS,
+    # The engine is changing by another order, and says soon what it becomes.
+    OrderOutcome.BUSY: const.RETRY_SECONDS,
+}
+"""Time for which an engine counts as having its ordered role after an outcome; after
+any other one the engine stays as it is."""
 
 
 class Lease(Protocol):
@@ -65,6 +75,8 @@
         self._demands: dict[str, Demand] = {}
         self._pending: dict[str, tuple[str, float]] = {}
         """Role that an engine was ordered to take, and until when that counts."""
+        self._passed_over: dict[str, float] = {}
+        """Engines that could not be ordered, and until when others go before them."""
         self._refused: set[int] = set()
         """Fencing numbers that an engine found to be out of date."""
 
@@ -116,6 +128,7 @@
             for item in self._list_instances()
             if item.role and not item.is_draining
         ]
+        self._forget_past(now)
         due = []
         for upstream in {item.upstream for item in instances}:
             ours = {i.host: i for i in instances if i.upstream == upstream}
@@ -126,13 +139,25 @@
                 due.append((ours[change.host], change))
         return due if self._may_order() else []
 
+    def _forget_past(self, now: float) -> None:
+        """Forget what no longer counts, of engines that are gone as well."""
+        self._pending = {
+            host: (role, until)
+            for host, (role, until) in self._pending.items()
+            if now < until
+        }
+        self._passed_over = {
+            host: until for host, until in self._passed_over.items() if now < until
+        }
+
     def _describe(self, instance: Instance, now: float) -> Engine:
         role, until = self._pending.get(instance.host, ("", 0.0))
         if now >= until or role == instance.role:
             self._pending.pop(instance.host, None)
             role = instance.role
         load = self._measure(instance.host)
-        return Engine(instance.host, instance.data_centre, role, *load)
+        is_orderable = instance.host not in self._passed_over
+        return Engine(instance.host, instance.data_centre, role, *load, is_orderable)
 
     def _may_order(self) -> bool:
         fencing = self._lease.fencing
@@ -143,10 +168,10 @@
         report = await self._orders.read_report(instance)
         if report.is_error():
             log_message("stage:engine_unread", engine=change.host, reason=report.error)
-            self._wait(change.host, instance.role, const.RETRY_SECONDS)
+            self._pass_over(change.host)
             return
         if report.ok.is_busy or report.ok.role == change.role:
-            self._wait(change.host, change.role, const.PENDING_SECONDS)
+            self._count_as_done(change, const.PENDING_SECONDS)
             return
         # The lease may have lapsed while the engine was asked: an order is given only
         # by who holds it at that moment.
@@ -166,12 +191,18 @@
         )
         if outcome == OrderOutcome.STALE:
             self._refused.add(fencing)
-        elif outcome in PENDING_OUTCOMES:
-            # An order without an answer may be carried out seconds later. Until then a
-            # second one would move one engine more than is wanted.
-            self._wait(change.host, change.role, const.PENDING_SECONDS)
+        elif outcome in PENDING_SECONDS:
+            self._count_as_done(change, PENDING_SECONDS[outcome])
         else:
-            self._wait(change.host, instance.role, const.RETRY_SECONDS)
+            self._pass_over(change.host)
+
+    def _count_as_done(self, change: Change, seconds: float) -> None:
+        self._pending[change.host] = (change.role, self._clock() + seconds)
+
+    def _pass_over(self, host: str) -> None:
+        """Let other engines be chosen before one that could not be ordered.
 
-    def _wait(self, host: str, role: str, seconds: float) -> None:
-        self._pending[host] = (role, self._clock() + seconds)
+        Chosen by the same rule it would be the same one at each look, and the change
+        would wait for as long as that engine is listed.
+        """
+        self._passed_over[host] = self._clock() + const.RETRY_SECONDS
--- a/tests/stages/test_core.py
+++ b/tests/stages/test_core.py
@@ -134,3 +134,14 @@
     assert demand.find_share(0.0) == pytest.approx(const.START_SHARE)
     demand.note(0, 1_850, 0.0)
     assert abs(demand.find_share(0.0) - const.START_SHARE) < 0.05
+
+
+# All answers stop: of two engines that make them one is dead and still listed, and the
+# other one is made to read prompts in its place.
+def test_last_engine_that_can_be_ordered_stays_in_its_role() -> None:
+    engines = make_engines(0, 2)
+    engines[1] = engines[1]._replace(is_orderable=False)
+    assert choose_changes(engines, 1) == []
+    engines = make_engines(0, 3)
+    engines[2] = engines[2]._replace(is_orderable=False)
+    assert [change.host for change in choose_changes(engines, 1)] == ["e1"]
--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -169,3 +169,27 @@
     orders.silent = {engine.host for engine in engines}
     play(keeper, clock, SETTLE_SECONDS + 10 * RETRY_SECONDS)
     assert 1 <= orders.asked.count("e2") <= 11
+
+
+# One engine more than wanted changes its role: the one that was chosen is changing by
+# an order that came before, and another one is chosen in its place.
+@pytest.mark.parametrize("outcome", [OrderOutcome.HOLDS, OrderOutcome.BUSY])
+def test_engine_that_changes_by_another_order_is_not_replaced(
+    outcome: OrderOutcome,
+) -> None:
+    engines = [make_instance(0, PREFILL), *map(make_instance, range(1, 4))]
+    orders, clock = FakeOrders(outcome), Clock()
+    keeper = StageKeeper("g", orders, lambda: engines, FakeLease(4), no_load, clock)
+    play(keeper, clock, LACK_SECONDS + RETRY_SECONDS + TICK_SECONDS)
+    assert {host for host, *_ in orders.given} == {"e3"}
+
+
+@pytest.mark.parametrize("outcome", [OrderOutcome.REFUSED, OrderOutcome.UNREACHED])
+def test_engine_that_does_not_take_its_order_is_replaced(
+    outcome: OrderOutcome,
+) -> None:
+    engines = [make_instance(0, PREFILL), *map(make_instance, range(1, 4))]
+    orders, clock = FakeOrders(outcome), Clock()
+    keeper = StageKeeper("g", orders, lambda: engines, FakeLease(4), no_load, clock)
+    play(keeper, clock, LACK_SECONDS + 2 * TICK_SECONDS)
+    assert [host for host, *_ in orders.given] == ["e3", "e2"]
