Show that one engine's refusal of a number stops all orders for good

Cause: the keeper uses a fencing number no more that an engine found to be too low, and the holder renews the lease under that same number for as long as it lives.

Ruled out: that the lease ends by itself; it is renewed whatever engines say.

--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -1,7 +1,10 @@
 """Tests of giving engines their roles."""
 
+import asyncio
+
 import pytest
 
+from radishtally.authority.holder import LeaseHolder
 from radishtally.direct.core import EngineReport, Instance, OrderOutcome
 from radishtally.engines.state import EngineLoad
 from radishtally.links.messages import DECODE, PREFILL
@@ -14,7 +17,7 @@
 )
 from radishtally.stages.core import Change
 from radishtally.stages.keeper import StageKeeper
-from tests.common import run
+from tests.common import MemoryTable, run
 
 
 def make_instance(number: int, role: str = DECODE) -> Instance:
@@ -65,6 +68,22 @@
         return self.outcome
 
 
+class FencedOrders(FakeOrders):
+    """Take orders, but at one engine none under a number lower than it has seen."""
+
+    def __init__(self, host: str, seen: int) -> None:
+        super().__init__(OrderOutcome.TAKEN)
+        self.host = host
+        self.seen = seen
+
+    async def order_role(
+        self, instance: Instance, role: str, owner: str, fencing: int, sequence: int
+    ) -> OrderOutcome:
+        await super().order_role(instance, role, owner, fencing, sequence)
+        is_stale = instance.host == self.host and fencing < self.seen
+        return OrderOutcome.STALE if is_stale else OrderOutcome.TAKEN
+
+
 def no_load(host: str) -> EngineLoad:
     return EngineLoad(0, 0.0)
 
@@ -193,3 +212,26 @@
     keeper = StageKeeper("g", orders, lambda: engines, FakeLease(4), no_load, clock)
     play(keeper, clock, LACK_SECONDS + 2 * TICK_SECONDS)
     assert [host for host, *_ in orders.given] == ["e3", "e2"]
+
+
+# Roles stay wrong for good, at all engines: one of them has seen a higher number than
+# the lease's, and refuses an order. The holder gives no more orders under its number
+# and goes on renewing it, so no other number is ever taken, by it or by another one.
+def test_number_that_one_engine_refuses_blocks_orders_only_for_a_while() -> None:
+    async def play_on() -> list[tuple]:
+        engines = [make_instance(0, PREFILL), *map(make_instance, range(1, 4))]
+        orders, clock = FencedOrders("e3", seen=9), Clock()
+        lease = LeaseHolder(
+            MemoryTable(), "stages", "g", "g-1", on_gained=print, on_lost=print
+        )
+        lease.start()
+        keeper = StageKeeper("g", orders, lambda: engines, lease, no_load, clock)
+        for _ in range(round((LACK_SECONDS + RETRY_SECONDS) / TICK_SECONDS) + 1):
+            while lease.fencing is None:
+                await asyncio.sleep(0)
+            clock.now += TICK_SECONDS
+            await keeper._set_roles()
+        await lease.stop()
+        return [(host, fencing) for host, _, _, fencing, _ in orders.given]
+
+    assert run(play_on()) == [("e3", 1), ("e2", 2)]
