Give a lease's number up that an engine refused, and take a new one

Cause: the keeper would not order under a number that one engine had found too low, and the holder went on renewing just that number. Nothing but the holder's end gave another.

Ruled out: writing the lease off as released, as in a stop; another gateway would take it at once and order engines within the time that two holders' turns must be apart. Keeping the number for the other engines; a higher one has been used by somebody.

Change: the lease takes the refusal as an event. It is lost at once, its row is left to stand, and this process writes the next number over it; if another one has taken the lease over meanwhile, the write meets its row and the process waits as any contender. The keeper no longer keeps refused numbers. The engine that refused is passed over for a second, so one with a far higher number costs a write a second at most. The machine of random steps of the lease has the refusal as a step; three plain tests beside it.

--- a/radishtally/authority/holder.py
+++ b/radishtally/authority/holder.py
@@ -12,6 +12,7 @@
     LeaseCore,
     LeaseTerms,
     LostLease,
+    Outdated,
     ReadFailed,
     ReadLease,
     Resign,
@@ -78,6 +79,10 @@
         """Form the check that binds a transaction to the lease as held now."""
         return self._core.make_check(self._clock())
 
+    def give_up(self, fencing: int) -> None:
+        """Give a number up that was refused; contend for the lease under a new one."""
+        self._handle(Outdated(fencing))
+
     async def stop(self) -> None:
         """Give the lease up, so that a successor need not wait for it to lapse."""
         self._handle(Resign())
--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -71,7 +71,13 @@
     """Ask to give the lease up for good."""
 
 
-Event = Tick | RowRead | ReadFailed | WriteSettled | Resign
+class Outdated(NamedTuple):
+    """Say that an order was refused, as a higher fencing number has been used."""
+
+    fencing: int
+
+
+Event = Tick | RowRead | ReadFailed | WriteSettled | Resign | Outdated
 
 
 class ReadLease(NamedTuple):
@@ -225,6 +231,16 @@
             return lost
         return [*lost, self._write(fencing, RELEASED, now)]
 
+    @_take.register
+    def _(self, event: Outdated, now: float) -> list[Command]:
+        if self._held is None or self._held.fencing != event.fencing:
+            return []
+        # Renewed as it is, the lease would be held by one who may not use it, and by
+        # nobody else. The row is left to stand: a new number is taken over it at once,
+        # unless another holder has written it, and a successor waits its whole time.
+        self._held = None
+        return [LostLease("fencing number out of date")]
+
     def _see(self, row: Row | None, now: float) -> list[Command]:
         """Take over what the table shows."""
         if row is not None and row.write_id in self._sent:
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -40,6 +40,9 @@
     def fencing(self) -> int | None:
         """Give the fencing number if the lease is held now."""
 
+    def give_up(self, fencing: int) -> None:
+        """Give a number up that was refused; contend for the lease under a new one."""
+
 
 class Orders(Protocol):
     """Reach engines."""
@@ -77,8 +80,6 @@
         """Role that an engine was ordered to take, and until when that counts."""
         self._passed_over: dict[str, float] = {}
         """Engines that could not be ordered, and until when others go before them."""
-        self._refused: set[int] = set()
-        """Fencing numbers that an engine found to be out of date."""
 
     def note(
         self, upstream: str, uncached_tokens: int, output_tokens: int, now: float
@@ -137,7 +138,7 @@
             share = self._demands.setdefault(upstream, Demand()).find_share(now)
             for change in plan.decide(engines, share, now):
                 due.append((ours[change.host], change))
-        return due if self._may_order() else []
+        return [] if self._lease.fencing is None else due
 
     def _forget_past(self, now: float) -> None:
         """Forget what no longer counts, of engines that are gone as well."""
@@ -159,10 +160,6 @@
         is_orderable = instance.host not in self._passed_over
         return Engine(instance.host, instance.data_centre, role, *load, is_orderable)
 
-    def _may_order(self) -> bool:
-        fencing = self._lease.fencing
-        return fencing is not None and fencing not in self._refused
-
     async def _carry_out(self, instance: Instance, change: Change) -> None:
         """Give one order, as the engine and the lease stand now."""
         report = await self._orders.read_report(instance)
@@ -176,7 +173,7 @@
         # The lease may have lapsed while the engine was asked: an order is given only
         # by who holds it at that moment.
         fencing = self._lease.fencing
-        if fencing is None or fencing in self._refused:
+        if fencing is None:
             return
         outcome = await self._orders.order_role(
             instance, change.role, self._host, fencing, report.ok.sequence
@@ -190,8 +187,8 @@
             outcome=outcome.value,
         )
         if outcome == OrderOutcome.STALE:
-            self._refused.add(fencing)
-        elif outcome in PENDING_SECONDS:
+            self._lease.give_up(fencing)
+        if outcome in PENDING_SECONDS:
             self._count_as_done(change, PENDING_SECONDS[outcome])
         else:
             self._pass_over(change.host)
--- a/tests/authority/test_lease.py
+++ b/tests/authority/test_lease.py
@@ -21,6 +21,7 @@
     LeaseCore,
     LeaseTerms,
     LostLease,
+    Outdated,
     ReadFailed,
     ReadLease,
     Resign,
@@ -164,6 +165,13 @@
             restarted.core = core
             self.contenders[name] = restarted
 
+    @rule(name=st.sampled_from(NAMES))
+    def refuse_number(self, name: str) -> None:
+        contender = self.contenders[name]
+        if contender.holds(self.time):
+            contender.handle(Outdated(contender.core.fencing), self.time)
+            assert not contender.holds(self.time)
+
     @rule(
         name=st.sampled_from(NAMES),
         fate=st.sampled_from([SERVED, REPLY_LOST, LATE, REFUSED]),
@@ -336,3 +344,41 @@
     first.serve(SERVED, 9.7)
     first.deliver(9.7)
     assert first.gained == [1, 2]
+
+
+def test_number_that_was_refused_is_replaced_by_a_new_one(contend) -> None:
+    first = contend("a")
+    first.step(0.0)
+    first.handle(Outdated(1), 1.0)
+    assert first.lost == ["fencing number out of date"]
+    assert not first.holds(1.0)
+    first.step(1.0)
+    assert first.gained == [1, 2]
+    first.handle(Outdated(1), 2.0)
+    assert first.holds(2.0)
+
+
+# Two holders order one engine in turns: the one whose number was refused has written
+# that it let the lease go, and another one takes it at once.
+def test_no_other_one_takes_over_at_once_when_a_number_is_refused(contend) -> None:
+    first, second = contend("a"), contend("c")
+    first.step(0.0)
+    second.step(0.0)
+    first.handle(Outdated(1), 1.0)
+    run_until(second, 1.0, 10.0)
+    assert not second.holds(10.0)
+    run_until(second, 10.5, 13.0)
+    assert second.holds(13.0)
+
+
+# The number was refused because another one has taken the lease over: nothing is
+# ordered until that one's time has passed.
+def test_refused_holder_waits_where_another_one_has_taken_over(contend) -> None:
+    first, second = contend("a"), contend("c")
+    first.step(0.0)
+    run_until(second, 0.0, 13.0)
+    assert second.holds(13.0)
+    first.core.handle(Outdated(1), first.read_clock(13.0))
+    first.step(13.5)
+    assert not first.holds(13.5)
+    assert second.holds(13.5)
--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -47,6 +47,10 @@
     def fencing(self) -> int | None:
         return self.numbers.pop(0) if len(self.numbers) > 1 else self.numbers[0]
 
+    def give_up(self, fencing: int) -> None:
+        assert self.numbers == [fencing]
+        self.numbers = [None]
+
 
 class FakeOrders:
     """Answer orders as told, and keep them."""
