Show that gateways in a mesh miss for good what they missed once

Cause: in the mesh only changes are told. What was forgotten or not taken (the gateways have just become few enough for the mesh, or an engine is not listed here yet) is not told again until the engine's work at that gateway changes.

--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -35,6 +35,12 @@
         for gateway in self.gateways.values():
             gateway.loads.forget(name)
 
+    def unlist(self, name: str) -> None:
+        """Let a gateway go for good."""
+        self.remove(name)
+        for gateway in self.gateways.values():
+            gateway.loads.set_names(list(self.gateways))
+
     def play(self, now: float) -> None:
         """Let each gateway have two rounds, and two more once all is told again."""
         later = now + REFRESH_SECONDS
@@ -129,6 +135,36 @@
     assert counts == {MESH_GATEWAYS}
 
 
+# Engines get too much work: the gateways become few enough to tell each other directly.
+# Each forgets what the collecting one told, and takes no word of those that have not
+# changed over yet; of what had been open before, nothing is told again.
+def test_all_work_counts_when_none_collects_any_more() -> None:
+    net = Net(MESH_GATEWAYS + 1)
+    for number, gateway in enumerate(net.gateways.values()):
+        gateway.begin(number)
+    net.play(0.0)
+    net.unlist(next(reversed(net.gateways)))
+    net.play(4.0)
+    assert [gateway.count() for gateway in net.gateways.values()] == (
+        [MESH_GATEWAYS] * MESH_GATEWAYS
+    )
+
+
+# An engine that has just come gets too much work: one gateway hears of it later than
+# the others, and what they have open there is told to it before it knows the engine.
+@pytest.mark.parametrize("count", [2, MANY])
+def test_work_at_an_engine_that_is_not_listed_yet_is_counted_later(count: int) -> None:
+    net = Net(count)
+    last = net.gateways[f"g-{count - 1}"]
+    last.placement.forget(ENGINE.host)
+    net.gateways["g-0"].begin(0)
+    net.play(0.0)
+    assert last.count() == 0
+    last.placement.set_instance(ENGINE)
+    net.play(4.0)
+    assert last.count() == 1
+
+
 def test_demand_of_all_counts_where_one_collects() -> None:
     net = Net(MANY)
     net.play(0.0)
