Show that the count of left-out log lines waits for the next line

Cause: what waits for the log's reader is written as the next line comes, and the count of what was left out is put before that line. Where no line comes neither is seen.

Ruled out: a flush that leaves lines behind; it writes all that the reader takes, but nobody calls it, and it does not give the count.

Figures: of 2 MB of lines to a reader that stood still the last line that it gets is one of the kept ones, not the count.

--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -115,3 +115,19 @@
     writer, reader, _ = make_writer()
     os.close(reader)
     writer({"message_type": "a"})
+
+
+# On-call sees a log that ends minutes ago: its reader stood still for a while, and what
+# waited for it, and the count of what was left out, wait on for the next line. Where
+# little happens that is a long time.
+def test_reader_that_goes_on_gets_all_without_another_line() -> None:
+    writer, reader, _ = make_writer()
+    text = "x" * 1000
+    lines = 2 * MAX_BUFFER_BYTES // len(text)
+    for number in range(lines):
+        writer({"message_type": "process:state", "number": number, "text": text})
+    taken = read_lines(reader)
+    while batch := (writer.flush(), read_lines(reader))[1]:
+        taken += batch
+    assert taken[-1]["message_type"] == "log:left_out"
+    assert len(taken) - 1 + taken[-1]["lines"] == lines
