Flush the log once a second, with the count of what was left out

Cause: what waits for the log's reader was written only as the next line came, and the count of what was left out only before it.

Ruled out: waking as the descriptor can be written to; the loop can't watch one that is a file, and a timer is as good where seconds don't matter.

Change: the process's work runs beside a timer that writes what the reader takes and then the count, never waiting for it; once more as the work ends. A descriptor that is closed is taken as a reader that is gone, where it is asked as well. Lines that are cut for their number are counted within a second instead of before the next line.

The test of the timer came with the change.

--- a/radishtally/daemon.py
+++ b/radishtally/daemon.py
@@ -20,10 +20,10 @@
     if outcome.is_error():
         print(f"radishtallyd: {outcome.error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    start_logging(outcome.ok.host)
+    logs = start_logging(outcome.ok.host)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_make_daemon(outcome.ok).run())
+            runner.run(logs.run_beside(_make_daemon(outcome.ok).run()))
     except OSError as error:
         print(f"radishtallyd: {error}", file=sys.stderr)
         sys.exit(EXIT_ADDRESS)
--- a/radishtally/logs.py
+++ b/radishtally/logs.py
@@ -1,18 +1,22 @@
 """Write logs as JSON lines by eliot, bounded and without waiting for the reader."""
 
+import asyncio
 import os
 import select
 import sys
 import time
 from collections import deque
-from collections.abc import Callable
-from typing import Any, Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, TypeVar
 
 import eliot
 import msgspec
 
 MAX_BUFFER_BYTES: Final = 1024 * 1024
 """Lines that wait for the reader; what comes beyond them is left out and counted."""
+FLUSH_SECONDS: Final = 1.0
+"""Time between two looks for a reader that goes on; each costs one call of the system
+if nothing waits."""
 LINES_PER_SECOND: Final = 1_000.0
 """Lines of requests that are written in a lasting flood: ten times an entry's usual
 load, and some percent of a core."""
@@ -35,6 +39,7 @@
 """Level of a message that stands alone."""
 
 Clock = Callable[[], float]
+T = TypeVar("T")
 
 
 class Allowance:
@@ -64,7 +69,8 @@
 
     A reader that has stopped leaves the pipe full, and a blocking write would stop the
     loop: every request would wait for the log. Lines wait in a bounded buffer instead,
-    and are counted when it is full; the count is written when there is room again.
+    and are counted when it is full; the count is written when there is room again. Both
+    are looked at on a timer too: the next line may be long in coming.
     """
 
     def __init__(self, descriptor: int, clock: Clock = time.monotonic) -> None:
@@ -84,15 +90,36 @@
             self._add(_encode(message))
         else:
             self._left_out += 1
-        self.flush()
+        self._write_waiting()
+
+    async def run_beside(self, work: Coroutine[Any, Any, T]) -> T:
+        """Do a process's work, and flush all the while."""
+        flushing = asyncio.create_task(self._flush_for_good())
+        try:
+            return await work
+        finally:
+            flushing.cancel()
+            self.flush()
 
     def flush(self) -> None:
-        """Write what the reader takes now."""
-        while self._waiting and self._is_writable():
+        """Write what the reader takes now, and how much was left out."""
+        self._write_waiting()
+        self._say_left_out()
+        self._write_waiting()
+
+    async def _flush_for_good(self) -> None:
+        while True:
+            await asyncio.sleep(FLUSH_SECONDS)
+            self.flush()
+
+    def _write_waiting(self) -> None:
+        while self._waiting:
             line = self._waiting[0]
             # A pipe that is writable has room for this many bytes at least, so the
             # write does not wait though the descriptor is a blocking one.
             try:
+                if not self._is_writable():
+                    return
                 written = os.write(self._descriptor, line[: select.PIPE_BUF])
             except OSError:
                 # Nobody reads any more, and there is nowhere else to say so.
@@ -110,12 +137,16 @@
         if self._waiting_bytes + len(line) > MAX_BUFFER_BYTES:
             self._left_out += 1
             return
-        if self._left_out:
-            said = {"message_type": "log:left_out", "lines": self._left_out}
-            self._left_out = 0
-            self._push(_encode(said))
+        self._say_left_out()
         self._push(line)
 
+    def _say_left_out(self) -> None:
+        if not self._left_out or self._waiting_bytes >= MAX_BUFFER_BYTES:
+            return
+        said = {"message_type": "log:left_out", "lines": self._left_out}
+        self._left_out = 0
+        self._push(_encode(said))
+
     def _push(self, line: bytes) -> None:
         self._waiting.append(line)
         self._waiting_bytes += len(line)
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -1,8 +1,12 @@
 """Tests of writing logs without waiting for their reader."""
 
+import asyncio
 import json
 import os
 
+import pytest
+
+from radishtally import logs
 from radishtally.logs import (
     BURST_LINES,
     BURST_REFUSALS,
@@ -10,6 +14,7 @@
     MAX_BUFFER_BYTES,
     LogWriter,
 )
+from tests.common import run
 
 
 class Clock:
@@ -131,3 +136,21 @@
         taken += batch
     assert taken[-1]["message_type"] == "log:left_out"
     assert len(taken) - 1 + taken[-1]["lines"] == lines
+
+
+# The same of a process: while it works, and logs nothing, its reader goes on.
+def test_process_flushes_beside_its_work(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(logs, "FLUSH_SECONDS", 0.01)
+    writer, reader, _ = make_writer()
+    text = "x" * 1000
+    for number in range(2 * MAX_BUFFER_BYTES // len(text)):
+        writer({"message_type": "process:state", "number": number, "text": text})
+
+    async def read_all() -> str:
+        while True:
+            await asyncio.sleep(0.01)
+            for line in read_lines(reader):
+                if line["message_type"] == "log:left_out":
+                    return "read"
+
+    assert run(writer.run_beside(read_all())) == "read"
