Show three more waits with a single way out

Cause, of each: an audit entry that the table refuses stays first in line, and only the table's taking it would let the next ones by. A plan that was read for a lease that was lost is taken though the next lease was won meanwhile; a plan written under the number of then is never taken for written, and none is made beside it until the lease is lost. A write of the gateways' secret that is turned away is repeated at once, without end.

Ruled out, by reading: configuration/store.py and authority/plans.py (each try has an end and starts from what is read), limits/queue.py and limits/breaker.py (an open breaker and a lost probe end by time), the planner's changes that nobody confirms (given up after the drain and 60 s), the links (each is checked by a timer that is set anew).

--- a/tests/audit/test_audit.py
+++ b/tests/audit/test_audit.py
@@ -8,7 +8,8 @@
 from radishtally.audit import store
 from radishtally.audit.core import make_audit_put, read_entry
 from radishtally.audit.store import AuditLog
-from radishtally.store.core import Row
+from radishtally.outcome import Error, Result
+from radishtally.store.core import Invalid, Row, TableError, Write
 from tests.common import MemoryTable, run
 
 POLL_SECONDS = 0.005
@@ -114,3 +115,32 @@
         assert len(table.rows.rows) == 1 - dropped
 
     run(play())
+
+
+class StrictTable(MemoryTable):
+    """Refuse what says too much, as a table does with rows over its bound."""
+
+    async def transact(
+        self, writes: list[Write], write_id: str
+    ) -> Result[None, TableError]:
+        if any(write.value["subject"] == "too long" for write in writes):
+            return Error(Invalid("row too large"))
+        return await super().transact(writes, write_id)
+
+
+# Nothing that is done gets into the audit trail any more, by anybody at this process:
+# the table refuses one entry for good, and all others wait behind it.
+def test_entry_that_the_table_refuses_holds_up_no_others() -> None:
+    table = StrictTable()
+    log = AuditLog(table, lambda: 1000)
+
+    async def play() -> None:
+        for subject in ("h1", "too long", "h2", "h3"):
+            record(log, subject)
+        for _ in range(10):
+            await log.write_group()
+        assert await read_subjects(log, 9, newest_first=False) == ["h1", "h2", "h3"]
+        assert log.waiting == 0
+        assert log.dropped == 1
+
+    run(play())
--- /dev/null
+++ b/tests/entry/test_planning.py
@@ -0,0 +1,68 @@
+"""Tests of planning for a place while its lease comes and goes."""
+
+import asyncio
+
+from radishtally.authority.plan import Plan
+from radishtally.entry.planning import Parts, PlacePlanning
+from radishtally.outcome import Ok, Result
+from tests.common import run
+
+PLACE = "howrah"
+
+
+class SlowPlans:
+    """Answer each question for the plan when told to."""
+
+    def __init__(self) -> None:
+        self.asked: list[asyncio.Future] = []
+
+    async def read_plan(self, place: str) -> Result[Plan | None, object]:
+        self.asked.append(asyncio.get_running_loop().create_future())
+        return Ok(await self.asked[-1])
+
+
+class FakeLease:
+    """Be held under a number."""
+
+    fencing = 1
+
+
+class FakeAudit:
+    """Take entries."""
+
+    def record(self, *_: object) -> None:
+        pass
+
+
+async def turn() -> None:
+    """Let what is ready run."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+# No engine changes its role any more, for as long as the lease is held: it was lost and
+# won again while the plan was being read, and the first answer came last. Planned under
+# the number of then, a plan counts as not written, and none is made beside it.
+def test_answer_for_a_lease_that_was_lost_is_not_taken() -> None:
+    async def play() -> None:
+        plans = SlowPlans()
+        planning = PlacePlanning(
+            PLACE,
+            Parts("e", "e-1", None, plans, FakeAudit(), None, asyncio.create_task),
+        )
+        planning._lease = lease = FakeLease()
+        planning._gained(1)
+        await turn()
+        planning._lost("not renewed in time")
+        lease.fencing = 2
+        planning._gained(2)
+        await turn()
+        first, second = plans.asked
+        second.set_result(None)
+        await turn()
+        assert planning._planner.fencing == 2
+        first.set_result(None)
+        await turn()
+        assert planning._planner.fencing == 2
+
+    run(play())
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -6,9 +6,10 @@
 
 from radishtally.gateway import peers
 from radishtally.gateway.daemon import Gateway, find_retry_floor
-from radishtally.gateway.peers import GATEWAYS
-from radishtally.store.core import ABSENT, Delete, Key, Put
-from tests.common import run
+from radishtally.gateway.peers import GATEWAYS, Peers
+from radishtally.outcome import Error, Result
+from radishtally.store.core import ABSENT, Delete, Key, Put, Unavailable
+from tests.common import MemoryTable, run
 from tests.gateway.common import Deployment, deployment, run_gateway, wait_until
 from tests.gateway.test_calls import Desk, answer_whole, ask
 from tests.gateway.test_streams import start_engines, stream
@@ -113,3 +114,30 @@
             assert (await table.get(key)).ok.value == row.value
 
     run(play())
+
+
+# The store gets calls without end from a gateway that is starting, just as it turns
+# writes away for its load: the secret is not there yet, and can't be written.
+def test_store_that_turns_writes_away_is_asked_again_after_a_while(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    class Busy(MemoryTable):
+        calls = 0
+
+        async def transact(self, *_: object) -> Result:
+            self.calls += 1
+            await asyncio.sleep(0)
+            return Error(Unavailable("too many calls"))
+
+    class Alone:
+        table = Busy()
+
+    async def play() -> None:
+        monkeypatch.setattr(peers, "JOIN_SECONDS", 1000.0)
+        finding = asyncio.create_task(Peers(Alone(), "g", "a", "")._find_secret())
+        for _ in range(50):
+            await asyncio.sleep(0)
+        finding.cancel()
+        assert Alone.table.calls == 1
+
+    run(play())
