End three waits that had a single way out

Ruled out: dropping a refused group whole; 49 good entries would go with a bad one. Comparing numbers when the plan is written instead of when it is read; the planner would still go by the older number.

Change: a group that the audit table refuses is tried entry by entry, and the refused one is logged, counted and dropped. The lease is looked at again after the plan was read. A gateway waits a second after its secret was turned away, as it does elsewhere.

--- a/radishtally/audit/store.py
+++ b/radishtally/audit/store.py
@@ -11,7 +11,7 @@
 
 from radishtally.audit.core import AUDIT, AuditEntry, make_audit_put, read_entry
 from radishtally.outcome import Ok, Result
-from radishtally.store.core import Put, ReadError, Row, Table
+from radishtally.store.core import Invalid, Put, ReadError, Row, Table
 
 BUFFERED_ENTRIES: Final = 1000
 GROUP_ENTRIES: Final = 50
@@ -33,6 +33,7 @@
         self._clock_ms = clock_ms
         self._numbers = itertools.count()
         self._buffer: deque[Put] = deque()
+        self._group_entries = GROUP_ENTRIES
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self.dropped = 0
@@ -77,19 +78,37 @@
         self._wake.set()
 
     async def write_group(self) -> bool:
-        """Write the oldest buffered entries; tell whether they are in the table."""
-        group = list(itertools.islice(self._buffer, GROUP_ENTRIES))
+        """Write the oldest buffered entries; tell whether it is worth going on."""
+        group = list(itertools.islice(self._buffer, self._group_entries))
         if not group:
             return True
         # A lost reply leaves rows that may stand. Their keys are unique and carry no
         # condition, so writing them again changes nothing and adds none twice.
         result = await self._table.transact(list(group), group[0].key.sk)
         if result.is_error():
-            return False
+            if not isinstance(result.error, Invalid):
+                return False
+            self._take_refusal(group, result.error)
+            return True
         for _ in group:
             self._buffer.popleft()
+        if not self._buffer:
+            self._group_entries = GROUP_ENTRIES
         return True
 
+    def _take_refusal(self, group: list[Put], refusal: Invalid) -> None:
+        """Drop the entry that the table will never take, once it is found.
+
+        Tried again it would hold up all that come behind it, until they find no room.
+        """
+        if len(group) > 1:
+            self._group_entries = 1
+            return
+        put = self._buffer.popleft()
+        self._group_entries = GROUP_ENTRIES
+        eliot.log_message("audit:refused", key=put.key.sk, reason=refusal.message)
+        self._count_dropped(1)
+
     async def read(
         self, limit: int, subject: str | None = None, newest_first: bool = True
     ) -> Result[list[AuditEntry], ReadError]:
--- a/radishtally/entry/planning.py
+++ b/radishtally/entry/planning.py
@@ -147,6 +147,11 @@
         """Read the plan as it stands before anything is planned on top of it."""
         while self._lease.fencing == fencing:
             read = await self._parts.plans.read_plan(self._place)
+            # The answer may take longer than the lease lasts. Taken all the same, it
+            # would put the planner back to a number under which no plan that it writes
+            # counts as written, and it would wait for that as long as it holds.
+            if self._lease.fencing != fencing:
+                return
             if read.is_ok():
                 self._feed(planner.Gained(fencing, read.ok))
                 return
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -18,7 +18,16 @@
 from radishtally.outcome import Result
 from radishtally.runtime import Runtime
 from radishtally.stages.keeper import StageKeeper
-from radishtally.store.core import ABSENT, Delete, Key, Put, Row, Table, Write
+from radishtally.store.core import (
+    ABSENT,
+    Conflict,
+    Delete,
+    Key,
+    Put,
+    Row,
+    Table,
+    Write,
+)
 from radishtally.store.settle import transact_settled
 
 GATEWAYS: Final = "gateways"
@@ -99,7 +108,11 @@
                 return read.ok.value["secret"]
             if read.is_ok():
                 drawn = {"secret": secrets.token_hex(16)}
-                await self._write(Put(SECRET, drawn, ABSENT))
+                written = await self._write(Put(SECRET, drawn, ABSENT))
+                # Ours or another's stands now.
+                if written.is_ok() or isinstance(written.error, Conflict):
+                    continue
+                await self._wait_for_store(str(written.error))
                 continue
             await self._wait_for_store(str(read.error))
 
