Show that an engine's memory is taken from the first configuration only

Cause: how much an engine keeps is set as it is listed. Where the list is read before the configuration, what is assumed until then stays for as long as it is listed; and no later configuration changes it.

Ruled out: that the order is fixed; list and configuration are followed side by side.

--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -20,6 +20,7 @@
     KvRef,
     Work,
 )
+from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.routing.core import rank
 
 PLACES = ("howrah", "new-town")
@@ -186,3 +187,19 @@
         host.in_flight = 2
     world.hosts[3].in_flight = 0
     assert world.place(request).host == world.hosts[3].host
+
+
+# Prompts go to an engine for parts that it has long dropped, and are read there again:
+# the engine was listed before the first configuration was read, and its memory is taken
+# to be as large as was assumed until then, for as long as the engine is listed.
+def test_memory_is_as_configured_whatever_is_known_first() -> None:
+    world = World()
+    world.placement.configure([UpstreamTerms("llm", EngineTerms(8_000))])
+    home = next(host for host in world.hosts if host.host == HOME)
+    request = make_request()
+    world.placement.begin(request, home, 0.0)
+    cache = world.placement._engines[HOME].cache
+    assert cache.count("m", PARTS) == 0
+    world.placement.configure([UpstreamTerms("llm", EngineTerms(10_000))])
+    world.placement.begin(request, home, 0.0)
+    assert cache.count("m", PARTS) == 6_000
