Size what an engine keeps by the configuration in force

Ruled out: listing engines only once a configuration is there; they would be lost to the first requests after a start.

Change: each configuration sizes the memory of the engines that are listed; what is over it goes, the least recently used first.

Figures: of an engine that keeps 5,600 tokens no part counts of a prompt of 6,000; with 7,000 all of it does.

--- a/radishtally/engines/cache.py
+++ b/radishtally/engines/cache.py
@@ -21,9 +21,12 @@
         for key, tokens in chain_parts(model, parts):
             self._tokens += tokens - self._parts.pop(key, 0)
             self._parts[key] = tokens
-        while self._tokens > self._capacity and self._parts:
-            _, tokens = self._parts.popitem(last=False)
-            self._tokens -= tokens
+        self._drop_oldest()
+
+    def resize(self, capacity: int) -> None:
+        """Take how many tokens the engine keeps."""
+        self._capacity = capacity
+        self._drop_oldest()
 
     def count(self, model: str, parts: Sequence[PromptPart]) -> int:
         """Count the tokens of a prompt that need not be read again.
@@ -43,6 +46,11 @@
         self._parts.clear()
         self._tokens = 0
 
+    def _drop_oldest(self) -> None:
+        while self._tokens > self._capacity and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self._tokens -= tokens
+
 
 def chain_parts(model: str, parts: Sequence[PromptPart]) -> list[tuple[int, int]]:
     """Give each part's tokens under a hash of it and of all parts before it."""
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -87,6 +87,9 @@
         for upstream in upstreams:
             if upstream.engine is not None:
                 self._terms[upstream.name] = upstream.engine
+        # Engines may be listed before the configuration is read, and it changes.
+        for engine in self._engines.values():
+            engine.cache.resize(self._find_cache_size(engine.upstream))
 
     def set_instance(self, instance: Instance) -> None:
         """Take what a host is."""
@@ -96,11 +99,13 @@
         if known is not None:
             known.role = instance.role
             return
-        terms = self._terms.get(instance.upstream, START_TERMS)
-        capacity = terms.kv_tokens
-        cache = PromptCache(int(capacity * CACHE_SHARE))
+        cache = PromptCache(self._find_cache_size(instance.upstream))
         self._engines[instance.host] = EngineState(
-            instance.host, instance.data_centre, instance.role, cache
+            instance.host,
+            instance.data_centre,
+            instance.role,
+            cache,
+            instance.upstream,
         )
 
     def forget(self, host: str) -> None:
@@ -203,6 +208,11 @@
         engine.answers.discard(name)
         engine.end_reading(name, now, request.kv is not None)
 
+    def _find_cache_size(self, upstream: str) -> int:
+        """Find how many tokens of prompts an engine of an upstream keeps."""
+        terms = self._terms.get(upstream, START_TERMS)
+        return int(terms.kv_tokens * CACHE_SHARE)
+
 
 def _place_prompt(
     request: OpenRequest,
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -48,6 +48,7 @@
     data_centre: str
     role: str
     cache: PromptCache
+    upstream: str = ""
     rate: float = START_RATE
     readings: dict[str, int] = field(default_factory=dict)
     """Tokens that it has to read for requests of this entry."""
