Bring bounds that are read again into force

Ruled out: saying that a restart is needed; a gateway can go by new bounds at once. That a changed lease time lets two hold the lease: each row names the time that it grants.

Change: the share and the floor of retries and the lease's times are set as settings are read again; the looks at the lease are shared out anew, since they depend on its time.

--- a/radishtally/authority/holder.py
+++ b/radishtally/authority/holder.py
@@ -50,6 +50,7 @@
     ) -> None:
         self._table = table
         self._terms = terms or LeaseTerms()
+        self._contenders = 1
         core = LeaseCore(place, host, incarnation, self._terms)
         super().__init__(core, Tick(), clock)
         self._on_gained = on_gained
@@ -70,11 +71,17 @@
         Looks stay less than the lease's time apart. A row that was renewed in between
         would seem to have lapsed, and be written to in vain.
         """
+        self._contenders = contenders
         least = self._terms.read_every
         longest = max(least, self._terms.granted - self._terms.margin)
         wanted = least * contenders / READERS
         self._core.read_every = min(max(least, wanted), longest)
 
+    def set_terms(self, terms: LeaseTerms) -> None:
+        """Go by other times from the next write on; rows that stand name their own."""
+        self._terms = self._core.terms = terms
+        self.share_reads(self._contenders)
+
     def make_check(self) -> Check | None:
         """Form the check that binds a transaction to the lease as held now."""
         return self._core.make_check(self._clock())
--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -136,7 +136,7 @@
         self.key: Final = Key(LEASE, place)
         self._holder = holder
         self._incarnation = incarnation
-        self._terms = terms
+        self.terms = terms
         self.read_every = terms.read_every
         """Seconds between two looks at a lease that another one holds."""
         self._row: Row | None = None
@@ -208,7 +208,7 @@
             return self._adopt(event.write_id, now)
         if isinstance(event.outcome.error, Unavailable):
             del self._sent[event.write_id]
-            self._retry_at = now + self._terms.read_every
+            self._retry_at = now + self.terms.read_every
             return []
         if isinstance(event.outcome.error, Conflict):
             # The conflict may be with an earlier write of our own whose reply was
@@ -277,11 +277,11 @@
         # given up with the lease, and the next write takes a new one.
         if gained and fencing <= self._highest:
             return []
-        until = sent.sent_at + sent.value["granted"] - self._terms.margin
+        until = sent.sent_at + sent.value["granted"] - self.terms.margin
         if now >= until:
             return []
         self._highest = fencing
-        self._held = _Held(fencing, until, sent.sent_at + self._terms.renew_every)
+        self._held = _Held(fencing, until, sent.sent_at + self.terms.renew_every)
         return [Gained(fencing)] if gained else []
 
     def _proceed(self, now: float) -> list[Command]:
@@ -291,7 +291,7 @@
         if self._busy or self._resigned:
             return lapsed if self._held is None else [WakeAt(self._held.until)]
         if self._known and self._may_write(now):
-            write = self._write(self._next_fencing(), self._terms.granted, now)
+            write = self._write(self._next_fencing(), self.terms.granted, now)
             return [*lapsed, write]
         if now >= self._next_read():
             self._busy = True
@@ -313,7 +313,7 @@
         ours = self._row.value["incarnation"] == self._incarnation
         if ours or granted == RELEASED:
             return float("-inf")
-        return self._row_since + granted + self._terms.margin
+        return self._row_since + granted + self.terms.margin
 
     def _next_fencing(self) -> int:
         if self._held is not None:
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -76,6 +76,7 @@
         self.placement = placement
         self.replies = Replies()
         self.metrics = GatewayMetrics()
+        self._gateways = ASSUMED_GATEWAYS
         self.core = EntryCore(
             settings.host,
             settings.data_centre,
@@ -163,11 +164,19 @@
         fixed = msgspec.structs.replace(settings, bounds=bounds)
         log_message("settings:reloaded", needs_restart=fixed != self.settings)
         self.settings = msgspec.structs.replace(self.settings, bounds=settings.bounds)
+        self.lease.set_terms(make_lease_terms(settings.bounds))
+        self._share_retries()
 
     def count_gateways(self, count: int) -> None:
         """Take how many gateways share the retries, and the looks at the lease."""
+        self._gateways = count
         self.lease.share_reads(count)
-        self.core.budget.floor = find_retry_floor(self.settings.bounds, count)
+        self._share_retries()
+
+    def _share_retries(self) -> None:
+        bounds = self.settings.bounds
+        self.core.budget.ratio = bounds.retry_ratio * RETRY_PART
+        self.core.budget.floor = find_retry_floor(bounds, self._gateways)
 
     def render_metrics(self) -> bytes:
         """Give the figures of the metrics address."""
@@ -357,17 +366,20 @@
     return every_second * RETRY_PART / gateways
 
 
+def make_lease_terms(bounds: Bounds) -> LeaseTerms:
+    """Make the times of the lease under which engines are given their roles."""
+    granted = max(LEASE_SECONDS, LEASE_TURNS * bounds.lease_ms / 1000)
+    return LeaseTerms(granted, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
+
+
 def make_lease(gateway: Gateway) -> LeaseHolder:
     """Make the lease under which one gateway gives engines their roles."""
-    least = LEASE_TURNS * gateway.settings.bounds.lease_ms / 1000
-    granted = max(LEASE_SECONDS, least)
-    terms = LeaseTerms(granted, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
     return LeaseHolder(
         gateway.table,
         STAGES,
         gateway.settings.host,
         gateway.incarnation,
-        terms,
+        make_lease_terms(gateway.settings.bounds),
         on_gained=lambda fencing: log_message("lease:gained", fencing=fencing),
         on_lost=lambda cause: log_message("lease:lost", cause=cause),
         clock=read_boot_clock,
--- a/radishtally/limits/retries.py
+++ b/radishtally/limits/retries.py
@@ -21,7 +21,8 @@
     """
 
     def __init__(self, ratio: float, floor: float = 1.0) -> None:
-        self._ratio = ratio
+        self.ratio = ratio
+        """Retries that each request allows."""
         self.floor = floor
         """Retries a second that are allowed whatever comes in."""
         self._earned = 0.0
@@ -30,7 +31,7 @@
 
     def note_request(self) -> None:
         """Count a request that came in."""
-        self._earned = min(RESERVE_RETRIES, self._earned + self._ratio)
+        self._earned = min(RESERVE_RETRIES, self._earned + self.ratio)
 
     def spend(self, now: float) -> bool:
         """Take one retry from the budget, if there is one."""
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -31,6 +31,6 @@
             settings = msgspec.structs.replace(gateway.settings, bounds=bounds)
             gateway.take_settings(settings)
             assert before < RETRY_PART * REQUESTS <= count_retries(gateway)
-            assert gateway.lease._core._terms.granted >= 60.0
+            assert gateway.lease._core.terms.granted >= 60.0
 
     run(play())
