--- a/radishtally/limits/retries.py
+++ b/radishtally/limits/retries.py
@@ -24,7 +24,8 @@
     """
 
     def __init__(self, ratio: float, floor: float = 1.0) -> None:
-        self._ratio = ratio
+        self.ratio = ratio
+        """Retries that each request allows."""
         self.floor = floor
         """Retries a second that are allowed whatever comes in."""
         self._earned = 0.0
@@ -34,7 +35,7 @@
     def note_request(self, now: float) -> None:
         """Count a request that came in."""
         self._gather(now)
-        self._earned += self._ratio
+        self._earned += self.ratio
 
     def spend(self, now: float) -> bool:
         """Take one retry from the budget, if there is one."""
@@ -63,19 +64,17 @@
     """
 
     def __init__(self, ratio: float, floor: float = 1.0) -> None:
-        self._ratio = ratio
-        self._floor = floor
+        self.ratio = ratio
+        self.floor = floor
+        """Retries a second that each upstream is allowed whatever comes in."""
         self._budgets: dict[str, RetryBudget] = {}
 
-    @property
-    def floor(self) -> float:
-        """Give the retries a second that each upstream is allowed in any case."""
-        return self._floor
-
-    @floor.setter
-    def floor(self, floor: float) -> None:
-        self._floor = floor
+    def configure(self, ratio: float, floor: float) -> None:
+        """Take other terms, for the budgets that there are too."""
+        self.ratio = ratio
+        self.floor = floor
         for budget in self._budgets.values():
+            budget.ratio = ratio
             budget.floor = floor
 
     def note_request(self, upstream: str, now: float) -> None:
@@ -88,7 +87,7 @@
 
     def _find(self, upstream: str) -> RetryBudget:
         if upstream not in self._budgets:
-            self._budgets[upstream] = RetryBudget(self._ratio, self._floor)
+            self._budgets[upstream] = RetryBudget(self.ratio, self.floor)
         return self._budgets[upstream]
 
 
--- a/tests/entry/test_budgets.py
+++ b/tests/entry/test_budgets.py
@@ -20,5 +20,5 @@
     assert budgets.spend("small", 0.0)
     assert not budgets.spend("small", 0.0)
     assert budgets.spend("large", 0.0)
-    budgets.floor = 5.0
+    budgets.configure(0.0, 5.0)
     assert sum(budgets.spend("small", 1.0) for _ in range(10)) == 5
