Tell the starts of a host apart in one pure core

A host may start again under its name; today nothing tells its starts apart, and what was believed of the earlier one holds on.

Ruled out: taking the larger start for the newer one, as the host's clock may step back; taking the source that spoke last, as the list shows a new start with the next heartbeat only. So a start that has ended, of which eight are remembered for each host, never becomes the present one again, and any other one does at once, from an entry or from a report that was asked of the start that is known. A first start that is told is no restart, and deployments that tell none go on.

--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -13,7 +13,7 @@
     """Describe one start of an upstream's host."""
 
     host: str
-    """Name; new with every start."""
+    """Name; where starts are told apart, a host keeps it when it starts again."""
     upstream: str
     address: str
     """IP and port."""
@@ -22,6 +22,8 @@
     slots: int
     role: str = ""
     """PREFILL, DECODE or MIXED for an engine, empty for a plain service."""
+    started_ms: int = 0
+    """Unix milliseconds of the start; 0 where the deployment does not tell it."""
 
 
 class UpstreamCall(NamedTuple):
@@ -57,6 +59,8 @@
     """Orders that it has taken since its start."""
     is_busy: bool
     """Whether an order is being carried out."""
+    started_ms: int = 0
+    """Unix milliseconds of its start; 0 where the deployment does not tell it."""
 
 
 class OrderOutcome(StrEnum):
--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from radishtally.direct.core import Instance
+from radishtally.direct.core import EngineReport, Instance
+from radishtally.gateway.starts import Restart, Source, Starts
 
 LAPSE_SECONDS: Final = 1.5
 """Time for which an entry is kept that is missing just after the store's return. One
@@ -35,13 +36,14 @@
     host: str
 
 
-Change = Set | Forget | Miss | Return
+Change = Set | Forget | Miss | Return | Restart
 
 
 class Members:
     """Hold the hosts by the store's list, and those that the list may have lost."""
 
     def __init__(self) -> None:
+        self.starts = Starts()
         self._instances: dict[str, Instance] = {}
         self._missing: dict[str, float] = {}
         """Times at which hosts that the list lacks count as gone."""
@@ -63,14 +65,43 @@
         return changes
 
     def set(self, instance: Instance) -> list[Change]:
-        """Take one entry."""
-        returned: list[Change] = []
-        if self._missing.pop(instance.host, None) is not None:
-            returned = [Return(instance.host)]
-        if self._instances.get(instance.host) == instance:
-            return returned
-        self._instances[instance.host] = instance
-        return [*returned, Set(instance)]
+        """Take one entry; one of a start that has ended says nothing."""
+        host = instance.host
+        if self.starts.is_ended(host, instance.started_ms):
+            return []
+        changes: list[Change] = []
+        if self._missing.pop(host, None) is not None:
+            changes.append(Return(host))
+        return changes + self._take(instance, Source.LISTED)
+
+    def take_report(self, asked: Instance, report: EngineReport) -> list[Change]:
+        """Take what an engine said when asked, which may be newer than its entry.
+
+        Where the list has shown another start since, the report tells nothing of that
+        one: by then another host may have answered at the earlier one's address.
+        """
+        known = self._instances.get(asked.host)
+        if known is None or known.started_ms != asked.started_ms:
+            return []
+        if self.starts.is_ended(asked.host, report.started_ms):
+            return []
+        if not report.started_ms or report.started_ms == known.started_ms:
+            return []
+        shown = known._replace(started_ms=report.started_ms)
+        if known.started_ms:
+            # That the earlier start was draining does not hold for this one.
+            shown = shown._replace(role=report.role, is_draining=False)
+        return self._take(shown, Source.REPORTED)
+
+    def _take(self, instance: Instance, source: Source) -> list[Change]:
+        host = instance.host
+        restart = self.starts.note(host, instance.started_ms, source)
+        changes: list[Change] = [] if restart is None else [restart]
+        instance = instance._replace(started_ms=self.starts.get(host))
+        if self._instances.get(host) == instance:
+            return changes
+        self._instances[host] = instance
+        return [*changes, Set(instance)]
 
     def remove(self, host: str, now: float, after_outage: bool) -> list[Change]:
         """Take that an entry is gone.
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -85,6 +85,26 @@
     assert instance == Instance("i-1", "x", "10.0.0.1:80", "howrah", True, 6, PREFILL)
 
 
+# A host that started again is taken for its earlier start, or a fleet whose hosts tell
+# no start is not read at all.
+def test_start_is_read_from_entries_and_reports() -> None:
+    entry = {"service": "x", "address": "10.0.0.1:80", "zone": "howrah"}
+    for more, started_ms in (({}, 0), ({"born": 1_790_000_000_123}, 1_790_000_000_123)):
+        instance = decode_instance("i-1", json.dumps({**entry, **more}).encode()).ok
+        assert instance.started_ms == started_ms
+        said = json.dumps({"phase": "decode", "sequence": 2, **more}).encode()
+        report = PlatformUpstreams().read_report(said).ok
+        assert (report.sequence, report.started_ms) == (2, started_ms)
+
+
+@pytest.mark.parametrize("born", ["1790000000123", 1.5, None, True, [1]])
+def test_start_of_another_type_is_unreadable(born: object) -> None:
+    entry = {"service": "x", "address": "10.0.0.1:80", "zone": "howrah", "born": born}
+    assert decode_instance("i-1", json.dumps(entry).encode()).is_error()
+    said = json.dumps({"phase": "decode", "born": born}).encode()
+    assert PlatformUpstreams().read_report(said).is_error()
+
+
 def test_prompt_of_a_caller_is_read() -> None:
     head = (
         *HEAD,
--- /dev/null
+++ b/tests/gateway/test_starts_machine.py
@@ -0,0 +1,192 @@
+"""Drive one host through restarts, with a list and reports that lag behind it.
+
+What is wrong shows as a host that is taken for its earlier start again, that drains
+though only an earlier start said so, or that gets an order meant for another start.
+"""
+
+from dataclasses import dataclass, replace
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from radishtally.direct.core import EngineReport, Instance
+from radishtally.gateway.members import LAPSE_SECONDS, Change, Members
+from radishtally.gateway.starts import Restart, is_same_start
+from radishtally.links.messages import DECODE
+
+HOST = "a"
+
+
+@dataclass(frozen=True)
+class Start:
+    """Hold one start of the host as it is."""
+
+    number: int
+    started_ms: int
+    address: str
+    is_draining: bool = False
+
+    def make_entry(self) -> Instance:
+        """Make what its heartbeat writes."""
+        return Instance(
+            HOST,
+            "llm",
+            self.address,
+            "howrah",
+            self.is_draining,
+            6,
+            DECODE,
+            self.started_ms,
+        )
+
+    def make_report(self) -> EngineReport:
+        """Make what it says when asked."""
+        return EngineReport(DECODE, 0, False, self.started_ms)
+
+
+class StartsMachine(RuleBasedStateMachine):
+    """Let the list and reports lag in any way, and look at what is believed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.members = Members()
+        self.starts: list[Start] = []
+        self.drained: set[int] = set()
+        """Starts that have said that they drain."""
+        self.row: Instance | None = None
+        self.feed: list[Instance | None] = []
+        """Changes of the list that have not come yet."""
+        self.reports: list[tuple[Instance, EngineReport]] = []
+        self.believed = -1
+        """Number of the start that was last believed to be the present one."""
+
+    @initialize(started_ms=st.integers(1, 6))
+    def begin(self, started_ms: int) -> None:
+        self.starts = [Start(0, started_ms, "a:0")]
+        self.beat()
+
+    @property
+    def present(self) -> Start:
+        return self.starts[-1]
+
+    @property
+    def known(self) -> Instance | None:
+        return next(iter(self.members), None)
+
+    def find(self, started_ms: int) -> Start:
+        return next(s for s in self.starts if s.started_ms == started_ms)
+
+    def take(self, changes: list[Change]) -> None:
+        """Follow changes: each new start is told once, with what it follows."""
+        for change in changes:
+            if not isinstance(change, Restart):
+                continue
+            assert change.before == self.starts[self.believed].started_ms
+            number = self.find(change.after).number
+            assert number > self.believed
+            self.believed = number
+        if self.known is not None and self.believed < 0:
+            self.believed = self.find(self.known.started_ms).number
+
+    @rule(started_ms=st.integers(1, 60), moves=st.booleans())
+    def restart(self, started_ms: int, moves: bool) -> None:
+        if any(start.started_ms == started_ms for start in self.starts):
+            return
+        # More starts than are remembered in the time of one late message are no case.
+        if len(self.starts) > 6:
+            return
+        number = len(self.starts)
+        address = f"a:{number}" if moves else self.present.address
+        self.starts.append(Start(number, started_ms, address))
+
+    @rule()
+    def drain(self) -> None:
+        self.starts[-1] = replace(self.present, is_draining=True)
+        self.drained.add(self.present.started_ms)
+
+    @rule()
+    def beat(self) -> None:
+        self.row = self.present.make_entry()
+        self.feed.append(self.row)
+
+    @rule()
+    def lapse(self) -> None:
+        self.row = None
+        self.feed.append(None)
+
+    @precondition(lambda self: self.feed)
+    @rule(after_outage=st.booleans())
+    def read_change(self, after_outage: bool) -> None:
+        entry = self.feed.pop(0)
+        if entry is None:
+            self.take(self.members.remove(HOST, self.now, after_outage))
+        else:
+            self.take(self.members.set(entry))
+
+    @rule(after_outage=st.booleans())
+    def read_whole_list(self, after_outage: bool) -> None:
+        self.feed.clear()
+        rows = [] if self.row is None else [self.row]
+        self.take(self.members.replace(rows, self.now, after_outage))
+
+    @rule(seconds=st.sampled_from([0.5, LAPSE_SECONDS]))
+    def expire(self, seconds: float) -> None:
+        self.now += seconds
+        self.take(self.members.expire(self.now))
+
+    @precondition(lambda self: self.known is not None)
+    @rule()
+    def ask(self) -> None:
+        if self.known.address == self.present.address:
+            self.reports.append((self.known, self.present.make_report()))
+
+    @precondition(lambda self: self.reports)
+    @rule(data=st.data())
+    def hear_report(self, data: st.DataObject) -> None:
+        index = data.draw(st.integers(0, len(self.reports) - 1))
+        asked, report = self.reports.pop(index)
+        self.take(self.members.take_report(asked, report))
+        if self.known is None or not is_same_start(
+            self.known.started_ms, asked.started_ms
+        ):
+            return
+        if is_same_start(report.started_ms, asked.started_ms):
+            self.give_order(asked, report)
+
+    def give_order(self, asked: Instance, report: EngineReport) -> None:
+        """Look at an order that is given: its count is that of the start it is for."""
+        assert asked.started_ms == report.started_ms == self.known.started_ms
+        assert self.find(report.started_ms).number == self.believed
+
+    @invariant()
+    def start_never_goes_back(self) -> None:
+        if self.known is not None:
+            assert self.find(self.known.started_ms).number == self.believed
+
+    @invariant()
+    def drain_is_the_starts_own(self) -> None:
+        if self.known is not None and self.known.is_draining:
+            assert self.known.started_ms in self.drained
+
+    @invariant()
+    def reading_all_shows_the_present_start(self) -> None:
+        """Let a copy catch up, as the host goes on and the list is read."""
+        if not self.starts:
+            return
+        copy = Members()
+        copy.starts._hosts = self.members.starts._hosts.copy()
+        copy._instances = dict(self.members._instances)
+        copy.replace([self.present.make_entry()], self.now, False)
+        assert list(copy) == [self.present.make_entry()]
+
+
+StartsMachine.TestCase.settings = settings(max_examples=300, stateful_step_count=30)
+TestStarts = StartsMachine.TestCase
