Let nothing of a host's earlier start hold for the new one

Cause: the gateway knew a host by its name alone. After a restart under the name, what was open there was waited for until its deadline when nobody closed the connections; cache, rate, open work, breaker and refusals of the earlier start were believed of the new one; and a waiting request went on with a handle that the new start may have given for another prompt.

Change: a Restart makes the gateway forget the engine's placement state, breaker, refusals and the KV caches that requests hold there; the entry core's LinkUp with another incarnation then loses what is open by the usual rules, and the attempts' connections are closed. A prompt's computation alone counts as not run, as it does when its connection breaks. A new start counts as not tried. The stand-in engine learns to start again under its id without closing what is open.

Ruled out: a start in KvRef. All references to a restarted host's handles are dropped at once, and a late Handover belongs to an attempt that was given up, so it would be read by nobody and would change Offer and Handover on the wire. Also ruled out: cancelling offers under way at another engine that have named such a handle; most are begun already, and each would cost an attempt.

--- a/radishtally/entry/attempts.py
+++ b/radishtally/entry/attempts.py
@@ -102,7 +102,8 @@
         _pass_over(host, message.reason, core, now)
     if request.kv is not None and request.tried:
         # A second host can't have it either: the fault lies with the KV cache.
-        yield from _give_up_kv(request)
+        yield DropKv(request.kv)
+        request.give_up_kv()
     if message.reason == KEY_REUSED:
         text = "the idempotency key was used with another request"
         yield from refuse(request, 422, const.CODE_KEY_REUSED, text, None, core)
@@ -266,15 +267,6 @@
         known.breaker.failed(now)
 
 
-def _give_up_kv(request: OpenRequest) -> Iterator[Command]:
-    """Go on without a KV cache: it is gone, or could not be fetched in time."""
-    yield DropKv(request.kv)
-    request.kv = None
-    request.kv_lost = True
-    request.next_stage = WHOLE
-    request.tried.clear()
-
-
 def _move(request: OpenRequest, host: str, patience: float) -> None:
     """Take note that a planned change moves the request: it is not cut for that."""
     request.tried = {host}
--- a/radishtally/entry/core.py
+++ b/radishtally/entry/core.py
@@ -31,6 +31,8 @@
 )
 from radishtally.entry.state import EntryCore
 from radishtally.links.messages import (
+    PREFILL,
+    RESTARTED,
     Attach,
     Cancel,
     Finished,
@@ -117,7 +119,9 @@
     for request in [r for r in core.requests.values() if r.host == host]:
         name = request.work.request, request.attempt
         if request.incarnation != incarnation:
-            yield from lose(request, Ran.UNKNOWN, "agent restarted", core, now)
+            prompt_only = request.stage == PREFILL and not core.prompts_run
+            ran = Ran.NO if prompt_only else Ran.UNKNOWN
+            yield from lose(request, ran, RESTARTED, core, now)
         elif request.phase == WITHDRAWING:
             yield Send(host, Cancel(*name))
         else:
--- a/radishtally/entry/hosts.py
+++ b/radishtally/entry/hosts.py
@@ -32,6 +32,13 @@
         self.load_at = now
         self.reported_in_flight = self.in_flight
 
+    def restart(self) -> None:
+        """Forget what held for the host's earlier start."""
+        self.load = None
+        self.reported_in_flight = 0
+        self.refusals = 0
+        self.breaker = Breaker()
+
     def describe(self, now: float) -> Candidate:
         """Describe the host to the routing."""
         return Candidate(
--- a/radishtally/entry/offers.py
+++ b/radishtally/entry/offers.py
@@ -13,6 +13,7 @@
     CALL,
     DECODE,
     NOT_KNOWN,
+    RESTARTED,
     STREAM,
     UNREACHED,
     WHOLE,
@@ -70,8 +71,8 @@
     """Go on after an attempt has failed: elsewhere, or with a refusal."""
     text = f"attempt {request.attempt} at {request.host} lost: {reason}, ran {ran}"
     yield Note(request.work.request, text)
-    # A host that the offer never reached has refused nothing.
-    if request.host is not None and reason != NOT_KNOWN:
+    # A host that the offer never reached, or a new start of one, has refused nothing.
+    if request.host is not None and reason not in (NOT_KNOWN, RESTARTED):
         request.tried.add(request.host)
     core.leave_host(request)
     # What surely did not run has cost no upstream anything. It is routed anew like a
--- a/radishtally/entry/requests.py
+++ b/radishtally/entry/requests.py
@@ -84,6 +84,13 @@
         """Tell whether a part of an answer is there that can be gone on from."""
         return bool(self.received) and self.work.kind != CALL
 
+    def give_up_kv(self) -> None:
+        """Go on without a KV cache: it is gone, or could not be fetched in time."""
+        self.kv = None
+        self.kv_lost = True
+        self.next_stage = WHOLE
+        self.tried.clear()
+
     def append(self, offset: int, data: bytes, tokens: int) -> bytes | None:
         """Add a chunk; give what of it is new, or nothing if a part is missing.
 
--- a/radishtally/entry/state.py
+++ b/radishtally/entry/state.py
@@ -24,6 +24,9 @@
     """Longest time that a host may leave an offer without a word."""
     refusals_cost: bool = False
     """Whether an offer that follows a refused one is paid from the budget too."""
+    prompts_run: bool = True
+    """Whether work has begun to run when its prompt is computed: agents make the first
+    token with it."""
     hosts: dict[str, KnownHost] = field(default_factory=dict)
     pools: dict[str, dict[str, KnownHost]] = field(default_factory=dict)
     """The same hosts by upstream, so that a choice looks at one pool only."""
@@ -73,6 +76,29 @@
         known.live = live
         known.gone = False
 
+    def restart_host(self, host: str) -> None:
+        """Forget what held for a host's earlier start, but for what is open there.
+
+        That is lost when a link to the new start is up.
+        """
+        known = self.hosts.get(host)
+        if known is not None:
+            known.restart()
+        for request in self.requests.values():
+            request.tried.discard(host)
+            # The new start may have given the same handle for another prompt. It can't
+            # be asked to free what it does not hold.
+            if request.kv is not None and request.kv.host == host:
+                request.give_up_kv()
+
+    def list_outdated(self, host: str, incarnation: str) -> list[OpenRequest]:
+        """List the requests that are open at another start of a host."""
+        return [
+            request
+            for request in self.requests.values()
+            if request.host == host and request.incarnation != incarnation
+        ]
+
     def forget_host(self, host: str) -> None:
         """Forget a host that is gone, once no work is open there."""
         known = self.hosts.get(host)
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -47,6 +47,7 @@
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import STOPPING, Routed, Router
+from radishtally.gateway.starts import Restart
 from radishtally.limits.retries import RetryBudget
 from radishtally.links.messages import Cancel, Hello, Message, Offer
 from radishtally.outcome import Error, Refusal, Result
@@ -89,6 +90,7 @@
             # may take as long as its queue: only the deadline bounds it.
             offer_seconds=float("inf"),
             refusals_cost=True,
+            prompts_run=False,
         )
         self.hosts = DirectHosts(upstreams, self.runtime.guard_call(self._receive))
         self.front = Front(self, callers)
@@ -202,6 +204,8 @@
                     )
                 case Return(host):
                     log_message("upstream:returned", upstream_host=host)
+                case Restart(host):
+                    self._restart(change)
                 case Forget(host):
                     log_message("upstream:gone", upstream_host=host)
                     self.hosts.forget(host)
@@ -226,8 +230,30 @@
         live = not instance.is_draining
         self.core.set_host(host, instance.data_centre, instance.upstream, live)
         if host not in self.core.links:
-            hello = Hello(host, instance.data_centre, "", host, 0)
-            self.handle(events.LinkUp(hello))
+            self._link(instance)
+
+    def _restart(self, restart: Restart) -> None:
+        """Forget what was known of a host's earlier start."""
+        host = restart.host
+        log_message(
+            "upstream:restarted",
+            upstream_host=host,
+            before=restart.before,
+            after=restart.after,
+            source=restart.source.value,
+        )
+        self.placement.forget(host)
+        self.core.restart_host(host)
+        self.core.links.pop(host, None)
+
+    def _link(self, instance: Instance) -> None:
+        """Let a host get work; what is open at an earlier start of it is lost."""
+        host = instance.host
+        incarnation = self.members.starts.name(host)
+        for request in self.core.list_outdated(host, incarnation):
+            self.hosts.cancel(Cancel(request.work.request, request.attempt))
+        hello = Hello(host, instance.data_centre, "", incarnation, 0)
+        self.handle(events.LinkUp(hello))
 
     def route(
         self, method: str, target: str, asked: CallerRequest, body: bytes
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -28,6 +28,8 @@
 """Reason of a loss: no connection was made, so the host never saw the work."""
 REPLACED: Final = "replaced"
 """Reason of a refusal: another instance has the host's address now."""
+RESTARTED: Final = "restarted"
+"""Reason of a loss: the host has started again, and knows nothing of the attempt."""
 
 
 class Hello(NamedTuple):
--- a/standins/staged.py
+++ b/standins/staged.py
@@ -22,6 +22,8 @@
         self.phase = phase
         self.seconds = seconds
         """Time of each event, and of a prompt."""
+        self.born = 0
+        """Unix milliseconds of its start; not told while 0."""
         self.runs: Counter[str] = Counter()
         self.handles: set[str] = set()
         self.orders: list[dict[str, Any]] = []
@@ -31,6 +33,10 @@
         self.loses_handles = False
         self.cut_after: int | None = None
         """Event after which it breaks the connection."""
+        self.fetched: list[str] = []
+        """KV caches that it was told to fetch."""
+        self.freed: list[str] = []
+        """Handles that it was told to free."""
         self.dropped: list[str] = []
         """Requests whose callers left before the end."""
         self._names = itertools.count(1)
@@ -44,9 +50,30 @@
         app.router.add_route("*", "/{path:.*}", self._serve)
         return app
 
+    def restart(self, born: int) -> None:
+        """Start again under the same id, as after a reset: it holds nothing.
+
+        What was open is left without a word; nobody closes its connections.
+        """
+        self.born = born
+        self.handles.clear()
+        self.orders.clear()
+        self.highest_fence = 0
+        self._names = itertools.count(1)
+
+    def describe_start(self) -> dict[str, int]:
+        """Say when it started, as in all that it says of itself."""
+        return {"born": self.born} if self.born else {}
+
+    async def _sleep(self, born: int) -> None:
+        """Work for a while; work of an earlier start never goes on."""
+        await asyncio.sleep(self.seconds)
+        if born != self.born:
+            await asyncio.Event().wait()
+
     async def _report(self, request: web.Request) -> web.Response:
         state = {"phase": self.phase, "busy": False, "sequence": len(self.orders)}
-        return reply_json(state)
+        return reply_json({**state, **self.describe_start()})
 
     async def _order(self, request: web.Request) -> web.Response:
         order = await request.json()
@@ -62,6 +89,7 @@
         return web.Response(status=202)
 
     async def _free(self, request: web.Request) -> web.Response:
+        self.freed.append(request.match_info["name"])
         self.handles.discard(request.match_info["name"])
         return web.Response()
 
@@ -77,17 +105,20 @@
         name = request.headers["X-Request-Id"]
         if wants_prefill:
             return await self._read_prompt()
-        if self.loses_handles and "X-Kv-Source" in request.headers:
-            return web.Response(status=503, headers=NOT_RUN)
+        if "X-Kv-Source" in request.headers:
+            self.fetched.append(request.headers["X-Kv-Source"])
+            if self.loses_handles:
+                return web.Response(status=503, headers=NOT_RUN)
         return await self._stream(request, name)
 
     async def _read_prompt(self) -> web.Response:
-        await asyncio.sleep(self.seconds)
+        await self._sleep(self.born)
         handle = f"{self.instance}-{next(self._names)}"
         self.handles.add(handle)
         return reply_json({"kvHandle": handle, "tokens": 1, "version": 1})
 
     async def _stream(self, request: web.Request, name: str) -> web.StreamResponse:
+        born = self.born
         self.runs[name] += 1
         headers = {
             "Content-Type": "text/event-stream",
@@ -99,7 +130,7 @@
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         try:
             for number in range(first, EVENTS + 1):
-                await asyncio.sleep(self.seconds)
+                await self._sleep(born)
                 await response.write(make_event(name, number))
                 if number == self.cut_after:
                     await response.write(b"id: 99\ndata: half an ev")
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -74,6 +74,8 @@
     gateway: Gateway | None = None
     url: str = ""
     version: int = 0
+    addresses: dict[str, str] = field(default_factory=dict)
+    """Where engines listen."""
 
     def configure(self, *routes: dict[str, Any]) -> None:
         """Write a configuration as the operator does."""
@@ -97,16 +99,22 @@
 
     async def serve_engine(self, engine: StagedEngine) -> None:
         """Start an engine and wait until the gateway knows it."""
-        address = await serve(engine.build_app())
-        more = {"phase": engine.phase, "slots": 64}
-        self.announce(engine.instance, address, "llm", **more)
+        self.addresses[engine.instance] = await serve(engine.build_app())
+        self.announce_engine(engine)
         await self.wait_for(engine.instance)
 
-    async def serve_desk(self, host: str, handler: "Handler") -> None:
+    def announce_engine(self, engine: StagedEngine, **more: Any) -> None:
+        """Write an engine's entry as it is now."""
+        more = {"phase": engine.phase, "slots": 64, **engine.describe_start(), **more}
+        address = self.addresses[engine.instance]
+        self.announce(engine.instance, address, "llm", **more)
+
+    async def serve_desk(self, host: str, handler: "Handler", **more: Any) -> None:
         """Start a host of the plain service and wait until the gateway knows it."""
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", handler)
-        self.announce(host, await serve(app), "desk")
+        self.addresses[host] = await serve(app)
+        self.announce(host, self.addresses[host], "desk", **more)
         await self.wait_for(host)
 
     async def wait_for(self, host: str) -> None:
--- /dev/null
+++ b/tests/gateway/test_restarts.py
@@ -0,0 +1,220 @@
+"""Engines and services that start again under their names, behind a gateway."""
+
+import asyncio
+import time
+
+import pytest
+from aiohttp import web
+
+from radishtally.entry.const import REFUSALS_TO_PASS_OVER
+from radishtally.entry.terms import PromptPart
+from radishtally.gateway.daemon import Gateway
+from standins.staged import StagedEngine
+from tests.common import run
+from tests.gateway.common import Deployment, deployment, wait_until
+from tests.gateway.test_calls import Desk, answer_whole, ask
+from tests.gateway.test_streams import make_whole, stream
+
+EARLY, LATE = 5_000, 4_000
+"""Two starts in their order: the clock has stepped back between them."""
+
+
+async def start_engine(
+    made: Deployment, name: str, phase: str, seconds: float = 0.0
+) -> StagedEngine:
+    """Start an engine that tells its start."""
+    engine = StagedEngine(name, phase, seconds)
+    engine.born = EARLY
+    await made.serve_engine(engine)
+    return engine
+
+
+async def restart(made: Deployment, engine: StagedEngine) -> None:
+    """Have an engine start again and write its entry."""
+    engine.restart(LATE)
+    made.announce_engine(engine)
+    await wait_for_start(made.gateway, engine.instance, LATE)
+
+
+async def wait_for_start(gateway: Gateway, host: str, started_ms: int) -> None:
+    """Wait until a gateway knows a start of a host."""
+    await wait_until(
+        lambda: any(
+            item.host == host and item.started_ms == started_ms
+            for item in gateway.members
+        )
+    )
+
+
+async def hang(request: web.Request) -> web.Response:
+    """Never answer, as a machine that was reset."""
+    await asyncio.Event().wait()
+
+
+# The caller waits in vain until its deadline: the machine of the engine that makes its
+# answer is reset. Nobody closes the connection, but the entry tells the new start.
+def test_stream_of_an_earlier_start_goes_on_elsewhere_at_once() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await start_engine(made, "p-1", "prefill")
+            first = await start_engine(made, "d-1", "decode", 0.2)
+            task = asyncio.create_task(stream(made, "/draft/a", "r1"))
+            await wait_until(lambda: first.runs["r1"] == 1)
+            await restart(made, first)
+            assert await task == make_whole("r1")
+            assert first.runs["r1"] == 2
+            await wait_until(lambda: first.dropped == ["r1"])
+
+    run(play())
+
+
+# The caller is told that its stream failed though nothing of it ran: the engine that
+# was reading its prompt started again, and that counted as its one attempt.
+def test_prompt_at_an_earlier_start_is_read_again() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            prefill = await start_engine(made, "p-1", "prefill", 0.3)
+            decode = await start_engine(made, "d-1", "decode")
+            task = asyncio.create_task(stream(made, "/sheet/a", "r1"))
+            await wait_until(lambda: made.gateway.core.is_busy("p-1"))
+            await restart(made, prefill)
+            assert await task == make_whole("r1")
+            assert decode.runs == {"r1": 1}
+
+    run(play())
+
+
+# The same with a call: it goes to the new start at once, which is the only host.
+def test_idempotent_call_of_an_earlier_start_is_sent_to_the_new_one() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            desk = Desk(hang, answer_whole)
+            await made.serve_desk("d-1", desk, born=EARLY)
+            task = asyncio.create_task(ask(made, "/read/a", "r1"))
+            await wait_until(lambda: len(desk.seen) == 1)
+            made.announce("d-1", made.addresses["d-1"], "desk", born=LATE)
+            status, _, body = await task
+            assert (status, body) == (200, b"whole")
+
+    run(play())
+
+
+# The caller learns only at its deadline that nobody knows whether its call ran, or the
+# call runs twice: the host that had it has started again.
+def test_call_of_an_earlier_start_that_may_have_run_ends_at_once() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            desk = Desk(hang, answer_whole)
+            await made.serve_desk("d-1", desk, born=EARLY)
+            begun = time.monotonic()
+            task = asyncio.create_task(ask(made, "/book/a", "r1", "POST", b"x"))
+            await wait_until(lambda: len(desk.seen) == 1)
+            made.announce("d-1", made.addresses["d-1"], "desk", born=LATE)
+            status, _, _ = await task
+            assert status == 502
+            assert time.monotonic() < begun + 3.5
+            assert len(desk.seen) == 1
+
+    run(play())
+
+
+# As above, but the entry was missing meanwhile, and the id is back at another address.
+def test_start_at_another_address_after_a_gap_ends_what_was_open() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            desk, other = Desk(hang), Desk(answer_whole)
+            await made.serve_desk("d-1", desk, born=EARLY)
+            task = asyncio.create_task(ask(made, "/read/a", "r1"))
+            await wait_until(lambda: len(desk.seen) == 1)
+            made.withdraw("d-1")
+            await wait_until(lambda: "d-1" not in made.gateway.core.links)
+            await made.serve_desk("d-1", other, born=LATE)
+            assert (await task)[0] == 200
+            assert len(other.seen) == 1
+
+    run(play())
+
+
+# A host is spared for half a minute though it is new: what its earlier start failed and
+# refused is held against it.
+def test_new_start_is_not_spared_for_failures_of_the_earlier_one() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(answer_whole), born=EARLY)
+            known = made.gateway.core.hosts["d-1"]
+            known.refusals = REFUSALS_TO_PASS_OVER
+            known.live = False
+            for _ in range(4):
+                known.breaker.failed(time.monotonic())
+            made.announce("d-1", made.addresses["d-1"], "desk", born=LATE)
+            await wait_for_start(made.gateway, "d-1", LATE)
+            known = made.gateway.core.hosts["d-1"]
+            assert known.is_usable(time.monotonic())
+            assert known.refusals == 0
+
+    run(play())
+
+
+# Prompts go where nothing of them is kept, and in the wrong numbers: cache, rate and
+# open work of the earlier start are believed of the new one.
+def test_new_start_is_placed_by_nothing_of_the_earlier_one() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            engine = await start_engine(made, "p-1", "prefill")
+            state = made.gateway.placement._engines["p-1"]
+            parts = (PromptPart("aa", 500),)
+            state.cache.note("m", parts)
+            state.rate *= 2
+            state.begin_reading("r0", 5_000, time.monotonic())
+            await restart(made, engine)
+            new = made.gateway.placement._engines["p-1"]
+            assert new.cache.count("m", parts) == 0
+            assert new.rate != state.rate
+            assert new.count_tokens() == 0
+
+    run(play())
+
+
+# A caller gets the answer to another one's prompt: it waits for an engine with the
+# handle of a KV cache, its holder starts again, and the new start gives the same handle
+# for another prompt. Nor may the new start be told to free what is not its own.
+def test_handle_of_an_earlier_start_is_never_used() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            prefill = await start_engine(made, "p-1", "prefill")
+            decode = await start_engine(made, "d-1", "decode")
+            decode.refuses = True
+            task = asyncio.create_task(stream(made, "/draft/a", "r1"))
+            requests = made.gateway.core.requests
+            await wait_until(lambda: any(r.kv is not None for r in requests.values()))
+            (request,) = requests.values()
+            await restart(made, prefill)
+            assert request.kv is None
+            # An offer that was on its way then has named the handle, and is refused.
+            await wait_until(lambda: request.host is None)
+            decode.refuses = False
+            assert await task == make_whole("r1")
+            assert decode.fetched == []
+            assert prefill.freed == []
+
+    run(play())
+
+
+# A host stops taking requests, or gets them while it leaves: that a start drains holds
+# for that start alone, and the list may still show the other one.
+@pytest.mark.parametrize("drained", [EARLY, LATE])
+def test_drain_holds_for_the_start_that_said_it(drained: int) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            desk = Desk(answer_whole)
+            await made.serve_desk("d-1", desk, born=EARLY)
+            address = made.addresses["d-1"]
+            for born, present in ((EARLY, EARLY), (LATE, LATE), (EARLY, LATE)):
+                state = "draining" if born == drained else "ready"
+                made.announce("d-1", address, "desk", born=born, state=state)
+                await wait_for_start(made.gateway, "d-1", present)
+            made.announce("d-2", address, "desk", born=1)
+            await made.wait_for("d-2")
+            assert made.gateway.core.hosts["d-1"].live == (drained == EARLY)
+
+    run(play())
