Give orders only to the start of an engine that was asked

Cause: an order carries the count that a report told, and the report was taken for the instance's own whatever start it came from. After a restart counts begin anew, so an order that was meant for the earlier start may fit the new one's count; and a role that the earlier start was ordered to take counted for the new one.

Change: what a report says goes to the members first, so that it shows a restart before the list does; the order is given only if report and list still show the start that it is for. Pending roles go with their start, and what comes of an order that outlives it is not kept.

Ruled out: a start in the order itself, which the engines' protocol does not have; a restart between report and order can still let it through, and then shows in the engine's next entry.

--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -26,6 +26,11 @@
     """Unix milliseconds of the start; 0 where the deployment does not tell it."""
 
 
+def is_same_start(one_ms: int, other_ms: int) -> bool:
+    """Tell whether two sources may show one start; what tells none shows any."""
+    return not one_ms or not other_ms or one_ms == other_ms
+
+
 class UpstreamCall(NamedTuple):
     """Hold a request as it goes out to a host."""
 
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -11,7 +11,7 @@
 
 from radishtally.authority.holder import LeaseHolder
 from radishtally.authority.lease import LeaseTerms
-from radishtally.direct.core import Dialect, Instance
+from radishtally.direct.core import Dialect, EngineReport, Instance
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
 from radishtally.entry import events
@@ -107,6 +107,7 @@
             self, settings.host, settings.data_centre, settings.peer_address
         )
         placement.on_demand = self.stages.note
+        self.stages.on_report = self._take_report
         self.waker = Waker(lambda: self.handle(events.Tick()))
 
     @property
@@ -214,6 +215,9 @@
                     self.core.links.pop(host, None)
         self.metrics.set_missing(self.members.count_missing())
 
+    def _take_report(self, asked: Instance, report: EngineReport) -> None:
+        self.apply(self.members.take_report(asked, report))
+
     def _set_instance(self, instance: Instance) -> None:
         host = instance.host
         log_message(
@@ -243,6 +247,7 @@
             source=restart.source.value,
         )
         self.placement.forget(host)
+        self.stages.forget(host)
         self.core.restart_host(host)
         self.core.links.pop(host, None)
 
--- a/radishtally/gateway/starts.py
+++ b/radishtally/gateway/starts.py
@@ -37,11 +37,6 @@
     restarts: int = 0
 
 
-def is_same_start(one_ms: int, other_ms: int) -> bool:
-    """Tell whether two sources may show one start; what tells none shows any."""
-    return not one_ms or not other_ms or one_ms == other_ms
-
-
 class Starts:
     """Know the present start of each host, and those that have ended.
 
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -7,7 +7,12 @@
 
 from eliot import log_message
 
-from radishtally.direct.core import EngineReport, Instance, OrderOutcome
+from radishtally.direct.core import (
+    EngineReport,
+    Instance,
+    OrderOutcome,
+    is_same_start,
+)
 from radishtally.engines.state import EngineLoad
 from radishtally.links.messages import DemandReport
 from radishtally.outcome import Result
@@ -59,6 +64,8 @@
         self._list_instances = list_instances
         self._lease = lease
         self._measure = measure
+        self.on_report: Callable[[Instance, EngineReport], None] = lambda *_: None
+        """Take what an engine said when asked."""
         self._plans: dict[str, StagePlan] = {}
         self._demands: dict[str, Demand] = {}
         self._pending: dict[str, tuple[str, float]] = {}
@@ -84,6 +91,10 @@
         for demand in self._demands.values():
             demand.forget_report(peer)
 
+    def forget(self, host: str) -> None:
+        """Forget what an engine was ordered, as it has started again."""
+        self._pending.pop(host, None)
+
     def make_reports(
         self, now: float, collected_for: str | None = None
     ) -> list[DemandReport]:
@@ -137,10 +148,22 @@
         report = await self._orders.read_report(instance)
         if report.is_error():
             log_message("stage:engine_unread", engine=change.host, reason=report.error)
-            self._wait(change.host, instance.role, const.RETRY_SECONDS)
+            self._wait(instance, instance.role, const.RETRY_SECONDS)
+            return
+        self.on_report(instance, report.ok)
+        # A new start counts its orders anew: one by the count of another start might be
+        # carried out though nobody wants it of this one.
+        is_same = is_same_start(instance.started_ms, report.ok.started_ms)
+        if not is_same or not self._is_present(instance):
+            log_message(
+                "stage:engine_restarted",
+                engine=change.host,
+                known=instance.started_ms,
+                reported=report.ok.started_ms,
+            )
             return
         if report.ok.is_busy or report.ok.role == change.role:
-            self._wait(change.host, change.role, const.PENDING_SECONDS)
+            self._wait(instance, change.role, const.PENDING_SECONDS)
             return
         # The lease may have lapsed while the engine was asked: an order is given only
         # by who holds it at that moment.
@@ -163,9 +186,19 @@
         elif outcome in PENDING_OUTCOMES:
             # An order without an answer may be carried out seconds later. Until then a
             # second one would move one engine more than is wanted.
-            self._wait(change.host, change.role, const.PENDING_SECONDS)
+            self._wait(instance, change.role, const.PENDING_SECONDS)
         else:
-            self._wait(change.host, instance.role, const.RETRY_SECONDS)
-
-    def _wait(self, host: str, role: str, seconds: float) -> None:
-        self._pending[host] = (role, time.monotonic() + seconds)
+            self._wait(instance, instance.role, const.RETRY_SECONDS)
+
+    def _wait(self, instance: Instance, role: str, seconds: float) -> None:
+        # The engine may have started again while it was asked or ordered.
+        if self._is_present(instance):
+            self._pending[instance.host] = (role, time.monotonic() + seconds)
+
+    def _is_present(self, instance: Instance) -> bool:
+        """Tell whether an engine is there, and no other start of it is known."""
+        return any(
+            item.host == instance.host
+            and is_same_start(item.started_ms, instance.started_ms)
+            for item in self._list_instances()
+        )
--- a/tests/gateway/test_restarts.py
+++ b/tests/gateway/test_restarts.py
@@ -9,6 +9,7 @@
 from radishtally.entry.const import REFUSALS_TO_PASS_OVER
 from radishtally.entry.terms import PromptPart
 from radishtally.gateway.daemon import Gateway
+from radishtally.stages.core import Change
 from standins.staged import StagedEngine
 from tests.common import run
 from tests.gateway.common import Deployment, deployment, wait_until
@@ -200,6 +201,32 @@
     run(play())
 
 
+# An engine gets an order by a count of its earlier start: it was asked what it does,
+# said so as a new start, and the list still shows the earlier one, draining.
+def test_report_shows_a_restart_before_the_list_and_no_order_is_given() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            engine = await start_engine(made, "d-1", "decode")
+            other = await start_engine(made, "d-2", "decode")
+            made.announce_engine(engine, state="draining")
+            core, stages = made.gateway.core, made.gateway.stages
+            await wait_until(lambda: not core.hosts["d-1"].live)
+            (asked,) = [i for i in made.gateway.members if i.host == "d-1"]
+            engine.restart(LATE)
+            await stages._carry_out(asked, Change("d-1", "prefill"))
+            assert engine.orders == []
+            assert core.hosts["d-1"].live
+            # An entry that comes behind the earlier start's has been read, so has that.
+            made.announce_engine(engine, born=EARLY, state="draining")
+            made.withdraw(other.instance)
+            await wait_until(lambda: "d-2" not in core.links)
+            assert core.hosts["d-1"].live
+            made.announce_engine(engine, state="draining")
+            await wait_until(lambda: not core.hosts["d-1"].live)
+
+    run(play())
+
+
 # A host stops taking requests, or gets them while it leaves: that a start drains holds
 # for that start alone, and the list may still show the other one.
 @pytest.mark.parametrize("drained", [EARLY, LATE])
--- a/tests/gateway/test_starts_machine.py
+++ b/tests/gateway/test_starts_machine.py
@@ -16,9 +16,9 @@
     rule,
 )
 
-from radishtally.direct.core import EngineReport, Instance
+from radishtally.direct.core import EngineReport, Instance, is_same_start
 from radishtally.gateway.members import LAPSE_SECONDS, Change, Members
-from radishtally.gateway.starts import Restart, is_same_start
+from radishtally.gateway.starts import Restart
 from radishtally.links.messages import DECODE
 
 HOST = "a"
--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -1,5 +1,7 @@
 """Tests of giving engines their roles."""
 
+from collections.abc import Callable
+
 import pytest
 
 from radishtally.direct.core import EngineReport, Instance, OrderOutcome
@@ -36,6 +38,8 @@
 
     def __init__(self, outcome: OrderOutcome, report: Result | None = None) -> None:
         self.outcome = outcome
+        self.while_ordered: Callable[[], None] = lambda: None
+        """What happens while an order is under way."""
         self.report = report or Ok(EngineReport(DECODE, 7, False))
         self.given: list[tuple] = []
 
@@ -44,6 +48,7 @@
 
     async def order_role(self, instance: Instance, *order: object) -> OrderOutcome:
         self.given.append((instance.host, *order))
+        self.while_ordered()
         return self.outcome
 
 
@@ -120,3 +125,64 @@
     orders = FakeOrders(OrderOutcome.TAKEN, report)
     run(make_keeper(orders, FakeLease(4))._carry_out(ENGINE, CHANGE))
     assert orders.given == []
+
+
+EARLY, LATE = 5_000, 4_000
+"""Two starts in their order: the clock has stepped back between them."""
+
+
+# An engine changes its role though nobody wants it to: it started again, and the order
+# that its earlier start was to get carries a count that fits, as counts begin anew.
+@pytest.mark.parametrize(
+    ("known", "asked", "said", "is_given"),
+    [
+        (EARLY, EARLY, EARLY, True),
+        (0, 0, 0, True),
+        (EARLY, 0, EARLY, True),
+        (EARLY, EARLY, LATE, False),
+        (LATE, EARLY, EARLY, False),
+        (LATE, EARLY, LATE, False),
+    ],
+)
+def test_order_is_given_to_the_start_that_was_asked(
+    known: int, asked: int, said: int, is_given: bool
+) -> None:
+    orders = FakeOrders(OrderOutcome.TAKEN, Ok(EngineReport(DECODE, 0, False, said)))
+    keeper = StageKeeper(
+        "gateway-1",
+        orders,
+        lambda: [ENGINE._replace(started_ms=known)],
+        FakeLease(4),
+        no_load,
+    )
+    run(keeper._carry_out(ENGINE._replace(started_ms=asked), CHANGE))
+    assert len(orders.given) == is_given
+    assert (ENGINE.host in keeper._pending) == is_given
+
+
+# A new start is counted for seconds as an engine of the role that its earlier start was
+# ordered to take, and no other engine is moved in its place.
+@pytest.mark.parametrize("outcome", list(OrderOutcome))
+def test_order_of_an_earlier_start_says_nothing_of_the_new_one(
+    outcome: OrderOutcome,
+) -> None:
+    engines = [ENGINE._replace(started_ms=EARLY)]
+    said = Ok(EngineReport(DECODE, 7, False, EARLY))
+    orders = FakeOrders(outcome, said)
+    keeper = StageKeeper("gateway-1", orders, lambda: engines, FakeLease(4), no_load)
+
+    def restart() -> None:
+        engines[0] = ENGINE._replace(started_ms=LATE)
+        keeper.forget(ENGINE.host)
+
+    orders.while_ordered = restart
+    run(keeper._carry_out(engines[0], CHANGE))
+    assert len(orders.given) == 1
+    assert keeper._pending == {}
+
+
+def test_pending_role_is_forgotten_with_its_start() -> None:
+    keeper = make_keeper(FakeOrders(OrderOutcome.TAKEN), FakeLease(4))
+    run(keeper._carry_out(ENGINE, CHANGE))
+    keeper.forget(ENGINE.host)
+    assert keeper._describe(ENGINE, 0.0).role == DECODE
