Tell gateways which start of an engine a share belongs to

Cause: gateways learn of a restart one after another. Until all know, what one of them had open at the earlier start counted at the new one, and, told once and only where it changes, what one had open at the new start was overwritten or missed.

Change: a share carries a mark of the engine's start. One of another start than the own one counts for nothing, takes back what its sender had open at the own one, and is kept until that start is known here or the sender is gone. The mark has 16 bits: 3 bytes for each share instead of 9.

A message whose fields change is a kind of its own: the share of the release before keeps its number and is not taken, so links hold while a release is rolled out, and loads are told within one release only.

Trials: the new tests fail without the marks, without the shares that are kept, without taking back, and without forgetting those of a gone gateway.

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
-from radishtally.direct.core import Instance
+from radishtally.direct.core import Instance, is_same_start
 from radishtally.engines.cache import PromptCache
 from radishtally.engines.prospects import (
     Prospect,
@@ -17,6 +17,7 @@
     EngineLoad,
     EngineState,
     PeerShare,
+    mark_start,
 )
 from radishtally.entry.hosts import KnownHost
 from radishtally.entry.placement import Declined, Placed
@@ -80,6 +81,9 @@
         """Take an upstream, tokens to be read, tokens to be made, and the time."""
         self._engines: dict[str, EngineState] = {}
         self._changed: set[str] = set()
+        self._early: dict[str, dict[str, EngineShare]] = {}
+        """What other entries have open, by engines and by their names, at starts that
+        are not the ones known here; told once, it would be missed for good."""
         self._terms: dict[str, EngineTerms] = {}
 
     def configure(self, upstreams: Iterable[UpstreamTerms]) -> None:
@@ -95,29 +99,55 @@
         known = self._engines.get(instance.host)
         if known is not None:
             known.role = instance.role
+            known.start = mark_start(instance.started_ms)
             return
         terms = self._terms.get(instance.upstream, START_TERMS)
         capacity = terms.kv_tokens
         cache = PromptCache(int(capacity * CACHE_SHARE))
         self._engines[instance.host] = EngineState(
-            instance.host, instance.data_centre, instance.role, cache
+            instance.host,
+            instance.data_centre,
+            instance.role,
+            cache,
+            mark_start(instance.started_ms),
         )
+        for peer, share in self._early.pop(instance.host, {}).items():
+            self._take_share(peer, share, self._clock())
+
+    def restart(self, host: str) -> None:
+        """Forget the earlier start of an engine; what it is now is told next."""
+        self._engines.pop(host, None)
 
     def forget(self, host: str) -> None:
         """Forget a host that is gone."""
         self._engines.pop(host, None)
+        self._early.pop(host, None)
 
     def forget_peer(self, peer: str) -> None:
         """Forget what an entry has open that is out of reach."""
         for engine in self._engines.values():
             engine.peers.pop(peer, None)
+        for shares in self._early.values():
+            shares.pop(peer, None)
 
     def take_backlog(self, peer: str, backlog: Backlog, now: float) -> None:
         """Take what another entry has open."""
-        for host, tokens, answers in backlog.shares:
-            engine = self._engines.get(host)
-            if engine is not None:
-                engine.take_share(peer, PeerShare(tokens, answers), now)
+        for share in backlog.shares:
+            self._take_share(peer, share, now)
+
+    def _take_share(self, peer: str, share: EngineShare, now: float) -> None:
+        engine = self._engines.get(share.host)
+        if engine is None:
+            return
+        early = self._early.setdefault(share.host, {})
+        if is_same_start(share.start, engine.start):
+            early.pop(peer, None)
+            engine.take_share(peer, PeerShare(share.tokens, share.answers), now)
+            return
+        # One of the two does not know yet that the engine has started again. What was
+        # open at its earlier start is lost, and was not read: it tells no rate.
+        engine.peers.pop(peer, None)
+        early[peer] = share
 
     def make_backlog(
         self, hosts: Iterable[str] | None = None, collected_for: str | None = None
@@ -129,7 +159,9 @@
         engines = self._engines
         names = engines.keys() if hosts is None else hosts
         shares = [
-            EngineShare(host, *engines[host].make_share(collected_for))
+            EngineShare(
+                host, *engines[host].make_share(collected_for), engines[host].start
+            )
             for host in names
             if host in engines
         ]
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -24,6 +24,9 @@
 """Share of an engine's memory that is taken to keep parts; the rest serves answers."""
 
 
+MARK_BITS: Final = 0xFFFF
+
+
 class PeerShare(NamedTuple):
     """Hold what another entry has open at an engine."""
 
@@ -40,6 +43,18 @@
     """Seconds until one more prompt is begun."""
 
 
+def mark_start(started_ms: int) -> int:
+    """Give a short mark that tells an engine's starts apart; 0 for one never told.
+
+    Two starts of an engine have one mark once in 65,000 times, and then work of the
+    earlier one counts until its end is told. The whole number would make each share
+    half as large again.
+    """
+    if not started_ms:
+        return 0
+    return (started_ms & MARK_BITS) or MARK_BITS
+
+
 @dataclass(slots=True)
 class EngineState:
     """Hold what is known of one engine."""
@@ -48,6 +63,8 @@
     data_centre: str
     role: str
     cache: PromptCache
+    start: int = 0
+    """Mark of its start; 0 if it was never told."""
     rate: float = START_RATE
     readings: dict[str, int] = field(default_factory=dict)
     """Tokens that it has to read for requests of this entry."""
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -246,7 +246,7 @@
             after=restart.after,
             source=restart.source.value,
         )
-        self.placement.forget(host)
+        self.placement.restart(host)
         self.stages.forget(host)
         self.core.restart_host(host)
         self.core.links.pop(host, None)
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -300,6 +300,22 @@
     tokens: int
     """Prompt tokens that are still to be read."""
     answers: int
+    start: int = 0
+    """Mark of the engine's start that has it; 0 if the sender knows none."""
+
+
+class FormerShare(NamedTuple):
+    """Say the same as the release before: without the engine's start."""
+
+    host: str
+    tokens: int
+    answers: int
+
+
+class FormerBacklog(NamedTuple):
+    """Hold the place of what the release before tells; it is not taken."""
+
+    shares: tuple[FormerShare, ...]
 
 
 class Backlog(NamedTuple):
@@ -339,6 +355,7 @@
     | FilesAsk
     | FilesGive
     | Interval
+    | FormerBacklog
     | Backlog
     | DemandReport
 )
@@ -364,8 +381,9 @@
     FilesAsk,
     FilesGive,
     Interval,
-    Backlog,
+    FormerBacklog,
     DemandReport,
+    Backlog,
 )
 """A kind's number is its place here: add at the end, never reorder, and give a message
 whose fields change a kind of its own; an older release reads neither more nor fewer."""
--- a/tests/engines/test_state.py
+++ b/tests/engines/test_state.py
@@ -8,6 +8,7 @@
     START_RATE,
     EngineState,
     PeerShare,
+    mark_start,
 )
 from radishtally.entry.terms import PromptPart
 
@@ -83,3 +84,11 @@
     cache.note("m", make_parts("x", "y"))
     assert cache.count("m", make_parts("x", "y")) == 200
     assert cache.count("m", make_parts("a", "b")) == 0
+
+
+def test_marks_tell_starts_apart_and_from_none() -> None:
+    starts = (0, 1, 0xFFFF_0000, 1_790_000_000_123, 1_790_000_000_124)
+    marks = [mark_start(started_ms) for started_ms in starts]
+    assert marks[0] == 0
+    assert len(set(marks)) == len(starts)
+    assert all(0 < mark <= 0xFFFF for mark in marks[1:])
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -75,6 +75,11 @@
         host = KnownHost(ENGINE.host, "howrah", "llm", live=True)
         self.placement.begin(request, host, 0.0)
 
+    def restart_engine(self, started_ms: int) -> None:
+        """Learn that the engine has started again."""
+        self.placement.restart(ENGINE.host)
+        self.placement.set_instance(ENGINE._replace(started_ms=started_ms))
+
     def count(self) -> int:
         return self.placement.measure(ENGINE.host).answers
 
@@ -140,3 +145,42 @@
         for gateway in net.gateways.values()
     ]
     assert max(shares) - min(shares) < 1e-6
+
+
+# An engine that is idle is taken for busy, or a busy one for idle: it started again,
+# and gateways learn so one after another. What one has open at another start than one
+# knows of counts for nothing, and counts in full once the start is known.
+@pytest.mark.parametrize("count", [3, MANY])
+def test_work_counts_where_its_start_is_known(count: int) -> None:
+    net = Net(count)
+    gateways = list(net.gateways.values())
+    for gateway in gateways:
+        gateway.restart_engine(5_000)
+        gateway.begin(1)
+    net.play(0.0)
+    assert {gateway.count() for gateway in gateways} == {count}
+    first, *others = gateways
+    first.restart_engine(4_000)
+    first.begin(2)
+    net.play(2.0)
+    assert first.count() == 1
+    for gateway in others:
+        assert gateway.count() < count
+        gateway.restart_engine(4_000)
+        net.play(4.0)
+    net.play(6.0)
+    assert {gateway.count() for gateway in gateways} == {1}
+
+
+# The work of a gateway that is gone counts at the engine's next start: what it told of
+# that before the others knew the start is kept for them.
+def test_work_of_a_lost_gateway_does_not_count_at_a_later_start() -> None:
+    net = Net(2)
+    first, second = net.gateways.values()
+    first.restart_engine(4_000)
+    first.begin(1)
+    second.restart_engine(5_000)
+    net.play(0.0)
+    net.remove(first.name)
+    second.restart_engine(4_000)
+    assert second.count() == 0
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -9,7 +9,15 @@
 from hypothesis import strategies as st
 
 from radishtally.links.codec import MAX_FRAME_BYTES, decode_frame, encode_frame
-from radishtally.links.messages import KINDS, Ack, Attach, Message
+from radishtally.links.messages import (
+    KINDS,
+    Ack,
+    Attach,
+    Backlog,
+    EngineShare,
+    FormerBacklog,
+    Message,
+)
 from radishtally.outcome import Fault
 
 PACK = msgspec.msgpack.Encoder().encode
@@ -112,6 +120,21 @@
     assert isinstance(decode_frame(frame).error, Fault)
 
 
+# Links between gateways break while a release is rolled out, as each takes what the
+# other one tells for damaged: the shares of the release before have other fields.
+def test_loads_of_the_release_before_are_read_and_ours_are_another_kind() -> None:
+    before = KINDS.index(FormerBacklog)
+    frame = PACK([(before, [[["engine", 5, 1]]])])
+    assert isinstance(decode_frame(frame).ok[0], FormerBacklog)
+    assert KINDS.index(Backlog) > before
+
+
+def test_share_of_an_engine_stays_small() -> None:
+    share = EngineShare("engine", 100_000, 20, 0xFFFF)
+    one, two = (len(encode_frame([Backlog((share,) * n)])) for n in (1, 2))
+    assert two - one <= len(share.host) + 12
+
+
 @pytest.mark.parametrize("number", [len(KINDS), 255, -1, 2**63])
 def test_kind_of_a_newer_release_is_passed_over(number: int) -> None:
     frame = PACK([(ACK, ["r", 1, 2]), (number, {"new": 1}), (ACK, ["s", 3, 4])])
