--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -11,7 +11,7 @@
 
 from radishtally.authority.holder import LeaseHolder
 from radishtally.authority.lease import LeaseTerms
-from radishtally.direct.core import Dialect, Instance
+from radishtally.direct.core import Dialect, EngineReport, Instance
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
 from radishtally.entry import events
@@ -47,6 +47,7 @@
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import STOPPING, Routed, Router
+from radishtally.gateway.starts import Restart
 from radishtally.limits.retries import RetryBudgets
 from radishtally.links.messages import Cancel, Hello, Message, Offer
 from radishtally.outcome import Error, Refusal, Result
@@ -90,6 +91,7 @@
             # may take as long as its queue: only the deadline bounds it.
             offer_seconds=float("inf"),
             refusals_cost=True,
+            prompts_run=False,
         )
         self.hosts = DirectHosts(upstreams, self.runtime.guard_call(self._receive))
         self.front = Front(self, callers)
@@ -106,6 +108,7 @@
             self, settings.host, settings.data_centre, settings.peer_address
         )
         placement.on_demand = self.stages.note
+        self.stages.on_report = self._take_report
         self.waker = Waker(lambda: self.handle(events.Tick()))
 
     @property
@@ -226,6 +229,8 @@
                     )
                 case Return(host):
                     log_message("upstream:returned", upstream_host=host)
+                case Restart(host):
+                    self._restart(change)
                 case Forget(host):
                     log_message("upstream:gone", upstream_host=host)
                     self.hosts.forget(host)
@@ -234,6 +239,9 @@
                     self.core.links.pop(host, None)
         self.metrics.set_missing(self.members.count_missing())
 
+    def _take_report(self, asked: Instance, report: EngineReport) -> None:
+        self.apply(self.members.take_report(asked, report))
+
     def _set_instance(self, instance: Instance) -> None:
         host = instance.host
         log_message(
@@ -250,8 +258,31 @@
         live = not instance.is_draining
         self.core.set_host(host, instance.data_centre, instance.upstream, live)
         if host not in self.core.links:
-            hello = Hello(host, instance.data_centre, "", host, 0)
-            self.handle(events.LinkUp(hello))
+            self._link(instance)
+
+    def _restart(self, restart: Restart) -> None:
+        """Forget what was known of a host's earlier start."""
+        host = restart.host
+        log_message(
+            "upstream:restarted",
+            upstream_host=host,
+            before=restart.before,
+            after=restart.after,
+            source=restart.source.value,
+        )
+        self.placement.restart(host)
+        self.stages.forget(host)
+        self.core.restart_host(host)
+        self.core.links.pop(host, None)
+
+    def _link(self, instance: Instance) -> None:
+        """Let a host get work; what is open at an earlier start of it is lost."""
+        host = instance.host
+        incarnation = self.members.starts.name(host)
+        for request in self.core.list_outdated(host, incarnation):
+            self.hosts.cancel(Cancel(request.work.request, request.attempt))
+        hello = Hello(host, instance.data_centre, "", incarnation, 0)
+        self.handle(events.LinkUp(hello))
 
     def route(
         self, method: str, target: str, asked: CallerRequest, body: bytes
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -7,7 +7,12 @@
 
 from eliot import log_message
 
-from radishtally.direct.core import EngineReport, Instance, OrderOutcome
+from radishtally.direct.core import (
+    EngineReport,
+    Instance,
+    OrderOutcome,
+    is_same_start,
+)
 from radishtally.engines.state import EngineLoad
 from radishtally.links.messages import DemandReport
 from radishtally.outcome import Result
@@ -74,6 +79,8 @@
         self._lease = lease
         self._measure = measure
         self._clock = clock
+        self.on_report: Callable[[Instance, EngineReport], None] = lambda *_: None
+        """Take what an engine said when asked."""
         self._plans: dict[str, StagePlan] = {}
         self._demands: dict[str, Demand] = {}
         self._pending: dict[str, tuple[str, float]] = {}
@@ -99,6 +106,11 @@
         for demand in self._demands.values():
             demand.forget_report(peer)
 
+    def forget(self, host: str) -> None:
+        """Forget what an engine was ordered, as it has started again."""
+        self._pending.pop(host, None)
+        self._passed_over.pop(host, None)
+
     def make_reports(
         self, now: float, collected_for: str | None = None
     ) -> list[DemandReport]:
@@ -167,8 +179,20 @@
             log_message("stage:engine_unread", engine=change.host, reason=report.error)
             self._pass_over(change.host)
             return
+        self.on_report(instance, report.ok)
+        # A new start counts its orders anew: one by the count of another start might be
+        # carried out though nobody wants it of this one.
+        is_same = is_same_start(instance.started_ms, report.ok.started_ms)
+        if not is_same or not self._is_present(instance):
+            log_message(
+                "stage:engine_restarted",
+                engine=change.host,
+                known=instance.started_ms,
+                reported=report.ok.started_ms,
+            )
+            return
         if report.ok.is_busy or report.ok.role == change.role:
-            self._count_as_done(change, const.PENDING_SECONDS)
+            self._count_as_done(instance, change, const.PENDING_SECONDS)
             return
         # The lease may have lapsed while the engine was asked: an order is given only
         # by who holds it at that moment.
@@ -189,12 +213,16 @@
         if outcome == OrderOutcome.STALE:
             self._lease.give_up(fencing)
         if outcome in PENDING_SECONDS:
-            self._count_as_done(change, PENDING_SECONDS[outcome])
+            self._count_as_done(instance, change, PENDING_SECONDS[outcome])
         else:
             self._pass_over(change.host)
 
-    def _count_as_done(self, change: Change, seconds: float) -> None:
-        self._pending[change.host] = (change.role, self._clock() + seconds)
+    def _count_as_done(
+        self, instance: Instance, change: Change, seconds: float
+    ) -> None:
+        # The engine may have started again while it was asked or ordered.
+        if self._is_present(instance):
+            self._pending[change.host] = (change.role, self._clock() + seconds)
 
     def _pass_over(self, host: str) -> None:
         """Let other engines be chosen before one that could not be ordered.
@@ -203,3 +231,11 @@
         would wait for as long as that engine is listed.
         """
         self._passed_over[host] = self._clock() + const.RETRY_SECONDS
+
+    def _is_present(self, instance: Instance) -> bool:
+        """Tell whether an engine is there, and no other start of it is known."""
+        return any(
+            item.host == instance.host
+            and is_same_start(item.started_ms, instance.started_ms)
+            for item in self._list_instances()
+        )
