--- a/radishtally/gateway/starts.py
+++ b/radishtally/gateway/starts.py
@@ -8,8 +8,8 @@
 """Ended starts of a host that are remembered. What still shows one of them is seconds
 old, as a heartbeat or a report on its way; a host does not start so often meanwhile."""
 MAX_HOSTS: Final = 10_000
-"""Hosts whose starts are remembered, listed ones and, behind them, those seen last: a
-few times the hosts that are planned for, so that one that is missed is never lost."""
+"""Hosts whose starts are remembered, those seen last: seven times the hosts that are
+planned for, so that all on the list are among them."""
 
 
 class Source(StrEnum):
@@ -60,7 +60,7 @@
         return f"{host}.{0 if known is None else known.restarts}"
 
     def is_ended(self, host: str, started_ms: int) -> bool:
-        """Tell whether a start is known to have ended."""
+        """Tell whether a start is known to have ended; one never told is not."""
         known = self._hosts.get(host)
         return known is not None and started_ms in known.ended
 
