Pass a new start of an engine over for nothing of the earlier one

An engine that could not be ordered is passed over for a second. Where it started again while it was asked or ordered, the new start was passed over for that: the outcome came after what was known of the earlier start had been forgotten. It is now kept only if no other start is known, as pending roles are.

--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -177,7 +177,7 @@
         report = await self._orders.read_report(instance)
         if report.is_error():
             log_message("stage:engine_unread", engine=change.host, reason=report.error)
-            self._pass_over(change.host)
+            self._pass_over(instance)
             return
         self.on_report(instance, report.ok)
         # A new start counts its orders anew: one by the count of another start might be
@@ -215,7 +215,7 @@
         if outcome in PENDING_SECONDS:
             self._count_as_done(instance, change, PENDING_SECONDS[outcome])
         else:
-            self._pass_over(change.host)
+            self._pass_over(instance)
 
     def _count_as_done(
         self, instance: Instance, change: Change, seconds: float
@@ -224,13 +224,15 @@
         if self._is_present(instance):
             self._pending[change.host] = (change.role, self._clock() + seconds)
 
-    def _pass_over(self, host: str) -> None:
+    def _pass_over(self, instance: Instance) -> None:
         """Let other engines be chosen before one that could not be ordered.
 
         Chosen by the same rule it would be the same one at each look, and the change
         would wait for as long as that engine is listed.
         """
-        self._passed_over[host] = self._clock() + const.RETRY_SECONDS
+        if self._is_present(instance):
+            until = self._clock() + const.RETRY_SECONDS
+            self._passed_over[instance.host] = until
 
     def _is_present(self, instance: Instance) -> bool:
         """Tell whether an engine is there, and no other start of it is known."""
--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -297,6 +297,7 @@
     run(keeper._carry_out(engines[0], CHANGE))
     assert len(orders.given) == 1
     assert keeper._pending == {}
+    assert keeper._passed_over == {}
 
 
 def test_pending_role_is_forgotten_with_its_start() -> None:
