Answer what is open when a stop ends, and wait for answers that are still being sent

Ruled out: that this ends an answer sooner than before: the refusals come at the moment at which the parts were stopped and connections cut.

--- a/radishtally/entry/core.py
+++ b/radishtally/entry/core.py
@@ -158,6 +158,18 @@
             core.schedule(request)
 
 
+@_handle.register
+def _(event: events.Leave, core: EntryCore, now: float) -> Iterator[Command]:
+    # Without a word a caller only sees its connection end, and can't tell whether the
+    # request ran; of many requests that can be said for sure.
+    text = "the process ends before the answer is whole"
+    for request in list(core.requests.values()):
+        if request.answered:
+            continue
+        yield from withdraw(request, core)
+        yield from fail(request, 503, const.CODE_STOPPING, text, core)
+
+
 def _time_out(request: OpenRequest, core: EntryCore, now: float) -> Iterator[Command]:
     """End a phase that lasts too long."""
     request.waits_until = float("inf")
--- a/radishtally/entry/events.py
+++ b/radishtally/entry/events.py
@@ -67,6 +67,10 @@
     """Say that time has passed."""
 
 
+class Leave(NamedTuple):
+    """Say that the process ends now, with requests still open."""
+
+
 Event = (
     Arrived
     | CallerGone
@@ -77,6 +81,7 @@
     | Repeated
     | Denied
     | Tick
+    | Leave
 )
 
 
--- a/radishtally/gateway/connections.py
+++ b/radishtally/gateway/connections.py
@@ -85,9 +85,21 @@
 
     def _is_used(self, connection: RequestHandler) -> bool:
         known = self._uses.get(connection)
-        return known is not None and known.open_requests > 0
+        return (known is not None and known.open_requests > 0) or _is_sending(
+            connection
+        )
 
     def _count(self, connection: RequestHandler, change: int) -> None:
         known = self._uses.get(connection)
         count = (known.open_requests if known else 0) + change
         self._uses[connection] = _Use(self._clock(), count)
+
+
+def _is_sending(connection: RequestHandler) -> bool:
+    """Tell whether a part of an answer still waits in memory for its caller.
+
+    An answer is handed to the HTTP library whole, and its request is over then. Where
+    the caller reads slowly, the rest would be lost with the process.
+    """
+    transport = connection.transport
+    return transport is not None and transport.get_write_buffer_size() > 0
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -150,6 +150,8 @@
         await asyncio.sleep(LEAVE_POLL_SECONDS)
         while await self.front.close_idle() and time.monotonic() < until:
             await asyncio.sleep(LEAVE_POLL_SECONDS)
+        self.handle(events.Leave())
+        await asyncio.sleep(LEAVE_POLL_SECONDS)
 
     async def _unload(self, *more: asyncio.Task) -> None:
         """Stop the parts together: what hangs would outlast the platform's grace."""
@@ -159,10 +161,16 @@
 
     def take_settings(self, settings: GatewaySettings) -> None:
         """Take settings that were read again; addresses stay until the next start."""
-        bounds = self.settings.bounds
-        fixed = msgspec.structs.replace(settings, bounds=bounds)
+        known = self.settings.bounds
+        fixed = msgspec.structs.replace(settings, bounds=known)
         log_message("settings:reloaded", needs_restart=fixed != self.settings)
-        self.settings = msgspec.structs.replace(self.settings, bounds=settings.bounds)
+        bounds = settings.bounds
+        if self.is_stopping():
+            # The platform's kill comes as long after its signal as was in force then:
+            # a request that is taken for a longer time would be cut off.
+            grace = known.grace_seconds
+            bounds = msgspec.structs.replace(bounds, grace_seconds=grace)
+        self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
 
     def count_gateways(self, count: int) -> None:
         """Take how many gateways share the retries, and the looks at the lease."""
--- /dev/null
+++ b/tests/entry/test_leaving.py
@@ -0,0 +1,42 @@
+"""What callers get whose requests are open when the process ends."""
+
+import pytest
+
+from radishtally.entry import events
+from radishtally.links.messages import Accepted, Cancel, Refused
+from radishtally.outcome import Ran
+from tests.entry.common import Driver, make_call
+
+
+# A caller gets no word when its entry ends, and asks again what may have run, or does
+# not dare to ask again what surely has not.
+@pytest.mark.parametrize("is_taken", [True, False])
+def test_offered_request_may_have_run(is_taken: bool) -> None:
+    driver = Driver()
+    driver.open(make_call())
+    host, offer = driver.find_offer()
+    if is_taken:
+        driver.receive(host, Accepted("r", offer.attempt, 0.0))
+    driver.give(events.Leave())
+    assert (driver.refusal.status, driver.refusal.ran) == (503, Ran.UNKNOWN)
+    assert driver.list_sent(Cancel) == [(host, Cancel("r", offer.attempt))]
+    assert not driver.core.requests
+
+
+def test_request_that_waits_for_a_host_has_not_run() -> None:
+    driver = Driver(hosts=1)
+    driver.open(make_call())
+    host, offer = driver.find_offer()
+    driver.core.requests["r"].patience = driver.now + 10.0
+    driver.receive(host, Refused("r", offer.attempt, "full", 1.0))
+    driver.give(events.Leave())
+    assert (driver.refusal.status, driver.refusal.ran) == (503, Ran.NO)
+    assert not driver.list_sent(Cancel)
+
+
+def test_answered_request_gets_no_second_answer() -> None:
+    driver = Driver()
+    driver.open(make_call())
+    driver.give(events.CallerGone("r"))
+    driver.give(events.Leave())
+    assert not driver.list_of(events.Refuse)
