Test how many turns of the loop a request takes to its handler

Cause: a stop's close waits three turns between its pause and its close, after reading of the HTTP library. Nothing told when another release, or another way to a handler, takes more; a caller would then get no answer again.

--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -7,8 +7,11 @@
 import msgspec
 import pytest
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
 from radishtally.gateway import daemon
+from radishtally.gateway.connections import Connections
+from radishtally.gateway.const import HANDLER_TURNS
 from radishtally.gateway.daemon import Gateway
 from radishtally.gateway.front import Front
 from tests.common import run
@@ -119,3 +122,69 @@
             assert (status, headers.get("X-Ran")) == (503, "no")
 
     run(play())
+
+
+class Turns:
+    """Count the loop's turns from the read of a request to its handler."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 0
+        self.waited: list[int] = []
+        self._since = 0
+        self._take = RequestHandler.data_received
+        self._count = Connections._count
+        monkeypatch.setattr(
+            RequestHandler, "data_received", lambda *given: self._note_read(*given)
+        )
+        monkeypatch.setattr(
+            Connections, "_count", lambda *given: self._note_use(*given)
+        )
+
+    def start(self) -> None:
+        """Count from now on."""
+        self.now += 1
+        asyncio.get_running_loop().call_soon(self.start)
+
+    def _note_read(self, connection: RequestHandler, data: bytes) -> None:
+        if data:
+            self._since = self.now
+        self._take(connection, data)
+
+    def _note_use(
+        self, connections: Connections, connection: RequestHandler, change: int
+    ) -> None:
+        if change > 0:
+            self.waited.append(self.now - self._since)
+        self._since = self.now
+        self._count(connections, connection, change)
+
+
+# A caller gets no answer though a host runs its request: a stop closes what carries no
+# request so many turns after it has paused reading, and another release of the HTTP
+# library, or another way to come to a handler, takes more turns than are waited for.
+@pytest.mark.parametrize("is_pipelined", [True, False])
+def test_request_comes_to_its_handler_within_the_turns_that_are_waited(
+    is_pipelined: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    turns = Turns(monkeypatch)
+    data = [b"GET /read/a HTTP/1.1\r\n" + KEPT % number for number in range(3)]
+
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk("d-1", Desk(answer_whole))
+            turns.start()
+            with connect(made) as caller:
+                reader, writer = await asyncio.open_connection(sock=caller)
+                if is_pipelined:
+                    writer.write(b"".join(data))
+                for request in data:
+                    if not is_pipelined:
+                        writer.write(request)
+                    async with asyncio.timeout(5):
+                        assert await reader.readuntil(b"whole")
+                writer.close()
+
+    run(play())
+    assert len(turns.waited) == len(data)
+    # One is to spare.
+    assert max(turns.waited) < HANDLER_TURNS
