Add a failing test: a second open request of a name leaves the first without an answer

Cause: answers are handed over by the request's name alone. A second request of a name takes the first one's place in the core and in the replies; the first is never answered and has no deadline any more. Callers give each attempt a name of its own, so this takes a caller that doesn't.

--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -11,7 +11,13 @@
 from radishtally.entry.const import REFUSALS_TO_PASS_OVER
 from radishtally.limits.retries import RetryBudget
 from tests.common import run
-from tests.gateway.common import AUTHORITY, Deployment, deployment, make_headers
+from tests.gateway.common import (
+    AUTHORITY,
+    Deployment,
+    deployment,
+    make_headers,
+    wait_until,
+)
 
 SIGNED = {"X-Server-Signature": "by-desk"}
 
@@ -231,3 +237,30 @@
             assert len(first.seen) + len(second.seen) == 1
 
     run(play())
+
+
+# A caller waits for ever: while its request is open, another one of the same name comes
+# to the gateway, takes its place, and whatever a host answers goes to that one.
+def test_second_open_request_of_a_name_is_refused_and_the_first_answered() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            go_on = asyncio.Event()
+
+            async def answer_later(request: web.Request) -> web.Response:
+                await go_on.wait()
+                return await answer_whole(request)
+
+            desk = Desk(answer_later)
+            await made.serve_desk("d-1", desk)
+            first = asyncio.create_task(ask(made, "/read/a", "r1"))
+            await wait_until(lambda: len(desk.seen) == 1)
+            second = asyncio.create_task(ask(made, "/read/a", "r1"))
+            async with asyncio.timeout(5):
+                await asyncio.wait({second}, timeout=1)
+                go_on.set()
+                assert (await first)[0] == 200
+                status, headers, _ = await second
+            assert (status, headers.get("X-Ran")) == (409, "no")
+            assert len(desk.seen) == 1
+
+    run(play())
