Refuse a second open request of a name

Change: a gateway refuses such a request with 409 and "not run"; the first one goes on.

Ruled out: that a caller that left and comes back under the same name is refused for long: its first request is closed with its connection.

--- a/radishtally/entry/replies.py
+++ b/radishtally/entry/replies.py
@@ -17,6 +17,10 @@
         """Count the callers that wait."""
         return len(self._queues)
 
+    def __contains__(self, request: str) -> bool:
+        """Tell whether somebody waits for a request's answer."""
+        return request in self._queues
+
     def open(self, request: str) -> asyncio.Queue[Part]:
         """Begin to wait for a request's answer."""
         queue: asyncio.Queue[Part] = asyncio.Queue()
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -46,7 +46,7 @@
 )
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
-from radishtally.gateway.requests import STOPPING, Routed, Router
+from radishtally.gateway.requests import NAME_IN_USE, STOPPING, Routed, Router
 from radishtally.limits.retries import RetryBudget
 from radishtally.links.messages import Cancel, Hello, Message, Offer
 from radishtally.outcome import Error, Refusal, Result
@@ -241,6 +241,8 @@
         self, method: str, target: str, asked: CallerRequest, body: bytes
     ) -> Result[Routed, Refusal]:
         """Find where a request goes."""
+        if asked.request in self.replies:
+            return Error(NAME_IN_USE)
         routed = self.router.route(method, target, asked, body)
         if routed.is_ok() and not self._may_finish(routed.ok.timeout):
             return Error(STOPPING)
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -17,6 +17,11 @@
 STOPPING: Final = Refusal(
     503, "stopping", "this gateway is stopping", Ran.NO, retry_after=0.05
 )
+NAME_IN_USE: Final = Refusal(
+    409, "name_in_use", "another request of this name is still open", Ran.NO
+)
+"""Answers find their caller by the name: a second one would take the first's place, who
+then waits for ever."""
 NO_ROUTE: Final = Refusal(404, "no_route", "no route leads from this path")
 
 
