--- a/radishtally/gateway/connections.py
+++ b/radishtally/gateway/connections.py
@@ -85,9 +85,8 @@
 
     def _is_used(self, connection: RequestHandler) -> bool:
         known = self._uses.get(connection)
-        return (known is not None and known.open_requests > 0) or _is_sending(
-            connection
-        )
+        is_open = known is not None and known.open_requests > 0
+        return is_open or _is_sending(connection)
 
     def _count(self, connection: RequestHandler, change: int) -> None:
         known = self._uses.get(connection)
