--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -46,7 +46,7 @@
 )
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
-from radishtally.gateway.requests import STOPPING, Routed, Router
+from radishtally.gateway.requests import NAME_IN_USE, STOPPING, Routed, Router
 from radishtally.gateway.starts import Restart
 from radishtally.limits.retries import RetryBudgets
 from radishtally.links.messages import Cancel, Hello, Message, Offer
@@ -154,6 +154,8 @@
         await asyncio.sleep(LEAVE_POLL_SECONDS)
         while await self.front.close_idle() and time.monotonic() < until:
             await asyncio.sleep(LEAVE_POLL_SECONDS)
+        self.handle(events.Leave())
+        await asyncio.sleep(LEAVE_POLL_SECONDS)
 
     async def _unload(self, *more: asyncio.Task) -> None:
         """Stop the parts together: what hangs would outlast the platform's grace."""
@@ -163,11 +165,17 @@
 
     def take_settings(self, settings: GatewaySettings) -> None:
         """Take settings that were read again; addresses stay until the next start."""
-        bounds = self.settings.bounds
-        fixed = msgspec.structs.replace(settings, bounds=bounds)
+        known = self.settings.bounds
+        fixed = msgspec.structs.replace(settings, bounds=known)
         log_message("settings:reloaded", needs_restart=fixed != self.settings)
-        self.settings = msgspec.structs.replace(self.settings, bounds=settings.bounds)
-        self.lease.set_terms(make_lease_terms(settings.bounds))
+        bounds = settings.bounds
+        if self.is_stopping():
+            # The platform's kill comes as long after its signal as was in force then:
+            # a request that is taken for a longer time would be cut off.
+            grace = known.grace_seconds
+            bounds = msgspec.structs.replace(bounds, grace_seconds=grace)
+        self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
+        self.lease.set_terms(make_lease_terms(bounds))
         self._share_retries()
 
     def count_gateways(self, count: int) -> None:
@@ -288,6 +296,8 @@
         self, method: str, target: str, asked: CallerRequest, body: bytes
     ) -> Result[Routed, Refusal]:
         """Find where a request goes."""
+        if asked.request in self.replies:
+            return Error(NAME_IN_USE)
         routed = self.router.route(method, target, asked, body)
         if routed.is_ok() and not self._may_finish(routed.ok.timeout):
             return Error(STOPPING)
