Give a host no more work when its entry turns unreadable

Cause: an entry that could not be read was passed over, and what had stood there before held on; in a whole list its host was taken for one whose entry had lapsed, and kept. A value that is no base64 raised an error that nobody takes.

Change: such an entry takes its host out at once, by change or whole list, outage or not; the host's next heartbeat brings it back. Logged once for each version of the entry, within a bound; counted in a gauge. A list of such entries ends nothing.

Tests' listeners take the count.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -247,6 +247,10 @@
                     self.core.links.pop(host, None)
         self.metrics.set_missing(self.members.count_missing())
 
+    def count_unreadable(self, count: int) -> None:
+        """Take how many entries of the list can't be read."""
+        self.metrics.set_unreadable(count)
+
     def _take_report(self, asked: Instance, report: EngineReport) -> None:
         self.apply(self.members.take_report(asked, report))
 
--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -157,6 +157,10 @@
                 changes.append(self._forget(instance.host))
         return changes
 
+    def reject(self, host: str) -> list[Change]:
+        """Take that a host's entry is there and names no host any more."""
+        return [self._forget(host)] if host in self._instances else []
+
     def _note_removals(self, removed: Iterable[Instance], now: float) -> None:
         while self._removals and self._removals[0].at <= now - LAPSE_SECONDS:
             self._removals.popleft()
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -72,6 +72,11 @@
             "Hosts that the list lacks and that get work all the same for a while",
             registry=self._registry,
         )
+        self._unreadable = Gauge(
+            "radishtally_unreadable_entries",
+            "Entries of the list that can't be read and name no host",
+            registry=self._registry,
+        )
         self._started: dict[str, tuple[float, str]] = {}
         """Time at which an open request came, and its kind."""
         self._outcomes: dict[str, str] = {}
@@ -91,6 +96,10 @@
         """Take how many hosts are kept that the list lacks."""
         self._missing.set(count)
 
+    def set_unreadable(self, count: int) -> None:
+        """Take how many entries of the list can't be read."""
+        self._unreadable.set(count)
+
     def opened(self, routed: Routed) -> None:
         """Count a request that came in."""
         self._started[routed.work.request] = time.monotonic(), routed.work.kind
--- a/radishtally/logs.py
+++ b/radishtally/logs.py
@@ -28,9 +28,14 @@
 BURST_REFUSALS: Final = 1_000.0
 STEP_KINDS: Final = ("request:step", "request:closed", "request:arrived")
 """Kinds that grow with the load."""
-REFUSAL_KINDS: Final = ("request:refused",)
-"""Kinds that grow with what callers send wrongly too. They are bounded apart: a flood
-of either leaves the other's lines. All other kinds are few and are never left out."""
+REFUSAL_KINDS: Final = (
+    "request:refused",
+    "store:value_unreadable",
+    "upstream:unreadable",
+)
+"""Kinds that grow with what callers and other writers send wrongly too. They are
+bounded apart: a flood of either leaves the other's lines. All other kinds are few and
+are never left out."""
 TASK_FIELDS: Final = frozenset({"task_uuid", "task_level"})
 """What the library adds to place a message within its task. A message that stands alone
 has a task of its own, and the two say nothing: 29% of the bytes of a request's
--- a/tests/adapter/test_outages.py
+++ b/tests/adapter/test_outages.py
@@ -143,6 +143,9 @@
         self.members = Members()
         self.runtime = Runtime()
 
+    def count_unreadable(self, count: int) -> None:
+        assert count == 0
+
     def apply(self, changes: list[Change]) -> None:
         """Take changes; the members hold them already."""
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -63,3 +63,22 @@
         await client.stop()
 
     run(play())
+
+
+# A gateway ends, and ends again at each start: a value by another writer is no base64,
+# and the error that this raises is taken by nobody.
+def test_value_that_is_no_base64_is_an_empty_one() -> None:
+    async def play() -> None:
+        rows = Rows()
+        rows.write(Name("servers", "", "a"), "%%%")
+        rows.write(Name("servers", "", "aa"), "abc")
+        rows.write(Name("servers", "", "b"), "e30=")
+        client = StoreClient(await serve(rows.build_app()))
+        await client.start()
+        page = (await client.read_table("servers")).ok
+        assert [row.value for row in page.rows] == [b"", b"", b"{}"]
+        changes = (await client.follow_table("servers", 0, 0.0)).ok
+        assert [row.value for row in changes.rows] == [b"", b"", b"{}"]
+        await client.stop()
+
+    run(play())
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -171,6 +171,10 @@
         self.members = Members()
         self.runtime = Runtime()
         self.changes: list[Change] = []
+        self.unreadable = 0
+
+    def count_unreadable(self, count: int) -> None:
+        self.unreadable = count
 
     def apply(self, changes: list[Change]) -> None:
         self.changes += changes
@@ -246,3 +250,50 @@
         return listener.changes
 
     assert [type(change) for change in run(play())] == [Set, Set, Miss, Miss]
+
+
+# Requests go to whoever listens at an address that a foreign entry names, or to a host
+# whose entry says nothing any more: an entry that can't be read was passed over, and
+# what stood there before held on.
+@pytest.mark.parametrize("is_whole", [True, False])
+@pytest.mark.parametrize("after_outage", [True, False])
+def test_host_whose_entry_turns_unreadable_gets_no_more_work(
+    is_whole: bool, after_outage: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("adapter.watch.MIN_OUTAGE_SECONDS", 0.0)
+    good = tuple(StoredRow(host, DESK, 1) for host in "abcde")
+    bad = StoredRow("a", b"{}", 5)
+    first = [Ok(Page(good, 4))] + [AWAY] * after_outage
+    then = [Ok(Compacted())] * is_whole + [
+        Ok(Page((bad, *good[1:]) if is_whole else (bad,), 6)),
+        Ok(Page((StoredRow("a", DESK, 7),), 8)),
+    ]
+
+    async def play() -> list[Change]:
+        listener = Listener()
+        Watcher(HostsStore(*first, *then), listener).start()
+        await wait_until(lambda: len(listener.changes) >= 7)
+        listener.runtime.cancel_tasks()
+        assert listener.unreadable == 0
+        return listener.changes
+
+    changes = run(play())
+    assert [type(change) for change in changes] == [*[Set] * 5, Forget, Set]
+    assert changes[5].host == changes[6].instance.host == "a"
+
+
+def test_list_of_unreadable_entries_only_does_not_end_the_watch() -> None:
+    bad = tuple(StoredRow(host, b"\xff", 1) for host in "ab")
+    changes = StoredRow("c", b"[]", 5), StoredRow("d", DESK, 6)
+
+    async def play() -> Listener:
+        listener = Listener()
+        store = HostsStore(Ok(Page(bad, 4)), Ok(Page(changes, 6)))
+        Watcher(store, listener).start()
+        await wait_until(lambda: bool(listener.changes))
+        listener.runtime.cancel_tasks()
+        return listener
+
+    listener = run(play())
+    assert [change.instance.host for change in listener.changes] == ["d"]
+    assert listener.unreadable == 3
