Split changes of hosts and shares of bounds from the gateway's daemon

Change: what follows from each kind of change is a singledispatch function in gateway/changes.py; what the deployment's bounds leave to one gateway stands in gateway/bounds.py. Moved as it was, no change of behaviour.

--- /dev/null
+++ b/radishtally/gateway/bounds.py
@@ -0,0 +1,24 @@
+"""Work out what a deployment's bounds leave to one gateway."""
+
+from radishtally.authority.lease import LeaseTerms
+from radishtally.gateway.config import Bounds
+from radishtally.gateway.const import (
+    LEASE_MARGIN,
+    LEASE_READ,
+    LEASE_RENEW,
+    LEASE_SECONDS,
+    LEASE_TURNS,
+    RETRY_PART,
+)
+
+
+def find_retry_floor(bounds: Bounds, gateways: int) -> float:
+    """Find the retries a second that one of some gateways may always make."""
+    every_second = bounds.retry_slack / bounds.retry_window_seconds
+    return every_second * RETRY_PART / gateways
+
+
+def make_lease_terms(bounds: Bounds) -> LeaseTerms:
+    """Make the times of the lease under which engines are given their roles."""
+    granted = max(LEASE_SECONDS, LEASE_TURNS * bounds.lease_ms / 1000)
+    return LeaseTerms(granted, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -10,7 +10,6 @@
 from eliot import log_message
 
 from radishtally.authority.holder import LeaseHolder
-from radishtally.authority.lease import LeaseTerms
 from radishtally.direct.core import Dialect, EngineReport, Instance
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
@@ -18,14 +17,11 @@
 from radishtally.entry.const import FIRST_FAILURE
 from radishtally.entry.core import EntryCore, handle_event
 from radishtally.entry.replies import Part, Replies
-from radishtally.gateway.config import Bounds, GatewaySettings
+from radishtally.gateway.bounds import find_retry_floor, make_lease_terms
+from radishtally.gateway.changes import carry_out
+from radishtally.gateway.config import GatewaySettings
 from radishtally.gateway.const import (
     ASSUMED_GATEWAYS,
-    LEASE_MARGIN,
-    LEASE_READ,
-    LEASE_RENEW,
-    LEASE_SECONDS,
-    LEASE_TURNS,
     LEAVE_MARGIN_SECONDS,
     LEAVE_POLL_SECONDS,
     LEAVE_SECONDS,
@@ -35,21 +31,12 @@
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.front import Front
-from radishtally.gateway.members import (
-    LAPSE_SECONDS,
-    Change,
-    Forget,
-    Members,
-    Miss,
-    Return,
-    Set,
-)
+from radishtally.gateway.members import Change, Members
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, Routed, Router
-from radishtally.gateway.starts import Restart
 from radishtally.limits.retries import RetryBudgets
-from radishtally.links.messages import Cancel, Hello, Message, Offer
+from radishtally.links.messages import Cancel, Message, Offer
 from radishtally.outcome import Error, Refusal, Result
 from radishtally.routes.config import CallerLimits, FleetConfiguration
 from radishtally.runtime import Runtime, Waker, read_boot_clock
@@ -225,26 +212,7 @@
     def apply(self, changes: list[Change]) -> None:
         """Take what became of the upstreams' hosts."""
         for change in changes:
-            match change:
-                case Set(instance):
-                    self._set_instance(instance)
-                case Miss(host, reason):
-                    log_message(
-                        "upstream:missing",
-                        upstream_host=host,
-                        reason=reason,
-                        seconds=LAPSE_SECONDS,
-                    )
-                case Return(host):
-                    log_message("upstream:returned", upstream_host=host)
-                case Restart(host):
-                    self._restart(change)
-                case Forget(host):
-                    log_message("upstream:gone", upstream_host=host)
-                    self.hosts.forget(host)
-                    self.placement.forget(host)
-                    self.core.forget_host(host)
-                    self.core.links.pop(host, None)
+            carry_out(change, self)
         self.metrics.set_missing(self.members.count_missing())
 
     def count_unreadable(self, count: int) -> None:
@@ -254,48 +222,6 @@
     def _take_report(self, asked: Instance, report: EngineReport) -> None:
         self.apply(self.members.take_report(asked, report))
 
-    def _set_instance(self, instance: Instance) -> None:
-        host = instance.host
-        log_message(
-            "upstream:seen",
-            upstream_host=host,
-            upstream=instance.upstream,
-            address=instance.address,
-            data_centre=instance.data_centre,
-            role=instance.role,
-            is_draining=instance.is_draining,
-        )
-        self.hosts.set_instance(instance)
-        self.placement.set_instance(instance)
-        live = not instance.is_draining
-        self.core.set_host(host, instance.data_centre, instance.upstream, live)
-        if host not in self.core.links:
-            self._link(instance)
-
-    def _restart(self, restart: Restart) -> None:
-        """Forget what was known of a host's earlier start."""
-        host = restart.host
-        log_message(
-            "upstream:restarted",
-            upstream_host=host,
-            before=restart.before,
-            after=restart.after,
-            source=restart.source.value,
-        )
-        self.placement.restart(host)
-        self.stages.forget(host)
-        self.core.restart_host(host)
-        self.core.links.pop(host, None)
-
-    def _link(self, instance: Instance) -> None:
-        """Let a host get work; what is open at an earlier start of it is lost."""
-        host = instance.host
-        incarnation = self.members.starts.name(host)
-        for request in self.core.list_outdated(host, incarnation):
-            self.hosts.cancel(Cancel(request.work.request, request.attempt))
-        hello = Hello(host, instance.data_centre, "", incarnation, 0)
-        self.handle(events.LinkUp(hello))
-
     def route(
         self, method: str, target: str, asked: CallerRequest, body: bytes
     ) -> Result[Routed, Refusal]:
@@ -420,18 +346,6 @@
         log_message("request:step", request=command.request, text=command.text)
 
 
-def find_retry_floor(bounds: Bounds, gateways: int) -> float:
-    """Find the retries a second that one of some gateways may always make."""
-    every_second = bounds.retry_slack / bounds.retry_window_seconds
-    return every_second * RETRY_PART / gateways
-
-
-def make_lease_terms(bounds: Bounds) -> LeaseTerms:
-    """Make the times of the lease under which engines are given their roles."""
-    granted = max(LEASE_SECONDS, LEASE_TURNS * bounds.lease_ms / 1000)
-    return LeaseTerms(granted, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
-
-
 def make_lease(gateway: Gateway) -> LeaseHolder:
     """Make the lease under which one gateway gives engines their roles."""
     return LeaseHolder(
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -5,7 +5,8 @@
 import pytest
 
 from radishtally.gateway import peers
-from radishtally.gateway.daemon import Gateway, find_retry_floor
+from radishtally.gateway.bounds import find_retry_floor
+from radishtally.gateway.daemon import Gateway
 from radishtally.gateway.peers import GATEWAYS, Peers
 from radishtally.outcome import Error, Result
 from radishtally.store.core import ABSENT, Delete, Key, Put, Unavailable
