--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -11,7 +11,7 @@
 
 from radishtally.authority.holder import LeaseHolder
 from radishtally.authority.lease import LeaseTerms
-from radishtally.direct.core import Dialect, Instance
+from radishtally.direct.core import Dialect, EngineReport, Instance
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
 from radishtally.entry import events
@@ -47,7 +47,8 @@
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import STOPPING, Routed, Router
-from radishtally.limits.retries import RetryBudget
+from radishtally.gateway.starts import Restart
+from radishtally.limits.retries import RetryBudgets
 from radishtally.links.messages import Cancel, Hello, Message, Offer
 from radishtally.outcome import Error, Refusal, Result
 from radishtally.routes.config import CallerLimits, FleetConfiguration
@@ -76,12 +77,13 @@
         self.placement = placement
         self.replies = Replies()
         self.metrics = GatewayMetrics()
+        self._gateways = ASSUMED_GATEWAYS
         self.core = EntryCore(
             settings.host,
             settings.data_centre,
             random.Random(),
             placement,
-            RetryBudget(
+            RetryBudgets(
                 settings.bounds.retry_ratio * RETRY_PART,
                 find_retry_floor(settings.bounds, ASSUMED_GATEWAYS),
             ),
@@ -89,6 +91,7 @@
             # may take as long as its queue: only the deadline bounds it.
             offer_seconds=float("inf"),
             refusals_cost=True,
+            prompts_run=False,
         )
         self.hosts = DirectHosts(upstreams, self.runtime.guard_call(self._receive))
         self.front = Front(self, callers)
@@ -97,7 +100,7 @@
         self.stages = StageKeeper(
             settings.host,
             self.hosts,
-            lambda: list(self.members),
+            self.list_served_hosts,
             self.lease,
             placement.measure,
         )
@@ -105,6 +108,7 @@
             self, settings.host, settings.data_centre, settings.peer_address
         )
         placement.on_demand = self.stages.note
+        self.stages.on_report = self._take_report
         self.waker = Waker(lambda: self.handle(events.Tick()))
 
     @property
@@ -163,11 +167,19 @@
         fixed = msgspec.structs.replace(settings, bounds=bounds)
         log_message("settings:reloaded", needs_restart=fixed != self.settings)
         self.settings = msgspec.structs.replace(self.settings, bounds=settings.bounds)
+        self.lease.set_terms(make_lease_terms(settings.bounds))
+        self._share_retries()
 
     def count_gateways(self, count: int) -> None:
         """Take how many gateways share the retries, and the looks at the lease."""
+        self._gateways = count
         self.lease.share_reads(count)
-        self.core.budget.floor = find_retry_floor(self.settings.bounds, count)
+        self._share_retries()
+
+    def _share_retries(self) -> None:
+        bounds = self.settings.bounds
+        ratio = bounds.retry_ratio * RETRY_PART
+        self.core.budgets.configure(ratio, find_retry_floor(bounds, self._gateways))
 
     def render_metrics(self) -> bytes:
         """Give the figures of the metrics address."""
@@ -190,18 +202,35 @@
         self.placement.configure(configuration.upstreams.values())
         log_message("configuration:in_force", version=configuration.version)
 
+    def list_served_hosts(self) -> list[Instance]:
+        """List the hosts of the upstreams that the configuration names.
+
+        Whoever may write to the list can name any service there. An order would go to
+        the entry's address, whoever listens there.
+        """
+        configuration = self.router.configuration
+        if configuration is None:
+            return []
+        named = configuration.upstreams
+        return [host for host in self.members if host.upstream in named]
+
     def apply(self, changes: list[Change]) -> None:
         """Take what became of the upstreams' hosts."""
         for change in changes:
             match change:
                 case Set(instance):
                     self._set_instance(instance)
-                case Miss(host):
+                case Miss(host, reason):
                     log_message(
-                        "upstream:missing", upstream_host=host, seconds=LAPSE_SECONDS
+                        "upstream:missing",
+                        upstream_host=host,
+                        reason=reason,
+                        seconds=LAPSE_SECONDS,
                     )
                 case Return(host):
                     log_message("upstream:returned", upstream_host=host)
+                case Restart(host):
+                    self._restart(change)
                 case Forget(host):
                     log_message("upstream:gone", upstream_host=host)
                     self.hosts.forget(host)
@@ -210,6 +239,9 @@
                     self.core.links.pop(host, None)
         self.metrics.set_missing(self.members.count_missing())
 
+    def _take_report(self, asked: Instance, report: EngineReport) -> None:
+        self.apply(self.members.take_report(asked, report))
+
     def _set_instance(self, instance: Instance) -> None:
         host = instance.host
         log_message(
@@ -226,8 +258,31 @@
         live = not instance.is_draining
         self.core.set_host(host, instance.data_centre, instance.upstream, live)
         if host not in self.core.links:
-            hello = Hello(host, instance.data_centre, "", host, 0)
-            self.handle(events.LinkUp(hello))
+            self._link(instance)
+
+    def _restart(self, restart: Restart) -> None:
+        """Forget what was known of a host's earlier start."""
+        host = restart.host
+        log_message(
+            "upstream:restarted",
+            upstream_host=host,
+            before=restart.before,
+            after=restart.after,
+            source=restart.source.value,
+        )
+        self.placement.restart(host)
+        self.stages.forget(host)
+        self.core.restart_host(host)
+        self.core.links.pop(host, None)
+
+    def _link(self, instance: Instance) -> None:
+        """Let a host get work; what is open at an earlier start of it is lost."""
+        host = instance.host
+        incarnation = self.members.starts.name(host)
+        for request in self.core.list_outdated(host, incarnation):
+            self.hosts.cancel(Cancel(request.work.request, request.attempt))
+        hello = Hello(host, instance.data_centre, "", incarnation, 0)
+        self.handle(events.LinkUp(hello))
 
     def route(
         self, method: str, target: str, asked: CallerRequest, body: bytes
@@ -357,17 +412,20 @@
     return every_second * RETRY_PART / gateways
 
 
+def make_lease_terms(bounds: Bounds) -> LeaseTerms:
+    """Make the times of the lease under which engines are given their roles."""
+    granted = max(LEASE_SECONDS, LEASE_TURNS * bounds.lease_ms / 1000)
+    return LeaseTerms(granted, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
+
+
 def make_lease(gateway: Gateway) -> LeaseHolder:
     """Make the lease under which one gateway gives engines their roles."""
-    least = LEASE_TURNS * gateway.settings.bounds.lease_ms / 1000
-    granted = max(LEASE_SECONDS, least)
-    terms = LeaseTerms(granted, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
     return LeaseHolder(
         gateway.table,
         STAGES,
         gateway.settings.host,
         gateway.incarnation,
-        terms,
+        make_lease_terms(gateway.settings.bounds),
         on_gained=lambda fencing: log_message("lease:gained", fencing=fencing),
         on_lost=lambda cause: log_message("lease:lost", cause=cause),
         clock=read_boot_clock,
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -1,6 +1,8 @@
 """Tests of following the tables of the store."""
 
 import asyncio
+import json
+import time
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -9,15 +11,17 @@
 from adapter.store import Compacted, Page, StoredRow
 from adapter.watch import FEED_SECONDS, TableWatch, Watcher
 
-from radishtally.gateway.members import Change, Forget, Members, Miss, Set
+from radishtally.gateway.members import Change, Forget, Members, Miss, Return, Set
 from radishtally.outcome import Error, Ok, Result
 from radishtally.runtime import Runtime
 from radishtally.store.core import Unavailable
 from tests.common import run
-from tests.gateway.common import wait_until
+from tests.gateway.common import ENTRY, wait_until
 
 ROW = StoredRow("k", b"v", 1)
 AWAY = Error(Unavailable("away"))
+DESK = json.dumps({**ENTRY, "service": "desk", "address": "10.0.0.1:80"}).encode()
+"""Entry of a host."""
 
 
 class ScriptedStore:
@@ -40,7 +44,9 @@
         return self.answers.pop(0)
 
 
-def follow(*answers: Result) -> tuple[ScriptedStore, list[object]]:
+def follow(
+    *answers: Result, clock: Callable[[], float] = time.monotonic
+) -> tuple[ScriptedStore, list[object]]:
     """Follow a table until the answers end."""
     store, seen = ScriptedStore(*answers), []
     watch = TableWatch(
@@ -48,6 +54,7 @@
         "servers",
         lambda rows, after: seen.append(("all", rows, after)),
         lambda rows, after: seen.append(("changes", rows, after)),
+        clock=clock,
     )
 
     async def play() -> None:
@@ -85,6 +92,50 @@
     assert seen[-1] == ("changes", (ROW,), False)
 
 
+# Work goes to a host for over three seconds after the store's return: the host had
+# left meanwhile, but after many failures the gateway asked only each second or two,
+# and its entry was kept for another second and a half once its removal was read.
+def test_store_is_asked_often_however_long_it_was_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    longest, waits = 0.5, []
+
+    async def note(seconds: float) -> None:
+        waits.append(seconds)
+
+    monkeypatch.setattr("adapter.watch.asyncio.sleep", note)
+    follow(Ok(Page((), 4)), *[AWAY] * 20, Ok(Page((), 4)))
+    assert len(waits) == 20
+    assert max(waits) <= longest
+
+
+# Callers are refused for a second or two: hosts were dropped whose entries had only
+# lapsed. The connection to the store had gone silent, which shows some seconds late,
+# and the outage seemed too short for entries to lapse.
+def test_outage_began_before_the_silence_was_noticed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now = 0.0
+
+    async def pass_time(seconds: float) -> None:
+        nonlocal now
+        now += seconds
+
+    monkeypatch.setattr("adapter.watch.asyncio.sleep", pass_time)
+
+    class SilentStore(ScriptedStore):
+        async def follow_table(self, table: str, after: int, wait: float) -> Result:
+            nonlocal now
+            now += wait / 2
+            return await super().follow_table(table, after, wait)
+
+    monkeypatch.setattr(f"{__name__}.ScriptedStore", SilentStore)
+    removed = StoredRow("k", None, 5)
+    answers = Ok(Page((ROW,), 4)), AWAY, Ok(Page((removed,), 5))
+    _, seen = follow(*answers, clock=lambda: now)
+    assert seen[-1] == ("changes", (removed,), True)
+
+
 class EarlyLoop(asyncio.SelectorEventLoop):
     """Fire timers 10 ms early.
 
@@ -99,13 +150,19 @@
 
 
 class HostsStore(ScriptedStore):
-    """Give answers on the hosts; no configuration ever comes."""
+    """Give answers on the hosts, then no change; no configuration ever comes."""
 
     async def read_table(self, table: str) -> Result:
         if table == const.HOSTS_TABLE:
             return await super().read_table(table)
         return await asyncio.Event().wait()
 
+    async def follow_table(self, table: str, after: int, wait: float) -> Result:
+        if self.answers:
+            return await super().follow_table(table, after, wait)
+        await asyncio.sleep(wait)
+        return Ok(Page((), after))
+
 
 class Listener:
     """Stand for a gateway that a watcher tells of changes."""
@@ -130,8 +187,7 @@
     monkeypatch.setattr("adapter.watch.MIN_OUTAGE_SECONDS", 0.0)
     for module in ("adapter.watch", "radishtally.gateway.members"):
         monkeypatch.setattr(f"{module}.LAPSE_SECONDS", 0.05)
-    entry = b'{"service": "desk", "address": "a:1", "zone": "howrah"}'
-    listed, removed = StoredRow("a", entry, 1), StoredRow("a", None, 5)
+    listed, removed = StoredRow("a", DESK, 1), StoredRow("a", None, 5)
 
     async def play() -> None:
         store = HostsStore(Ok(Page((listed,), 4)), AWAY, Ok(Page((removed,), 5)))
@@ -143,3 +199,50 @@
 
     with asyncio.Runner(loop_factory=EarlyLoop) as runner:
         runner.run(play())
+
+
+# All callers are refused until the store is back: it went away again just after its
+# return, so hosts whose entries had lapsed could not write anew, but they were given
+# up when their time had come. Proved by the log of a day: a gateway that has lost the
+# store again gives up what the list lacked, and sees it again four seconds later.
+def test_missing_hosts_are_kept_while_the_store_is_away_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("adapter.watch.MIN_OUTAGE_SECONDS", 0.0)
+    for module in ("adapter.watch", "radishtally.gateway.members"):
+        monkeypatch.setattr(f"{module}.LAPSE_SECONDS", 0.05)
+    listed = tuple(StoredRow(host, DESK, 1) for host in "ab")
+    removed = tuple(StoredRow(host, None, 5) for host in "ab")
+
+    async def play() -> list[Change]:
+        first, lapsed, back = Page(listed, 4), Page(removed, 5), Page(listed, 9)
+        away = [AWAY] * 4
+        store = HostsStore(Ok(first), AWAY, Ok(lapsed), *away, Ok(back))
+        listener = Listener()
+        Watcher(store, listener).start()
+        await wait_until(lambda: len(listener.changes) >= 6)
+        listener.runtime.cancel_tasks()
+        return listener.changes
+
+    kinds = [type(change) for change in run(play())]
+    assert kinds == [Set, Set, Miss, Miss, Return, Return]
+
+
+# All callers are refused for a second: the store was away, but the gateway's question
+# for changes was held all the while, so it saw no outage. The first answer after the
+# return removed every entry, as none had been renewed, and all hosts were dropped.
+# Proved by the log of a day: all are gone in one turn and seen again within 1.5 s,
+# with no line of a lost store before.
+def test_hosts_whose_entries_vanish_together_are_kept_for_a_while() -> None:
+    listed = tuple(StoredRow(host, DESK, 1) for host in "ab")
+    removed = tuple(StoredRow(host, None, 5) for host in "ab")
+
+    async def play() -> list[Change]:
+        store = HostsStore(Ok(Page(listed, 4)), Ok(Page(removed, 5)))
+        listener = Listener()
+        Watcher(store, listener).start()
+        await wait_until(lambda: len(listener.changes) == 4)
+        listener.runtime.cancel_tasks()
+        return listener.changes
+
+    assert [type(change) for change in run(play())] == [Set, Set, Miss, Miss]
