--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -10,22 +10,18 @@
 from eliot import log_message
 
 from radishtally.authority.holder import LeaseHolder
-from radishtally.authority.lease import LeaseTerms
-from radishtally.direct.core import Dialect, Instance
+from radishtally.direct.core import Dialect, EngineReport, Instance
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
 from radishtally.entry import events
 from radishtally.entry.const import FIRST_FAILURE
 from radishtally.entry.core import EntryCore, handle_event
 from radishtally.entry.replies import Part, Replies
-from radishtally.gateway.config import Bounds, GatewaySettings
+from radishtally.gateway.bounds import find_retry_floor, make_lease_terms
+from radishtally.gateway.changes import carry_out
+from radishtally.gateway.config import GatewaySettings
 from radishtally.gateway.const import (
     ASSUMED_GATEWAYS,
-    LEASE_MARGIN,
-    LEASE_READ,
-    LEASE_RENEW,
-    LEASE_SECONDS,
-    LEASE_TURNS,
     LEAVE_MARGIN_SECONDS,
     LEAVE_POLL_SECONDS,
     LEAVE_SECONDS,
@@ -35,20 +31,12 @@
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.front import Front
-from radishtally.gateway.members import (
-    LAPSE_SECONDS,
-    Change,
-    Forget,
-    Members,
-    Miss,
-    Return,
-    Set,
-)
+from radishtally.gateway.members import Change, Members
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
-from radishtally.gateway.requests import STOPPING, Routed, Router
-from radishtally.limits.retries import RetryBudget
-from radishtally.links.messages import Cancel, Hello, Message, Offer
+from radishtally.gateway.requests import NAME_IN_USE, STOPPING, Routed, Router
+from radishtally.limits.retries import RetryBudgets
+from radishtally.links.messages import Cancel, Message, Offer
 from radishtally.outcome import Error, Refusal, Result
 from radishtally.routes.config import CallerLimits, FleetConfiguration
 from radishtally.runtime import Runtime, Waker, read_boot_clock
@@ -76,12 +64,13 @@
         self.placement = placement
         self.replies = Replies()
         self.metrics = GatewayMetrics()
+        self._gateways = ASSUMED_GATEWAYS
         self.core = EntryCore(
             settings.host,
             settings.data_centre,
             random.Random(),
             placement,
-            RetryBudget(
+            RetryBudgets(
                 settings.bounds.retry_ratio * RETRY_PART,
                 find_retry_floor(settings.bounds, ASSUMED_GATEWAYS),
             ),
@@ -89,6 +78,7 @@
             # may take as long as its queue: only the deadline bounds it.
             offer_seconds=float("inf"),
             refusals_cost=True,
+            prompts_run=False,
         )
         self.hosts = DirectHosts(upstreams, self.runtime.guard_call(self._receive))
         self.front = Front(self, callers)
@@ -97,7 +87,7 @@
         self.stages = StageKeeper(
             settings.host,
             self.hosts,
-            lambda: list(self.members),
+            self.list_served_hosts,
             self.lease,
             placement.measure,
         )
@@ -105,6 +95,7 @@
             self, settings.host, settings.data_centre, settings.peer_address
         )
         placement.on_demand = self.stages.note
+        self.stages.on_report = self._take_report
         self.waker = Waker(lambda: self.handle(events.Tick()))
 
     @property
@@ -150,6 +141,8 @@
         await asyncio.sleep(LEAVE_POLL_SECONDS)
         while await self.front.close_idle() and time.monotonic() < until:
             await asyncio.sleep(LEAVE_POLL_SECONDS)
+        self.handle(events.Leave())
+        await asyncio.sleep(LEAVE_POLL_SECONDS)
 
     async def _unload(self, *more: asyncio.Task) -> None:
         """Stop the parts together: what hangs would outlast the platform's grace."""
@@ -159,15 +152,29 @@
 
     def take_settings(self, settings: GatewaySettings) -> None:
         """Take settings that were read again; addresses stay until the next start."""
-        bounds = self.settings.bounds
-        fixed = msgspec.structs.replace(settings, bounds=bounds)
+        known = self.settings.bounds
+        fixed = msgspec.structs.replace(settings, bounds=known)
         log_message("settings:reloaded", needs_restart=fixed != self.settings)
-        self.settings = msgspec.structs.replace(self.settings, bounds=settings.bounds)
+        bounds = settings.bounds
+        if self.is_stopping():
+            # The platform's kill comes as long after its signal as was in force then:
+            # a request that is taken for a longer time would be cut off.
+            grace = known.grace_seconds
+            bounds = msgspec.structs.replace(bounds, grace_seconds=grace)
+        self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
+        self.lease.set_terms(make_lease_terms(bounds))
+        self._share_retries()
 
     def count_gateways(self, count: int) -> None:
         """Take how many gateways share the retries, and the looks at the lease."""
+        self._gateways = count
         self.lease.share_reads(count)
-        self.core.budget.floor = find_retry_floor(self.settings.bounds, count)
+        self._share_retries()
+
+    def _share_retries(self) -> None:
+        bounds = self.settings.bounds
+        ratio = bounds.retry_ratio * RETRY_PART
+        self.core.budgets.configure(ratio, find_retry_floor(bounds, self._gateways))
 
     def render_metrics(self) -> bytes:
         """Give the figures of the metrics address."""
@@ -190,49 +197,37 @@
         self.placement.configure(configuration.upstreams.values())
         log_message("configuration:in_force", version=configuration.version)
 
+    def list_served_hosts(self) -> list[Instance]:
+        """List the hosts of the upstreams that the configuration names.
+
+        Whoever may write to the list can name any service there. An order would go to
+        the entry's address, whoever listens there.
+        """
+        configuration = self.router.configuration
+        if configuration is None:
+            return []
+        named = configuration.upstreams
+        return [host for host in self.members if host.upstream in named]
+
     def apply(self, changes: list[Change]) -> None:
         """Take what became of the upstreams' hosts."""
         for change in changes:
-            match change:
-                case Set(instance):
-                    self._set_instance(instance)
-                case Miss(host):
-                    log_message(
-                        "upstream:missing", upstream_host=host, seconds=LAPSE_SECONDS
-                    )
-                case Return(host):
-                    log_message("upstream:returned", upstream_host=host)
-                case Forget(host):
-                    log_message("upstream:gone", upstream_host=host)
-                    self.hosts.forget(host)
-                    self.placement.forget(host)
-                    self.core.forget_host(host)
-                    self.core.links.pop(host, None)
+            carry_out(change, self)
         self.metrics.set_missing(self.members.count_missing())
 
-    def _set_instance(self, instance: Instance) -> None:
-        host = instance.host
-        log_message(
-            "upstream:seen",
-            upstream_host=host,
-            upstream=instance.upstream,
-            address=instance.address,
-            data_centre=instance.data_centre,
-            role=instance.role,
-            is_draining=instance.is_draining,
-        )
-        self.hosts.set_instance(instance)
-        self.placement.set_instance(instance)
-        live = not instance.is_draining
-        self.core.set_host(host, instance.data_centre, instance.upstream, live)
-        if host not in self.core.links:
-            hello = Hello(host, instance.data_centre, "", host, 0)
-            self.handle(events.LinkUp(hello))
+    def count_unreadable(self, count: int) -> None:
+        """Take how many entries of the list can't be read."""
+        self.metrics.set_unreadable(count)
+
+    def _take_report(self, asked: Instance, report: EngineReport) -> None:
+        self.apply(self.members.take_report(asked, report))
 
     def route(
         self, method: str, target: str, asked: CallerRequest, body: bytes
     ) -> Result[Routed, Refusal]:
         """Find where a request goes."""
+        if asked.request in self.replies:
+            return Error(NAME_IN_USE)
         routed = self.router.route(method, target, asked, body)
         if routed.is_ok() and not self._may_finish(routed.ok.timeout):
             return Error(STOPPING)
@@ -351,23 +346,14 @@
         log_message("request:step", request=command.request, text=command.text)
 
 
-def find_retry_floor(bounds: Bounds, gateways: int) -> float:
-    """Find the retries a second that one of some gateways may always make."""
-    every_second = bounds.retry_slack / bounds.retry_window_seconds
-    return every_second * RETRY_PART / gateways
-
-
 def make_lease(gateway: Gateway) -> LeaseHolder:
     """Make the lease under which one gateway gives engines their roles."""
-    least = LEASE_TURNS * gateway.settings.bounds.lease_ms / 1000
-    granted = max(LEASE_SECONDS, least)
-    terms = LeaseTerms(granted, LEASE_MARGIN, LEASE_RENEW, LEASE_READ)
     return LeaseHolder(
         gateway.table,
         STAGES,
         gateway.settings.host,
         gateway.incarnation,
-        terms,
+        make_lease_terms(gateway.settings.bounds),
         on_gained=lambda fencing: log_message("lease:gained", fencing=fencing),
         on_lost=lambda cause: log_message("lease:lost", cause=cause),
         clock=read_boot_clock,
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -7,7 +7,12 @@
 
 from eliot import log_message
 
-from radishtally.direct.core import EngineReport, Instance, OrderOutcome
+from radishtally.direct.core import (
+    EngineReport,
+    Instance,
+    OrderOutcome,
+    is_same_start,
+)
 from radishtally.engines.state import EngineLoad
 from radishtally.links.messages import DemandReport
 from radishtally.outcome import Result
@@ -20,7 +25,17 @@
     StagePlan,
 )
 
-PENDING_OUTCOMES: Final = (OrderOutcome.TAKEN, OrderOutcome.UNCLEAR)
+PENDING_SECONDS: Final = {
+    OrderOutcome.TAKEN: const.PENDING_SECONDS,
+    OrderOutcome.HOLDS: const.PENDING_SECONDS,
+    # An order without an answer may be carried out seconds later. Until then a second
+    # one would move one engine more than is wanted.
+    OrderOutcome.UNCLEAR: const.PENDING_SECONDS,
+    # The engine is changing by another order, and says soon what it becomes.
+    OrderOutcome.BUSY: const.RETRY_SECONDS,
+}
+"""Time for which an engine counts as having its ordered role after an outcome; after
+any other one the engine stays as it is."""
 
 
 class Lease(Protocol):
@@ -30,6 +45,9 @@
     def fencing(self) -> int | None:
         """Give the fencing number if the lease is held now."""
 
+    def give_up(self, fencing: int) -> None:
+        """Give a number up that was refused; contend for the lease under a new one."""
+
 
 class Orders(Protocol):
     """Reach engines."""
@@ -53,18 +71,22 @@
         list_instances: Callable[[], list[Instance]],
         lease: Lease,
         measure: Callable[[str], EngineLoad],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._host = host
         self._orders = orders
         self._list_instances = list_instances
         self._lease = lease
         self._measure = measure
+        self._clock = clock
+        self.on_report: Callable[[Instance, EngineReport], None] = lambda *_: None
+        """Take what an engine said when asked."""
         self._plans: dict[str, StagePlan] = {}
         self._demands: dict[str, Demand] = {}
         self._pending: dict[str, tuple[str, float]] = {}
         """Role that an engine was ordered to take, and until when that counts."""
-        self._refused: set[int] = set()
-        """Fencing numbers that an engine found to be out of date."""
+        self._passed_over: dict[str, float] = {}
+        """Engines that could not be ordered, and until when others go before them."""
 
     def note(
         self, upstream: str, uncached_tokens: int, output_tokens: int, now: float
@@ -84,6 +106,11 @@
         for demand in self._demands.values():
             demand.forget_report(peer)
 
+    def forget(self, host: str) -> None:
+        """Forget what an engine was ordered, as it has started again."""
+        self._pending.pop(host, None)
+        self._passed_over.pop(host, None)
+
     def make_reports(
         self, now: float, collected_for: str | None = None
     ) -> list[DemandReport]:
@@ -97,8 +124,12 @@
         """Keep the roles for good."""
         while True:
             await asyncio.sleep(const.TICK_SECONDS)
-            for instance, change in self._decide(time.monotonic()):
-                await self._carry_out(instance, change)
+            await self._set_roles()
+
+    async def _set_roles(self) -> None:
+        """Give the orders that are due now."""
+        for instance, change in self._decide(self._clock()):
+            await self._carry_out(instance, change)
 
     def _decide(self, now: float) -> list[tuple[Instance, Change]]:
         """Give the changes that are due, the plan being followed lease or not."""
@@ -110,6 +141,7 @@
             for item in self._list_instances()
             if item.role and not item.is_draining
         ]
+        self._forget_past(now)
         due = []
         for upstream in {item.upstream for item in instances}:
             ours = {i.host: i for i in instances if i.upstream == upstream}
@@ -118,7 +150,18 @@
             share = self._demands.setdefault(upstream, Demand()).find_share(now)
             for change in plan.decide(engines, share, now):
                 due.append((ours[change.host], change))
-        return due if self._may_order() else []
+        return [] if self._lease.fencing is None else due
+
+    def _forget_past(self, now: float) -> None:
+        """Forget what no longer counts, of engines that are gone as well."""
+        self._pending = {
+            host: (role, until)
+            for host, (role, until) in self._pending.items()
+            if now < until
+        }
+        self._passed_over = {
+            host: until for host, until in self._passed_over.items() if now < until
+        }
 
     def _describe(self, instance: Instance, now: float) -> Engine:
         role, until = self._pending.get(instance.host, ("", 0.0))
@@ -126,26 +169,35 @@
             self._pending.pop(instance.host, None)
             role = instance.role
         load = self._measure(instance.host)
-        return Engine(instance.host, instance.data_centre, role, *load)
-
-    def _may_order(self) -> bool:
-        fencing = self._lease.fencing
-        return fencing is not None and fencing not in self._refused
+        is_orderable = instance.host not in self._passed_over
+        return Engine(instance.host, instance.data_centre, role, *load, is_orderable)
 
     async def _carry_out(self, instance: Instance, change: Change) -> None:
         """Give one order, as the engine and the lease stand now."""
         report = await self._orders.read_report(instance)
         if report.is_error():
             log_message("stage:engine_unread", engine=change.host, reason=report.error)
-            self._wait(change.host, instance.role, const.RETRY_SECONDS)
+            self._pass_over(instance)
+            return
+        self.on_report(instance, report.ok)
+        # A new start counts its orders anew: one by the count of another start might be
+        # carried out though nobody wants it of this one.
+        is_same = is_same_start(instance.started_ms, report.ok.started_ms)
+        if not is_same or not self._is_present(instance):
+            log_message(
+                "stage:engine_restarted",
+                engine=change.host,
+                known=instance.started_ms,
+                reported=report.ok.started_ms,
+            )
             return
         if report.ok.is_busy or report.ok.role == change.role:
-            self._wait(change.host, change.role, const.PENDING_SECONDS)
+            self._count_as_done(instance, change, const.PENDING_SECONDS)
             return
         # The lease may have lapsed while the engine was asked: an order is given only
         # by who holds it at that moment.
         fencing = self._lease.fencing
-        if fencing is None or fencing in self._refused:
+        if fencing is None:
             return
         outcome = await self._orders.order_role(
             instance, change.role, self._host, fencing, report.ok.sequence
@@ -159,13 +211,33 @@
             outcome=outcome.value,
         )
         if outcome == OrderOutcome.STALE:
-            self._refused.add(fencing)
-        elif outcome in PENDING_OUTCOMES:
-            # An order without an answer may be carried out seconds later. Until then a
-            # second one would move one engine more than is wanted.
-            self._wait(change.host, change.role, const.PENDING_SECONDS)
+            self._lease.give_up(fencing)
+        if outcome in PENDING_SECONDS:
+            self._count_as_done(instance, change, PENDING_SECONDS[outcome])
         else:
-            self._wait(change.host, instance.role, const.RETRY_SECONDS)
+            self._pass_over(instance)
 
-    def _wait(self, host: str, role: str, seconds: float) -> None:
-        self._pending[host] = (role, time.monotonic() + seconds)
+    def _count_as_done(
+        self, instance: Instance, change: Change, seconds: float
+    ) -> None:
+        # The engine may have started again while it was asked or ordered.
+        if self._is_present(instance):
+            self._pending[change.host] = (change.role, self._clock() + seconds)
+
+    def _pass_over(self, instance: Instance) -> None:
+        """Let other engines be chosen before one that could not be ordered.
+
+        Chosen by the same rule it would be the same one at each look, and the change
+        would wait for as long as that engine is listed.
+        """
+        if self._is_present(instance):
+            until = self._clock() + const.RETRY_SECONDS
+            self._passed_over[instance.host] = until
+
+    def _is_present(self, instance: Instance) -> bool:
+        """Tell whether an engine is there, and no other start of it is known."""
+        return any(
+            item.host == instance.host
+            and is_same_start(item.started_ms, instance.started_ms)
+            for item in self._list_instances()
+        )
--- a/tests/adapter/test_foreign_entries.py
+++ b/tests/adapter/test_foreign_entries.py
@@ -33,6 +33,7 @@
     "coldRemainingMs": [None, "0", []],
     "sequence": [None, "4", 1.5],
     "phase": ["", "mixed", "DECODE", None, 5],
+    "born": [None, "1790000000123", 1.5, True, 0, -1, 10**16, [1]],
 }
 UNREADABLE = [
     b"",
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -35,6 +35,12 @@
         for gateway in self.gateways.values():
             gateway.loads.forget(name)
 
+    def unlist(self, name: str) -> None:
+        """Let a gateway go for good."""
+        self.remove(name)
+        for gateway in self.gateways.values():
+            gateway.loads.set_names(list(self.gateways))
+
     def play(self, now: float) -> None:
         """Let each gateway have two rounds, and two more once all is told again."""
         later = now + REFRESH_SECONDS
@@ -75,6 +81,11 @@
         host = KnownHost(ENGINE.host, "howrah", "llm", live=True)
         self.placement.begin(request, host, 0.0)
 
+    def restart_engine(self, started_ms: int) -> None:
+        """Learn that the engine has started again."""
+        self.placement.restart(ENGINE.host)
+        self.placement.set_instance(ENGINE._replace(started_ms=started_ms))
+
     def count(self) -> int:
         return self.placement.measure(ENGINE.host).answers
 
@@ -129,6 +140,36 @@
     assert counts == {MESH_GATEWAYS}
 
 
+# Engines get too much work: the gateways become few enough to tell each other directly.
+# Each forgets what the collecting one told, and takes no word of those that have not
+# changed over yet; of what had been open before, nothing is told again.
+def test_all_work_counts_when_none_collects_any_more() -> None:
+    net = Net(MESH_GATEWAYS + 1)
+    for number, gateway in enumerate(net.gateways.values()):
+        gateway.begin(number)
+    net.play(0.0)
+    net.unlist(next(reversed(net.gateways)))
+    net.play(4.0)
+    assert [gateway.count() for gateway in net.gateways.values()] == (
+        [MESH_GATEWAYS] * MESH_GATEWAYS
+    )
+
+
+# An engine that has just come gets too much work: one gateway hears of it later than
+# the others, and what they have open there is told to it before it knows the engine.
+@pytest.mark.parametrize("count", [2, MANY])
+def test_work_at_an_engine_that_is_not_listed_yet_is_counted_later(count: int) -> None:
+    net = Net(count)
+    last = net.gateways[f"g-{count - 1}"]
+    last.placement.forget(ENGINE.host)
+    net.gateways["g-0"].begin(0)
+    net.play(0.0)
+    assert last.count() == 0
+    last.placement.set_instance(ENGINE)
+    net.play(4.0)
+    assert last.count() == 1
+
+
 def test_demand_of_all_counts_where_one_collects() -> None:
     net = Net(MANY)
     net.play(0.0)
@@ -140,3 +181,42 @@
         for gateway in net.gateways.values()
     ]
     assert max(shares) - min(shares) < 1e-6
+
+
+# An engine that is idle is taken for busy, or a busy one for idle: it started again,
+# and gateways learn so one after another. What one has open at another start than one
+# knows of counts for nothing, and counts in full once the start is known.
+@pytest.mark.parametrize("count", [3, MANY])
+def test_work_counts_where_its_start_is_known(count: int) -> None:
+    net = Net(count)
+    gateways = list(net.gateways.values())
+    for gateway in gateways:
+        gateway.restart_engine(5_000)
+        gateway.begin(1)
+    net.play(0.0)
+    assert {gateway.count() for gateway in gateways} == {count}
+    first, *others = gateways
+    first.restart_engine(4_000)
+    first.begin(2)
+    net.play(2.0)
+    assert first.count() == 1
+    for gateway in others:
+        assert gateway.count() < count
+        gateway.restart_engine(4_000)
+        net.play(4.0)
+    net.play(6.0)
+    assert {gateway.count() for gateway in gateways} == {1}
+
+
+# The work of a gateway that is gone counts at the engine's next start: what it told of
+# that before the others knew the start is kept for them.
+def test_work_of_a_lost_gateway_does_not_count_at_a_later_start() -> None:
+    net = Net(2)
+    first, second = net.gateways.values()
+    first.restart_engine(4_000)
+    first.begin(1)
+    second.restart_engine(5_000)
+    net.play(0.0)
+    net.remove(first.name)
+    second.restart_engine(4_000)
+    assert second.count() == 0
