Share engines out by what is observed of prompts and answers

Cause: three of six engines read prompts and were full while three made answers and idled.

Change: needs in engines. Prompts: tokens that come over the rate that engines are seen to read at. Answers: expected tokens that come, times events for each expected token (whole answers of all gateways), over the events that an engine makes with a full batch; the time of an event against the number of answers is a line fitted through what is seen. The split is the one whose worse-off role is best off; engines move where one role lacks them, at once at the first measure, and after five seconds later on.

--- /dev/null
+++ b/radishtally/engines/pace.py
@@ -0,0 +1,111 @@
+"""Learn how the answers of an upstream's engines slow down with their number."""
+
+from typing import Final, NamedTuple
+
+MEMORY: Final = 2_000.0
+"""Events of answers that are remembered: some seconds of one gateway's at a moderate
+load, in which the number of answers at an engine goes up and down by itself."""
+FULL_SLOWDOWN: Final = 2.0
+"""Times the time of a lone answer's event that one takes in a full batch, assumed until
+other numbers of answers have been seen."""
+ASSUMED_SPREAD: Final = 5_000.0
+"""Weight of that assumption: as much as 200 events at numbers that differ by 5."""
+FIRST_EVENTS: Final = 50.0
+"""Events from which the line is told."""
+MAX_SECONDS: Final = 2.0
+"""Pauses from here on are no pace but a stall, of an engine or of this process."""
+HURRY_MEMORY: Final = 200.0
+"""Whole answers that are remembered."""
+FIRST_ANSWERS: Final = 20.0
+"""Whole answers from which the needed speed is told: their lengths differ by a
+hundredfold."""
+LONG_ANSWERS: Final = 2.0
+"""Times the speed that an event's mean answer needs to end in time that engines are to
+keep: answers of twice the length, or half the time, then still end in time."""
+LEAST_ANSWER_SECONDS: Final = 0.5
+"""Least time that is taken to be left for an answer."""
+
+
+class Pace(NamedTuple):
+    """Hold the seconds from one event of an answer to its next one."""
+
+    alone: float
+    """Where no other answer is made."""
+    each: float
+    """More for each answer that is made at the same time."""
+
+    def at(self, answers: float) -> float:
+        """Give the seconds where so many answers are made at a time."""
+        return self.alone + self.each * answers
+
+
+class AnswerPace:
+    """Fit a line through the times that events took, recent ones counting more."""
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._answers = 0.0
+        """Mean of what was seen, as is the next."""
+        self._seconds = 0.0
+        self._spread = 0.0
+        """Sums of products of the distances to the means, as is the next."""
+        self._common = 0.0
+
+    @property
+    def is_known(self) -> bool:
+        """Tell whether enough events were timed."""
+        return self._count >= FIRST_EVENTS
+
+    def note(self, answers: int, events: int, seconds: float) -> None:
+        """Take in the time of an answer's next events, of some answers at a time."""
+        if events < 1 or seconds >= MAX_SECONDS:
+            return
+        each = seconds / events
+        forget = 1.0 - min(1.0, events / MEMORY)
+        self._count = self._count * forget + events
+        self._spread *= forget
+        self._common *= forget
+        part = events / self._count
+        off_answers = answers - self._answers
+        off_seconds = each - self._seconds
+        self._answers += part * off_answers
+        self._seconds += part * off_seconds
+        self._spread += events * off_answers * (answers - self._answers)
+        self._common += events * off_answers * (each - self._seconds)
+
+    def fit(self, slots: int) -> Pace:
+        """Give the line, for engines that make so many answers at most."""
+        # What the assumed slowdown makes of the mean that was seen.
+        rise = (FULL_SLOWDOWN - 1.0) / slots
+        assumed = self._seconds * rise / (1.0 + rise * self._answers)
+        weighted = self._common + ASSUMED_SPREAD * assumed
+        each = max(0.0, weighted / (self._spread + ASSUMED_SPREAD))
+        # Even alone an answer's event takes a part of what was seen.
+        alone = max(self._seconds - each * self._answers, self._seconds / slots)
+        return Pace(alone, each)
+
+
+class AnswerHurry:
+    """Learn how fast whole answers have to be made to end in time."""
+
+    def __init__(self) -> None:
+        self._events = 0.0
+        self._hurry = 0.0
+        self._answers = 0.0
+
+    def note(self, events: int, seconds: float) -> None:
+        """Take in a whole answer's events, and the time that it had for them."""
+        if events < 1:
+            return
+        forget = 1.0 - 1.0 / HURRY_MEMORY
+        self._events = self._events * forget + events
+        speed = events / max(seconds, LEAST_ANSWER_SECONDS)
+        self._hurry = self._hurry * forget + events * speed
+        self._answers = self._answers * forget + 1.0
+
+    @property
+    def longest(self) -> float:
+        """Give the seconds that an event may take, infinite while little was seen."""
+        if self._answers < FIRST_ANSWERS:
+            return float("inf")
+        return self._events / (self._hurry * LONG_ANSWERS)
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -6,6 +6,7 @@
 
 from radishtally.direct.core import Instance, is_same_start
 from radishtally.engines.cache import PromptCache
+from radishtally.engines.core import NoObserver, Observer
 from radishtally.engines.prospects import (
     Prospect,
     count_uncached,
@@ -14,7 +15,7 @@
 )
 from radishtally.engines.state import (
     CACHE_SHARE,
-    EngineLoad,
+    START_RATE,
     EngineState,
     PeerShare,
     mark_start,
@@ -35,7 +36,6 @@
 
 START_TERMS: Final = EngineTerms(400_000)
 """What is taken of engines until the configuration says more."""
-NO_LOAD: Final = EngineLoad(0, 0.0)
 FAR_SECONDS: Final = 0.005
 """Handicap of an engine in another data centre, for the trips: two of 1 to 2 ms."""
 FAR_BYTE_SECONDS: Final = 2e-6
@@ -77,8 +77,7 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self.on_demand: Callable[[str, int, int, float], None] = lambda *_: None
-        """Take an upstream, tokens to be read, tokens to be made, and the time."""
+        self.observer: Observer = NoObserver()
         self._engines: dict[str, EngineState] = {}
         self._changed: set[str] = set()
         self._early: dict[str, dict[str, EngineShare]] = {}
@@ -174,10 +173,10 @@
         changed, self._changed = self._changed, set()
         return changed
 
-    def measure(self, host: str) -> EngineLoad:
-        """Give an engine's load; none if it was never seen."""
+    def measure_rate(self, host: str) -> float:
+        """Give the prompt tokens that an engine reads in a second."""
         engine = self._engines.get(host)
-        return NO_LOAD if engine is None else engine.measure(self._clock())
+        return START_RATE if engine is None else engine.rate
 
     def place(
         self, request: OpenRequest, hosts: Sequence[KnownHost], place: str, now: float
@@ -217,21 +216,52 @@
         engine.begin_reading(name, tokens, now)
         # Both at once, as it comes: counted when they end, answers that engines are
         # too slow for would not count, and still fewer engines would be left to them.
-        self.on_demand(work.upstream, tokens, request.terms.output_tokens, now)
+        expected = request.terms.output_tokens
+        self.observer.note_request(work.upstream, tokens, expected, now)
 
     def note_answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that a part of an answer has come: its prompt is read."""
         engine = self._engines.get(host.host)
-        if engine is None or request.work.request not in engine.readings:
+        if engine is None:
+            return
+        self._time_events(engine, request, now)
+        if request.work.request not in engine.readings:
             return
         self._changed.add(host.host)
         engine.end_reading(request.work.request, now, False)
 
+    def _time_events(
+        self, engine: EngineState, request: OpenRequest, now: float
+    ) -> None:
+        """Learn from how long an answer's new events took."""
+        name = request.work.request
+        last = engine.heard.get(name)
+        engine.heard[name] = now, request.tokens
+        if last is None:
+            return
+        at, events = last
+        answers = engine.count_answers()
+        self.observer.note_pace(
+            engine.upstream, answers, request.tokens - events, now - at
+        )
+
+    def finish(self, request: OpenRequest, host: KnownHost) -> None:
+        """Note that the request's answer is whole."""
+        terms = request.terms
+        self.observer.note_answered(
+            host.upstream,
+            request.tokens,
+            terms.output_tokens,
+            request.deadline - request.arrived - terms.objective,
+            self._clock(),
+        )
+
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
         engine = self._engines.get(host.host)
         if engine is None:
             return
+        engine.heard.pop(request.work.request, None)
         self._changed.add(host.host)
         name, now = request.work.request, self._clock()
         engine.answers.discard(name)
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -35,14 +35,6 @@
     answers: int
 
 
-class EngineLoad(NamedTuple):
-    """Hold what an engine has been given by all entries."""
-
-    answers: int
-    wait: float
-    """Seconds until one more prompt is begun."""
-
-
 def mark_start(started_ms: int) -> int:
     """Give a short mark that tells an engine's starts apart; 0 for one never told.
 
@@ -73,6 +65,8 @@
     """Requests of this entry that it is answering."""
     peers: dict[str, PeerShare] = field(default_factory=dict)
     """What the other entries have open there, by their names."""
+    heard: dict[str, tuple[float, int]] = field(default_factory=dict)
+    """When the last event of each answer came to this entry, and its number."""
     moved_at: float = float("-inf")
     """Time at which it last finished a prompt, or was given one while it had none."""
     timed_since: float = float("-inf")
@@ -126,10 +120,6 @@
         """Count the answers that all entries have open there."""
         return len(self.answers) + sum(peer.answers for peer in self.peers.values())
 
-    def measure(self, now: float) -> EngineLoad:
-        """Give its load."""
-        return EngineLoad(self.count_answers(), self.predict_wait(now))
-
     def predict_wait(self, now: float) -> float:
         """Predict the seconds until one more prompt is begun.
 
--- a/radishtally/entry/attempts.py
+++ b/radishtally/entry/attempts.py
@@ -168,6 +168,7 @@
         return
     if host in core.hosts:
         core.hosts[host].breaker.succeeded()
+        core.placement.finish(request, core.hosts[host])
     core.leave_host(request)
     core.requests.pop(message.request)
     if not request.answered:
--- a/radishtally/entry/placement.py
+++ b/radishtally/entry/placement.py
@@ -41,6 +41,9 @@
     def note_answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that a part of an answer has come from a host."""
 
+    def finish(self, request: OpenRequest, host: KnownHost) -> None:
+        """Note that the request's answer is whole."""
+
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
 
@@ -70,6 +73,9 @@
     def note_answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that a part of an answer has come from a host."""
 
+    def finish(self, request: OpenRequest, host: KnownHost) -> None:
+        """Note that the request's answer is whole."""
+
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
 
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -89,12 +89,12 @@
             self.hosts,
             self.list_served_hosts,
             self.lease,
-            placement.measure,
+            placement.measure_rate,
         )
         self.peers = Peers(
             self, settings.host, settings.data_centre, settings.peer_address
         )
-        placement.on_demand = self.stages.note
+        placement.observer = self.stages
         self.stages.on_report = self._take_report
         self.waker = Waker(lambda: self.handle(events.Tick()))
 
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -324,15 +324,29 @@
     shares: tuple[EngineShare, ...]
 
 
-class DemandReport(NamedTuple):
-    """Tell the other entries what has come to the sender of late."""
+class FormerDemandReport(NamedTuple):
+    """Hold the place of what the release before tells; it is not taken."""
 
     upstream: str
     prefill: float
-    """Seconds of engines' time, as is the next."""
     decode: float
 
 
+class DemandReport(NamedTuple):
+    """Tell the other entries what has come to the sender of late."""
+
+    upstream: str
+    requests: float
+    prompt_tokens: float
+    """Those that no engine was known to keep."""
+    answer_tokens: float
+    """As callers expect them."""
+    ended: float
+    """Answers that have ended whole, as are those behind the next two."""
+    ended_events: float
+    ended_tokens: float
+
+
 Message = (
     Hello
     | Ping
@@ -356,6 +370,7 @@
     | FilesGive
     | Interval
     | FormerBacklog
+    | FormerDemandReport
     | Backlog
     | DemandReport
 )
@@ -382,8 +397,9 @@
     FilesGive,
     Interval,
     FormerBacklog,
-    DemandReport,
+    FormerDemandReport,
     Backlog,
+    DemandReport,
 )
 """A kind's number is its place here: add at the end, never reorder, and give a message
 whose fields change a kind of its own; an older release reads neither more nor fewer."""
--- a/radishtally/stages/const.py
+++ b/radishtally/stages/const.py
@@ -3,28 +3,16 @@
 from typing import Final
 
 START_SHARE: Final = 0.6
-"""Share of the engines' time that goes into prompts, until traffic tells."""
-MIN_DECODE: Final = 2
-"""Engines that make answers at least where there are MANY engines: with one alone its
-crash would stop all answers until another one has changed its role."""
-MANY: Final = 4
-ROUNDING_MARGIN: Final = 0.35
-"""Engines beyond rounding by which roles may differ from their shares and stay: an
-engine that moves serves nobody for seconds."""
-SHARE_MARGIN: Final = 0.6
-"""Engines by which the wanted number must differ beyond rounding before roles change:
-each change takes an engine away for seconds, and one that made answers for as long as
-its longest answer lasts besides."""
-FEW_ANSWERS: Final = 24.0
-"""Answers at once that each other engine may have when one is taken away from them: at
-a third more, a thousand tokens of 7 ms come near a deadline of 8 s (worked out)."""
-SHORT_WAIT: Final = 0.15
-"""Mean time until a prompt is begun, in seconds, up to which one of the engines for
-prompts can be taken away: half of the shortest objective seen."""
+"""Share of the engines that read prompts until traffic tells: assumed. Before traffic a
+change of role costs nobody anything, and the first seconds of it correct the share."""
+GAIN: Final = 0.85
+"""Part of its weight that another split must come down to: a change takes an engine
+away for seconds, and the needs are estimates."""
 SETTLE_SECONDS: Final = 1.0
-"""Time for which the list of engines must stand before the first roles are set."""
+"""Time for which the list of engines must stand before the first roles are set, and for
+which a role must be without any engine."""
 LACK_SECONDS: Final = 2.0
-"""Time for which too few engines of a role must be seen before one is moved over: an
+"""Time for which another number of engines must be seen before roles change for it: an
 engine that restarts is back sooner than another one has changed."""
 SHIFT_SECONDS: Final = 5.0
 """Time for which demand must ask for other roles. With 2.5 s and less of a margin roles
@@ -38,16 +26,15 @@
 TICK_SECONDS: Final = 0.5
 DEMAND_SECONDS: Final = 6.0
 """Window of the demand: long enough for a burst to pass, short against a shift."""
-ASSUMED_SECONDS: Final = 10.0
-"""Engine-seconds of demand that the assumed share counts for: a fifth of what all
-gateways together see in the window at a moderate load."""
+FIRST_SECONDS: Final = 1.5
+"""Time from the first request after which the needs are measured: some of the answers
+that have begun have ended, and each second with wrong roles is a second of them."""
+FIRST_REQUESTS: Final = 20
+"""Requests from which the needs are measured: their sizes differ by a hundredfold."""
+FIRST_ANSWERS: Final = 10
+"""Whole answers from which events are told from expected tokens: the expectations
+scatter by half, so that the ratio is then right to a sixth (worked out)."""
 TELL_SECONDS: Final = 1.0
 """Time between two reports of demand to the other gateways."""
 STALE_SECONDS: Final = 5.0
 """Age from which another gateway's report counts no more."""
-DECODE_RATE: Final = 3_700.0
-"""Tokens a second of an engine that makes 20 answers at once: with more of them each
-answer slows down, and long ones don't end before their deadline."""
-PREFILL_RESERVE: Final = 2.0
-"""Engine-seconds kept for each one of prompts: their lengths differ by a hundredfold,
-and at half use what comes behind a long one still waits less than its objective."""
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -13,17 +13,12 @@
     OrderOutcome,
     is_same_start,
 )
-from radishtally.engines.state import EngineLoad
 from radishtally.links.messages import DemandReport
 from radishtally.outcome import Result
 from radishtally.stages import const
-from radishtally.stages.core import (
-    Change,
-    Demand,
-    DemandSums,
-    Engine,
-    StagePlan,
-)
+from radishtally.stages.core import Change, Engine, StagePlan
+from radishtally.stages.demand import Demand, DemandSums
+from radishtally.stages.split import Needs
 
 PENDING_SECONDS: Final = {
     OrderOutcome.TAKEN: const.PENDING_SECONDS,
@@ -70,14 +65,15 @@
         orders: Orders,
         list_instances: Callable[[], list[Instance]],
         lease: Lease,
-        measure: Callable[[str], EngineLoad],
+        measure_rate: Callable[[str], float],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._host = host
         self._orders = orders
         self._list_instances = list_instances
         self._lease = lease
-        self._measure = measure
+        self._measure_rate = measure_rate
+        """Give the prompt tokens that an engine reads in a second."""
         self._clock = clock
         self.on_report: Callable[[Instance, EngineReport], None] = lambda *_: None
         """Take what an engine said when asked."""
@@ -88,18 +84,32 @@
         self._passed_over: dict[str, float] = {}
         """Engines that could not be ordered, and until when others go before them."""
 
-    def note(
-        self, upstream: str, uncached_tokens: int, output_tokens: int, now: float
+    def note_request(
+        self, upstream: str, prompt_tokens: int, answer_tokens: int, now: float
+    ) -> None:
+        """Take in tokens that are to be read and those of the answer expected."""
+        self._find_demand(upstream).note(prompt_tokens, answer_tokens, now)
+
+    def note_pace(
+        self, upstream: str, answers: int, events: int, seconds: float
     ) -> None:
-        """Take in a request."""
-        demand = self._demands.setdefault(upstream, Demand())
-        demand.note(uncached_tokens, output_tokens, now)
+        """Take in the time of an answer's next events, of some answers at a time."""
+        self._find_demand(upstream).pace.note(answers, events, seconds)
+
+    def note_answered(
+        self, upstream: str, events: int, expected: int, seconds: float, now: float
+    ) -> None:
+        """Take in a whole answer: events, tokens expected, seconds that it had."""
+        demand = self._find_demand(upstream)
+        demand.note_answered(events, expected, seconds, now)
 
     def take_report(self, peer: str, report: DemandReport, now: float) -> None:
         """Take what has come to another gateway."""
-        demand = self._demands.setdefault(report.upstream, Demand())
-        sums = DemandSums(report.prefill, report.decode)
-        demand.take_report(peer, sums, now)
+        upstream, *sums = report
+        self._find_demand(upstream).take_report(peer, DemandSums(*sums), now)
+
+    def _find_demand(self, upstream: str) -> Demand:
+        return self._demands.setdefault(upstream, Demand())
 
     def forget_report(self, peer: str) -> None:
         """Forget what came to a gateway that tells no more."""
@@ -147,11 +157,28 @@
             ours = {i.host: i for i in instances if i.upstream == upstream}
             engines = [self._describe(i, now) for i in ours.values()]
             plan = self._plans.setdefault(upstream, StagePlan())
-            share = self._demands.setdefault(upstream, Demand()).find_share(now)
-            for change in plan.decide(engines, share, now):
-                due.append((ours[change.host], change))
+            needs = self._measure_needs(upstream, list(ours.values()), now)
+            has_begun = self._find_demand(upstream).has_begun
+            changes = plan.decide(engines, needs, has_begun, now)
+            if changes:
+                log_message(
+                    "stage:wanted",
+                    upstream=upstream,
+                    engines=len(engines),
+                    changes=[f"{change.host} {change.role}" for change in changes],
+                    needs=needs and needs._asdict(),
+                )
+            due += [(ours[change.host], change) for change in changes]
         return [] if self._lease.fencing is None else due
 
+    def _measure_needs(
+        self, upstream: str, instances: list[Instance], now: float
+    ) -> Needs | None:
+        rates = [self._measure_rate(item.host) for item in instances]
+        slots = min(item.slots for item in instances)
+        mean = sum(rates) / len(rates)
+        return self._find_demand(upstream).measure(mean, slots, now)
+
     def _forget_past(self, now: float) -> None:
         """Forget what no longer counts, of engines that are gone as well."""
         self._pending = {
@@ -168,9 +195,8 @@
         if now >= until or role == instance.role:
             self._pending.pop(instance.host, None)
             role = instance.role
-        load = self._measure(instance.host)
         is_orderable = instance.host not in self._passed_over
-        return Engine(instance.host, instance.data_centre, role, *load, is_orderable)
+        return Engine(instance.host, instance.data_centre, role, is_orderable)
 
     async def _carry_out(self, instance: Instance, change: Change) -> None:
         """Give one order, as the engine and the lease stand now."""
--- /dev/null
+++ b/tests/engines/test_pace.py
@@ -0,0 +1,67 @@
+"""Tests of learning how answers slow each other down."""
+
+import random
+
+import pytest
+
+from radishtally.engines.pace import FIRST_ANSWERS, AnswerHurry, AnswerPace
+
+SLOTS = 64
+
+
+# How much a full batch slows answers down differs by a factor of four from one model to
+# the next: assumed, it leaves answers short of engines at one and prompts at another.
+@pytest.mark.parametrize(("alone", "each"), [(0.030, 0.0012), (0.036, 0.0003)])
+def test_line_is_found_through_scattered_times(alone: float, each: float) -> None:
+    pace, chance = AnswerPace(), random.Random(1)
+    for _ in range(1_000):
+        answers = chance.randint(2, 40)
+        seconds = (alone + each * answers) * chance.uniform(0.7, 1.3)
+        pace.note(answers, 1, seconds)
+    fitted = pace.fit(SLOTS)
+    assert fitted.at(20) == pytest.approx(alone + each * 20, rel=0.05)
+    assert fitted.at(SLOTS) == pytest.approx(alone + each * SLOTS, rel=0.15)
+
+
+def test_slowdown_is_assumed_until_it_is_seen() -> None:
+    pace = AnswerPace()
+    for _ in range(100):
+        pace.note(8, 1, 0.045)
+    fitted = pace.fit(SLOTS)
+    assert fitted.at(8) == pytest.approx(0.045)
+    assert fitted.at(SLOTS) == pytest.approx(2 * fitted.alone, rel=0.01)
+
+
+def test_model_that_turns_slower_is_followed() -> None:
+    pace = AnswerPace()
+    for seconds in (0.03, 0.09):
+        for number in range(10_000):
+            pace.note(5 + number % 10, 1, seconds)
+    assert pace.fit(SLOTS).at(10) == pytest.approx(0.09, rel=0.05)
+
+
+# Engines look too slow for any answer: a paused process finds seconds between events.
+def test_stall_is_no_pace() -> None:
+    pace = AnswerPace()
+    for _ in range(100):
+        pace.note(4, 1, 0.04)
+    pace.note(4, 1, 5.0)
+    assert pace.fit(SLOTS).at(4) == pytest.approx(0.04)
+
+
+def test_events_that_come_together_count_each() -> None:
+    pace = AnswerPace()
+    for _ in range(50):
+        pace.note(4, 5, 0.2)
+    assert pace.is_known
+    assert pace.fit(SLOTS).at(4) == pytest.approx(0.04)
+
+
+def test_long_answers_bound_the_time_of_an_event() -> None:
+    hurry = AnswerHurry()
+    hurry.note(40, 8.0)
+    assert hurry.longest == float("inf")
+    for _ in range(int(FIRST_ANSWERS) + 5):
+        hurry.note(40, 8.0)
+    # Twice as fast as 40 events in 8 s.
+    assert hurry.longest == pytest.approx(0.1, rel=0.05)
