Let gateways tell each other which shared parts engines were first given

Cause: a gateway knew only what it had sent itself, and took the rest of an engine's cache for empty but for a home by name. Most requests are the first of their parts at their gateway, so their shared tokens were counted as backlog though the engine kept them, and parts whose home was late were read again wherever it was soonest.

Ruled out: telling each request (grows with requests times gateways). Only what the sender takes for new is told, once for each part and engine, put together with the loads; a gateway that joins is given the list. The rate of an engine is learned from its first stretches of work, by the tokens timed, and a new engine starts with its neighbours' rates.

--- a/radishtally/engines/cache.py
+++ b/radishtally/engines/cache.py
@@ -1,11 +1,12 @@
 """Guess which parts of prompts an engine keeps in its memory."""
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from xxhash import xxh3_64_intdigest
 
 from radishtally.entry.terms import PromptPart
+from radishtally.links.messages import ChainedPart
 
 
 class PromptCache:
@@ -14,14 +15,31 @@
     def __init__(self, capacity: int) -> None:
         self._capacity = capacity
         self._parts: OrderedDict[int, int] = OrderedDict()
+        self._shared: set[int] = set()
+        """Parts that other requests share, of those kept."""
         self._tokens = 0
 
-    def note(self, model: str, parts: Sequence[PromptPart]) -> None:
-        """Take in a prompt that the engine reads."""
-        for key, tokens in chain_parts(model, parts):
-            self._tokens += tokens - self._parts.pop(key, 0)
-            self._parts[key] = tokens
-        self._drop_oldest()
+    def note(self, model: str, parts: Sequence[PromptPart]) -> list[ChainedPart]:
+        """Take in a prompt that the engine reads; give shared parts that are new."""
+        chain = chain_parts(model, parts)
+        new = [part for part in chain[:-1] if part.key not in self._parts]
+        self._shared.update(part.key for part in new)
+        self._add(chain)
+        return new
+
+    def take(self, parts: Iterable[ChainedPart]) -> None:
+        """Take in shared parts that the engine was given by others."""
+        parts = list(parts)
+        self._shared.update(part.key for part in parts)
+        self._add(parts)
+
+    def list_shared(self) -> list[ChainedPart]:
+        """List the parts that requests share, the least recently used first."""
+        return [
+            ChainedPart(key, tokens)
+            for key, tokens in self._parts.items()
+            if key in self._shared
+        ]
 
     def resize(self, capacity: int) -> None:
         """Take how many tokens the engine keeps."""
@@ -35,28 +53,36 @@
         hangs on everything before it.
         """
         kept = 0
-        for key, tokens in chain_parts(model, parts):
-            if key not in self._parts:
+        for part in chain_parts(model, parts):
+            if part.key not in self._parts:
                 break
-            kept += tokens
+            kept += part.tokens
         return kept
 
     def clear(self) -> None:
         """Forget all, as the engine's memory was lost."""
         self._parts.clear()
+        self._shared.clear()
         self._tokens = 0
 
+    def _add(self, chain: Iterable[ChainedPart]) -> None:
+        for key, tokens in chain:
+            self._tokens += tokens - self._parts.pop(key, 0)
+            self._parts[key] = tokens
+        self._drop_oldest()
+
     def _drop_oldest(self) -> None:
         while self._tokens > self._capacity and self._parts:
-            _, tokens = self._parts.popitem(last=False)
+            key, tokens = self._parts.popitem(last=False)
+            self._shared.discard(key)
             self._tokens -= tokens
 
 
-def chain_parts(model: str, parts: Sequence[PromptPart]) -> list[tuple[int, int]]:
-    """Give each part's tokens under a hash of it and of all parts before it."""
+def chain_parts(model: str, parts: Sequence[PromptPart]) -> list[ChainedPart]:
+    """Give a prompt's parts, each under a hash of it and of all before it."""
     chain = []
     key = xxh3_64_intdigest(model.encode())
     for part in parts:
         key = xxh3_64_intdigest(part.name.encode(), key)
-        chain.append((key, part.tokens))
+        chain.append(ChainedPart(key, part.tokens))
     return chain
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Sequence
+from statistics import mean
 from typing import Final
 
 from radishtally.direct.core import Instance, is_same_start
@@ -9,6 +10,7 @@
 from radishtally.engines.core import NoObserver, Observer
 from radishtally.engines.prospects import (
     Prospect,
+    count_kept,
     count_uncached,
     predict_prefill,
     predict_whole,
@@ -30,6 +32,7 @@
     WHOLE,
     Backlog,
     EngineShare,
+    PartsRead,
 )
 from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.routing.core import rank
@@ -83,6 +86,8 @@
         self._early: dict[str, dict[str, EngineShare]] = {}
         """What other entries have open, by engines and by their names, at starts that
         are not the ones known here; told once, it would be missed for good."""
+        self._read: list[PartsRead] = []
+        """Parts that this entry was the first to give to an engine, as far as known."""
         self._terms: dict[str, EngineTerms] = {}
 
     def configure(self, upstreams: Iterable[UpstreamTerms]) -> None:
@@ -111,6 +116,7 @@
             cache,
             instance.upstream,
             mark_start(instance.started_ms),
+            self._find_rate(instance.upstream),
         )
         for peer, share in self._early.pop(instance.host, {}).items():
             self._take_share(peer, share, self._clock())
@@ -168,6 +174,27 @@
         ]
         return Backlog(tuple(shares))
 
+    def take_parts(self, told: PartsRead) -> None:
+        """Take which parts another entry has given to an engine."""
+        engine = self._engines.get(told.host)
+        if engine is None or not is_same_start(told.start, engine.start):
+            # They are told again where they are missed: once each, when read again.
+            return
+        engine.cache.take(told.parts)
+
+    def take_read(self) -> list[PartsRead]:
+        """Take what this entry has given to engines since the last call."""
+        read, self._read = self._read, []
+        return read
+
+    def list_parts(self) -> list[PartsRead]:
+        """List the shared parts that each engine is taken to keep."""
+        return [
+            PartsRead(engine.host, engine.start, tuple(parts))
+            for engine in self._engines.values()
+            if (parts := engine.cache.list_shared())
+        ]
+
     def take_changed(self) -> set[str]:
         """Take the engines at which something began or ended since the last call."""
         changed, self._changed = self._changed, set()
@@ -210,7 +237,9 @@
         if request.stage != PREFILL:
             engine.answers.add(name)
         tokens = count_uncached(engine, request)
-        engine.cache.note(work.model, request.terms.parts)
+        new = engine.cache.note(work.model, request.terms.parts)
+        if new:
+            self._read.append(PartsRead(engine.host, engine.start, tuple(new)))
         if request.kv is not None:
             return
         engine.begin_reading(name, tokens, now)
@@ -267,6 +296,15 @@
         engine.answers.discard(name)
         engine.end_reading(name, now, request.kv is not None)
 
+    def _find_rate(self, upstream: str) -> float:
+        """Find the rate of a new engine: what those beside it were seen to read."""
+        rates = [
+            engine.rate
+            for engine in self._engines.values()
+            if engine.upstream == upstream and engine.timed_tokens
+        ]
+        return mean(rates) if rates else START_RATE
+
     def _find_cache_size(self, upstream: str) -> int:
         """Find how many tokens of prompts an engine of an upstream keeps."""
         terms = self._terms.get(upstream, START_TERMS)
@@ -312,14 +350,19 @@
     """Choose the engine that has the shared parts, rather one that is in time."""
     home = rank((engine.host for engine in engines), request.work.prefix)[0]
     far = FAR_SECONDS + FAR_BYTE_SECONDS * len(request.work.body)
+    kept = [count_kept(engine, request) for engine in engines]
+    most = max(min(tokens, request.terms.shared_tokens) for tokens in kept)
     found = []
-    for engine in engines:
-        prospect = predict_prefill(engine, request, engine.host == home, now)
-        cost = prospect.seconds + prospect.again * AGAIN_SECONDS
+    for engine, tokens in zip(engines, kept, strict=True):
+        prospect = predict_prefill(engine, request, tokens, now)
+        cost = prospect.seconds + max(0, most - tokens) * AGAIN_SECONDS
         if engine.data_centre != place:
             cost += far
-        found.append((prospect.seconds > in_time, cost, engine.host, prospect))
-    _, _, host, prospect = min(found)
+        # Two entries that are first to ask for the same parts choose the same engine.
+        is_strange = engine.host != home
+        late = prospect.seconds > in_time
+        found.append((late, cost, is_strange, engine.host, prospect))
+    *_, host, prospect = min(found)
     return host, prospect
 
 
--- a/radishtally/engines/prospects.py
+++ b/radishtally/engines/prospects.py
@@ -19,8 +19,6 @@
 
     tokens: int
     """Tokens that the engine has to read."""
-    again: int
-    """Those of them that another engine has read for others before."""
     wait: float
     """Seconds until it begins."""
     reading: float
@@ -40,19 +38,12 @@
 
 
 def predict_prefill(
-    engine: EngineState, request: OpenRequest, is_home: bool, now: float
+    engine: EngineState, request: OpenRequest, kept: int, now: float
 ) -> Prospect:
-    """Predict for an engine that only reads prompts."""
-    parts = request.terms.parts
-    kept = engine.cache.count(request.work.model, parts)
-    shared = sum(part.tokens for part in parts[:-1])
-    if is_home:
-        # Other entries send the prefix there too, whether we have or not.
-        kept = max(kept, shared)
+    """Predict for an engine that only reads prompts, and keeps so many tokens."""
     tokens = max(0, request.work.prompt_tokens - kept)
     reading = tokens / engine.rate + FIXED_SECONDS
-    again = max(0, shared - kept)
-    return Prospect(tokens, again, engine.predict_wait(now), reading)
+    return Prospect(tokens, engine.predict_wait(now), reading)
 
 
 def predict_whole(engine: EngineState, request: OpenRequest) -> Prospect:
@@ -60,11 +51,14 @@
     tokens = count_uncached(engine, request)
     wait = engine.count_tokens() / WHOLE_RATE
     reading = tokens / WHOLE_RATE + FIXED_SECONDS
-    return Prospect(tokens, 0, wait, reading)
+    return Prospect(tokens, wait, reading)
 
 
 def count_uncached(engine: EngineState, request: OpenRequest) -> int:
     """Count the tokens of a prompt that an engine would have to read."""
-    work = request.work
-    kept = engine.cache.count(work.model, request.terms.parts)
-    return max(0, work.prompt_tokens - kept)
+    return max(0, request.work.prompt_tokens - count_kept(engine, request))
+
+
+def count_kept(engine: EngineState, request: OpenRequest) -> int:
+    """Count the tokens of a prompt that an engine keeps."""
+    return engine.cache.count(request.work.model, request.terms.parts)
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -1,18 +1,22 @@
 """Follow what one engine has been given and how fast it is."""
 
 from dataclasses import dataclass, field
+from math import exp
 from typing import Final, NamedTuple
 
 from radishtally.engines.cache import PromptCache
 from radishtally.links.messages import PREFILL
 
-START_RATE: Final = 75_000.0
-"""Prompt tokens that an engine reads in a second until it was timed: four fifths of
-what the deployments' pages say, as steps and attention take their time too."""
-RATE_WEIGHT: Final = 0.15
-"""Weight of one timed stretch of work in the engine's rate."""
+START_RATE: Final = 50_000.0
+"""Prompt tokens that an engine reads in a second until one of its upstream was timed:
+assumed, the first prompts tell."""
+START_TOKENS: Final = 5_000.0
+"""Tokens of reading that the rate at the start counts for."""
+RATE_MEMORY: Final = 150_000.0
+"""Tokens that the rate remembers: some seconds of a busy engine's work."""
 RATE_TOKENS: Final = 5_000
-"""Least tokens of a stretch whose time tells the rate."""
+"""Least tokens of a stretch whose time tells the rate: what others' news lag is then a
+small part of it."""
 RATE_SECONDS: Final = 0.5
 """Time after which the rate is learned though the engine is still at work: under a
 lasting load it has no idle moment, and just then the rate decides."""
@@ -58,7 +62,11 @@
     upstream: str = ""
     start: int = 0
     """Mark of its start; 0 if it was never told."""
-    rate: float = START_RATE
+    start_rate: float = START_RATE
+    """Prompt tokens a second, until it was timed itself."""
+    timed_tokens: float = 0.0
+    """Tokens of timed stretches of work, older ones forgotten, as is the next."""
+    timed_seconds: float = 0.0
     readings: dict[str, int] = field(default_factory=dict)
     """Tokens that it has to read for requests of this entry."""
     answers: set[str] = field(default_factory=set)
@@ -74,6 +82,12 @@
     finished: int = 0
     """Tokens read in the present stretch."""
 
+    @property
+    def rate(self) -> float:
+        """Give the prompt tokens that it reads in a second."""
+        seconds = START_TOKENS / self.start_rate + self.timed_seconds
+        return (START_TOKENS + self.timed_tokens) / seconds
+
     def begin_reading(self, request: str, tokens: int, now: float) -> None:
         """Note that a prompt was given to it."""
         self._begin_work(now)
@@ -150,6 +164,9 @@
         if is_timed and seconds > 0:
             low, high = RATE_BOUNDS
             seen = min(max(self.finished / seconds, low), high)
-            self.rate += RATE_WEIGHT * (seen - self.rate)
+            remembered = exp(-self.finished / RATE_MEMORY)
+            self.timed_tokens = self.timed_tokens * remembered + self.finished
+            self.timed_seconds *= remembered
+            self.timed_seconds += self.finished / seen
         self.timed_since = now
         self.finished = 0
--- a/radishtally/entry/terms.py
+++ b/radishtally/entry/terms.py
@@ -26,5 +26,10 @@
     parts: tuple[PromptPart, ...] = ()
     """The prompt's parts in their order; the last one is the request's own."""
 
+    @property
+    def shared_tokens(self) -> int:
+        """Give the tokens of the parts that other requests may share."""
+        return sum(part.tokens for part in self.parts[:-1])
+
 
 DEFAULT_TERMS: Final = Terms()
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -11,7 +11,7 @@
 from radishtally.gateway.const import BACKLOG_SECONDS
 from radishtally.gateway.topology import choose_collector
 from radishtally.links.hub import LinkHub
-from radishtally.links.messages import Backlog, DemandReport, Message
+from radishtally.links.messages import Backlog, DemandReport, Message, PartsRead
 from radishtally.stages.const import TELL_SECONDS
 from radishtally.stages.keeper import StageKeeper
 
@@ -46,6 +46,8 @@
         """Who collects, where one does."""
         self._heard: set[str] = set()
         """Engines that others have told of since the last round."""
+        self._heard_parts: list[tuple[str, PartsRead]] = []
+        """What others have told a collector since the last round, and who."""
         self._refreshed_at = float("-inf")
 
     def set_names(self, names: Collection[str]) -> None:
@@ -60,14 +62,19 @@
             now = time.monotonic()
             self._follow_collector()
             self._tell_backlog(now)
+            self._tell_parts()
             if now >= told_demand + TELL_SECONDS:
                 told_demand = now
                 self._tell_demand(now)
 
     def greet(self, peer: str) -> None:
         """Tell a gateway all, as its link has come up."""
-        if peer in self._list_audience():
-            self._hub.send(peer, self._make_backlog(None, peer))
+        if peer not in self._list_audience():
+            return
+        self._hub.send(peer, self._make_backlog(None, peer))
+        # One that has just started would have all parts read again, and elsewhere.
+        for parts in self._placement.list_parts():
+            self._hub.send(peer, parts)
 
     def forget(self, peer: str) -> None:
         """Forget what a gateway has told, as its link is down."""
@@ -86,6 +93,10 @@
             self._heard.update(share.host for share in message.shares)
         elif isinstance(message, DemandReport):
             self._stages.take_report(peer, message, now)
+        elif isinstance(message, PartsRead):
+            self._placement.take_parts(message)
+            if self._collector == self._own:
+                self._heard_parts.append((peer, message))
 
     def _find_interval(self) -> float:
         if self._collector is None:
@@ -127,6 +138,16 @@
         for peer in self._list_audience():
             self._hub.send(peer, self._make_backlog(hosts, peer))
 
+    def _tell_parts(self) -> None:
+        """Tell what engines were first given: nothing is told of what they keep."""
+        told = [(self._own, parts) for parts in self._placement.take_read()]
+        told += self._heard_parts
+        self._heard_parts = []
+        for peer in self._list_audience():
+            for teller, parts in told:
+                if teller != peer:
+                    self._hub.send(peer, parts)
+
     def _make_backlog(self, hosts: Iterable[str] | None, peer: str) -> Backlog:
         collects = self._collector == self._own
         return self._placement.make_backlog(hosts, peer if collects else None)
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -324,6 +324,23 @@
     shares: tuple[EngineShare, ...]
 
 
+class ChainedPart(NamedTuple):
+    """Name a part of a prompt by a hash of it and of all parts before it."""
+
+    key: int
+    tokens: int
+
+
+class PartsRead(NamedTuple):
+    """Tell the other entries which parts of prompts an engine was first given."""
+
+    host: str
+    start: int
+    """Mark of the engine's start."""
+    parts: tuple[ChainedPart, ...]
+    """The least recently used first."""
+
+
 class FormerDemandReport(NamedTuple):
     """Hold the place of what the release before tells; it is not taken."""
 
@@ -373,6 +390,7 @@
     | FormerDemandReport
     | Backlog
     | DemandReport
+    | PartsRead
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -400,6 +418,7 @@
     FormerDemandReport,
     Backlog,
     DemandReport,
+    PartsRead,
 )
 """A kind's number is its place here: add at the end, never reorder, and give a message
 whose fields change a kind of its own; an older release reads neither more nor fewer."""
