Ask engines what they keep when all gateways may have forgotten it

Ruled out: each gateway asking each engine (an answer holds up the engine's work, and their number grows with the product); following engines' events (a call that ends within 200 ms is priced as a probe, and busy engines have events all the time).

Change: at a start with a row from an earlier one, each engine is asked once by one gateway, chosen by name, which tells the others. Parts go by the engine's own name for them, no longer by a hash of all parts before: engines look for a part behind kept ones under its name alone.

--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -68,6 +68,14 @@
     """Unix milliseconds of its start; 0 where the deployment does not tell it."""
 
 
+class KeptPart(NamedTuple):
+    """Name a part of prompts that an engine keeps."""
+
+    model: str
+    name: str
+    tokens: int
+
+
 class OrderOutcome(StrEnum):
     """Say what became of an order."""
 
@@ -102,6 +110,12 @@
     def read_report(self, body: bytes) -> Result[EngineReport, str]:
         """Read what an engine says of itself."""
 
+    def encode_kept(self, instance: Instance) -> UpstreamCall:
+        """Give the request that asks an engine which parts of prompts it keeps."""
+
+    def read_kept(self, body: bytes) -> Result[list[KeptPart], str]:
+        """Read which parts of prompts an engine keeps."""
+
     def encode_order(
         self, instance: Instance, role: str, owner: str, fencing: int, sequence: int
     ) -> UpstreamCall:
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -23,6 +23,7 @@
     EngineReport,
     Head,
     Instance,
+    KeptPart,
     OrderOutcome,
     UpstreamCall,
 )
@@ -53,7 +54,7 @@
     Offer,
     Refused,
 )
-from radishtally.outcome import Error, Ran, Result
+from radishtally.outcome import Error, Ok, Ran, Result
 from radishtally.tasks import AttemptTasks
 
 OK: Final = 200
@@ -128,14 +129,22 @@
 
     async def read_report(self, instance: Instance) -> Result[EngineReport, str]:
         """Ask an engine what it does."""
+        read = await self._ask(instance, self._dialect.encode_report())
+        return read.bind(self._dialect.read_report)
+
+    async def read_kept(self, instance: Instance) -> Result[list[KeptPart], str]:
+        """Ask an engine which parts of prompts it keeps."""
+        read = await self._ask(instance, self._dialect.encode_kept(instance))
+        return read.bind(self._dialect.read_kept)
+
+    async def _ask(self, instance: Instance, call: UpstreamCall) -> Result[bytes, str]:
+        """Give the body of an engine's answer to a question about itself."""
         try:
             async with (
                 asyncio.timeout(ORDER_SECONDS),
-                self._send(
-                    instance.address, self._dialect.encode_report(), True
-                ) as response,
+                self._send(instance.address, call, True) as response,
             ):
-                return self._dialect.read_report(await response.read())
+                return Ok(await response.read())
         except BROKEN as error:
             return Error(_describe(error))
 
--- a/radishtally/engines/cache.py
+++ b/radishtally/engines/cache.py
@@ -5,8 +5,9 @@
 
 from xxhash import xxh3_64_intdigest
 
+from radishtally.direct.core import KeptPart
 from radishtally.entry.terms import PromptPart
-from radishtally.links.messages import ChainedPart
+from radishtally.links.messages import HashedPart
 
 
 class PromptCache:
@@ -19,24 +20,24 @@
         """Parts that other requests share, of those kept."""
         self._tokens = 0
 
-    def note(self, model: str, parts: Sequence[PromptPart]) -> list[ChainedPart]:
+    def note(self, model: str, parts: Sequence[PromptPart]) -> list[HashedPart]:
         """Take in a prompt that the engine reads; give shared parts that are new."""
-        chain = chain_parts(model, parts)
+        chain = hash_parts(model, parts)
         new = [part for part in chain[:-1] if part.key not in self._parts]
         self._shared.update(part.key for part in new)
         self._add(chain)
         return new
 
-    def take(self, parts: Iterable[ChainedPart]) -> None:
+    def take(self, parts: Iterable[HashedPart]) -> None:
         """Take in shared parts that the engine was given by others."""
         parts = list(parts)
         self._shared.update(part.key for part in parts)
         self._add(parts)
 
-    def list_shared(self) -> list[ChainedPart]:
+    def list_shared(self) -> list[HashedPart]:
         """List the parts that requests share, the least recently used first."""
         return [
-            ChainedPart(key, tokens)
+            HashedPart(key, tokens)
             for key, tokens in self._parts.items()
             if key in self._shared
         ]
@@ -50,10 +51,10 @@
         """Count the tokens of a prompt that need not be read again.
 
         A part counts only behind parts that are all kept: what it means to the model
-        hangs on everything before it.
+        hangs on everything before it, and engines look for it there only.
         """
         kept = 0
-        for part in chain_parts(model, parts):
+        for part in hash_parts(model, parts):
             if part.key not in self._parts:
                 break
             kept += part.tokens
@@ -65,7 +66,7 @@
         self._shared.clear()
         self._tokens = 0
 
-    def _add(self, chain: Iterable[ChainedPart]) -> None:
+    def _add(self, chain: Iterable[HashedPart]) -> None:
         for key, tokens in chain:
             self._tokens += tokens - self._parts.pop(key, 0)
             self._parts[key] = tokens
@@ -78,11 +79,16 @@
             self._tokens -= tokens
 
 
-def chain_parts(model: str, parts: Sequence[PromptPart]) -> list[ChainedPart]:
-    """Give a prompt's parts, each under a hash of it and of all before it."""
-    chain = []
-    key = xxh3_64_intdigest(model.encode())
-    for part in parts:
-        key = xxh3_64_intdigest(part.name.encode(), key)
-        chain.append(ChainedPart(key, part.tokens))
-    return chain
+def hash_parts(model: str, parts: Sequence[PromptPart]) -> list[HashedPart]:
+    """Give a prompt's parts under hashes, by which engines name them too."""
+    seed = xxh3_64_intdigest(model.encode())
+    return [
+        HashedPart(xxh3_64_intdigest(part.name.encode(), seed), part.tokens)
+        for part in parts
+    ]
+
+
+def hash_kept(kept: KeptPart) -> HashedPart:
+    """Give a part that an engine names under the same hash."""
+    (part,) = hash_parts(kept.model, [PromptPart(kept.name, kept.tokens)])
+    return part
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -5,8 +5,8 @@
 from statistics import mean
 from typing import Final
 
-from radishtally.direct.core import Instance, is_same_start
-from radishtally.engines.cache import PromptCache
+from radishtally.direct.core import Instance, KeptPart, is_same_start
+from radishtally.engines.cache import PromptCache, hash_kept
 from radishtally.engines.core import NoObserver, Observer
 from radishtally.engines.prospects import (
     Prospect,
@@ -183,6 +183,16 @@
             return
         engine.cache.take(told.parts)
 
+    def recall(self, host: str, kept: Iterable[KeptPart]) -> int:
+        """Take which parts an engine says that it keeps; give how many they are."""
+        engine = self._engines.get(host)
+        if engine is None:
+            return 0
+        parts = tuple(map(hash_kept, kept))
+        engine.cache.take(parts)
+        self._read.append(PartsRead(host, engine.start, parts))
+        return len(parts)
+
     def take_read(self) -> list[PartsRead]:
         """Take what this entry has given to engines since the last call."""
         read, self._read = self._read, []
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -34,6 +34,7 @@
 from radishtally.gateway.members import Change, Members
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
+from radishtally.gateway.recall import Recall
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, Routed, Router
 from radishtally.limits.retries import RetryBudgets
 from radishtally.links.messages import Cancel, Message, Offer
@@ -91,6 +92,9 @@
             self.lease,
             placement.measure_rate,
         )
+        self.recall = Recall(
+            settings.host, self.hosts, placement, self.list_served_hosts
+        )
         self.peers = Peers(
             self, settings.host, settings.data_centre, settings.peer_address
         )
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Final, Protocol
 
 from eliot import log_message
@@ -12,6 +12,7 @@
 from radishtally.gateway.absences import Absences
 from radishtally.gateway.const import FIRST_PEER_READS, PEER_READ_SECONDS
 from radishtally.gateway.loads import LoadExchange
+from radishtally.gateway.recall import Recall
 from radishtally.gateway.topology import choose_dialled, find_first
 from radishtally.links.hub import Callbacks, LinkHub
 from radishtally.links.messages import Hello, Message
@@ -49,6 +50,7 @@
 
     runtime: Runtime
     placement: EnginePlacement
+    recall: Recall
     stages: StageKeeper
     table: Table
 
@@ -87,11 +89,13 @@
         )
         await self._hub.start(self._address)
         gateway.runtime.spawn(self._loads.run())
-        await self._write_own()
+        is_known = await self._write_own()
         reads = 0
         while True:
-            await self._read_others()
+            names = await self._read_others()
             reads += 1
+            if is_known and reads == 1:
+                gateway.runtime.spawn(gateway.recall.run(names))
             fast = reads < FIRST_PEER_READS
             await asyncio.sleep(JOIN_SECONDS if fast else PEER_READ_SECONDS)
 
@@ -116,7 +120,11 @@
                 continue
             await self._wait_for_store(str(read.error))
 
-    async def _write_own(self) -> None:
+    async def _write_own(self) -> bool:
+        """Write this gateway's row; tell whether it stood there from an earlier start.
+
+        Where it did not, engines keep nothing yet, or the others are at work and know.
+        """
         key = Key(GATEWAYS, self._host)
         value = {"address": self._address}
         while True:
@@ -124,11 +132,11 @@
             if read.is_ok():
                 row = read.ok
                 if row is not None and row.value == value:
-                    return
+                    return True
                 rev = ABSENT if row is None else row.rev
                 written = await self._write(Put(key, value, rev))
                 if written.is_ok():
-                    return
+                    return row is not None
                 await self._wait_for_store(str(written.error))
                 continue
             await self._wait_for_store(str(read.error))
@@ -146,11 +154,12 @@
             deadline=time.monotonic() + WRITE_SECONDS,
         )
 
-    async def _read_others(self) -> None:
+    async def _read_others(self) -> Collection[str]:
+        """Read which gateways there are, and keep up with them."""
         read = await self._gateway.table.query(GATEWAYS, limit=MAX_GATEWAYS)
         if read.is_error():
             log_message("peers:unread", reason=str(read.error))
-            return
+            return [self._host]
         rows = {row.key.sk: row for row in read.ok}
         if self._host not in rows:
             # Another one has taken this gateway for gone, and it is back.
@@ -158,6 +167,7 @@
         self._gateway.count_gateways(max(1, len(rows)))
         self._dial(rows)
         await self._remove_gone(rows)
+        return rows.keys() | {self._host}
 
     def _dial(self, rows: Mapping[str, Row]) -> None:
         """Dial those that links are wanted to, and no others."""
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -347,20 +347,23 @@
     shares: tuple[EngineShare, ...]
 
 
-class ChainedPart(NamedTuple):
-    """Name a part of a prompt by a hash of it and of all parts before it."""
+class HashedPart(NamedTuple):
+    """Name a part of a prompt by a hash of its name and the model's."""
 
     key: int
     tokens: int
 
 
 class PartsRead(NamedTuple):
-    """Tell the other entries which parts of prompts an engine was first given."""
+    """Tell the other entries which parts of prompts an engine was first given.
+
+    Or, from one that has just started, which ones the engine says that it keeps.
+    """
 
     host: str
     start: int
     """Mark of the engine's start."""
-    parts: tuple[ChainedPart, ...]
+    parts: tuple[HashedPart, ...]
     """The least recently used first."""
 
 
--- a/standins/staged.py
+++ b/standins/staged.py
@@ -37,6 +37,10 @@
         """KV caches that it was told to fetch."""
         self.freed: list[str] = []
         """Handles that it was told to free."""
+        self.kept: list[list] = []
+        """Parts of prompts in its cache, as it lists them."""
+        self.lists = 0
+        """Times that it was asked for them."""
         self.dropped: list[str] = []
         """Requests whose callers left before the end."""
         self._names = itertools.count(1)
@@ -46,6 +50,7 @@
         app = build_app()
         app.router.add_get("/api/report", self._report)
         app.router.add_post("/api/order", self._order)
+        app.router.add_get("/api/kv-list", self._list_kept)
         app.router.add_delete("/api/kv-handle/{name}", self._free)
         app.router.add_route("*", "/{path:.*}", self._serve)
         return app
@@ -75,6 +80,10 @@
         state = {"phase": self.phase, "busy": False, "sequence": len(self.orders)}
         return reply_json({**state, **self.describe_start()})
 
+    async def _list_kept(self, request: web.Request) -> web.Response:
+        self.lists += 1
+        return reply_json({"epoch": 1, "next": 1, "held": self.kept})
+
     async def _order(self, request: web.Request) -> web.Response:
         order = await request.json()
         if order["fenceToken"] < self.highest_fence:
