Learn in which order engines read the prompts that wait

The new deployment's engines take up the most urgent prompt at each piece. The models' engines differ.

Ruled out: one order for all (either way one kind of deployment loses).

Change: both waits are worked out as a prompt is offered, and the part of less urgent work that was waited for is learned from what is seen, per upstream. Order of arrival is assumed at the start.

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -8,6 +8,7 @@
 from radishtally.direct.core import Instance, KeptPart, is_same_start
 from radishtally.engines.cache import PromptCache, hash_kept
 from radishtally.engines.core import NoObserver, Observer
+from radishtally.engines.order import ReadingOrder
 from radishtally.engines.prospects import (
     Prospect,
     count_kept,
@@ -17,10 +18,10 @@
 )
 from radishtally.engines.state import (
     CACHE_SHARE,
+    LATE_PRIORITY,
     START_RATE,
     EngineState,
     PeerShare,
-    Reading,
     mark_start,
 )
 from radishtally.entry.hosts import KnownHost
@@ -65,9 +66,6 @@
 all of its answers, whose events must not pause for long."""
 FAR_CALLS: Final = 0.5
 """The same for a call of a plain service: it decides between equals only."""
-LATE_PRIORITY: Final = 5
-"""Added to the priority of work that will be late: it goes behind all that can still be
-in time."""
 PATIENCE: Final = 4.0
 """Times its objective that a caller waits for the first event before it gives up."""
 MIN_PATIENCE_SECONDS: Final = 2.0
@@ -89,6 +87,8 @@
         are not the ones known here; told once, it would be missed for good."""
         self._read: list[PartsRead] = []
         """Parts that this entry was the first to give to an engine, as far as known."""
+        self._orders: dict[str, ReadingOrder] = {}
+        """In which order the engines of each upstream read."""
         self._terms: dict[str, EngineTerms] = {}
 
     def configure(self, upstreams: Iterable[UpstreamTerms]) -> None:
@@ -117,6 +117,7 @@
             cache,
             instance.upstream,
             mark_start(instance.started_ms),
+            self._orders.setdefault(instance.upstream, ReadingOrder()),
             self._find_rate(instance.upstream),
         )
         for peer, share in self._early.pop(instance.host, {}).items():
@@ -253,8 +254,7 @@
             self._read.append(PartsRead(engine.host, engine.start, tuple(new)))
         if request.kv is not None:
             return
-        reading = Reading(tokens, request.terms.priority)
-        engine.begin_reading(name, reading, now)
+        engine.begin_reading(name, tokens, request.terms.priority, now)
         # Both at once, as it comes: counted when they end, answers that engines are
         # too slow for would not count, and still fewer engines would be left to them.
         expected = request.terms.output_tokens
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -7,6 +7,7 @@
 from typing import Final, NamedTuple
 
 from radishtally.engines.cache import PromptCache
+from radishtally.engines.order import ReadingOrder, Wait
 from radishtally.links.messages import PREFILL, WaitingTokens
 
 START_RATE: Final = 50_000.0
@@ -29,6 +30,9 @@
 PIECE_TOKENS: Final = 1_000.0
 """Tokens that an engine reads on with before it takes up a more urgent prompt: half of
 the piece of 2,048 that is usual."""
+LATE_PRIORITY: Final = 5
+"""Added to the priority of work that will be late: it goes behind all that can still be
+in time."""
 LEAST_URGENT: Final = 1_000
 """Priority behind all others."""
 CACHE_SHARE: Final = 0.7
@@ -57,6 +61,9 @@
     tokens: int
     priority: int
     """Lower goes first."""
+    begun_at: float = 0.0
+    wait: Wait = Wait(0.0, 0.0)
+    """What was ahead of it then."""
 
 
 def mark_start(started_ms: int) -> int:
@@ -82,6 +89,8 @@
     upstream: str = ""
     start: int = 0
     """Mark of its start; 0 if it was never told."""
+    order: ReadingOrder = field(default_factory=ReadingOrder)
+    """What the engines of its upstream were seen to do with what waits."""
     start_rate: float = START_RATE
     """Prompt tokens a second, until it was timed itself."""
     timed_tokens: float = 0.0
@@ -108,10 +117,13 @@
         seconds = START_TOKENS / self.start_rate + self.timed_seconds
         return (START_TOKENS + self.timed_tokens) / seconds
 
-    def begin_reading(self, request: str, reading: Reading, now: float) -> None:
+    def begin_reading(
+        self, request: str, tokens: int, priority: int, now: float
+    ) -> None:
         """Note that a prompt was given to it."""
+        wait = self.measure_wait(priority, now)
         self._begin_work(now)
-        self.readings[request] = reading
+        self.readings[request] = Reading(tokens, priority, now, wait)
 
     def end_reading(self, request: str, now: float, was_read: bool) -> None:
         """Note that a prompt is read, or is given up."""
@@ -119,7 +131,9 @@
         if reading is None:
             return
         self.moved_at = now
-        self.finished += reading.tokens if was_read else 0
+        if was_read:
+            self.finished += reading.tokens
+            self._learn_order(reading, now)
         self._learn_rate(now)
 
     def take_share(self, peer: str, share: PeerShare, now: float) -> None:
@@ -171,18 +185,26 @@
         return len(self.answers) + sum(peer.answers for peer in self.peers.values())
 
     def predict_wait(self, priority: int, now: float) -> float:
-        """Predict the seconds until a prompt of a priority is begun.
-
-        Engines read in pieces, and take up the most urgent prompt at each of them; what
-        is as urgent is read in its order of arrival. Counting all that waits, urgent
-        prompts were taken for late and put behind others: of those whose wait was
-        predicted as 1.2 s and more, half were read in 0.3 s.
-        """
-        if not self.count_tokens():
-            return 0.0
-        seconds = self.count_tokens(priority) / self.rate
+        """Predict the seconds until a prompt of a priority is begun."""
+        return self.order.predict(self.measure_wait(priority, now))
+
+    def measure_wait(self, priority: int, now: float) -> Wait:
+        """Measure what is ahead of a prompt of a priority that would come now."""
+        tokens = self.count_tokens()
+        if not tokens:
+            return Wait(0.0, 0.0)
         # It has worked on the first of them since it finished the last one.
-        return max(PIECE_TOKENS / self.rate, seconds - (now - self.moved_at))
+        worked = now - self.moved_at
+        least = PIECE_TOKENS / self.rate
+        ahead = self.count_tokens(priority)
+        by_arrival = max(least, tokens / self.rate - worked)
+        return Wait(by_arrival, max(least, ahead / self.rate - worked))
+
+    def _learn_order(self, reading: Reading, now: float) -> None:
+        # What is put behind all else waits for what comes later too.
+        if self.role == PREFILL and reading.priority < LATE_PRIORITY:
+            took = reading.tokens / self.rate + FIXED_SECONDS
+            self.order.learn(reading.wait, now - reading.begun_at - took)
 
     def _begin_work(self, now: float) -> None:
         if self.count_tokens():
--- a/radishtally/entry/attempts.py
+++ b/radishtally/entry/attempts.py
@@ -36,6 +36,7 @@
     PREFILL,
     REPLACED,
     STREAM,
+    UNREACHED,
     WHOLE,
     Accepted,
     Ack,
@@ -82,6 +83,7 @@
     if host in core.hosts:
         core.hosts[host].breaker.succeeded()
         core.hosts[host].refusals = 0
+        core.hosts[host].unreached = 0
     request.phase = ACCEPTED
     wait(request, float("inf"), core)
     joined = ", joined to the answer of its key" if message.attached else ""
@@ -208,6 +210,7 @@
     yield _ack(message, host)
     if message.reason != NOT_KNOWN and host in core.hosts:
         core.hosts[host].breaker.failed(now)
+        core.hosts[host].unreached += message.reason == UNREACHED
     ran = _believe(message.ran, request, now)
     yield from lose(request, ran, message.reason, core, now)
 
@@ -264,6 +267,7 @@
         return
     # One refusal may be about what was offered, as a KV cache that can't be fetched.
     known.refusals += 1
+    known.unreached = 0
     if known.refusals >= const.REFUSALS_TO_PASS_OVER:
         known.breaker.failed(now)
 
--- a/radishtally/entry/const.py
+++ b/radishtally/entry/const.py
@@ -26,6 +26,9 @@
 """Time that accepted work which a leaving agent gave back waits for another host."""
 REFUSALS_TO_PASS_OVER: Final = 2
 """Refusals in a row after which a host is left out for a while."""
+UNREACHED_TO_MISS: Final = 2
+"""Offers in a row that could not be brought to a host, from which it is taken for gone
+before the list of hosts says so: one alone may be a lost packet."""
 FIRST_FAILURE: Final = 500
 """Least status of an answer in which an upstream says that it failed."""
 MIN_RETRY_AFTER: Final = 0.5
--- a/radishtally/entry/hosts.py
+++ b/radishtally/entry/hosts.py
@@ -24,6 +24,8 @@
     reported_in_flight: int = 0
     refusals: int = 0
     """Refusals since the host last took an offer."""
+    unreached: int = 0
+    """Offers in a row that could not be brought to it."""
     breaker: Breaker = field(default_factory=Breaker)
 
     def note_load(self, load: Load, now: float) -> None:
@@ -37,6 +39,7 @@
         self.load = None
         self.reported_in_flight = 0
         self.refusals = 0
+        self.unreached = 0
         self.breaker = Breaker()
 
     def describe(self, now: float) -> Candidate:
--- a/radishtally/entry/state.py
+++ b/radishtally/entry/state.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import dataclass, field
 
-from radishtally.entry.const import OFFER_SECONDS
+from radishtally.entry.const import OFFER_SECONDS, UNREACHED_TO_MISS
 from radishtally.entry.hosts import KnownHost
 from radishtally.entry.placement import Placement, RankedPlacement
 from radishtally.entry.requests import OpenRequest
@@ -67,6 +67,11 @@
         known = self.hosts.get(host)
         return known is not None and known.in_flight > 0
 
+    def is_out_of_reach(self, host: str) -> bool:
+        """Tell whether a host has lately been tried in vain, more than once."""
+        known = self.hosts.get(host)
+        return known is not None and known.unreached >= UNREACHED_TO_MISS
+
     def set_host(self, host: str, place: str, upstream: str, live: bool) -> None:
         """Take what the membership makes of a host."""
         known = self.hosts.get(host)
--- a/radishtally/stages/core.py
+++ b/radishtally/stages/core.py
@@ -17,6 +17,8 @@
     role: str
     is_orderable: bool = True
     """Whether it can be ordered now, as far as is known."""
+    is_reachable: bool = True
+    """Whether requests reach it; one that crashed stays listed for seconds."""
 
 
 class Change(NamedTuple):
@@ -50,6 +52,7 @@
         Until the needs are known, roles are set before traffic has begun, or where one
         of them has no engine.
         """
+        engines = _leave_out_unreached(engines)
         if not engines:
             return []
         is_first = self._needs is None and needs is not None
@@ -104,6 +107,17 @@
         return is_rested and now >= self._off_since + const.SHIFT_SECONDS
 
 
+def _leave_out_unreached(engines: Sequence[Engine]) -> Sequence[Engine]:
+    """Leave out engines that requests don't reach, where a role has no others.
+
+    While both roles have others, an engine that crashed may be back sooner than another
+    one has changed, and who does not reach it may be cut off alone.
+    """
+    reached = [engine for engine in engines if engine.is_reachable]
+    roles = {engine.role for engine in engines}
+    return engines if {engine.role for engine in reached} == roles else reached
+
+
 def choose_changes(engines: Sequence[Engine], wanted: int) -> list[Change]:
     """Choose the fewest changes that give the wanted number of prefill engines.
 
--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -75,6 +75,8 @@
         self._measure_rate = measure_rate
         """Give the prompt tokens that an engine reads in a second."""
         self._clock = clock
+        self.is_out_of_reach: Callable[[str], bool] = lambda _: False
+        """Tell whether requests don't reach an engine."""
         self.on_report: Callable[[Instance, EngineReport], None] = lambda *_: None
         """Take what an engine said when asked."""
         self._plans: dict[str, StagePlan] = {}
@@ -196,7 +198,10 @@
             self._pending.pop(instance.host, None)
             role = instance.role
         is_orderable = instance.host not in self._passed_over
-        return Engine(instance.host, instance.data_centre, role, is_orderable)
+        is_reachable = not self.is_out_of_reach(instance.host)
+        return Engine(
+            instance.host, instance.data_centre, role, is_orderable, is_reachable
+        )
 
     async def _carry_out(self, instance: Instance, change: Change) -> None:
         """Give one order, as the engine and the lease stand now."""
