--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -2,19 +2,24 @@
 
 import time
 from collections.abc import Callable, Iterable, Sequence
+from statistics import mean
 from typing import Final
 
-from radishtally.direct.core import Instance, is_same_start
-from radishtally.engines.cache import PromptCache
+from radishtally.direct.core import Instance, KeptPart, is_same_start
+from radishtally.engines.cache import PromptCache, hash_kept
+from radishtally.engines.core import NoObserver, Observer
+from radishtally.engines.order import ReadingOrder
 from radishtally.engines.prospects import (
     Prospect,
+    count_kept,
     count_uncached,
     predict_prefill,
     predict_whole,
 )
 from radishtally.engines.state import (
     CACHE_SHARE,
-    EngineLoad,
+    LATE_PRIORITY,
+    START_RATE,
     EngineState,
     PeerShare,
     mark_start,
@@ -29,13 +34,13 @@
     WHOLE,
     Backlog,
     EngineShare,
+    PartsRead,
 )
 from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.routing.core import rank
 
 START_TERMS: Final = EngineTerms(400_000)
 """What is taken of engines until the configuration says more."""
-NO_LOAD: Final = EngineLoad(0, 0.0)
 FAR_SECONDS: Final = 0.005
 """Handicap of an engine in another data centre, for the trips: two of 1 to 2 ms."""
 FAR_BYTE_SECONDS: Final = 2e-6
@@ -61,9 +66,6 @@
 all of its answers, whose events must not pause for long."""
 FAR_CALLS: Final = 0.5
 """The same for a call of a plain service: it decides between equals only."""
-LATE_PRIORITY: Final = 5
-"""Added to the priority of work that will be late: it goes behind all that can still be
-in time."""
 PATIENCE: Final = 4.0
 """Times its objective that a caller waits for the first event before it gives up."""
 MIN_PATIENCE_SECONDS: Final = 2.0
@@ -77,13 +79,16 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self.on_demand: Callable[[str, int, int, float], None] = lambda *_: None
-        """Take an upstream, tokens to be read, tokens to be made, and the time."""
+        self.observer: Observer = NoObserver()
         self._engines: dict[str, EngineState] = {}
         self._changed: set[str] = set()
         self._early: dict[str, dict[str, EngineShare]] = {}
         """What other entries have open, by engines and by their names, at starts that
         are not the ones known here; told once, it would be missed for good."""
+        self._read: list[PartsRead] = []
+        """Parts that this entry was the first to give to an engine, as far as known."""
+        self._orders: dict[str, ReadingOrder] = {}
+        """In which order the engines of each upstream read."""
         self._terms: dict[str, EngineTerms] = {}
 
     def configure(self, upstreams: Iterable[UpstreamTerms]) -> None:
@@ -112,6 +117,8 @@
             cache,
             instance.upstream,
             mark_start(instance.started_ms),
+            self._orders.setdefault(instance.upstream, ReadingOrder()),
+            self._find_rate(instance.upstream),
         )
         for peer, share in self._early.pop(instance.host, {}).items():
             self._take_share(peer, share, self._clock())
@@ -144,7 +151,7 @@
         early = self._early.setdefault(share.host, {})
         if is_same_start(share.start, engine.start):
             early.pop(peer, None)
-            engine.take_share(peer, PeerShare(share.tokens, share.answers), now)
+            engine.take_share(peer, PeerShare(share.waiting, share.answers), now)
             return
         # One of the two does not know yet that the engine has started again. What was
         # open at its earlier start is lost, and was not read: it tells no rate.
@@ -169,15 +176,46 @@
         ]
         return Backlog(tuple(shares))
 
+    def take_parts(self, told: PartsRead) -> None:
+        """Take which parts another entry has given to an engine."""
+        engine = self._engines.get(told.host)
+        if engine is None or not is_same_start(told.start, engine.start):
+            # They are told again where they are missed: once each, when read again.
+            return
+        engine.cache.take(told.parts)
+
+    def recall(self, host: str, kept: Iterable[KeptPart]) -> int:
+        """Take which parts an engine says that it keeps; give how many they are."""
+        engine = self._engines.get(host)
+        if engine is None:
+            return 0
+        parts = tuple(map(hash_kept, kept))
+        engine.cache.take(parts)
+        self._read.append(PartsRead(host, engine.start, parts))
+        return len(parts)
+
+    def take_read(self) -> list[PartsRead]:
+        """Take what this entry has given to engines since the last call."""
+        read, self._read = self._read, []
+        return read
+
+    def list_parts(self) -> list[PartsRead]:
+        """List the shared parts that each engine is taken to keep."""
+        return [
+            PartsRead(engine.host, engine.start, tuple(parts))
+            for engine in self._engines.values()
+            if (parts := engine.cache.list_shared())
+        ]
+
     def take_changed(self) -> set[str]:
         """Take the engines at which something began or ended since the last call."""
         changed, self._changed = self._changed, set()
         return changed
 
-    def measure(self, host: str) -> EngineLoad:
-        """Give an engine's load; none if it was never seen."""
+    def measure_rate(self, host: str) -> float:
+        """Give the prompt tokens that an engine reads in a second."""
         engine = self._engines.get(host)
-        return NO_LOAD if engine is None else engine.measure(self._clock())
+        return START_RATE if engine is None else engine.rate
 
     def place(
         self, request: OpenRequest, hosts: Sequence[KnownHost], place: str, now: float
@@ -211,32 +249,74 @@
         if request.stage != PREFILL:
             engine.answers.add(name)
         tokens = count_uncached(engine, request)
-        engine.cache.note(work.model, request.terms.parts)
+        new = engine.cache.note(work.model, request.terms.parts)
+        if new:
+            self._read.append(PartsRead(engine.host, engine.start, tuple(new)))
         if request.kv is not None:
             return
-        engine.begin_reading(name, tokens, now)
+        engine.begin_reading(name, tokens, request.terms.priority, now)
         # Both at once, as it comes: counted when they end, answers that engines are
         # too slow for would not count, and still fewer engines would be left to them.
-        self.on_demand(work.upstream, tokens, request.terms.output_tokens, now)
+        expected = request.terms.output_tokens
+        self.observer.note_request(work.upstream, tokens, expected, now)
 
     def note_answer(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that a part of an answer has come: its prompt is read."""
         engine = self._engines.get(host.host)
-        if engine is None or request.work.request not in engine.readings:
+        if engine is None:
+            return
+        self._time_events(engine, request, now)
+        if request.work.request not in engine.readings:
             return
         self._changed.add(host.host)
         engine.end_reading(request.work.request, now, False)
 
+    def _time_events(
+        self, engine: EngineState, request: OpenRequest, now: float
+    ) -> None:
+        """Learn from how long an answer's new events took."""
+        name = request.work.request
+        last = engine.heard.get(name)
+        engine.heard[name] = now, request.tokens
+        if last is None:
+            return
+        at, events = last
+        answers = engine.count_answers()
+        self.observer.note_pace(
+            engine.upstream, answers, request.tokens - events, now - at
+        )
+
+    def finish(self, request: OpenRequest, host: KnownHost) -> None:
+        """Note that the request's answer is whole."""
+        terms = request.terms
+        self.observer.note_answered(
+            host.upstream,
+            request.tokens,
+            terms.output_tokens,
+            request.deadline - request.arrived - terms.objective,
+            self._clock(),
+        )
+
     def end(self, request: OpenRequest, host: KnownHost) -> None:
         """Note that the request's present attempt at a host is over."""
         engine = self._engines.get(host.host)
         if engine is None:
             return
+        engine.heard.pop(request.work.request, None)
         self._changed.add(host.host)
         name, now = request.work.request, self._clock()
         engine.answers.discard(name)
         engine.end_reading(name, now, request.kv is not None)
 
+    def _find_rate(self, upstream: str) -> float:
+        """Find the rate of a new engine: what those beside it were seen to read."""
+        rates = [
+            engine.rate
+            for engine in self._engines.values()
+            if engine.upstream == upstream and engine.timed_tokens
+        ]
+        return mean(rates) if rates else START_RATE
+
     def _find_cache_size(self, upstream: str) -> int:
         """Find how many tokens of prompts an engine of an upstream keeps."""
         terms = self._terms.get(upstream, START_TERMS)
@@ -261,15 +341,17 @@
         whole = _choose_whole(request, decode, place, in_time)
         if whole is not None:
             return whole
+    if prospect.seconds > objective and terms.priority < LATE_PRIORITY:
+        # What will be late goes behind all that can still be in time, and may have to
+        # wait there for longer than its caller does.
+        request.terms = terms._replace(priority=terms.priority + LATE_PRIORITY)
+        host, prospect = _choose_prefill(request, prefill, place, in_time, now)
+    why = prospect.describe(request.terms.priority)
     patience = max(MIN_PATIENCE_SECONDS, PATIENCE * terms.objective)
     if prospect.seconds > min(patience, request.deadline - now):
         wait = max(0.0, prospect.seconds - terms.objective)
-        return Declined(wait, f"soonest at {host}: {prospect.describe(terms.priority)}")
-    priority = terms.priority
-    if prospect.seconds > objective and priority < LATE_PRIORITY:
-        priority += LATE_PRIORITY
-        request.terms = terms._replace(priority=priority)
-    return Placed(PREFILL, host, prospect.describe(priority))
+        return Declined(wait, f"soonest at {host}: {why}")
+    return Placed(PREFILL, host, why)
 
 
 def _choose_prefill(
@@ -282,14 +364,19 @@
     """Choose the engine that has the shared parts, rather one that is in time."""
     home = rank((engine.host for engine in engines), request.work.prefix)[0]
     far = FAR_SECONDS + FAR_BYTE_SECONDS * len(request.work.body)
+    kept = [count_kept(engine, request) for engine in engines]
+    most = max(min(tokens, request.terms.shared_tokens) for tokens in kept)
     found = []
-    for engine in engines:
-        prospect = predict_prefill(engine, request, engine.host == home, now)
-        cost = prospect.seconds + prospect.again * AGAIN_SECONDS
+    for engine, tokens in zip(engines, kept, strict=True):
+        prospect = predict_prefill(engine, request, tokens, now)
+        cost = prospect.seconds + max(0, most - tokens) * AGAIN_SECONDS
         if engine.data_centre != place:
             cost += far
-        found.append((prospect.seconds > in_time, cost, engine.host, prospect))
-    _, _, host, prospect = min(found)
+        # Two entries that are first to ask for the same parts choose the same engine.
+        is_strange = engine.host != home
+        late = prospect.seconds > in_time
+        found.append((late, cost, is_strange, engine.host, prospect))
+    *_, host, prospect = min(found)
     return host, prospect
 
 
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -1,18 +1,25 @@
 """Follow what one engine has been given and how fast it is."""
 
+from collections import Counter
 from dataclasses import dataclass, field
+from itertools import starmap
+from math import exp
 from typing import Final, NamedTuple
 
 from radishtally.engines.cache import PromptCache
-from radishtally.links.messages import PREFILL
-
-START_RATE: Final = 75_000.0
-"""Prompt tokens that an engine reads in a second until it was timed: four fifths of
-what the deployments' pages say, as steps and attention take their time too."""
-RATE_WEIGHT: Final = 0.15
-"""Weight of one timed stretch of work in the engine's rate."""
+from radishtally.engines.order import ReadingOrder, Wait
+from radishtally.links.messages import PREFILL, WaitingTokens
+
+START_RATE: Final = 50_000.0
+"""Prompt tokens that an engine reads in a second until one of its upstream was timed:
+assumed, the first prompts tell."""
+START_TOKENS: Final = 5_000.0
+"""Tokens of reading that the rate at the start counts for."""
+RATE_MEMORY: Final = 150_000.0
+"""Tokens that the rate remembers: some seconds of a busy engine's work."""
 RATE_TOKENS: Final = 5_000
-"""Least tokens of a stretch whose time tells the rate."""
+"""Least tokens of a stretch whose time tells the rate: what others' news lag is then a
+small part of it."""
 RATE_SECONDS: Final = 0.5
 """Time after which the rate is learned though the engine is still at work: under a
 lasting load it has no idle moment, and just then the rate decides."""
@@ -20,6 +27,14 @@
 """Rates outside are taken for errors of the measurement, as of a paused process."""
 FIXED_SECONDS: Final = 0.06
 """Time of a prompt's computation beside its tokens."""
+PIECE_TOKENS: Final = 1_000.0
+"""Tokens that an engine reads on with before it takes up a more urgent prompt: half of
+the piece of 2,048 that is usual."""
+LATE_PRIORITY: Final = 5
+"""Added to the priority of work that will be late: it goes behind all that can still be
+in time."""
+LEAST_URGENT: Final = 1_000
+"""Priority behind all others."""
 CACHE_SHARE: Final = 0.7
 """Share of an engine's memory that is taken to keep parts; the rest serves answers."""
 
@@ -30,17 +45,25 @@
 class PeerShare(NamedTuple):
     """Hold what another entry has open at an engine."""
 
-    tokens: int
-    """Prompt tokens that are still to be read."""
+    waiting: tuple[WaitingTokens, ...]
+    """Prompt tokens that are still to be read, by priority."""
     answers: int
 
+    @property
+    def tokens(self) -> int:
+        """Give the tokens of all priorities."""
+        return sum(item.tokens for item in self.waiting)
 
-class EngineLoad(NamedTuple):
-    """Hold what an engine has been given by all entries."""
 
-    answers: int
-    wait: float
-    """Seconds until one more prompt is begun."""
+class Reading(NamedTuple):
+    """Hold a prompt that an engine was given to read."""
+
+    tokens: int
+    priority: int
+    """Lower goes first."""
+    begun_at: float = 0.0
+    wait: Wait = Wait(0.0, 0.0)
+    """What was ahead of it then."""
 
 
 def mark_start(started_ms: int) -> int:
@@ -66,13 +89,21 @@
     upstream: str = ""
     start: int = 0
     """Mark of its start; 0 if it was never told."""
-    rate: float = START_RATE
-    readings: dict[str, int] = field(default_factory=dict)
-    """Tokens that it has to read for requests of this entry."""
+    order: ReadingOrder = field(default_factory=ReadingOrder)
+    """What the engines of its upstream were seen to do with what waits."""
+    start_rate: float = START_RATE
+    """Prompt tokens a second, until it was timed itself."""
+    timed_tokens: float = 0.0
+    """Tokens of timed stretches of work, older ones forgotten, as is the next."""
+    timed_seconds: float = 0.0
+    readings: dict[str, Reading] = field(default_factory=dict)
+    """What it has to read for requests of this entry."""
     answers: set[str] = field(default_factory=set)
     """Requests of this entry that it is answering."""
     peers: dict[str, PeerShare] = field(default_factory=dict)
     """What the other entries have open there, by their names."""
+    heard: dict[str, tuple[float, int]] = field(default_factory=dict)
+    """When the last event of each answer came to this entry, and its number."""
     moved_at: float = float("-inf")
     """Time at which it last finished a prompt, or was given one while it had none."""
     timed_since: float = float("-inf")
@@ -80,18 +111,29 @@
     finished: int = 0
     """Tokens read in the present stretch."""
 
-    def begin_reading(self, request: str, tokens: int, now: float) -> None:
+    @property
+    def rate(self) -> float:
+        """Give the prompt tokens that it reads in a second."""
+        seconds = START_TOKENS / self.start_rate + self.timed_seconds
+        return (START_TOKENS + self.timed_tokens) / seconds
+
+    def begin_reading(
+        self, request: str, tokens: int, priority: int, now: float
+    ) -> None:
         """Note that a prompt was given to it."""
+        wait = self.measure_wait(priority, now)
         self._begin_work(now)
-        self.readings[request] = tokens
+        self.readings[request] = Reading(tokens, priority, now, wait)
 
     def end_reading(self, request: str, now: float, was_read: bool) -> None:
         """Note that a prompt is read, or is given up."""
-        tokens = self.readings.pop(request, None)
-        if tokens is None:
+        reading = self.readings.pop(request, None)
+        if reading is None:
             return
         self.moved_at = now
-        self.finished += tokens if was_read else 0
+        if was_read:
+            self.finished += reading.tokens
+            self._learn_order(reading, now)
         self._learn_rate(now)
 
     def take_share(self, peer: str, share: PeerShare, now: float) -> None:
@@ -108,39 +150,61 @@
 
     def make_share(self, collected_for: str | None = None) -> PeerShare:
         """Give what this entry has open there, or all but one peer."""
-        tokens, answers = sum(self.readings.values()), len(self.answers)
-        if collected_for is None:
-            return PeerShare(tokens, answers)
-        others = [share for peer, share in self.peers.items() if peer != collected_for]
-        return PeerShare(
-            tokens + sum(share.tokens for share in others),
-            answers + sum(share.answers for share in others),
+        waiting = Counter[int]()
+        for reading in self.readings.values():
+            waiting[reading.priority] += reading.tokens
+        answers = len(self.answers)
+        if collected_for is not None:
+            for peer, share in self.peers.items():
+                if peer != collected_for:
+                    waiting.update(dict(share.waiting))
+                    answers += share.answers
+        by_urgency = sorted(waiting.items())
+        return PeerShare(tuple(starmap(WaitingTokens, by_urgency)), answers)
+
+    def count_tokens(self, priority: int = LEAST_URGENT) -> int:
+        """Count the prompt tokens that it reads for all entries before any new ones.
+
+        That is what is as urgent or more so; all of them where no priority is given.
+        """
+        ours = sum(
+            reading.tokens
+            for reading in self.readings.values()
+            if reading.priority <= priority
         )
-
-    def count_tokens(self) -> int:
-        """Count the prompt tokens that it has to read for all entries."""
-        theirs = sum(peer.tokens for peer in self.peers.values())
-        return sum(self.readings.values()) + theirs
+        theirs = sum(
+            item.tokens
+            for peer in self.peers.values()
+            for item in peer.waiting
+            if item.priority <= priority
+        )
+        return ours + theirs
 
     def count_answers(self) -> int:
         """Count the answers that all entries have open there."""
         return len(self.answers) + sum(peer.answers for peer in self.peers.values())
 
-    def measure(self, now: float) -> EngineLoad:
-        """Give its load."""
-        return EngineLoad(self.count_answers(), self.predict_wait(now))
+    def predict_wait(self, priority: int, now: float) -> float:
+        """Predict the seconds until a prompt of a priority is begun."""
+        return self.order.predict(self.measure_wait(priority, now))
 
-    def predict_wait(self, now: float) -> float:
-        """Predict the seconds until one more prompt is begun.
-
-        Engines admit urgent requests first, but what is admitted is read in its order
-        of arrival: a long prompt holds up all that came behind it, urgent or not.
-        """
+    def measure_wait(self, priority: int, now: float) -> Wait:
+        """Measure what is ahead of a prompt of a priority that would come now."""
         tokens = self.count_tokens()
         if not tokens:
-            return 0.0
+            return Wait(0.0, 0.0)
         # It has worked on the first of them since it finished the last one.
-        return max(0.0, tokens / self.rate - (now - self.moved_at))
+        worked = now - self.moved_at
+        least = PIECE_TOKENS / self.rate
+        ahead = self.count_tokens(priority)
+        by_arrival = max(least, tokens / self.rate - worked)
+        return Wait(by_arrival, max(least, ahead / self.rate - worked))
+
+    def _learn_order(self, reading: Reading, now: float) -> None:
+        # What is put behind all else waits for what comes later too.
+        if self.role == PREFILL and reading.priority < LATE_PRIORITY:
+            took = reading.tokens / self.rate + FIXED_SECONDS
+            self.order.learn(reading.wait, now - reading.begun_at - took)
 
     def _begin_work(self, now: float) -> None:
         if self.count_tokens():
@@ -160,6 +224,9 @@
         if is_timed and seconds > 0:
             low, high = RATE_BOUNDS
             seen = min(max(self.finished / seconds, low), high)
-            self.rate += RATE_WEIGHT * (seen - self.rate)
+            remembered = exp(-self.finished / RATE_MEMORY)
+            self.timed_tokens = self.timed_tokens * remembered + self.finished
+            self.timed_seconds *= remembered
+            self.timed_seconds += self.finished / seen
         self.timed_since = now
         self.finished = 0
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -34,6 +34,7 @@
 from radishtally.gateway.members import Change, Members
 from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
 from radishtally.gateway.peers import Peers
+from radishtally.gateway.recall import Recall
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, Routed, Router
 from radishtally.limits.retries import RetryBudgets
 from radishtally.links.messages import Cancel, Message, Offer
@@ -89,12 +90,15 @@
             self.hosts,
             self.list_served_hosts,
             self.lease,
-            placement.measure,
+            placement.measure_rate,
+        )
+        self.recall = Recall(
+            settings.host, self.hosts, placement, self.list_served_hosts
         )
         self.peers = Peers(
             self, settings.host, settings.data_centre, settings.peer_address
         )
-        placement.on_demand = self.stages.note
+        placement.observer = self.stages
         self.stages.on_report = self._take_report
         self.waker = Waker(lambda: self.handle(events.Tick()))
 
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -293,19 +293,27 @@
     seconds: float
 
 
+class WaitingTokens(NamedTuple):
+    """Say how many prompt tokens of one priority are still to be read."""
+
+    priority: int
+    """Lower goes first."""
+    tokens: int
+
+
 class EngineShare(NamedTuple):
     """Say what one entry has open at an engine that it reaches itself."""
 
     host: str
-    tokens: int
-    """Prompt tokens that are still to be read."""
+    waiting: tuple[WaitingTokens, ...]
+    """The most urgent first."""
     answers: int
     start: int = 0
     """Mark of the engine's start that has it; 0 if the sender knows none."""
 
 
 class FormerShare(NamedTuple):
-    """Say the same as the release before: without the engine's start."""
+    """Say the same as two releases before: no engine's start, no priorities."""
 
     host: str
     tokens: int
@@ -313,26 +321,75 @@
 
 
 class FormerBacklog(NamedTuple):
-    """Hold the place of what the release before tells; it is not taken."""
+    """Hold the place of what two releases before tell; it is not taken."""
 
     shares: tuple[FormerShare, ...]
 
 
+class EarlierShare(NamedTuple):
+    """Say the same as the release before: without priorities."""
+
+    host: str
+    tokens: int
+    answers: int
+    start: int = 0
+
+
+class EarlierBacklog(NamedTuple):
+    """Hold the place of what the release before tells; it is not taken."""
+
+    shares: tuple[EarlierShare, ...]
+
+
 class Backlog(NamedTuple):
     """Tell the other entries what the sender has open, where that has changed."""
 
     shares: tuple[EngineShare, ...]
 
 
-class DemandReport(NamedTuple):
-    """Tell the other entries what has come to the sender of late."""
+class HashedPart(NamedTuple):
+    """Name a part of a prompt by a hash of its name and the model's."""
+
+    key: int
+    tokens: int
+
+
+class PartsRead(NamedTuple):
+    """Tell the other entries which parts of prompts an engine was first given.
+
+    Or, from one that has just started, which ones the engine says that it keeps.
+    """
+
+    host: str
+    start: int
+    """Mark of the engine's start."""
+    parts: tuple[HashedPart, ...]
+    """The least recently used first."""
+
+
+class FormerDemandReport(NamedTuple):
+    """Hold the place of what the release before tells; it is not taken."""
 
     upstream: str
     prefill: float
-    """Seconds of engines' time, as is the next."""
     decode: float
 
 
+class DemandReport(NamedTuple):
+    """Tell the other entries what has come to the sender of late."""
+
+    upstream: str
+    requests: float
+    prompt_tokens: float
+    """Those that no engine was known to keep."""
+    answer_tokens: float
+    """As callers expect them."""
+    ended: float
+    """Answers that have ended whole, as are those behind the next two."""
+    ended_events: float
+    ended_tokens: float
+
+
 Message = (
     Hello
     | Ping
@@ -356,8 +413,11 @@
     | FilesGive
     | Interval
     | FormerBacklog
+    | FormerDemandReport
+    | EarlierBacklog
     | Backlog
     | DemandReport
+    | PartsRead
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -382,7 +442,10 @@
     FilesGive,
     Interval,
     FormerBacklog,
+    FormerDemandReport,
+    EarlierBacklog,
     DemandReport,
+    PartsRead,
     Backlog,
 )
 """A kind's number is its place here: add at the end, never reorder, and give a message
