Order another engine at once where a role has none that is reached

A crashed engine stays listed for three heartbeats, then a second passed before the order, then three for the change; one that leaves waited for that second too.

Change: the gateway with the lease counts offers in a row that could not be brought to an engine. Where a role has no other engine than such ones, or none at all amid traffic, one is moved at its next look. While the role has others nothing changes.

--- a/radishtally/entry/attempts.py
+++ b/radishtally/entry/attempts.py
@@ -92,6 +92,8 @@
 
 @receive.register
 def _(message: Refused, host: str, core: EntryCore, now: float) -> Iterator[Command]:
+    if host in core.hosts:
+        core.hosts[host].unreached = 0
     if message.load is not None and host in core.hosts:
         core.hosts[host].note_load(message.load, now)
     request = _find(message, host, core)
@@ -267,7 +269,6 @@
         return
     # One refusal may be about what was offered, as a KV cache that can't be fetched.
     known.refusals += 1
-    known.unreached = 0
     if known.refusals >= const.REFUSALS_TO_PASS_OVER:
         known.breaker.failed(now)
 
--- a/radishtally/stages/core.py
+++ b/radishtally/stages/core.py
@@ -59,6 +59,9 @@
         self._needs = needs or self._needs
         present = sum(engine.role == PREFILL for engine in engines)
         has_both = 0 < present < len(engines)
+        if has_begun and not has_both:
+            # Nothing is answered until another engine has changed its role.
+            self._is_moving = True
         # A gateway that starts amid traffic would undo what another one has measured.
         if self._needs is None and has_begun and has_both:
             return []
