Read prompts while an outage of answers ends within their callers' patience

Callers wait 2 to 4 seconds for the first event, a change takes three.

Change: the outage is timed from the first request that met it; a prompt is read where its caller waits longer than the second until the order and the engine's change, which the configuration tells. Others are refused with the time that is left of it. A request whose KV cache was lost waits for an engine for answers; a first trial, without that, ended processes (a test of it is there).

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -69,9 +69,10 @@
 PATIENCE: Final = 4.0
 """Times its objective that a caller waits for the first event before it gives up."""
 MIN_PATIENCE_SECONDS: Final = 2.0
-NO_ENGINE_SECONDS: Final = 2.0
-"""Time after which it is worth asking again where no engine makes answers: about what
-an engine takes to come back or to change its role."""
+ORDER_SECONDS: Final = 1.0
+"""Time until an engine is ordered to make answers where none does: two looks."""
+LEAST_OUTAGE: Final = 0.5
+"""Time after which it is worth asking again where an engine should be back already."""
 
 
 class EnginePlacement:
@@ -87,6 +88,8 @@
         are not the ones known here; told once, it would be missed for good."""
         self._read: list[PartsRead] = []
         """Parts that this entry was the first to give to an engine, as far as known."""
+        self._unanswered: dict[str, float] = {}
+        """Since when no engine of an upstream makes answers."""
         self._orders: dict[str, ReadingOrder] = {}
         """In which order the engines of each upstream read."""
         self._terms: dict[str, EngineTerms] = {}
@@ -229,15 +232,27 @@
         ]
         prefill = [engine for engine in engines if engine.role == PREFILL]
         decode = [engine for engine in engines if engine.role != PREFILL]
-        if not decode:
+        outage = self._follow_outage(request.work.upstream, bool(decode), now)
+        needs_answer = request.next_stage == DECODE or request.kv_lost or not prefill
+        if not decode and needs_answer:
             why = f"no engine makes answers, of {len(hosts)} known and {len(left)} left"
-            return Declined(NO_ENGINE_SECONDS, why)
-        if request.next_stage == DECODE or request.kv_lost or not prefill:
+            return Declined(outage, why)
+        if needs_answer:
             stage = DECODE if request.next_stage == DECODE else WHOLE
             source = self._engines.get(request.kv.host) if request.kv else None
             near = source.data_centre if source is not None else place
             return Placed(stage, _choose_decode(decode, (place, near)).host)
-        return _place_prompt(request, prefill, decode, place, now)
+        return _place_prompt(request, prefill, decode, place, outage, now)
+
+    def _follow_outage(self, upstream: str, is_answered: bool, now: float) -> float:
+        """Give the seconds until an engine makes answers again; 0 where one does."""
+        if is_answered:
+            self._unanswered.pop(upstream, None)
+            return 0.0
+        since = self._unanswered.setdefault(upstream, now)
+        terms = self._terms.get(upstream, START_TERMS)
+        expected = since + ORDER_SECONDS + terms.role_seconds
+        return max(expected - now, LEAST_OUTAGE)
 
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
@@ -328,9 +343,10 @@
     prefill: Sequence[EngineState],
     decode: Iterable[EngineState],
     place: str,
+    outage: float,
     now: float,
 ) -> Placed | Declined:
-    """Choose who reads a prompt."""
+    """Choose who reads a prompt; for some seconds nobody may make its answer."""
     terms = request.terms
     objective = request.arrived + terms.objective - now
     in_time = objective * IN_TIME_SHARE
@@ -348,6 +364,8 @@
         host, prospect = _choose_prefill(request, prefill, place, in_time, now)
     why = prospect.describe(request.terms.priority)
     patience = max(MIN_PATIENCE_SECONDS, PATIENCE * terms.objective)
+    if outage > min(patience, request.deadline - now):
+        return Declined(outage, f"no engine makes answers for {outage:.1f} s")
     if prospect.seconds > min(patience, request.deadline - now):
         wait = max(0.0, prospect.seconds - terms.objective)
         return Declined(wait, f"soonest at {host}: {why}")
--- a/radishtally/routes/config.py
+++ b/radishtally/routes/config.py
@@ -10,6 +10,8 @@
 
     kv_tokens: int
     """Tokens that fit into one engine's memory."""
+    role_seconds: float = 3.0
+    """Time that an engine is away for when it changes its role."""
 
 
 class UpstreamTerms(NamedTuple):
--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -1,8 +1,13 @@
 """Tests of choosing engines."""
 
+import pytest
+
 from radishtally.direct.core import Instance
 from radishtally.engines.cache import hash_parts
 from radishtally.engines.placement import (
+    MIN_PATIENCE_SECONDS,
+    ORDER_SECONDS,
+    START_TERMS,
     WHOLE_ANSWERS,
     WHOLE_TOKENS,
     EnginePlacement,
@@ -26,11 +31,16 @@
 from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.routing.core import rank
 
+ROLE_SECONDS = START_TERMS.role_seconds
 PLACES = ("howrah", "new-town")
 PARTS = (PromptPart("a", 500), PromptPart("b", 5_000), PromptPart("c", 500))
 HOSTS = {f"p{n}": PREFILL for n in range(4)} | {f"d{n}": DECODE for n in range(2)}
 
 
+def make_instance(host: str, role: str, place: str = "howrah") -> Instance:
+    return Instance(host, "llm", f"{host}:1", place, False, 64, role)
+
+
 class World:
     """Hold a placement and the hosts that it chooses among."""
 
@@ -39,7 +49,7 @@
         self.hosts = []
         for number, (host, role) in enumerate(hosts.items()):
             place = PLACES[number % 2]
-            instance = Instance(host, "llm", f"{host}:1", place, False, 64, role)
+            instance = make_instance(host, role, place)
             self.placement.set_instance(instance)
             self.hosts.append(KnownHost(host, place, "llm", live=True))
 
@@ -140,6 +150,35 @@
     declined = World({"p0": PREFILL}).place(make_request())
     assert isinstance(declined, Declined)
     assert "no engine makes answers" in declined.why
+    assert declined.retry_after == pytest.approx(ORDER_SECONDS + ROLE_SECONDS)
+
+
+# A gateway ends for a broken invariant: the only engine for answers could not fetch a
+# KV cache and then crashed; the request is to be read by whoever makes its answer.
+def test_prompt_whose_kv_cache_is_lost_waits_for_an_engine_for_answers() -> None:
+    request = make_request()
+    request.kv_lost = True
+    declined = World({"p0": PREFILL}).place(request)
+    assert isinstance(declined, Declined)
+
+
+# All callers are refused for as long as the only engine for answers is gone, and come
+# back in a crowd: their prompts could have been read meanwhile, and answered as soon as
+# another engine has changed its role.
+def test_prompt_is_read_where_its_caller_waits_longer_than_the_outage() -> None:
+    world = World({"p0": PREFILL})
+    request = make_request()
+    assert isinstance(world.place(request), Declined)
+    late = ORDER_SECONDS + ROLE_SECONDS - MIN_PATIENCE_SECONDS
+    placed = world.placement.place(request, world.hosts, "howrah", late + 0.1)
+    assert placed[:2] == (PREFILL, "p0")
+    request.next_stage = DECODE
+    declined = world.placement.place(request, world.hosts, "howrah", late + 0.2)
+    assert isinstance(declined, Declined)
+    world.placement.set_instance(make_instance("d0", DECODE))
+    world.hosts.append(KnownHost("d0", "howrah", "llm", live=True))
+    placed = world.placement.place(request, world.hosts, "howrah", late + 0.3)
+    assert placed[:2] == (DECODE, "d0")
 
 
 def make_short(name: str = "s") -> OpenRequest:
