Give the core that both edges share a room of its own

Cause: what becomes of a request at hosts had grown inside entry/, and the gateway, the engines, the direct hosts and the stages all reached into entry/ for it.

Ruled out: moving the tests too (those of the core stay in tests/entry for now).

--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -15,12 +15,12 @@
 from radishtally.agent import events as agent_events
 from radishtally.agent.core import handle_event as handle_agent_event
 from radishtally.configuration.core import merge_files
-from radishtally.entry import events
 from radishtally.entry.callers import Directory
-from radishtally.entry.core import EntryCore, handle_event
 from radishtally.entry.explain import Steps
-from radishtally.entry.replies import Replies
 from radishtally.links.messages import Cancel, Offer
+from radishtally.serving import events
+from radishtally.serving.core import EntryCore, handle_event
+from radishtally.serving.replies import Replies
 
 ANSWER: Final = b"word " * 229
 
--- a/bench/capacity/routing.py
+++ b/bench/capacity/routing.py
@@ -7,8 +7,6 @@
 
 from bench.capacity.figures import Figure, time_calls
 from bench.capacity.peer import make_load
-from radishtally.entry import events
-from radishtally.entry.core import EntryCore, handle_event
 from radishtally.links.messages import (
     CHAT,
     WHOLE,
@@ -19,6 +17,8 @@
     Work,
 )
 from radishtally.routing.core import Candidate, Wanted, choose
+from radishtally.serving import events
+from radishtally.serving.core import EntryCore, handle_event
 
 HOSTS: Final = (9, 100, 350, 1_400)
 POOLS: Final = 34
--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -3,10 +3,10 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
-from radishtally.entry.terms import Terms
 from radishtally.exchange import Headers
 from radishtally.links.messages import KvRef, Offer
 from radishtally.outcome import Result
+from radishtally.serving.terms import Terms
 
 
 class Instance(NamedTuple):
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -29,7 +29,6 @@
 )
 from radishtally.direct.sockets import open_socket
 from radishtally.direct.stream import EventCutter
-from radishtally.entry.terms import Terms
 from radishtally.exchange import (
     BROKEN,
     SendOnce,
@@ -55,6 +54,7 @@
     Refused,
 )
 from radishtally.outcome import Error, Ok, Ran, Result
+from radishtally.serving.terms import Terms
 from radishtally.tasks import AttemptTasks
 
 OK: Final = 200
--- a/radishtally/engines/cache.py
+++ b/radishtally/engines/cache.py
@@ -6,8 +6,8 @@
 from xxhash import xxh3_64_intdigest
 
 from radishtally.direct.core import KeptPart
-from radishtally.entry.terms import PromptPart
 from radishtally.links.messages import HashedPart
+from radishtally.serving.terms import PromptPart
 
 
 class PromptCache:
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -24,9 +24,6 @@
     PeerShare,
     mark_start,
 )
-from radishtally.entry.hosts import KnownHost
-from radishtally.entry.placement import Declined, Placed
-from radishtally.entry.requests import OpenRequest
 from radishtally.links.messages import (
     CALL,
     DECODE,
@@ -38,6 +35,9 @@
 )
 from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.routing.core import rank
+from radishtally.serving.hosts import KnownHost
+from radishtally.serving.placement import Declined, Placed
+from radishtally.serving.requests import OpenRequest
 
 START_TERMS: Final = EngineTerms(400_000)
 """What is taken of engines until the configuration says more."""
--- a/radishtally/engines/prospects.py
+++ b/radishtally/engines/prospects.py
@@ -3,7 +3,7 @@
 from typing import Final, NamedTuple
 
 from radishtally.engines.state import FIXED_SECONDS, EngineState
-from radishtally.entry.requests import OpenRequest
+from radishtally.serving.requests import OpenRequest
 
 DECODE_SECONDS: Final = 0.03
 """Time from a computed prompt to the first event of its answer, as seen in the middle
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -23,17 +23,13 @@
 )
 from radishtally.claims.store import ClaimStore
 from radishtally.configuration.store import ConfigurationStore
-from radishtally.entry import const, events
 from radishtally.entry.callers import Directory, TokenRatio
-from radishtally.entry.core import EntryCore, handle_event
 from radishtally.entry.explain import Steps
 from radishtally.entry.http import make_app
 from radishtally.entry.members import Members
 from radishtally.entry.operators import add_operator_routes
-from radishtally.entry.placement import RankedPlacement
 from radishtally.entry.places import PlanningBoard
 from radishtally.entry.planning import Parts
-from radishtally.entry.replies import Part, Replies
 from radishtally.entry.watch import Watcher
 from radishtally.limits.retries import RetryBudgets
 from radishtally.links.hub import Callbacks
@@ -42,6 +38,10 @@
 from radishtally.process import Process
 from radishtally.routing.core import POLICIES
 from radishtally.runtime import Waker
+from radishtally.serving import const, events
+from radishtally.serving.core import EntryCore, handle_event
+from radishtally.serving.placement import RankedPlacement
+from radishtally.serving.replies import Part, Replies
 from radishtally.settings.config import Settings
 
 LEAVE_POLL_SECONDS: Final = 0.02
--- a/radishtally/entry/http.py
+++ b/radishtally/entry/http.py
@@ -23,7 +23,6 @@
     make_generation,
     read_envelope,
 )
-from radishtally.entry.events import Deliver, Finish, Refuse
 from radishtally.entry.openai import (
     Answer,
     Generation,
@@ -34,9 +33,10 @@
     format_whole,
     parse_generation,
 )
-from radishtally.entry.replies import Part
 from radishtally.links.messages import CHAT, COMPLETION, Finished, Work
 from radishtally.outcome import Error, Ran, Refusal, Result
+from radishtally.serving.events import Deliver, Finish, Refuse
+from radishtally.serving.replies import Part
 
 MAX_REQUEST_BYTES: Final = 16 * 1024 * 1024
 MAX_HEADER_BYTES: Final = 16 * 1024
--- a/radishtally/entry/members.py
+++ b/radishtally/entry/members.py
@@ -6,11 +6,11 @@
 from eliot import log_message
 
 from radishtally.configuration.config import Configuration
-from radishtally.entry.core import EntryCore
 from radishtally.links.hub import LinkHub
 from radishtally.links.messages import Hello
 from radishtally.membership import events as membership
 from radishtally.membership.core import LIVE, Membership, handle
+from radishtally.serving.core import EntryCore
 from radishtally.settings.config import Settings
 from radishtally.store.core import ENTRY, ListedHost
 
--- a/radishtally/entry/reports.py
+++ b/radishtally/entry/reports.py
@@ -3,8 +3,8 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from radishtally.entry.hosts import KnownHost
 from radishtally.membership.core import LEAVING, LIVE
+from radishtally.serving.hosts import KnownHost
 
 if TYPE_CHECKING:
     from radishtally.entry.daemon import EntryDaemon
--- a/radishtally/gateway/changes.py
+++ b/radishtally/gateway/changes.py
@@ -8,8 +8,6 @@
 from radishtally.direct.core import Instance
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
-from radishtally.entry import events
-from radishtally.entry.state import EntryCore
 from radishtally.gateway.members import (
     LAPSE_SECONDS,
     Change,
@@ -21,6 +19,8 @@
 )
 from radishtally.gateway.starts import Restart
 from radishtally.links.messages import Cancel, Hello
+from radishtally.serving import events
+from radishtally.serving.state import EntryCore
 from radishtally.stages.keeper import StageKeeper
 
 
--- a/radishtally/gateway/core.py
+++ b/radishtally/gateway/core.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple, Protocol
 
-from radishtally.entry.terms import PromptPart
 from radishtally.exchange import Headers
 from radishtally.outcome import Refusal, Result
+from radishtally.serving.terms import PromptPart
 
 
 class CallerRequest(NamedTuple):
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -13,10 +13,6 @@
 from radishtally.direct.core import Dialect, EngineReport, Instance
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
-from radishtally.entry import events
-from radishtally.entry.const import FIRST_FAILURE
-from radishtally.entry.core import EntryCore, handle_event
-from radishtally.entry.replies import Part, Replies
 from radishtally.gateway.bounds import find_retry_floor, make_lease_terms
 from radishtally.gateway.changes import carry_out
 from radishtally.gateway.config import GatewaySettings
@@ -41,6 +37,10 @@
 from radishtally.outcome import Error, Refusal, Result
 from radishtally.routes.config import CallerLimits, FleetConfiguration
 from radishtally.runtime import Runtime, Waker, read_boot_clock
+from radishtally.serving import events
+from radishtally.serving.const import FIRST_FAILURE
+from radishtally.serving.core import EntryCore, handle_event
+from radishtally.serving.replies import Part, Replies
 from radishtally.stages.keeper import StageKeeper
 from radishtally.store.core import Table
 
--- a/radishtally/gateway/front.py
+++ b/radishtally/gateway/front.py
@@ -11,8 +11,6 @@
 from aiohttp.web_protocol import RequestHandler
 from eliot import log_message
 
-from radishtally.entry.events import Begin, Deliver, Finish, Refuse
-from radishtally.entry.replies import Part
 from radishtally.exchange import Headers, decode_headers
 from radishtally.gateway.connections import Connections
 from radishtally.gateway.const import (
@@ -30,6 +28,8 @@
 from radishtally.gateway.requests import Routed
 from radishtally.outcome import Error, Ok, Ran, Refusal, Result
 from radishtally.routes.config import CallerLimits
+from radishtally.serving.events import Begin, Deliver, Finish, Refuse
+from radishtally.serving.replies import Part
 
 NEVER_SECONDS: Final = 86_400.0
 """Stands for no bound of the library's own on idle connections: it can't follow the
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -4,12 +4,12 @@
 
 from xxhash import xxh3_64_intdigest
 
-from radishtally.entry.terms import Terms
 from radishtally.gateway.core import CallerRequest
 from radishtally.links.messages import CALL, STREAM, Work
 from radishtally.outcome import Error, Ok, Ran, Refusal, Result
 from radishtally.routes.config import FleetConfiguration
 from radishtally.routes.core import RouteKind, RouteTable, choose_upstream
+from radishtally.serving.terms import Terms
 
 NOT_READY: Final = Refusal(
     503, "not_ready", "no configuration is in force yet", Ran.NO, retry_after=1.0
--- a/radishtally/entry/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -3,31 +3,6 @@
 from collections.abc import Generator, Iterator
 from functools import singledispatch
 
-from radishtally.entry import const
-from radishtally.entry.events import (
-    Begin,
-    Command,
-    Deliver,
-    DropKv,
-    Finish,
-    Note,
-    Send,
-    Settle,
-)
-from radishtally.entry.offers import (
-    fail,
-    lose,
-    offer,
-    refuse,
-    wait,
-)
-from radishtally.entry.requests import (
-    ACCEPTED,
-    OFFERED,
-    WITHDRAWING,
-    OpenRequest,
-)
-from radishtally.entry.state import EntryCore
 from radishtally.links.messages import (
     DECODE,
     KEY_REUSED,
@@ -53,6 +28,31 @@
     Refused,
 )
 from radishtally.outcome import Ran
+from radishtally.serving import const
+from radishtally.serving.events import (
+    Begin,
+    Command,
+    Deliver,
+    DropKv,
+    Finish,
+    Note,
+    Send,
+    Settle,
+)
+from radishtally.serving.offers import (
+    fail,
+    lose,
+    offer,
+    refuse,
+    wait,
+)
+from radishtally.serving.requests import (
+    ACCEPTED,
+    OFFERED,
+    WITHDRAWING,
+    OpenRequest,
+)
+from radishtally.serving.state import EntryCore
 
 
 @singledispatch
--- a/radishtally/entry/core.py
+++ b/radishtally/serving/core.py
@@ -3,16 +3,24 @@
 from collections.abc import Iterator
 from functools import singledispatch
 
-from radishtally.entry import const, events
-from radishtally.entry.attempts import receive
-from radishtally.entry.events import (
+from radishtally.links.messages import (
+    PREFILL,
+    RESTARTED,
+    Attach,
+    Cancel,
+    Finished,
+)
+from radishtally.outcome import Ran
+from radishtally.serving import const, events
+from radishtally.serving.attempts import receive
+from radishtally.serving.events import (
     Command,
     Event,
     Finish,
     Note,
     Send,
 )
-from radishtally.entry.offers import (
+from radishtally.serving.offers import (
     answer_unknown,
     fail,
     lose,
@@ -20,7 +28,7 @@
     wait,
     withdraw,
 )
-from radishtally.entry.requests import (
+from radishtally.serving.requests import (
     ACCEPTED,
     CLAIMING,
     CUT,
@@ -29,15 +37,7 @@
     WITHDRAWING,
     OpenRequest,
 )
-from radishtally.entry.state import EntryCore
-from radishtally.links.messages import (
-    PREFILL,
-    RESTARTED,
-    Attach,
-    Cancel,
-    Finished,
-)
-from radishtally.outcome import Ran
+from radishtally.serving.state import EntryCore
 
 __all__ = ["EntryCore", "handle_event"]
 
--- a/radishtally/entry/events.py
+++ b/radishtally/serving/events.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple
 
-from radishtally.entry.terms import DEFAULT_TERMS, Terms
 from radishtally.links.messages import Finished, Hello, KvRef, Message, Work
 from radishtally.outcome import Refusal
+from radishtally.serving.terms import DEFAULT_TERMS, Terms
 
 
 class Arrived(NamedTuple):
--- a/radishtally/entry/offers.py
+++ b/radishtally/serving/offers.py
@@ -2,12 +2,6 @@
 
 from collections.abc import Iterator
 
-from radishtally.entry import const
-from radishtally.entry.events import Command, DropKv, Note, Refuse, Release, Send
-from radishtally.entry.hosts import KnownHost
-from radishtally.entry.placement import Declined, Placed
-from radishtally.entry.requests import CLAIMING, OFFERED, WAITING, OpenRequest
-from radishtally.entry.state import EntryCore
 from radishtally.limits.retries import backoff
 from radishtally.links.messages import (
     CALL,
@@ -20,6 +14,12 @@
     Cancel,
 )
 from radishtally.outcome import Ran, Refusal
+from radishtally.serving import const
+from radishtally.serving.events import Command, DropKv, Note, Refuse, Release, Send
+from radishtally.serving.hosts import KnownHost
+from radishtally.serving.placement import Declined, Placed
+from radishtally.serving.requests import CLAIMING, OFFERED, WAITING, OpenRequest
+from radishtally.serving.state import EntryCore
 
 
 def wait(request: OpenRequest, until: float, core: EntryCore) -> None:
--- a/radishtally/entry/placement.py
+++ b/radishtally/serving/placement.py
@@ -3,10 +3,10 @@
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
-from radishtally.entry.hosts import KnownHost
-from radishtally.entry.requests import OpenRequest
 from radishtally.links.messages import CALL, PREFILL, WHOLE
 from radishtally.routing.core import POLICIES, Choice, Wanted, needs_split
+from radishtally.serving.hosts import KnownHost
+from radishtally.serving.requests import OpenRequest
 
 
 class Placed(NamedTuple):
--- a/radishtally/entry/replies.py
+++ b/radishtally/serving/replies.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from radishtally.entry.events import Begin, Deliver, Finish, Refuse
+from radishtally.serving.events import Begin, Deliver, Finish, Refuse
 
 Part = Begin | Deliver | Finish | Refuse
 
--- a/radishtally/entry/requests.py
+++ b/radishtally/serving/requests.py
@@ -5,9 +5,9 @@
 
 import xxhash
 
-from radishtally.entry.events import Finish
-from radishtally.entry.terms import DEFAULT_TERMS, Terms
 from radishtally.links.messages import CALL, WHOLE, KvRef, Offer, Work
+from radishtally.serving.events import Finish
+from radishtally.serving.terms import DEFAULT_TERMS, Terms
 
 CLAIMING: Final = "claiming"
 OFFERED: Final = "offered"
--- a/radishtally/entry/state.py
+++ b/radishtally/serving/state.py
@@ -4,11 +4,11 @@
 import random
 from dataclasses import dataclass, field
 
-from radishtally.entry.const import OFFER_SECONDS, UNREACHED_TO_MISS
-from radishtally.entry.hosts import KnownHost
-from radishtally.entry.placement import Placement, RankedPlacement
-from radishtally.entry.requests import OpenRequest
 from radishtally.limits.retries import RetryBudgets
+from radishtally.serving.const import OFFER_SECONDS, UNREACHED_TO_MISS
+from radishtally.serving.hosts import KnownHost
+from radishtally.serving.placement import Placement, RankedPlacement
+from radishtally.serving.requests import OpenRequest
 
 
 @dataclass(slots=True)
--- a/radishtally/entry/terms.py
+++ b/radishtally/serving/terms.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from radishtally.entry.const import MAX_LOST
+from radishtally.serving.const import MAX_LOST
 
 
 class PromptPart(NamedTuple):
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -9,9 +9,9 @@
 from adapter.upstreams import PlatformUpstreams
 
 from radishtally.direct.core import Instance
-from radishtally.entry.terms import PromptPart, Terms
 from radishtally.links.messages import PREFILL, STREAM, KvRef, Offer, Work
 from radishtally.routes.core import RouteKind, Split
+from radishtally.serving.terms import PromptPart, Terms
 from tests.gateway.common import ENTRY
 
 ROUTE = {
--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -13,10 +13,6 @@
     EnginePlacement,
 )
 from radishtally.engines.state import START_RATE, PeerShare
-from radishtally.entry.hosts import KnownHost
-from radishtally.entry.placement import Declined, Placed
-from radishtally.entry.requests import OpenRequest
-from radishtally.entry.terms import PromptPart, Terms
 from radishtally.links.messages import (
     CALL,
     DECODE,
@@ -30,6 +26,10 @@
 )
 from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.routing.core import rank
+from radishtally.serving.hosts import KnownHost
+from radishtally.serving.placement import Declined, Placed
+from radishtally.serving.requests import OpenRequest
+from radishtally.serving.terms import PromptPart, Terms
 
 ROLE_SECONDS = START_TERMS.role_seconds
 PLACES = ("howrah", "new-town")
--- a/tests/engines/test_state.py
+++ b/tests/engines/test_state.py
@@ -11,8 +11,8 @@
     PeerShare,
     mark_start,
 )
-from radishtally.entry.terms import PromptPart
 from radishtally.links.messages import WaitingTokens
+from radishtally.serving.terms import PromptPart
 
 
 def make_engine() -> EngineState:
--- a/tests/entry/common.py
+++ b/tests/entry/common.py
@@ -4,8 +4,6 @@
 
 import xxhash
 
-from radishtally.entry import events
-from radishtally.entry.core import EntryCore, handle_event
 from radishtally.links.messages import (
     CALL,
     CHAT,
@@ -18,6 +16,8 @@
     Offer,
     Work,
 )
+from radishtally.serving import events
+from radishtally.serving.core import EntryCore, handle_event
 
 POOL = "pool"
 KV = KvRef("agent-0", "http://127.0.0.1", "handle", 9)
--- a/tests/entry/front.py
+++ b/tests/entry/front.py
@@ -13,11 +13,11 @@
 from bench.fleet import read_sample
 from radishtally.configuration.core import merge_files
 from radishtally.entry.callers import Directory, TokenRatio
-from radishtally.entry.events import Deliver, Finish, Refuse
 from radishtally.entry.http import make_app
-from radishtally.entry.replies import Part
 from radishtally.links.messages import Finished, Work
 from radishtally.outcome import Refusal
+from radishtally.serving.events import Deliver, Finish, Refuse
+from radishtally.serving.replies import Part
 from tests.common import START_SECONDS
 
 KEY = "lagna-demo-key"
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -2,11 +2,6 @@
 
 import random
 
-from radishtally.entry.attempts import receive
-from radishtally.entry.hosts import KnownHost
-from radishtally.entry.placement import RankedPlacement
-from radishtally.entry.requests import OFFERED, OpenRequest
-from radishtally.entry.state import EntryCore
 from radishtally.links.messages import (
     STREAM,
     UNREACHED,
@@ -17,6 +12,11 @@
     Work,
 )
 from radishtally.outcome import Ran
+from radishtally.serving.attempts import receive
+from radishtally.serving.hosts import KnownHost
+from radishtally.serving.placement import RankedPlacement
+from radishtally.serving.requests import OFFERED, OpenRequest
+from radishtally.serving.state import EntryCore
 
 
 class NotedPlacement(RankedPlacement):
--- a/tests/entry/test_calls.py
+++ b/tests/entry/test_calls.py
@@ -3,19 +3,6 @@
 import pytest
 
 from radishtally.agent.const import REMEMBER_SECONDS
-from radishtally.entry import const
-from radishtally.entry.events import (
-    CallerGone,
-    Claim,
-    Denied,
-    Finish,
-    Granted,
-    LinkDown,
-    Refuse,
-    Release,
-    Repeated,
-    Settle,
-)
 from radishtally.links.messages import (
     KEY_REUSED,
     NOT_KNOWN,
@@ -28,6 +15,19 @@
     Work,
 )
 from radishtally.outcome import Ran, Refusal
+from radishtally.serving import const
+from radishtally.serving.events import (
+    CallerGone,
+    Claim,
+    Denied,
+    Finish,
+    Granted,
+    LinkDown,
+    Refuse,
+    Release,
+    Repeated,
+    Settle,
+)
 from tests.entry.common import Driver, make_call, make_chunk, make_finished
 
 KEYED = make_call(key="k")
--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from radishtally.entry import events
 from radishtally.links.messages import Accepted, Cancel, Refused
 from radishtally.outcome import Ran
+from radishtally.serving import events
 from tests.entry.common import Driver, make_call
 
 
--- a/tests/entry/test_moves.py
+++ b/tests/entry/test_moves.py
@@ -1,7 +1,5 @@
 """Tests of planned changes: they cut no request."""
 
-from radishtally.entry import const
-from radishtally.entry.events import Finish, LinkDown, Refuse
 from radishtally.limits.retries import MAX_BACKOFF_SECONDS
 from radishtally.links.messages import (
     LEAVING,
@@ -13,6 +11,8 @@
     Refused,
 )
 from radishtally.outcome import Ran
+from radishtally.serving import const
+from radishtally.serving.events import Finish, LinkDown, Refuse
 from tests.entry.common import (
     KV,
     Driver,
--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -2,8 +2,6 @@
 
 import pytest
 
-from radishtally.entry import const
-from radishtally.entry.events import Deliver, Finish, LinkDown, Refuse
 from radishtally.limits.retries import MAX_BACKOFF_SECONDS, RetryBudgets
 from radishtally.links.messages import (
     NOT_KNOWN,
@@ -18,6 +16,8 @@
     Work,
 )
 from radishtally.outcome import Ran
+from radishtally.serving import const
+from radishtally.serving.events import Deliver, Finish, LinkDown, Refuse
 from tests.entry.common import (
     POOL,
     Driver,
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -5,10 +5,10 @@
 
 from radishtally.agent import core as agent
 from radishtally.agent import events as agent_events
-from radishtally.entry import core as entry
-from radishtally.entry import events as entry_events
 from radishtally.links.messages import CALL, Hello, Message, Work
 from radishtally.outcome import Ran, Refusal
+from radishtally.serving import core as entry
+from radishtally.serving import events as entry_events
 from tests.entry.network import DOWN, UP, Ends, ModelLink
 from tests.entry.upstreams import Ledger, Upstream
 
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -8,8 +8,8 @@
 import pytest
 from aiohttp import web
 
-from radishtally.entry.const import REFUSALS_TO_PASS_OVER
 from radishtally.limits.retries import RetryBudgets
+from radishtally.serving.const import REFUSALS_TO_PASS_OVER
 from tests.common import run
 from tests.gateway.common import (
     AUTHORITY,
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -4,11 +4,11 @@
 
 from radishtally.direct.core import Instance
 from radishtally.engines.placement import EnginePlacement
-from radishtally.entry.hosts import KnownHost
-from radishtally.entry.requests import OpenRequest
 from radishtally.gateway.loads import REFRESH_SECONDS, LoadExchange
 from radishtally.gateway.topology import MESH_GATEWAYS
 from radishtally.links.messages import DECODE, STREAM, WHOLE, KvRef, Message, Work
+from radishtally.serving.hosts import KnownHost
+from radishtally.serving.requests import OpenRequest
 from radishtally.stages.keeper import StageKeeper
 
 MANY = MESH_GATEWAYS + 8
--- a/tests/gateway/test_recall.py
+++ b/tests/gateway/test_recall.py
@@ -4,11 +4,11 @@
 
 from radishtally.direct.core import Instance, KeptPart
 from radishtally.engines.placement import EnginePlacement
-from radishtally.entry.terms import PromptPart
 from radishtally.gateway.peers import GATEWAYS
 from radishtally.gateway.recall import Recall
 from radishtally.links.messages import DECODE, PREFILL
 from radishtally.outcome import Error, Ok, Result
+from radishtally.serving.terms import PromptPart
 from radishtally.store.core import Key
 from tests.common import run
 from tests.gateway.common import deployment, run_gateway, wait_until
--- a/tests/gateway/test_restarts.py
+++ b/tests/gateway/test_restarts.py
@@ -6,9 +6,9 @@
 import pytest
 from aiohttp import web
 
-from radishtally.entry.const import REFUSALS_TO_PASS_OVER
-from radishtally.entry.terms import PromptPart
 from radishtally.gateway.daemon import Gateway
+from radishtally.serving.const import REFUSALS_TO_PASS_OVER
+from radishtally.serving.terms import PromptPart
 from radishtally.stages.core import Change
 from standins.staged import StagedEngine
 from tests.common import run
