Split the choice of engines from what is known of them; log what is wanted once

Change: choosing functions and their constants are engines/choice.py, moved as they are. Observer is one class that learns nothing by itself. Answers of hosts that are no engines are not learned from (a test that failed first). stage:wanted is logged when it changes, with the needs.

--- a/radishtally/stages/keeper.py
+++ b/radishtally/stages/keeper.py
@@ -13,6 +13,7 @@
     OrderOutcome,
     is_same_start,
 )
+from radishtally.engines.core import Observer
 from radishtally.links.messages import DemandReport
 from radishtally.outcome import Result
 from radishtally.stages import const
@@ -56,7 +57,7 @@
         """Order an engine to take a role."""
 
 
-class StageKeeper:
+class StageKeeper(Observer):
     """Watch the engines' roles and set them right."""
 
     def __init__(
@@ -83,6 +84,8 @@
         self._demands: dict[str, Demand] = {}
         self._pending: dict[str, tuple[str, float]] = {}
         """Role that an engine was ordered to take, and until when that counts."""
+        self._logged: dict[str, list[str]] = {}
+        """Changes of each upstream's roles that were logged last."""
         self._passed_over: dict[str, float] = {}
         """Engines that could not be ordered, and until when others go before them."""
 
@@ -162,17 +165,26 @@
             needs = self._measure_needs(upstream, list(ours.values()), now)
             has_begun = self._find_demand(upstream).has_begun
             changes = plan.decide(engines, needs, has_begun, now)
-            if changes:
-                log_message(
-                    "stage:wanted",
-                    upstream=upstream,
-                    engines=len(engines),
-                    changes=[f"{change.host} {change.role}" for change in changes],
-                    needs=needs and needs._asdict(),
-                )
+            self._log_wanted(upstream, changes, needs)
             due += [(ours[change.host], change) for change in changes]
         return [] if self._lease.fencing is None else due
 
+    def _log_wanted(
+        self, upstream: str, changes: list[Change], needs: Needs | None
+    ) -> None:
+        """Log what is wanted when it is another than at the last look."""
+        wanted = [f"{change.host} {change.role}" for change in changes]
+        if wanted == self._logged.get(upstream, []):
+            return
+        self._logged[upstream] = wanted
+        log_message(
+            "stage:wanted",
+            upstream=upstream,
+            changes=wanted,
+            needs=needs and needs._asdict(),
+            holds_lease=self._lease.fencing is not None,
+        )
+
     def _measure_needs(
         self, upstream: str, instances: list[Instance], now: float
     ) -> Needs | None:
--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -4,12 +4,15 @@
 
 from radishtally.direct.core import Instance
 from radishtally.engines.cache import hash_parts
-from radishtally.engines.placement import (
+from radishtally.engines.choice import (
     MIN_PATIENCE_SECONDS,
-    ORDER_SECONDS,
-    START_TERMS,
     WHOLE_ANSWERS,
     WHOLE_TOKENS,
+)
+from radishtally.engines.core import Observer
+from radishtally.engines.placement import (
+    ORDER_SECONDS,
+    START_TERMS,
     EnginePlacement,
 )
 from radishtally.engines.state import START_RATE, PeerShare
@@ -264,3 +267,25 @@
     world.placement.configure([UpstreamTerms("llm", EngineTerms(10_000))])
     world.placement.begin(request, home, 0.0)
     assert cache.count("m", PARTS) == 6_000
+
+
+class Notes(Observer):
+    """Keep which upstreams' answers were told of."""
+
+    def __init__(self) -> None:
+        self.answered: list[str] = []
+
+    def note_answered(self, upstream: str, *more: float) -> None:
+        self.answered.append(upstream)
+
+
+# Plain services are reported to all gateways as if engines stood behind them.
+def test_only_engines_answers_are_learned_from() -> None:
+    world = World()
+    world.placement.observer = notes = Notes()
+    request = make_request()
+    desk = KnownHost("desk-1", "howrah", "desk", live=True)
+    engine = next(host for host in world.hosts if host.host == "d0")
+    for host in (desk, engine):
+        world.placement.finish(request, host)
+    assert notes.answered == ["llm"]
--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -305,3 +305,22 @@
     run(keeper._carry_out(ENGINE, CHANGE))
     keeper.forget(ENGINE.host)
     assert keeper._describe(ENGINE, 0.0).role == DECODE
+
+
+# The log fills with one line each half second of each gateway: those without the lease
+# go on to want what they can't order.
+def test_what_is_wanted_is_logged_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    lines: list[str] = []
+    monkeypatch.setattr(
+        "radishtally.stages.keeper.log_message", lambda kind, **_: lines.append(kind)
+    )
+    engines = [make_instance(0, PREFILL), *map(make_instance, range(1, 4))]
+    clock = Clock()
+    orders = FakeOrders(OrderOutcome.TAKEN)
+    lease = FakeLease(None)
+    keeper = StageKeeper("g", orders, lambda: engines, lease, give_rate, clock)
+    play(keeper, clock, SETTLE_SECONDS + 20 * TICK_SECONDS)
+    assert lines == ["stage:wanted"]
+    engines[1] = make_instance(1, PREFILL)
+    play(keeper, clock, 20 * TICK_SECONDS)
+    assert lines == ["stage:wanted"] * 2
