--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -219,6 +219,11 @@
         expected = since + ORDER_SECONDS + terms.role_seconds
         return max(expected - now, LEAST_OUTAGE)
 
+    def find_job(self, host: str) -> str:
+        """Find whether a host reads prompts or makes answers; empty for a service."""
+        engine = self._engines.get(host)
+        return "" if engine is None else engine.role
+
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
         engine = self._engines.get(host.host)
--- a/radishtally/stages/core.py
+++ b/radishtally/stages/core.py
@@ -84,7 +84,7 @@
         self._count = count
 
     def _choose(self, present: int, count: int) -> int:
-        """Choose how many engines are to read prompts, as many as do if that will do.
+        """Choose how many engines are to read prompts: as now, where that is enough.
 
         An engine that changes its role serves nobody for seconds and leaves the parts
         of prompts that it keeps: only one role's lack of engines is worth that.
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -7,7 +7,9 @@
 import pytest
 
 from radishtally.engines.state import START_RATE, PeerShare
+from radishtally.limits.breaker import Breaker
 from radishtally.links.messages import WaitingTokens
+from radishtally.serving.const import UNREACHED_TO_MISS
 from standins.staged import EVENTS, StagedEngine, make_event
 from tests.common import run
 from tests.gateway.common import Deployment, deployment, make_prompt, wait_until
@@ -51,6 +53,38 @@
     run(play())
 
 
+# All callers are refused for seconds though the only engine for answers serves most of
+# them: some of its connections are reset, and it is left out as if another one could
+# make its answers, since engines for prompts are left.
+@pytest.mark.parametrize("host", ["p-1", "d-1"])
+def test_only_engine_of_a_role_is_asked_though_it_fails(host: str) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            prefill, decode = await start_engines(made)
+            known = made.gateway.core.hosts[host]
+            known.breaker = Breaker(first=60.0, longest=60.0)
+            known.breaker.failed(time.monotonic())
+            assert await stream(made, "/sheet/a", "r1") == make_whole("r1")
+            assert len(prefill.handles) == 1
+            assert decode.runs == {"r1": 1}
+
+    run(play())
+
+
+def test_failing_engine_is_left_out_where_it_is_not_even_reached() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            prefill, decode = await start_engines(made)
+            known = made.gateway.core.hosts["p-1"]
+            known.breaker = Breaker(first=60.0, longest=60.0)
+            known.breaker.failed(time.monotonic())
+            known.unreached = UNREACHED_TO_MISS
+            assert await stream(made, "/sheet/a", "r1") == make_whole("r1")
+            assert not prefill.handles
+
+    run(play())
+
+
 # The caller sees an event twice, or half of one, or a stream that ends early: an
 # engine breaks off within an event and another one goes on behind the last whole one.
 def test_stream_goes_on_elsewhere_without_gap_or_repeat() -> None:
