--- a/radishtally/engines/pace.py
+++ b/radishtally/engines/pace.py
@@ -15,7 +15,7 @@
 """Events from which the line is told."""
 MAX_SECONDS: Final = 2.0
 """Pauses from here on are no pace but a stall, of an engine or of this process."""
-HURRY_MEMORY: Final = 200.0
+SPEED_MEMORY: Final = 200.0
 """Whole answers that are remembered."""
 FIRST_ANSWERS: Final = 20.0
 """Whole answers from which the needed speed is told: their lengths differ by a
@@ -86,22 +86,22 @@
         return Pace(alone, each)
 
 
-class AnswerHurry:
+class NeededSpeed:
     """Learn how fast whole answers have to be made to end in time."""
 
     def __init__(self) -> None:
         self._events = 0.0
-        self._hurry = 0.0
+        self._speeds = 0.0
         self._answers = 0.0
 
     def note(self, events: int, seconds: float) -> None:
         """Take in a whole answer's events, and the time that it had for them."""
         if events < 1:
             return
-        forget = 1.0 - 1.0 / HURRY_MEMORY
+        forget = 1.0 - 1.0 / SPEED_MEMORY
         self._events = self._events * forget + events
         speed = events / max(seconds, LEAST_ANSWER_SECONDS)
-        self._hurry = self._hurry * forget + events * speed
+        self._speeds = self._speeds * forget + events * speed
         self._answers = self._answers * forget + 1.0
 
     @property
@@ -109,4 +109,4 @@
         """Give the seconds that an event may take, infinite while little was seen."""
         if self._answers < FIRST_ANSWERS:
             return float("inf")
-        return self._events / (self._hurry * LONG_ANSWERS)
+        return self._events / (self._speeds * LONG_ANSWERS)
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -219,8 +219,8 @@
         expected = since + ORDER_SECONDS + terms.role_seconds
         return max(expected - now, LEAST_OUTAGE)
 
-    def find_job(self, host: str) -> str:
-        """Find whether a host reads prompts or makes answers; empty for a service."""
+    def find_role(self, host: str) -> str:
+        """Find a host's role: only hosts of the same one can replace it."""
         engine = self._engines.get(host)
         return "" if engine is None else engine.role
 
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -204,24 +204,24 @@
 def _list_usable(request: OpenRequest, core: EntryCore, now: float) -> list[KnownHost]:
     pool = core.pools.get(request.work.upstream, {})
     live = [known for known in pool.values() if known.live and known.host in core.links]
-    # Hosts that fail are left out only while others can do the same: with all of them
+    # Hosts that fail are left out only while others have their role: with all of them
     # left out each request would be refused, though some would have been served. The
-    # only engine for answers that broke off one in three was left out for seconds.
-    find_job = core.placement.find_job
-    spared = {find_job(known.host) for known in live if known.breaker.allows(now)}
+    # only engine for answers that broke off one in five was left out for seconds.
+    find_role = core.placement.find_role
+    served = {find_role(known.host) for known in live if known.breaker.allows(now)}
     return [
         known
         for known in live
-        if known.breaker.allows(now) or _is_needed(known, spared, core)
+        if known.breaker.allows(now) or _is_needed(known, served, core)
     ]
 
 
-def _is_needed(known: KnownHost, spared: set[str], core: EntryCore) -> bool:
-    """Tell whether a failing host is asked since no other one does its job."""
-    if core.placement.find_job(known.host) in spared:
+def _is_needed(known: KnownHost, served: set[str], core: EntryCore) -> bool:
+    """Tell whether a failing host is asked since no other one has its role."""
+    if core.placement.find_role(known.host) in served:
         return False
-    # Beside hosts with other jobs, one that is not even reached helps nobody.
-    return not spared or not core.is_out_of_reach(known.host)
+    # Beside hosts of other roles, one that is not even reached helps nobody.
+    return not served or not core.is_out_of_reach(known.host)
 
 
 def _go_without_budget(
--- a/radishtally/serving/placement.py
+++ b/radishtally/serving/placement.py
@@ -35,8 +35,8 @@
     ) -> Placed | Declined:
         """Choose among usable hosts, for an entry in a place."""
 
-    def find_job(self, host: str) -> str:
-        """Find what a host does that others of its upstream may not do."""
+    def find_role(self, host: str) -> str:
+        """Find a host's role: only hosts of the same one can replace it."""
 
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
@@ -70,8 +70,8 @@
         host = self.choice(wanted, candidates, request.tried)
         return Declined(None) if host is None else Placed(stage, host)
 
-    def find_job(self, host: str) -> str:
-        """Take all hosts of an upstream for alike: agents have the last word."""
+    def find_role(self, host: str) -> str:
+        """Give one role to all hosts of an upstream: agents have the last word."""
         return ""
 
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
--- a/tests/engines/test_pace.py
+++ b/tests/engines/test_pace.py
@@ -7,8 +7,8 @@
 from radishtally.engines.pace import (
     FIRST_ANSWERS,
     FULL_SLOWDOWN,
-    AnswerHurry,
     AnswerPace,
+    NeededSpeed,
 )
 
 SLOTS = 64
@@ -63,10 +63,10 @@
 
 
 def test_long_answers_bound_the_time_of_an_event() -> None:
-    hurry = AnswerHurry()
-    hurry.note(40, 8.0)
-    assert hurry.longest == float("inf")
+    speed = NeededSpeed()
+    speed.note(40, 8.0)
+    assert speed.longest == float("inf")
     for _ in range(int(FIRST_ANSWERS) + 5):
-        hurry.note(40, 8.0)
+        speed.note(40, 8.0)
     # Twice as fast as 40 events in 8 s.
-    assert hurry.longest == pytest.approx(0.1, rel=0.05)
+    assert speed.longest == pytest.approx(0.1, rel=0.05)
