Compare few engines where the news is old; gather changes of the store

Cause, of engines: 68 gateways choose the best of all engines by news of 0.14 to 0.27 s of age, so all choose the same one; engines for answers that are equal were taken by name. Shown in simulated time (70 gateways, 60 engines, 0.14 s): 99 of 100 prompts wait under 3.8 s where one decider with fresh news has 0.29 s, 15 answers at one engine. Ruled out: nearness (an earlier trial of FAR_ANSWERS 1 won nothing). Change: the fewer engines are compared the more has come unseen, in an order by the prompt's shared parts or drawn at random; ties are drawn. Handicaps and room are shares of an engine's batch in place of counts that fitted batches of 64.

Cause, of the store: each gateway asked anew for each of 64 hosts that registered (53 of 101 calls that two gateways made until the eighth second of traffic, seen in a trial with a log line for each call). Change: a pause before the next question, in proportion to the gateways. Test of outages in simulated time first failed with a pause of 0.5 s (a removed host kept for over two seconds), so it is 0.25 s at most, none while one is missing.

--- a/radishtally/engines/cache.py
+++ b/radishtally/engines/cache.py
@@ -53,8 +53,12 @@
         A part counts only behind parts that are all kept: what it means to the model
         hangs on everything before it, and engines look for it there only.
         """
+        return self.count_chain(hash_parts(model, parts))
+
+    def count_chain(self, chain: Iterable[HashedPart]) -> int:
+        """Count the same of a prompt whose parts are hashed already."""
         kept = 0
-        for part in hash_parts(model, parts):
+        for part in chain:
             if part.key not in self._parts:
                 break
             kept += part.tokens
--- a/radishtally/engines/choice.py
+++ b/radishtally/engines/choice.py
@@ -1,14 +1,12 @@
 """Choose the engine for a prompt or an answer, and the host for a call."""
 
-from collections.abc import Iterable, Sequence
-from typing import Final
-
-from radishtally.engines.prospects import (
-    Prospect,
-    count_kept,
-    predict_prefill,
-    predict_whole,
-)
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import islice
+from random import Random
+from typing import Final, NamedTuple, TypeVar
+
+from radishtally.engines.cache import hash_parts
+from radishtally.engines.prospects import Prospect, predict_prefill, predict_whole
 from radishtally.engines.state import LATE_PRIORITY, EngineState
 from radishtally.links.messages import PREFILL, WHOLE
 from radishtally.routing.core import rank
@@ -29,12 +27,16 @@
 IN_TIME_SHARE: Final = 0.7
 """Share of the objective within which a prompt is predicted to be in time surely
 enough, so that where its shared parts lie decides and not who is first."""
-FAR_ANSWERS: Final = 4
-"""Answers more that the least busy engine of another data centre than the gateway's
+FAR_SHARE: Final = 1 / 16
+"""Share of a batch that the least busy engine of another data centre than the gateway's
 must be ahead by: prompt and answer cross between the two. As much again if the KV cache
 crosses, which takes twice as long then."""
-WHOLE_ANSWERS: Final = 24
-"""Answers at once up to which an engine that makes answers also takes a prompt that no
+ROOM_SHARE: Final = 0.7
+"""Share of a batch up to which an engine is taken to have room for an answer: what is
+left bears what other gateways send there before this one hears of it. Beyond a full
+batch an answer waits, or another one is cut off for it."""
+WHOLE_SHARE: Final = 3 / 8
+"""Share of a batch that answers may take at an engine which also takes a prompt that no
 other engine can begin in time: with more, the answers slow down already."""
 WHOLE_TOKENS: Final = 4_000
 """Prompt tokens that such an engine has to read at most: each piece of them holds up
@@ -45,13 +47,35 @@
 PATIENCE: Final = 4.0
 """Times its objective that a caller waits for the first event before it gives up."""
 MIN_PATIENCE_SECONDS: Final = 2.0
+Item = TypeVar("Item")
+
+
+class Field(NamedTuple):
+    """Hold from where an entry chooses, and how carefully."""
+
+    place: str
+    """Data centre of the entry."""
+    few: int
+    """Engines that are compared at a time: all of them where the news is fresh."""
+    random: Random
+    """Parts equals: by name all entries would choose the same one."""
+
+
+class Choice(NamedTuple):
+    """Hold an engine for a prompt, in the order of what is chosen."""
+
+    cost: float
+    """Seconds, with all handicaps."""
+    rank: int
+    host: str
+    prospect: Prospect
 
 
 def place_prompt(
     request: OpenRequest,
     prefill: Sequence[EngineState],
-    decode: Iterable[EngineState],
-    place: str,
+    decode: Sequence[EngineState],
+    field: Field,
     outage: float,
     now: float,
 ) -> Placed | Declined:
@@ -59,23 +83,25 @@
     terms = request.terms
     objective = request.arrived + terms.objective - now
     in_time = objective * IN_TIME_SHARE
-    host, prospect = _choose_prefill(request, prefill, place, in_time, now)
+    patience = max(MIN_PATIENCE_SECONDS, PATIENCE * terms.objective)
+    patience = min(patience, request.deadline - now)
+    bounds = in_time, patience
+    host, prospect = _choose_prefill(request, prefill, field, bounds, now)
     if prospect.seconds > in_time:
         # Read at half the speed, but without a KV cache to be moved: this serves short
         # prompts in time while long ones fill the engines for prompts.
-        whole = _choose_whole(request, decode, place, in_time)
+        whole = _choose_whole(request, decode, field, in_time)
         if whole is not None:
             return whole
     if prospect.seconds > objective and terms.priority < LATE_PRIORITY:
         # What will be late goes behind all that can still be in time, and may have to
         # wait there for longer than its caller does.
         request.terms = terms._replace(priority=terms.priority + LATE_PRIORITY)
-        host, prospect = _choose_prefill(request, prefill, place, in_time, now)
+        host, prospect = _choose_prefill(request, prefill, field, bounds, now)
     why = prospect.describe(request.terms.priority)
-    patience = max(MIN_PATIENCE_SECONDS, PATIENCE * terms.objective)
-    if outage > min(patience, request.deadline - now):
+    if outage > patience:
         return Declined(outage, f"no engine makes answers for {outage:.1f} s")
-    if prospect.seconds > min(patience, request.deadline - now):
+    if prospect.seconds > patience:
         wait = max(0.0, prospect.seconds - terms.objective)
         return Declined(wait, f"soonest at {host}: {why}")
     return Placed(PREFILL, host, why)
@@ -84,71 +110,121 @@
 def _choose_prefill(
     request: OpenRequest,
     engines: Sequence[EngineState],
-    place: str,
-    in_time: float,
+    field: Field,
+    bounds: tuple[float, ...],
     now: float,
 ) -> tuple[str, Prospect]:
-    """Choose the engine that has the shared parts, rather one that is in time."""
-    home = rank((engine.host for engine in engines), request.work.prefix)[0]
+    """Choose who has the shared parts or is to have them, rather one that is in time.
+
+    Few engines are compared at a time, in an order of the prompt's own: those that keep
+    most of it, then by a hash that all entries agree on. So entries that know nothing
+    of each other's last prompts send different ones to different engines, and those of
+    the same parts to the same ones.
+    """
+    bests = []
+    for few in _group(_rank_by_parts(request, engines, field, now), field.few):
+        best = min(few)
+        if best.prospect.seconds <= bounds[0]:
+            return best.host, best.prospect
+        bests.append(best)
+    for bound in bounds[1:]:
+        for best in bests:
+            if best.prospect.seconds <= bound:
+                return best.host, best.prospect
+    best = min(bests)
+    return best.host, best.prospect
+
+
+def _rank_by_parts(
+    request: OpenRequest, engines: Sequence[EngineState], field: Field, now: float
+) -> Iterator[Choice]:
+    """Give the engines as they fare with a prompt, those first that keep most of it."""
+    chain = hash_parts(request.work.model, request.terms.parts)
+    by_host = {engine.host: engine for engine in engines}
+    kept = {host: engine.cache.count_chain(chain) for host, engine in by_host.items()}
+    shared = request.terms.shared_tokens
+    most = max(min(tokens, shared) for tokens in kept.values())
     far = FAR_SECONDS + FAR_BYTE_SECONDS * len(request.work.body)
-    kept = [count_kept(engine, request) for engine in engines]
-    most = max(min(tokens, request.terms.shared_tokens) for tokens in kept)
-    found = []
-    for engine, tokens in zip(engines, kept, strict=True):
-        prospect = predict_prefill(engine, request, tokens, now)
-        cost = prospect.seconds + max(0, most - tokens) * AGAIN_SECONDS
-        if engine.data_centre != place:
+    ranked = rank(by_host, request.work.prefix)
+    ranked.sort(key=lambda host: max(0, most - kept[host]))
+    for number, host in enumerate(ranked):
+        engine = by_host[host]
+        prospect = predict_prefill(engine, request, kept[host], now)
+        cost = prospect.seconds + max(0, most - kept[host]) * AGAIN_SECONDS
+        if engine.data_centre != field.place:
             cost += far
-        # Two entries that are first to ask for the same parts choose the same engine.
-        is_strange = engine.host != home
-        late = prospect.seconds > in_time
-        found.append((late, cost, is_strange, engine.host, prospect))
-    *_, host, prospect = min(found)
-    return host, prospect
+        yield Choice(cost, number, host, prospect)
 
 
 def _choose_whole(
-    request: OpenRequest, engines: Iterable[EngineState], place: str, in_time: float
+    request: OpenRequest, engines: Sequence[EngineState], field: Field, in_time: float
 ) -> Placed | None:
     """Choose an engine that makes answers to read the prompt too, if it has room."""
     found = []
-    for engine in engines:
+    for engine in field.random.sample(engines, len(engines)):
         prospect = predict_whole(engine, request)
-        if prospect.seconds > in_time or not _has_room(engine, prospect):
+        if prospect.seconds > in_time or not _can_read_beside(engine, prospect):
             continue
-        is_far = engine.data_centre != place
-        found.append((prospect.seconds + is_far * FAR_SECONDS, engine.host, prospect))
+        is_far = engine.data_centre != field.place
+        cost = prospect.seconds + is_far * FAR_SECONDS
+        found.append(Choice(cost, len(found), engine.host, prospect))
+        if len(found) == field.few:
+            break
     if not found:
         return None
-    _, host, prospect = min(found)
-    return Placed(WHOLE, host, prospect.describe(request.terms.priority))
+    best = min(found)
+    return Placed(WHOLE, best.host, best.prospect.describe(request.terms.priority))
 
 
-def _has_room(engine: EngineState, prospect: Prospect) -> bool:
+def _can_read_beside(engine: EngineState, prospect: Prospect) -> bool:
     """Tell whether an engine that makes answers can read a prompt beside them."""
-    if engine.count_answers() >= WHOLE_ANSWERS:
+    if engine.count_answers() >= engine.slots * WHOLE_SHARE:
         return False
     return engine.count_tokens() + prospect.tokens <= WHOLE_TOKENS
 
 
 def choose_decode(
-    engines: Sequence[EngineState], data_centres: tuple[str, str]
+    engines: Sequence[EngineState], near: str, field: Field
 ) -> EngineState:
-    """Choose the engine with the fewest answers, rather near gateway and KV cache."""
+    """Choose an engine with few answers, rather near gateway and KV cache.
+
+    Of few that are compared, the one with the least; of the next few, where none of
+    these has room.
+    """
+
+    def count_far(engine: EngineState) -> int:
+        return (engine.data_centre != near) + (engine.data_centre != field.place)
 
-    def measure(engine: EngineState) -> tuple[int, str]:
-        far = sum(engine.data_centre != near for near in data_centres)
-        return engine.count_answers() + far * FAR_ANSWERS, engine.host
+    def measure(engine: EngineState) -> float:
+        return engine.fill + count_far(engine) * FAR_SHARE
 
-    return min(engines, key=measure)
+    drawn = field.random.sample(engines, len(engines))
+    drawn.sort(key=count_far)
+    for few in _group(drawn, field.few):
+        best = min(few, key=measure)
+        if best.fill < ROOM_SHARE:
+            return best
+    return min(drawn, key=measure)
 
 
-def place_call(hosts: Sequence[KnownHost], place: str) -> Placed | Declined:
+def place_call(
+    hosts: Sequence[KnownHost], place: str, random: Random
+) -> Placed | Declined:
     """Choose the host with the fewest open calls."""
     if not hosts:
         return Declined(None, "no host is left")
 
-    def measure(host: KnownHost) -> tuple[float, str]:
-        return host.in_flight + (0.0 if host.place == place else FAR_CALLS), host.host
+    def measure(host: KnownHost) -> float:
+        return host.in_flight + (0.0 if host.place == place else FAR_CALLS)
+
+    # Each entry knows its own calls alone, and most have none open: by name they would
+    # all choose the first one.
+    shuffled = random.sample(hosts, len(hosts))
+    return Placed(WHOLE, min(shuffled, key=measure).host)
+
 
-    return Placed(WHOLE, min(hosts, key=measure).host)
+def _group(items: Iterable[Item], size: int) -> Iterator[list[Item]]:
+    """Give some items at a time, in their order."""
+    rest = iter(items)
+    while group := list(islice(rest, size)):
+        yield group
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -2,13 +2,20 @@
 
 import time
 from collections.abc import Callable, Iterable, Sequence
+from random import Random
 from statistics import mean
 from typing import Final
 
 from radishtally.direct.core import Instance, KeptPart, is_same_start
 from radishtally.engines.cache import PromptCache, hash_kept
-from radishtally.engines.choice import choose_decode, place_call, place_prompt
+from radishtally.engines.choice import (
+    Field,
+    choose_decode,
+    place_call,
+    place_prompt,
+)
 from radishtally.engines.core import Observer
+from radishtally.engines.news import UnseenWork
 from radishtally.engines.order import ReadingOrder
 from radishtally.engines.prospects import count_uncached
 from radishtally.engines.state import (
@@ -43,9 +50,15 @@
 class EnginePlacement:
     """Place prompts where their shared parts lie, and answers where there is room."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        random: Random | None = None,
+    ) -> None:
         self._clock = clock
+        self._random = random or Random()
         self.observer = Observer()
+        self.unseen = UnseenWork()
         self._engines: dict[str, EngineState] = {}
         self._changed: set[str] = set()
         self._early: dict[str, dict[str, EngineShare]] = {}
@@ -75,6 +88,7 @@
         known = self._engines.get(instance.host)
         if known is not None:
             known.role = instance.role
+            known.slots = instance.slots
             known.start = mark_start(instance.started_ms)
             return
         cache = PromptCache(self._find_cache_size(instance.upstream))
@@ -84,6 +98,7 @@
             instance.role,
             cache,
             instance.upstream,
+            instance.slots,
             mark_start(instance.started_ms),
             self._orders.setdefault(instance.upstream, ReadingOrder()),
             self._find_rate(instance.upstream),
@@ -191,7 +206,7 @@
         """Choose among usable hosts, for an entry in a place."""
         left = [host for host in hosts if host.host not in request.tried]
         if request.work.kind == CALL:
-            return place_call(left, place)
+            return place_call(left, place, self._random)
         engines = [
             self._engines[host.host] for host in left if host.host in self._engines
         ]
@@ -206,8 +221,16 @@
             stage = DECODE if request.next_stage == DECODE else WHOLE
             source = self._engines.get(request.kv.host) if request.kv else None
             near = source.data_centre if source is not None else place
-            return Placed(stage, choose_decode(decode, (place, near)).host)
-        return place_prompt(request, prefill, decode, place, outage, now)
+            field = self._make_field(place, decode, now)
+            return Placed(stage, choose_decode(decode, near, field).host)
+        field = self._make_field(place, prefill, now)
+        return place_prompt(request, prefill, decode, field, outage, now)
+
+    def _make_field(
+        self, place: str, engines: Sequence[EngineState], now: float
+    ) -> Field:
+        few = self.unseen.count_candidates(len(engines), now)
+        return Field(place, few, self._random)
 
     def _follow_outage(self, upstream: str, is_answered: bool, now: float) -> float:
         """Give the seconds until an engine makes answers again; 0 where one does."""
@@ -239,6 +262,7 @@
             self._read.append(PartsRead(engine.host, engine.start, tuple(new)))
         if request.kv is not None:
             return
+        self.unseen.note(now)
         engine.begin_reading(name, tokens, request.terms.priority, now)
         # Both at once, as it comes: counted when they end, answers that engines are
         # too slow for would not count, and still fewer engines would be left to them.
--- a/radishtally/engines/prospects.py
+++ b/radishtally/engines/prospects.py
@@ -57,9 +57,5 @@
 
 def count_uncached(engine: EngineState, request: OpenRequest) -> int:
     """Count the tokens of a prompt that an engine would have to read."""
-    return max(0, request.work.prompt_tokens - count_kept(engine, request))
-
-
-def count_kept(engine: EngineState, request: OpenRequest) -> int:
-    """Count the tokens of a prompt that an engine keeps."""
-    return engine.cache.count(request.work.model, request.terms.parts)
+    kept = engine.cache.count(request.work.model, request.terms.parts)
+    return max(0, request.work.prompt_tokens - kept)
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -87,6 +87,8 @@
     role: str
     cache: PromptCache
     upstream: str = ""
+    slots: int = 1
+    """Answers that it makes at a time."""
     start: int = 0
     """Mark of its start; 0 if it was never told."""
     order: ReadingOrder = field(default_factory=ReadingOrder)
@@ -184,6 +186,11 @@
         """Count the answers that all entries have open there."""
         return len(self.answers) + sum(peer.answers for peer in self.peers.values())
 
+    @property
+    def fill(self) -> float:
+        """Give the share of its batch that the answers of all entries take."""
+        return self.count_answers() / self.slots
+
     def predict_wait(self, priority: int, now: float) -> float:
         """Predict the seconds until a prompt of a priority is begun."""
         return self.order.predict(self.measure_wait(priority, now))
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -176,6 +176,10 @@
         self.lease.share_reads(count)
         self._share_retries()
 
+    def count_known(self) -> int:
+        """Count the gateways that share all this, assumed until they are listed."""
+        return self._gateways
+
     def _share_retries(self) -> None:
         bounds = self.settings.bounds
         ratio = bounds.retry_ratio * RETRY_PART
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -7,6 +7,7 @@
 
 from eliot import log_message
 
+from radishtally.engines.news import Circle
 from radishtally.engines.placement import EnginePlacement
 from radishtally.gateway.const import BACKLOG_SECONDS
 from radishtally.gateway.topology import choose_collector
@@ -61,6 +62,7 @@
             await asyncio.sleep(self._find_interval())
             now = time.monotonic()
             self._follow_collector()
+            self._placement.unseen.circle = self._describe_circle()
             self._tell_backlog(now)
             self._tell_parts()
             if now >= told_demand + TELL_SECONDS:
@@ -103,6 +105,11 @@
             return BACKLOG_SECONDS
         return max(BACKLOG_SECONDS, len(self._names) * COLLECT_SECONDS)
 
+    def _describe_circle(self) -> Circle:
+        """Say how many others there are, and how old what they told is at most."""
+        hops = 1 if self._collector in (None, self._own) else 2
+        return Circle(len(self._names) - 1, hops * self._find_interval())
+
     def _follow_collector(self) -> None:
         collector = choose_collector(self._names, self._own, self._hub.hosts)
         if collector == self._collector:
--- a/tests/adapter/test_outages.py
+++ b/tests/adapter/test_outages.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager
 from typing import Final, NamedTuple
 
+import pytest
 from adapter import const
 from adapter.store import ANSWER_SECONDS, Page, StoredRow
 from adapter.watch import Watcher
@@ -137,11 +138,15 @@
 
 
 class Listener:
-    """Stand for the gateway."""
+    """Stand for one of some gateways."""
 
-    def __init__(self) -> None:
+    def __init__(self, gateways: int) -> None:
         self.members = Members()
         self.runtime = Runtime()
+        self.gateways = gateways
+
+    def count_known(self) -> int:
+        return self.gateways
 
     def count_unreadable(self, count: int) -> None:
         assert count == 0
@@ -153,10 +158,12 @@
 class Day:
     """Play hosts that beat, lapse and leave, and check what the gateway holds."""
 
-    def __init__(self, outages: list[Outage], leavings: dict[str, float]) -> None:
+    def __init__(
+        self, outages: list[Outage], leavings: dict[str, float], gateways: int
+    ) -> None:
         self._leavings = leavings
         self._outages = outages
-        self._listener = Listener()
+        self._listener = Listener(gateways)
         self._removed_at: dict[str, float] = {}
         self._beat_at: dict[str, float] = {}
         """Times of the hosts' last writes."""
@@ -245,13 +252,14 @@
 # Two promises at once, under whatever the store does: callers are not refused because
 # hosts that serve were dropped with the store away, and no request reaches a host more
 # than two seconds after its entry was removed, from three seconds after an outage on.
+@pytest.mark.parametrize("gateways", [1, 330])
 @settings(max_examples=60, deadline=None)
 @given(
     outages=draw_outages(),
     leavings=st.dictionaries(st.sampled_from(HOSTS), st.floats(2.0, 32.0)),
 )
 def test_hosts_are_neither_dropped_nor_kept_in_error(
-    outages: list[Outage], leavings: dict[str, float]
+    outages: list[Outage], leavings: dict[str, float], gateways: int
 ) -> None:
     with leap() as runner:
-        runner.run(Day(outages, leavings).play())
+        runner.run(Day(outages, leavings, gateways).play())
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -9,7 +9,12 @@
 import pytest
 from adapter import const
 from adapter.store import Compacted, Page, StoredRow
-from adapter.watch import FEED_SECONDS, TableWatch, Watcher
+from adapter.watch import (
+    FEED_SECONDS,
+    MOST_GATHER_SECONDS,
+    TableWatch,
+    Watcher,
+)
 
 from radishtally.gateway.members import Change, Forget, Members, Miss, Return, Set
 from radishtally.outcome import Error, Ok, Result
@@ -45,7 +50,9 @@
 
 
 def follow(
-    *answers: Result, clock: Callable[[], float] = time.monotonic
+    *answers: Result,
+    clock: Callable[[], float] = time.monotonic,
+    gateways: int = 1,
 ) -> tuple[ScriptedStore, list[object]]:
     """Follow a table until the answers end."""
     store, seen = ScriptedStore(*answers), []
@@ -55,6 +62,7 @@
         lambda rows, after: seen.append(("all", rows, after)),
         lambda rows, after: seen.append(("changes", rows, after)),
         clock=clock,
+        count_gateways=lambda: gateways,
     )
 
     async def play() -> None:
@@ -87,6 +95,28 @@
     assert waits == [FEED_SECONDS, 0.0, FEED_SECONDS, FEED_SECONDS]
 
 
+# All gateways start at once, and so do 64 hosts, each of which writes its entry at a
+# moment of its own: each gateway was told of each of them alone, and 68 gateways made
+# 4,400 calls before the first request. The store allows all gateways together so many
+# calls a second; what each of them asks has to fall as their number grows.
+@pytest.mark.parametrize("gateways", [1, 4, 68, 330, 5_000])
+def test_calls_for_changes_are_bounded_for_all_gateways_together(
+    gateways: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    waits = []
+
+    async def note(seconds: float) -> None:
+        waits.append(seconds)
+
+    monkeypatch.setattr("adapter.watch.asyncio.sleep", note)
+    follow(Ok(Page((ROW,), 1)), *[Ok(Page((ROW,), 2))] * 63, gateways=gateways)
+    assert len(waits) == 64
+    assert max(waits) <= MOST_GATHER_SECONDS
+    # Of 2,000 calls a second, where the store allows the fewest.
+    longest_awaited = min(gateways / 2_000, MOST_GATHER_SECONDS / 2)
+    assert sum(waits) / len(waits) >= longest_awaited
+
+
 def test_short_outage_lets_no_entry_lapse() -> None:
     _, seen = follow(Ok(Page((), 4)), AWAY, Ok(Page((ROW,), 5)))
     assert seen[-1] == ("changes", (ROW,), False)
@@ -176,6 +206,9 @@
     def count_unreadable(self, count: int) -> None:
         self.unreadable = count
 
+    def count_known(self) -> int:
+        return 1
+
     def apply(self, changes: list[Change]) -> None:
         self.changes += changes
 
--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -6,7 +6,7 @@
 from radishtally.engines.cache import hash_parts
 from radishtally.engines.choice import (
     MIN_PATIENCE_SECONDS,
-    WHOLE_ANSWERS,
+    WHOLE_SHARE,
     WHOLE_TOKENS,
 )
 from radishtally.engines.core import Observer
@@ -36,12 +36,13 @@
 
 ROLE_SECONDS = START_TERMS.role_seconds
 PLACES = ("howrah", "new-town")
+SLOTS = 64
 PARTS = (PromptPart("a", 500), PromptPart("b", 5_000), PromptPart("c", 500))
 HOSTS = {f"p{n}": PREFILL for n in range(4)} | {f"d{n}": DECODE for n in range(2)}
 
 
 def make_instance(host: str, role: str, place: str = "howrah") -> Instance:
-    return Instance(host, "llm", f"{host}:1", place, False, 64, role)
+    return Instance(host, "llm", f"{host}:1", place, False, SLOTS, role)
 
 
 class World:
@@ -210,7 +211,7 @@
     world = World()
     fill_prefill(world, 0.5)
     for host in ("d0", "d1"):
-        world.load(host, 0.0, answers=WHOLE_ANSWERS)
+        world.load(host, 0.0, answers=int(SLOTS * WHOLE_SHARE))
     assert world.place(make_short()).stage == PREFILL
 
 
