Compare two engines wherever the news is old

Cause: the first requests of each gateway were compared with all engines, as nothing had come yet by which to tell how much comes unseen. Change: two engines, and all of them where at most one request can have come unseen.

--- a/radishtally/engines/news.py
+++ b/radishtally/engines/news.py
@@ -9,8 +9,13 @@
 """Window of an entry's own requests, by which it takes those of the others: with four a
 second, the share of one of 68 entries before 59 engines, it is right to a quarter."""
 FEWEST: Final = 2
-"""Engines that are compared at least: the better of two drawn at random is all but as
-good as the best of all, and takes at most twice its share of what comes unseen."""
+"""Engines that are compared where the news is old: the better of two drawn at random is
+nearly as good as the best of all, and takes at most twice its share of what comes
+unseen. Of 36 engines, compared by 70 entries with news of 0.05 s, two, three and four
+gave the same waits, and all of them waits of seconds (worked out in simulated time)."""
+MOST_UNSEEN: Final = 1.0
+"""Requests that may have come unseen where all engines are compared: with more, two of
+them meet at the same engine."""
 
 
 class Others(NamedTuple):
@@ -43,21 +48,16 @@
 
     def count(self, now: float) -> float:
         """Count the requests that others were taken to send since their last news."""
-        if self._begun_at is None:
+        if not self.others.count:
             return 0.0
+        if self._begun_at is None:
+            # All begin at once: the first requests would all go to the same engine.
+            return float("inf")
         # A window that is not full yet sums up less than its length.
         passed = max(now - self._begun_at, self.others.age)
         seconds = RATE_SECONDS * (1.0 - exp(-passed / RATE_SECONDS))
-        if not seconds:
-            return 0.0
-        rate = self._own.read(now) / seconds
-        return rate * self.others.count * self.others.age
+        return self._own.read(now) / seconds * self.others.count * self.others.age
 
     def count_candidates(self, engines: int, now: float) -> int:
-        """Count the engines to compare: few enough that one unseen request or less
-        went to the same one.
-        """
-        unseen = self.count(now)
-        if unseen * FEWEST >= engines:
-            return min(FEWEST, engines)
-        return engines if unseen <= 1.0 else -int(-engines // unseen)
+        """Count the engines to compare: all only where little can have come unseen."""
+        return engines if self.count(now) <= MOST_UNSEEN else min(FEWEST, engines)
