Open the circle of the entry's daemon and its parts

Cause: operators, reports and the watch named the daemon that holds them, for types, and the daemon named them: none could be read or tested without all. Change: a contract of what they read of an entry (entry/core.py). Behaviour stays.

--- a/radishtally/entry/operators.py
+++ b/radishtally/entry/operators.py
@@ -3,7 +3,7 @@
 import asyncio
 import hmac
 import time
-from typing import TYPE_CHECKING, Any, Final, TypeVar
+from typing import Any, Final, TypeVar
 
 import msgspec
 from sanic import Request, Sanic
@@ -11,6 +11,7 @@
 
 from radishtally.configuration.head import Head
 from radishtally.configuration.store import ApplyError
+from radishtally.entry.core import Entry
 from radishtally.entry.faults import respond_error, respond_fault
 from radishtally.entry.http import respond_json
 from radishtally.entry.reports import (
@@ -23,9 +24,6 @@
 from radishtally.membership.core import UNREACHABLE
 from radishtally.outcome import Error, Fault, Ok, Result
 
-if TYPE_CHECKING:
-    from radishtally.entry.daemon import EntryDaemon
-
 BOOTSTRAP: Final = "bootstrap"
 """Operator who holds the peer key; valid until operators are configured."""
 MAX_WAIT_SECONDS: Final = 60.0
@@ -53,7 +51,7 @@
 B = TypeVar("B", ChangeBody, DrainBody)
 
 
-def add_operator_routes(app: Sanic, entry: "EntryDaemon") -> None:
+def add_operator_routes(app: Sanic, entry: Entry) -> None:
     """Add what operators may ask for."""
     app.ctx.entry = entry
     base = "/operators/v1"
@@ -84,7 +82,7 @@
 
 
 def _find_operator(request: Request) -> str | None:
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     directory = entry.directory
     # A first configuration without operators would otherwise shut everybody out.
     if directory is not None and directory.configuration.operators:
@@ -97,7 +95,7 @@
 
 
 async def _status(request: Request) -> HTTPResponse:
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     keeper = entry.process.keeper
     now = time.monotonic()
     members = entry.members.membership.members
@@ -120,7 +118,7 @@
 
 
 async def _read_configuration(request: Request) -> HTTPResponse:
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     keeper = entry.process.keeper
     if keeper.revision < _read_number(request, "at_least", 0):
         await entry.watcher.read_head()
@@ -132,7 +130,7 @@
 
 async def _read_revision(request: Request, revision: int) -> HTTPResponse:
     """Tell who wrote each file of a revision, and its hash."""
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     read = await entry.configurations.read_revision(revision)
     if read.is_error():
         if isinstance(read.error, Fault):
@@ -144,7 +142,7 @@
 
 
 async def _apply(request: Request) -> HTTPResponse:
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     read = _read_body(request, ChangeBody)
     if read.is_error():
         return respond_error(400, read.error)
@@ -162,7 +160,7 @@
 
 async def _confirm(request: Request) -> HTTPResponse:
     """Wait until a revision is in force everywhere and say who is behind."""
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     try:
         revision = int(request.args.get("revision", "0"))
         seconds = min(float(request.args.get("seconds", "6")), MAX_WAIT_SECONDS)
@@ -177,7 +175,7 @@
     return respond_json({"revision": revision, "behind": behind, "seconds": taken})
 
 
-def _find_behind(entry: "EntryDaemon", revision: int) -> list[str]:
+def _find_behind(entry: Entry, revision: int) -> list[str]:
     """Name the hosts that have not confirmed, those out of reach among them."""
     keeper = entry.process.keeper
     behind = set(keeper.find_behind(revision))
@@ -189,7 +187,7 @@
 
 
 async def _history(request: Request) -> HTTPResponse:
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     heads = await entry.configurations.read_history(_read_limit(request))
     if heads.is_error():
         return respond_fault(heads.error)
@@ -207,7 +205,7 @@
 
 
 async def _drain(request: Request, host: str) -> HTTPResponse:
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     read = _read_body(request, DrainBody)
     if read.is_error():
         return respond_error(400, read.error)
@@ -224,7 +222,7 @@
     return respond_json({"host": host, "drained": body.drained})
 
 
-def _is_host(entry: "EntryDaemon", host: str) -> bool:
+def _is_host(entry: Entry, host: str) -> bool:
     """Tell whether a host is listed, or configured and away for now."""
     if host in entry.members.membership.members:
         return True
@@ -244,7 +242,7 @@
 
 
 async def _audit(request: Request) -> HTTPResponse:
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     subject = request.args.get("subject")
     entries = await entry.process.audit.read(_read_limit(request), subject)
     if entries.is_error():
@@ -273,7 +271,7 @@
 
 
 async def _explain_host(request: Request, host: str) -> HTTPResponse:
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     if host not in entry.members.membership.members:
         return respond_error(404, f"host {host!r} is not known")
     now = time.monotonic()
@@ -295,7 +293,7 @@
     )
 
 
-async def _describe_drain(entry: "EntryDaemon", host: str) -> dict[str, Any]:
+async def _describe_drain(entry: Entry, host: str) -> dict[str, Any]:
     drains = await entry.plans.read_drains()
     if drains.is_error():
         return {"drained": None, "cause": "the platform's store is away"}
@@ -304,7 +302,7 @@
 
 
 async def _explain_place(request: Request, place: str) -> HTTPResponse:
-    entry: EntryDaemon = request.app.ctx.entry
+    entry: Entry = request.app.ctx.entry
     current = entry.process.keeper.current
     if current is None or place not in current.configuration.places:
         return respond_error(404, f"place {place!r} is not known")
--- a/radishtally/entry/reports.py
+++ b/radishtally/entry/reports.py
@@ -1,16 +1,14 @@
 """Describe hosts to operators, as this entry sees them."""
 
 import time
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from radishtally.entry.core import Entry
 from radishtally.membership.core import LEAVING, LIVE
 from radishtally.serving.hosts import KnownHost
 
-if TYPE_CHECKING:
-    from radishtally.entry.daemon import EntryDaemon
 
-
-def describe_host(entry: "EntryDaemon", host: str, now: float) -> dict[str, Any]:
+def describe_host(entry: Entry, host: str, now: float) -> dict[str, Any]:
     """Tell what the membership and the keeper know of a host."""
     member = entry.members.membership.members[host]
     keeper = entry.process.keeper
@@ -24,7 +22,7 @@
     }
 
 
-def find_state(entry: "EntryDaemon", host: str, now: float) -> str:
+def find_state(entry: Entry, host: str, now: float) -> str:
     """Tell a host's state."""
     # An entry keeps no link to itself, so its membership can't tell.
     if host == entry.settings.host:
@@ -32,7 +30,7 @@
     return entry.members.membership.members[host].find_state(now)
 
 
-def describe_load(entry: "EntryDaemon", host: str) -> dict[str, Any]:
+def describe_load(entry: Entry, host: str) -> dict[str, Any]:
     """Tell the load that a host last reported."""
     known = entry.core.hosts.get(host)
     if known is None or known.load is None:
--- a/radishtally/entry/watch.py
+++ b/radishtally/entry/watch.py
@@ -2,17 +2,15 @@
 
 import asyncio
 import random
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from eliot import log_message
 
 from radishtally.distribution.core import hash_files
+from radishtally.entry.core import Entry
 from radishtally.links.messages import FilesGive
 from radishtally.store.core import ENTRY, ListedHost
 
-if TYPE_CHECKING:
-    from radishtally.entry.daemon import EntryDaemon
-
 HEAD_SECONDS: Final = 1.0
 """Time between two reads of the head by all entries together."""
 MAX_HEAD_SECONDS: Final = 60.0
@@ -25,7 +23,7 @@
 class Watcher:
     """Run the entry's regular looks at the platform."""
 
-    def __init__(self, entry: "EntryDaemon") -> None:
+    def __init__(self, entry: Entry) -> None:
         self._entry = entry
         self._tasks: list[asyncio.Task] = []
 
