Contend for the lease at few gateways

Hypothesis: those that collect, and those ready to take over, are enough: two in each data centre, the next ones follow when they are gone. Change: a process may be told not to contend; when it contends again it goes by a new look, never by the row as it once stood. The state machine of the lease takes that in at any step and still finds no two holders.

Ruled out: fewer looks by all, as looks must stay less than the lease's time apart.

--- a/radishtally/authority/holder.py
+++ b/radishtally/authority/holder.py
@@ -8,6 +8,7 @@
 
 from radishtally.authority.lease import (
     Command,
+    Contend,
     Gained,
     LeaseCore,
     LeaseTerms,
@@ -77,6 +78,10 @@
         wanted = least * contenders / READERS
         self._core.read_every = min(max(least, wanted), longest)
 
+    def contend(self, contends: bool) -> None:
+        """Take whether to look at the lease while another one holds it."""
+        self._handle(Contend(contends))
+
     def set_terms(self, terms: LeaseTerms) -> None:
         """Go by other times from the next write on; rows that stand name their own."""
         self._terms = self._core.terms = terms
--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -71,13 +71,19 @@
     """Ask to give the lease up for good."""
 
 
+class Contend(NamedTuple):
+    """Say whether to look at the lease while another one holds it."""
+
+    contends: bool
+
+
 class Outdated(NamedTuple):
     """Say that an order was refused, as a higher fencing number has been used."""
 
     fencing: int
 
 
-Event = Tick | RowRead | ReadFailed | WriteSettled | Resign | Outdated
+Event = Tick | RowRead | ReadFailed | WriteSettled | Resign | Contend | Outdated
 
 
 class ReadLease(NamedTuple):
@@ -151,6 +157,7 @@
         self._retry_at = float("-inf")
         self._highest = 0
         self._resigned = False
+        self._contends = True
 
     def holds(self, now: float) -> bool:
         """Tell whether an order may be given now; ask before each one.
@@ -231,6 +238,15 @@
             return lost
         return [*lost, self._write(fencing, RELEASED, now)]
 
+    @_take.register
+    def _(self, event: Contend, now: float) -> list[Command]:
+        if event.contends and not self._contends:
+            # The row may have been renewed meanwhile: only a new look tells.
+            self._known = False
+            self._read_at = float("-inf")
+        self._contends = event.contends
+        return []
+
     @_take.register
     def _(self, event: Outdated, now: float) -> list[Command]:
         if self._held is None or self._held.fencing != event.fencing:
@@ -290,6 +306,8 @@
         lapsed = self._expire(now)
         if self._busy or self._resigned:
             return lapsed if self._held is None else [WakeAt(self._held.until)]
+        if self._held is None and not self._contends:
+            return lapsed
         if self._known and self._may_write(now):
             write = self._write(self._next_fencing(), self.terms.granted, now)
             return [*lapsed, write]
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -126,6 +126,8 @@
         await self.front.start(
             settings.address, settings.ready_address, settings.metrics_address
         )
+        # Others may be there that contend already: the links tell.
+        self.lease.contend(False)
         self.lease.start()
         self.runtime.spawn(self.stages.run())
         self.runtime.spawn(self.peers.run())
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from eliot import log_message
@@ -18,6 +18,7 @@
     is_mesh,
     list_data_centre,
     list_data_centres,
+    may_collect,
 )
 from radishtally.links.hub import LinkHub
 from radishtally.links.messages import Backlog, DemandReport, Message, PartsRead
@@ -27,6 +28,9 @@
 COLLECT_SECONDS: Final = 0.002
 """Time between two rounds for each gateway that a collector tells: whatever their
 number, it sends and takes 500 messages a second each."""
+CANDIDATE_SECONDS: Final = 1.0
+"""Time for which a gateway must be among those that may collect before it contends for
+the lease: while all start, none has links yet, and each would take itself for one."""
 REFRESH_SECONDS: Final = 2.0
 """Time between two rounds that name all engines. What a gateway could not take when it
 was told (it did not list the engine yet, or believed others just then) would be missing
@@ -47,9 +51,18 @@
     """
 
     def __init__(
-        self, own: str, hub: LinkHub, placement: EnginePlacement, stages: StageKeeper
+        self,
+        own: str,
+        hub: LinkHub,
+        placement: EnginePlacement,
+        stages: StageKeeper,
+        contend: Callable[[bool], None] = lambda _: None,
     ) -> None:
         self._own = own
+        self._contend = contend
+        """Take whether this gateway contends for the lease."""
+        self._candidate_since: float | None = None
+        self._contends = False
         self._hub = hub
         self._placement = placement
         self._stages = stages
@@ -72,6 +85,7 @@
             await asyncio.sleep(self._find_interval())
             now = time.monotonic()
             self._follow_links()
+            self._follow_candidates(now)
             self._tell_backlog(now)
             self._tell_parts()
             if now >= told_demand + TELL_SECONDS:
@@ -153,6 +167,22 @@
         for peer in outdated:
             self.forget(peer)
 
+    def _follow_candidates(self, now: float) -> None:
+        """Contend for the lease only as one of few.
+
+        Each look at the lease is a call to the store. Those that collect are enough: in
+        each data centre there are two, and the next ones take their places.
+        """
+        if not may_collect(self._sites, self._own, self._hub.hosts):
+            self._candidate_since = None
+        elif self._candidate_since is None:
+            self._candidate_since = now
+        since = self._candidate_since
+        contends = since is not None and now >= since + CANDIDATE_SECONDS
+        if contends != self._contends:
+            self._contends = contends
+            self._contend(contends)
+
     def _list_left_out(self, peer: str) -> frozenset[str] | None:
         """List whose work a peer is not told of, or none to tell it our own alone."""
         if not self._collects:
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -8,6 +8,7 @@
 
 from eliot import log_message
 
+from radishtally.authority.holder import LeaseHolder
 from radishtally.engines.placement import EnginePlacement
 from radishtally.gateway.absences import Absences
 from radishtally.gateway.const import FIRST_PEER_READS, PEER_READ_SECONDS
@@ -58,6 +59,7 @@
     placement: EnginePlacement
     recall: Recall
     stages: StageKeeper
+    lease: LeaseHolder
     table: Table
 
     def count_gateways(self, count: int) -> None:
@@ -91,7 +93,11 @@
         )
         self._hub = LinkHub(hello, secret, callbacks)
         self._loads = LoadExchange(
-            self._host, self._hub, gateway.placement, gateway.stages
+            self._host,
+            self._hub,
+            gateway.placement,
+            gateway.stages,
+            gateway.lease.contend,
         )
         await self._hub.start(self._address)
         gateway.runtime.spawn(self._loads.run())
--- a/radishtally/gateway/topology.py
+++ b/radishtally/gateway/topology.py
@@ -81,6 +81,15 @@
     return next((name for name in order if name == own or name in linked), None)
 
 
+def may_collect(sites: Sites, own: str, linked: Collection[str]) -> bool:
+    """Tell whether a gateway collects, or takes over at once from who does."""
+    if is_mesh(sites):
+        return True
+    order = list_data_centre(sites, sites[own].data_centre)
+    before = order[: order.index(own)]
+    return sum(name in linked for name in before) < COLLECTORS
+
+
 class Circle(NamedTuple):
     """Hold whom a gateway tells and believes, and what it tells them of others."""
 
--- a/tests/authority/test_lease.py
+++ b/tests/authority/test_lease.py
@@ -16,6 +16,7 @@
 from radishtally.audit.core import make_audit_put
 from radishtally.authority.lease import (
     Command,
+    Contend,
     Event,
     Gained,
     LeaseCore,
@@ -172,6 +173,10 @@
             contender.handle(Outdated(contender.core.fencing), self.time)
             assert not contender.holds(self.time)
 
+    @rule(name=st.sampled_from(NAMES), contends=st.booleans())
+    def contend(self, name: str, contends: bool) -> None:
+        self.contenders[name].handle(Contend(contends), self.time)
+
     @rule(
         name=st.sampled_from(NAMES),
         fate=st.sampled_from([SERVED, REPLY_LOST, LATE, REFUSED]),
@@ -382,3 +387,40 @@
     first.step(13.5)
     assert not first.holds(13.5)
     assert second.holds(13.5)
+
+
+# Each of 68 processes looked at the lease in turn, ten times a minute, though ten of
+# them were enough: each look is a call to the store.
+def test_process_that_does_not_contend_makes_no_calls(contend) -> None:
+    first = contend("a")
+    first.handle(Contend(False), 0.0)
+    for second in range(60):
+        first.handle(Tick(), float(second))
+        assert first.call is None
+
+
+# A holder stops giving orders without need: that others may take over from now on is no
+# reason to let the lease lapse.
+def test_holder_that_no_longer_contends_keeps_its_lease(contend) -> None:
+    first = contend("a")
+    first.step(0.0)
+    first.handle(Contend(False), 1.0)
+    run_until(first, 1.0, 30.0)
+    assert first.gained == [1]
+    assert first.lost == []
+
+
+# Two processes give orders: one that had long not looked took over at once by the row
+# as it had stood then, which its holder had renewed ever since.
+def test_process_that_contends_again_goes_by_a_new_look(contend) -> None:
+    first, second = contend("a"), contend("c")
+    first.step(0.0)
+    second.step(0.0)
+    second.handle(Contend(False), 1.0)
+    run_until(first, 1.0, 60.0)
+    second.handle(Contend(True), 60.0)
+    second.step(60.0)
+    assert first.holds(60.0)
+    assert not second.holds(60.0)
+    run_until(second, 60.5, 75.0)
+    assert second.holds(75.0)
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -6,8 +6,17 @@
 
 from radishtally.direct.core import Instance
 from radishtally.engines.placement import EnginePlacement
-from radishtally.gateway.loads import REFRESH_SECONDS, LoadExchange
-from radishtally.gateway.topology import MESH_GATEWAYS, Site, choose_dialled
+from radishtally.gateway.loads import (
+    CANDIDATE_SECONDS,
+    REFRESH_SECONDS,
+    LoadExchange,
+)
+from radishtally.gateway.topology import (
+    COLLECTORS,
+    MESH_GATEWAYS,
+    Site,
+    choose_dialled,
+)
 from radishtally.links.messages import DECODE, STREAM, WHOLE, KvRef, Message, Work
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.requests import OpenRequest
@@ -92,7 +101,13 @@
         self.stages = StageKeeper(
             name, None, lambda: [ENGINE], None, self.placement.measure_rate
         )
-        self.loads = LoadExchange(name, self, self.placement, self.stages)
+        self.contends = False
+        self.loads = LoadExchange(
+            name, self, self.placement, self.stages, self.set_contending
+        )
+
+    def set_contending(self, contends: bool) -> None:
+        self.contends = contends
 
     @property
     def hosts(self) -> list[str]:
@@ -257,3 +272,31 @@
     net.remove(first.name)
     second.restart_engine(4_000)
     assert second.count() == 0
+
+
+# Nobody gives engines their roles any more: all that contended for the lease are gone.
+@pytest.mark.parametrize("data_centres", [1, 3])
+def test_few_contend_for_the_lease_and_others_follow(data_centres: int) -> None:
+    net = Net(2 * MANY, data_centres)
+
+    def follow(now: float) -> set[str]:
+        for at in (now, now + CANDIDATE_SECONDS):
+            for gateway in net.gateways.values():
+                gateway.loads._follow_candidates(at)
+        return {name for name, gateway in net.gateways.items() if gateway.contends}
+
+    first = follow(0.0)
+    assert 0 < len(first) <= COLLECTORS * data_centres
+    for name in first:
+        net.remove(name)
+    second = follow(10.0)
+    assert 0 < len(second) <= COLLECTORS * data_centres
+    assert not first & second
+
+
+def test_all_of_few_gateways_contend_for_the_lease() -> None:
+    net = Net(3)
+    for at in (0.0, CANDIDATE_SECONDS):
+        for gateway in net.gateways.values():
+            gateway.loads._follow_candidates(at)
+    assert all(gateway.contends for gateway in net.gateways.values())
--- a/tests/gateway/test_topology.py
+++ b/tests/gateway/test_topology.py
@@ -10,6 +10,7 @@
     Site,
     choose_dialled,
     find_circle,
+    may_collect,
 )
 
 COUNTS = [1, 2, MESH_GATEWAYS, MESH_GATEWAYS + 1, 31, 330]
@@ -111,3 +112,21 @@
     circle = find_circle(sites, "front-0", sites.keys() - {"front-0"})
     assert circle.collector is None
     assert len(circle.audience) == MESH_GATEWAYS - 1
+
+
+@pytest.mark.parametrize("data_centres", DATA_CENTRES)
+@pytest.mark.parametrize("count", [31, 330])
+def test_few_may_collect_and_they_are_followed_by_others(
+    count: int, data_centres: int
+) -> None:
+    sites = make_sites(count, data_centres)
+    gone: set[str] = set()
+    for _ in range(2):
+        links = list_links(sites, gone)
+        few = {
+            own
+            for own in sites.keys() - gone
+            if may_collect(sites, own, list_linked(links, own))
+        }
+        assert 0 < len(few) <= COLLECTORS * data_centres
+        gone |= few
