--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -1,7 +1,7 @@
 """Choose engines and services by what this entry has given them."""
 
 import time
-from collections.abc import Callable, Container, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 from statistics import mean
 from typing import Final
@@ -118,7 +118,7 @@
     def forget_peer(self, peer: str) -> None:
         """Forget what an entry has open that is out of reach."""
         for engine in self._engines.values():
-            engine.peers.pop(peer, None)
+            engine.drop_peer(peer)
         for shares in self._early.values():
             shares.pop(peer, None)
 
@@ -138,13 +138,13 @@
             return
         # One of the two does not know yet that the engine has started again. What was
         # open at its earlier start is lost, and was not read: it tells no rate.
-        engine.peers.pop(peer, None)
+        engine.drop_peer(peer)
         early[peer] = share
 
     def make_backlog(
         self,
         hosts: Iterable[str] | None = None,
-        left_out: Container[str] | None = None,
+        left_out: Collection[str] | None = None,
     ) -> Backlog:
         """Give what this entry has open at some engines, or at all of them.
 
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -1,7 +1,7 @@
 """Follow what one engine has been given and how fast it is."""
 
 from collections import Counter
-from collections.abc import Container
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import starmap
 from math import exp
@@ -79,6 +79,25 @@
     return (started_ms & MARK_BITS) or MARK_BITS
 
 
+def _add_up(shares: Iterable[PeerShare]) -> PeerShare:
+    waiting = Counter[int]()
+    answers = 0
+    for share in shares:
+        waiting.update(dict(share.waiting))
+        answers += share.answers
+    return PeerShare(_order(waiting), answers)
+
+
+def _subtract(share: PeerShare, less: PeerShare) -> PeerShare:
+    waiting = Counter(dict(share.waiting))
+    waiting.subtract(dict(less.waiting))
+    return PeerShare(_order(+waiting), share.answers - less.answers)
+
+
+def _order(waiting: Mapping[int, int]) -> tuple[WaitingTokens, ...]:
+    return tuple(starmap(WaitingTokens, sorted(waiting.items())))
+
+
 @dataclass(slots=True)
 class EngineState:
     """Hold what is known of one engine."""
@@ -104,7 +123,10 @@
     answers: set[str] = field(default_factory=set)
     """Requests of this entry that it is answering."""
     peers: dict[str, PeerShare] = field(default_factory=dict)
-    """What the other entries have open there, by their names."""
+    """What the other entries have open there, by their names; set by take_share."""
+    theirs: PeerShare | None = None
+    """Sum of that, once it was asked for: an entry that collects tells it to each of
+    many others, and adding all up for each would cost the square of their number."""
     heard: dict[str, tuple[float, int]] = field(default_factory=dict)
     """When the last event of each answer came to this entry, and its number."""
     moved_at: float = float("-inf")
@@ -149,21 +171,34 @@
             self.moved_at = now
             self.finished += less
         self.peers[peer] = share
+        self.theirs = None
         self._learn_rate(now)
 
-    def make_share(self, left_out: Container[str] | None = None) -> PeerShare:
+    def drop_peer(self, peer: str) -> None:
+        """Forget what another entry has open there."""
+        if self.peers.pop(peer, None) is not None:
+            self.theirs = None
+
+    def sum_up_peers(self) -> PeerShare:
+        """Give what all other entries have open there."""
+        if self.theirs is None:
+            self.theirs = _add_up(self.peers.values())
+        return self.theirs
+
+    def make_share(self, left_out: Collection[str] | None = None) -> PeerShare:
         """Give what this entry has open there, or all have but some peers."""
+        own = self._make_own_share()
+        if left_out is None:
+            return own
+        total = _add_up((own, self.sum_up_peers()))
+        less = _add_up(self.peers[name] for name in left_out if name in self.peers)
+        return _subtract(total, less)
+
+    def _make_own_share(self) -> PeerShare:
         waiting = Counter[int]()
         for reading in self.readings.values():
             waiting[reading.priority] += reading.tokens
-        answers = len(self.answers)
-        if left_out is not None:
-            for peer, share in self.peers.items():
-                if peer not in left_out:
-                    waiting.update(dict(share.waiting))
-                    answers += share.answers
-        by_urgency = sorted(waiting.items())
-        return PeerShare(tuple(starmap(WaitingTokens, by_urgency)), answers)
+        return PeerShare(_order(waiting), len(self.answers))
 
     def count_tokens(self, priority: int = LEAST_URGENT) -> int:
         """Count the prompt tokens that it reads for all entries before any new ones.
@@ -177,15 +212,14 @@
         )
         theirs = sum(
             item.tokens
-            for peer in self.peers.values()
-            for item in peer.waiting
+            for item in self.sum_up_peers().waiting
             if item.priority <= priority
         )
         return ours + theirs
 
     def count_answers(self) -> int:
         """Count the answers that all entries have open there."""
-        return len(self.answers) + sum(peer.answers for peer in self.peers.values())
+        return len(self.answers) + self.sum_up_peers().answers
 
     @property
     def fill(self) -> float:
