--- a/radishtally/engines/choice.py
+++ b/radishtally/engines/choice.py
@@ -1,6 +1,7 @@
 """Choose the engine for a prompt or an answer, and the host for a call."""
 
 from collections.abc import Iterable, Iterator, Sequence
+from functools import partial
 from itertools import islice
 from random import Random
 from typing import Final, NamedTuple, TypeVar
@@ -64,6 +65,8 @@
 class Choice(NamedTuple):
     """Hold an engine for a prompt, in the order of what is chosen."""
 
+    is_late: bool
+    """Whether the prompt would not be in time there, wherever its shared parts lie."""
     cost: float
     """Seconds, with all handicaps."""
     rank: int
@@ -85,8 +88,8 @@
     in_time = objective * IN_TIME_SHARE
     patience = max(MIN_PATIENCE_SECONDS, PATIENCE * terms.objective)
     patience = min(patience, request.deadline - now)
-    bounds = in_time, patience
-    host, prospect = _choose_prefill(request, prefill, field, bounds, now)
+    choose = partial(_choose_prefill, request, prefill, field, in_time, patience, now)
+    host, prospect = choose()
     if prospect.seconds > in_time:
         # Read at half the speed, but without a KV cache to be moved: this serves short
         # prompts in time while long ones fill the engines for prompts.
@@ -97,7 +100,7 @@
         # What will be late goes behind all that can still be in time, and may have to
         # wait there for longer than its caller does.
         request.terms = terms._replace(priority=terms.priority + LATE_PRIORITY)
-        host, prospect = _choose_prefill(request, prefill, field, bounds, now)
+        host, prospect = choose()
     why = prospect.describe(request.terms.priority)
     if outage > patience:
         return Declined(outage, f"no engine makes answers for {outage:.1f} s")
@@ -111,7 +114,8 @@
     request: OpenRequest,
     engines: Sequence[EngineState],
     field: Field,
-    bounds: tuple[float, ...],
+    in_time: float,
+    patience: float,
     now: float,
 ) -> tuple[str, Prospect]:
     """Choose who has the shared parts or is to have them, rather one that is in time.
@@ -122,21 +126,23 @@
     the same parts to the same ones.
     """
     bests = []
-    for few in _group(_rank_by_parts(request, engines, field, now), field.few):
+    for few in _group(_rank_by_parts(request, engines, field, in_time, now), field.few):
         best = min(few)
-        if best.prospect.seconds <= bounds[0]:
+        if not best.is_late:
             return best.host, best.prospect
         bests.append(best)
-    for bound in bounds[1:]:
-        for best in bests:
-            if best.prospect.seconds <= bound:
-                return best.host, best.prospect
-    best = min(bests)
+    # Late everywhere: where its caller still waits for it, or wherever it is soonest.
+    awaited = (best for best in bests if best.prospect.seconds <= patience)
+    best = next(awaited, None) or min(bests)
     return best.host, best.prospect
 
 
 def _rank_by_parts(
-    request: OpenRequest, engines: Sequence[EngineState], field: Field, now: float
+    request: OpenRequest,
+    engines: Sequence[EngineState],
+    field: Field,
+    in_time: float,
+    now: float,
 ) -> Iterator[Choice]:
     """Give the engines as they fare with a prompt, those first that keep most of it."""
     chain = hash_parts(request.work.model, request.terms.parts)
@@ -153,7 +159,7 @@
         cost = prospect.seconds + max(0, most - kept[host]) * AGAIN_SECONDS
         if engine.data_centre != field.place:
             cost += far
-        yield Choice(cost, number, host, prospect)
+        yield Choice(prospect.seconds > in_time, cost, number, host, prospect)
 
 
 def _choose_whole(
@@ -167,7 +173,7 @@
             continue
         is_far = engine.data_centre != field.place
         cost = prospect.seconds + is_far * FAR_SECONDS
-        found.append(Choice(cost, len(found), engine.host, prospect))
+        found.append(Choice(False, cost, len(found), engine.host, prospect))
         if len(found) == field.few:
             break
     if not found:
--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -112,6 +112,20 @@
     assert placed.host != HOME
 
 
+# Prompts with long shared parts are late while engines idle that would read them in
+# time: what it costs to read the parts twice weighed more than that they are in time.
+def test_prompt_leaves_long_shared_parts_where_it_would_be_late() -> None:
+    world = World()
+    parts = (PromptPart("b", 13_000), PromptPart("c", 500))
+    chain = hash_parts("m", parts)[:-1]
+    world.placement.take_parts(PartsRead(HOME, 0, tuple(chain)))
+    world.load(HOME, 0.34)
+    request = make_request()
+    request.work = request.work._replace(prompt_tokens=13_500)
+    request.terms = request.terms._replace(parts=parts)
+    assert world.place(request).host != HOME
+
+
 # Engines are still later: each late prompt is read by whoever is soonest, with all of
 # its shared parts, though it would be late at their home as well.
 def test_late_prompt_stays_near_its_shared_parts() -> None:
