Keep the tokens that others have open as they are told

Cause: each share that is taken asks for all tokens open at the engine, and the sum kept for the tellers was worked out anew for it; and for each of 17 who are told, shares were taken off that were empty as a rule. Change: the tokens are kept as they come, and only what a peer has is taken off. Behaviour stays: a test over random shares compares the sums with what was told last.

--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -124,9 +124,11 @@
     """Requests of this entry that it is answering."""
     peers: dict[str, PeerShare] = field(default_factory=dict)
     """What the other entries have open there, by their names; set by take_share."""
+    their_tokens: int = 0
+    """Prompt tokens of them all, kept as they come: each share that is taken asks."""
     theirs: PeerShare | None = None
-    """Sum of that, once it was asked for: an entry that collects tells it to each of
-    many others, and adding all up for each would cost the square of their number."""
+    """Sum of them all, once it was asked for: an entry that collects tells it to each
+    of many others, and adding all up for each would cost the square of their number."""
     heard: dict[str, tuple[float, int]] = field(default_factory=dict)
     """When the last event of each answer came to this entry, and its number."""
     moved_at: float = float("-inf")
@@ -171,12 +173,15 @@
             self.moved_at = now
             self.finished += less
         self.peers[peer] = share
+        self.their_tokens -= less
         self.theirs = None
         self._learn_rate(now)
 
     def drop_peer(self, peer: str) -> None:
         """Forget what another entry has open there."""
-        if self.peers.pop(peer, None) is not None:
+        share = self.peers.pop(peer, None)
+        if share is not None:
+            self.their_tokens -= share.tokens
             self.theirs = None
 
     def sum_up_peers(self) -> PeerShare:
@@ -190,9 +195,12 @@
         own = self._make_own_share()
         if left_out is None:
             return own
-        total = _add_up((own, self.sum_up_peers()))
-        less = _add_up(self.peers[name] for name in left_out if name in self.peers)
-        return _subtract(total, less)
+        theirs = self.sum_up_peers()
+        total = _add_up((own, theirs)) if own.waiting else theirs
+        total = total._replace(answers=theirs.answers + own.answers)
+        shares = (self.peers.get(name) for name in left_out)
+        less = [share for share in shares if share and (share.waiting or share.answers)]
+        return _subtract(total, _add_up(less)) if less else total
 
     def _make_own_share(self) -> PeerShare:
         waiting = Counter[int]()
@@ -205,6 +213,9 @@
 
         That is what is as urgent or more so; all of them where no priority is given.
         """
+        if priority == LEAST_URGENT:
+            ours = sum(reading.tokens for reading in self.readings.values())
+            return ours + self.their_tokens
         ours = sum(
             reading.tokens
             for reading in self.readings.values()
--- a/tests/engines/test_state.py
+++ b/tests/engines/test_state.py
@@ -1,6 +1,8 @@
 """Tests of what is known of an engine."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from radishtally.engines.cache import PromptCache
 from radishtally.engines.state import (
@@ -135,3 +137,38 @@
     assert marks[0] == 0
     assert len(set(marks)) == len(starts)
     assert all(0 < mark <= 0xFFFF for mark in marks[1:])
+
+
+# An engine is taken for busy or idle for good: what is kept as a sum drifts from the
+# shares that it sums up, as others tell, tell anew and go.
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from("abc"),
+            st.none() | st.tuples(st.integers(0, 9), st.integers(0, 2)),
+            st.integers(0, 4),
+        )
+    )
+)
+def test_sums_of_others_are_what_they_told_last(told: list[tuple]) -> None:
+    engine = make_engine()
+    engine.begin_reading("own", 7, 1, 0.0)
+    last: dict[str, tuple[int, int, int]] = {}
+    for peer, waiting, answers in told:
+        if waiting is None:
+            engine.drop_peer(peer)
+            last.pop(peer, None)
+            continue
+        tokens, priority = waiting
+        share = PeerShare((WaitingTokens(priority, tokens),), answers)
+        engine.take_share(peer, share, 0.0)
+        last[peer] = (tokens, priority, answers)
+    assert engine.count_tokens() == 7 + sum(t for t, _, _ in last.values())
+    urgent = sum(t for t, priority, _ in last.values() if priority <= 1)
+    assert engine.count_tokens(1) == 7 + urgent
+    assert engine.count_answers() == sum(answers for _, _, answers in last.values())
+    for left_out in ((), ("a",), ("a", "b")):
+        share = engine.make_share(left_out)
+        kept = [told for peer, told in last.items() if peer not in left_out]
+        assert share.tokens == 7 + sum(tokens for tokens, _, _ in kept)
+        assert share.answers == sum(answers for _, _, answers in kept)
