Tell a gateway what engines keep as soon as its link is up

Cause: since who is told is found once a round, a link that had just come up counted only from the next round on: the greeting, which lists the shared parts that engines keep and is not repeated, was not sent, or was passed over (found by reading the change). Change: links are looked at before a greeting is sent or a message taken. The test failed first, for one gateway and for twenty beside the new one.

--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -104,6 +104,7 @@
 
     def greet(self, peer: str) -> None:
         """Tell a gateway all, as its link has come up."""
+        self._follow_links()
         if peer not in self._circle.audience:
             return
         self._hub.send(peer, self._make_backlog(None, peer))
@@ -118,6 +119,8 @@
 
     def take(self, peer: str, message: Message) -> None:
         """Take what a gateway tells."""
+        # What one tells as its link comes up is told once: it can't wait for a round.
+        self._follow_links()
         # Another one than the collector tells this one only while the two disagree on
         # who collects: what it has open would count twice.
         if peer not in self._circle.audience:
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -17,7 +17,16 @@
     Site,
     choose_dialled,
 )
-from radishtally.links.messages import DECODE, STREAM, WHOLE, KvRef, Message, Work
+from radishtally.links.messages import (
+    DECODE,
+    STREAM,
+    WHOLE,
+    HashedPart,
+    KvRef,
+    Message,
+    PartsRead,
+    Work,
+)
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.requests import OpenRequest
 from radishtally.stages.keeper import StageKeeper
@@ -301,3 +310,20 @@
         for gateway in net.gateways.values():
             gateway.loads._follow_candidates(at)
     assert all(gateway.contends for gateway in net.gateways.values())
+
+
+# A gateway that starts has all shared parts read again, and elsewhere: what engines
+# keep is told once, as a link comes up. Either end took note of the link only at its
+# next round, and told nothing, or passed over what it was told.
+@pytest.mark.parametrize("count", [1, MANY])
+def test_gateway_that_starts_is_told_at_once_what_engines_keep(count: int) -> None:
+    net = Net(count)
+    net.play(0.0)
+    part = HashedPart(7, 5_000)
+    for gateway in net.gateways.values():
+        gateway.placement.take_parts(PartsRead(ENGINE.host, 0, (part,)))
+    net.add("late")
+    for name in net.find_linked("late"):
+        net.gateways[name].loads.greet("late")
+    cache = net.gateways["late"].placement._engines[ENGINE.host].cache
+    assert cache.list_shared() == [part]
