Tell which request an answer named and what its connection had carried

Callers saw another request's answer; logs could not tell by which way it came. Each answer that may not be the request's own now leaves upstream:answer_doubted with the names that it bears, the host's signature, the connection's age, the requests that it carried, and what waited on it when the request took it; a counter has them by doubt. No decision is changed: what was caught is caught, what passed passes.

The pool of connections has a module of its own, which knows what each connection carried; moved there: the watched response and the opening of sessions.

--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -44,14 +44,14 @@
     """Hold what the head of a host's answer says."""
 
     status: int
-    request: str
-    """Request that the answer belongs to; empty if it names none."""
+    names: tuple[str, ...]
+    """Requests that the answer says it belongs to: one, if nothing went wrong."""
     not_run: bool
     """Whether the host promises that it did not run the request and won't."""
     is_replaced: bool
     """Whether another instance has the address now."""
-    is_genuine: bool
-    """Whether the host itself made the answer."""
+    signature: str
+    """The host's mark on an answer that it made itself, empty on any other."""
     headers: Headers
     """To be passed on to the caller."""
 
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -11,11 +11,9 @@
 from yarl import URL
 
 from radishtally.direct.const import (
-    CONNECT_SECONDS,
     DROP_SECONDS,
     MAX_ANSWER_BYTES,
     ORDER_SECONDS,
-    POOL_SECONDS,
     READ_BYTES,
 )
 from radishtally.direct.core import (
@@ -27,12 +25,12 @@
     OrderOutcome,
     UpstreamCall,
 )
-from radishtally.direct.sockets import open_socket
+from radishtally.direct.doubts import Doubt, Usage, find_doubt
+from radishtally.direct.pool import WatchedResponse, open_session
 from radishtally.direct.stream import EventCutter
 from radishtally.exchange import (
     BROKEN,
     SendOnce,
-    WatchedResponse,
     decode_headers,
 )
 from radishtally.links.messages import (
@@ -58,8 +56,6 @@
 from radishtally.tasks import AttemptTasks
 
 OK: Final = 200
-SKIPPED_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
-"""Headers that the library would add of its own: hosts get the caller's alone."""
 NOT_CONNECTED: Final = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
@@ -86,14 +82,15 @@
         self._receive = receive
         self._tasks = AttemptTasks()
         self._instances: dict[str, Instance] = {}
+        self.on_doubt: Callable[[Doubt], None] = lambda doubt: None
 
     async def start(self) -> None:
         """Open the pools of connections."""
-        self._pooled = _make_session(force_close=False)
+        self._pooled = open_session(force_close=False)
         # A connection that is kept open may be closed by its host just as a call goes
         # out on it, or may have died unnoticed; whether the call ran can't be told
         # then. A new connection that fails surely carried nothing.
-        self._fresh = _make_session(force_close=True)
+        self._fresh = open_session(force_close=True)
 
     async def stop(self) -> None:
         """End all that is under way and close the connections."""
@@ -206,7 +203,9 @@
         head = self._dialect.read_head(
             response.status, decode_headers(response.raw_headers)
         )
-        if head.request and head.request != offer.work.request:
+        self._note_doubt(head, response.usage, instance, offer)
+        named = next(iter(head.names), "")
+        if named and named != offer.work.request:
             # The late second answer to an earlier request on this connection: whatever
             # follows on it can't be told apart, so the connection goes too.
             response.close()
@@ -219,13 +218,36 @@
         if offer.stage == PREFILL:
             await self._read_handle(response, instance, offer)
             return
-        if not head.is_genuine and head.status < 300:
+        if not head.signature and head.status < 300:
             raise aiohttp.ClientPayloadError("the answer is not the host's own")
         if offer.work.kind == CALL or head.status != OK:
             await self._collect(response, host, offer, head)
             return
         await self._follow(response, host, offer, head)
 
+    def _note_doubt(
+        self, head: Head, usage: Usage, instance: Instance, offer: Offer
+    ) -> None:
+        """Log an answer that may not be the request's own, with what tells why."""
+        doubt = find_doubt(head.names, offer.work.request, usage)
+        if doubt is None:
+            return
+        self.on_doubt(doubt)
+        log_message(
+            "upstream:answer_doubted",
+            request=offer.work.request,
+            attempt=offer.attempt,
+            upstream_host=instance.host,
+            doubt=doubt,
+            names=head.names,
+            status=head.status,
+            signature=head.signature,
+            connection_age=round(usage.age, 4),
+            carried=usage.carried,
+            waiting=usage.waiting,
+            unread=usage.is_unread,
+        )
+
     async def _read_handle(
         self, response: WatchedResponse, instance: Instance, offer: Offer
     ) -> None:
@@ -301,22 +323,6 @@
             )
 
 
-def _make_session(force_close: bool) -> aiohttp.ClientSession:
-    more = {} if force_close else {"keepalive_timeout": POOL_SECONDS}
-    connector = aiohttp.TCPConnector(
-        limit=0, force_close=force_close, socket_factory=open_socket, **more
-    )
-    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
-    return aiohttp.ClientSession(
-        connector=connector,
-        timeout=timeout,
-        auto_decompress=False,
-        response_class=WatchedResponse,
-        skip_auto_headers=SKIPPED_HEADERS,
-        cookie_jar=aiohttp.DummyCookieJar(),
-    )
-
-
 def _begin(offer: Offer) -> _Progress:
     return _Progress(len(offer.done), offer.tokens_done, xxhash.xxh64(offer.done))
 
--- a/radishtally/exchange.py
+++ b/radishtally/exchange.py
@@ -46,37 +46,3 @@
             raise aiohttp.ClientError("the connection ended without an answer")
         self._sent = True
         return await handler(request)
-
-
-class WatchedResponse(aiohttp.ClientResponse):
-    """Know how the connection of an answer ended.
-
-    An answer without a length ends with its connection. The library takes the end for
-    good even if it was a reset: a caller would be given a part of an answer as a whole
-    one.
-    """
-
-    _watched: aiohttp.client_proto.ResponseHandler | None = None
-
-    async def start(
-        self, connection: aiohttp.connector.Connection
-    ) -> "WatchedResponse":
-        """Read the head, and keep hold of the connection."""
-        self._watched = connection.protocol
-        return await super().start(connection)
-
-    def check_end(self) -> None:
-        """Raise if an answer without a length ended otherwise than by a close."""
-        is_framed = "Content-Length" in self.headers or self.is_chunked
-        if is_framed or self._watched is None:
-            return
-        error = self._watched.exception()
-        if isinstance(error, OSError) and not isinstance(
-            error, aiohttp.ServerDisconnectedError
-        ):
-            raise aiohttp.ClientPayloadError("the connection was reset") from error
-
-    @property
-    def is_chunked(self) -> bool:
-        """Tell whether the answer's end is marked."""
-        return "chunked" in self.headers.get("Transfer-Encoding", "").lower()
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -89,6 +89,7 @@
             prompts_run=False,
         )
         self.hosts = DirectHosts(upstreams, self.runtime.guard_call(self._receive))
+        self.hosts.on_doubt = self.metrics.doubted
         self.front = Front(self, callers)
         self._stop_begun: float | None = None
         self.lease = make_lease(self)
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -11,6 +11,7 @@
     generate_latest,
 )
 
+from radishtally.direct.doubts import Doubt
 from radishtally.gateway.requests import Routed
 
 CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
@@ -62,6 +63,12 @@
             ["stage"],
             registry=self._registry,
         )
+        self._doubts = Counter(
+            "radishtally_doubted_answers",
+            "Answers of hosts that may belong to another request",
+            ["doubt"],
+            registry=self._registry,
+        )
         self._first = self._make_histogram("first_part", "first part of the answer")
         self._whole = self._make_histogram("whole", "end of the answer")
         self._open = Gauge(
@@ -129,6 +136,10 @@
         """Count an offer."""
         self._offers.labels(stage).inc()
 
+    def doubted(self, doubt: Doubt) -> None:
+        """Count an answer that may belong to another request."""
+        self._doubts.labels(doubt.name.lower()).inc()
+
     def begun(self, request: str) -> None:
         """Time the first part of an answer."""
         self._begun.add(request)
