Close a connection whose answer was another request's

Callers got 502 for reminders, one after the other, after one second answer. Cause: an answer that names another request was to take its connection with it, but an answer whose end has come with its head is over for the HTTP library by the time at which the head is looked at: the connection was back in the pool, closing the answer did nothing, and the own answer was still to come. Each later request on it got the one before's. Found by tracing the wrong answer; the comment that said the connection goes too was untrue.

Change: the protocol behind the answer is closed, whoever holds it. Nobody can have taken it since: head and check come in one step of the loop.

--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -207,7 +207,7 @@
         doubt = find_doubt(head.names, offer.work.request, response.usage)
         if doubt is not None:
             # Whatever follows on the connection can't be told apart either.
-            response.close()
+            response.abort()
             self._note_doubt(doubt, head, response.usage, instance, offer)
             raise ForeignAnswerError(doubt)
         if head.not_run:
--- a/radishtally/direct/pool.py
+++ b/radishtally/direct/pool.py
@@ -30,6 +30,17 @@
         self.usage = connection.protocol.usage
         return await super().start(connection)
 
+    def abort(self) -> None:
+        """Close the connection, also if the library has given it back.
+
+        It does so at the end of an answer, which may have come with the head. If that
+        was another request's, the own one is still to come: each later request on the
+        connection would be given the answer of the one before it.
+        """
+        self.close()
+        if self._watched is not None:
+            self._watched.abort()
+
     def check_end(self) -> None:
         """Raise if an answer without a length ended otherwise than by a close."""
         is_framed = "Content-Length" in self.headers or self.is_chunked
