Use no connection to the store on which something came unasked

No caller has seen this: the cause of the wrong answer, looked for elsewhere. A second answer that waited on one was taken for the answer to the next call: the list of hosts for the configuration, an older page for a newer one.

What it can't tell: a second answer that comes when the next call is out already. The log line of a dropped connection is written by the connector, by service.

--- a/radishtally/connector.py
+++ b/radishtally/connector.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from eliot import log_message
 
 
 class Usage(NamedTuple):
@@ -20,19 +21,6 @@
     """Requests that it carried before."""
 
 
-class Unasked(NamedTuple):
-    """Describe a connection on which something came while no request was out."""
-
-    address: str
-    """IP and port of the other end."""
-    usage: Usage
-    answers: int
-    """Whole heads among what came; 0 if it was not read."""
-
-
-OnUnasked = Callable[[Unasked], None]
-
-
 class KeptHandler(ResponseHandler):
     """Read the answers on one connection, and close it if one comes unasked.
 
@@ -40,9 +28,10 @@
     says. Left where it is it would be read as the answer to the next request.
     """
 
-    def __init__(self, loop: Any, on_unasked: OnUnasked) -> None:
+    def __init__(self, loop: Any, service: str, on_unasked: Callable[[], None]) -> None:
         super().__init__(loop=loop)
         self.usage = Usage()
+        self._service = service
         self._on_unasked = on_unasked
         self._opened_at = time.monotonic()
         self._requests = 0
@@ -82,11 +71,20 @@
         return bool(poller.poll(0))
 
     def drop(self) -> None:
-        """Close a connection that nobody is to use again, and say why."""
+        """Close a connection on which something came unasked."""
         if self.transport is None:
             return
-        ip, port = self.transport.get_extra_info("peername")[:2]
-        self._on_unasked(Unasked(f"{ip}:{port}", self._measure(), len(self)))
+        usage = self._measure()
+        # A connection that was reset has no other end any more.
+        peer = self.transport.get_extra_info("peername") or ("unknown", 0)
+        log_message(
+            f"{self._service}:connection_dropped",
+            address=f"{peer[0]}:{peer[1]}",
+            connection_age=round(usage.age, 4),
+            carried=usage.carried,
+            answers=len(self),
+        )
+        self._on_unasked()
         self.abort()
 
     def _measure(self) -> Usage:
@@ -94,12 +92,17 @@
 
 
 class KeepingConnector(aiohttp.TCPConnector):
-    """Keep connections, and pass none on that holds anything to read."""
-
-    def __init__(self, on_unasked: OnUnasked, **options: Any) -> None:
+    """Keep connections to a service, and pass none on that holds anything to read."""
+
+    def __init__(
+        self,
+        service: str,
+        on_unasked: Callable[[], None] = lambda: None,
+        **options: Any,
+    ) -> None:
         super().__init__(**options)
         # The library has no public way to be given a protocol.
-        self._factory = partial(KeptHandler, loop=self._loop, on_unasked=on_unasked)
+        self._factory = partial(KeptHandler, self._loop, service, on_unasked)
 
     async def connect(self, *args: Any, **options: Any) -> Connection:
         """Take a connection that is kept open, or open one."""
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -10,7 +10,7 @@
 from eliot import log_message
 from yarl import URL
 
-from radishtally.connector import Unasked, Usage
+from radishtally.connector import Usage
 from radishtally.direct.const import (
     DROP_SECONDS,
     MAX_ANSWER_BYTES,
@@ -242,15 +242,8 @@
             carried=usage.carried,
         )
 
-    def _note_unasked(self, unasked: Unasked) -> None:
+    def _note_unasked(self) -> None:
         self.on_doubt(Doubt.UNASKED)
-        log_message(
-            "upstream:connection_dropped",
-            address=unasked.address,
-            connection_age=round(unasked.usage.age, 4),
-            carried=unasked.usage.carried,
-            answers=unasked.answers,
-        )
 
     async def _read_handle(
         self, response: WatchedResponse, instance: Instance, offer: Offer
--- a/radishtally/direct/pool.py
+++ b/radishtally/direct/pool.py
@@ -1,11 +1,12 @@
 """Open pools of connections to hosts, and watch the answers on them."""
 
+from collections.abc import Callable
 from typing import Final
 
 import aiohttp
 from aiohttp.connector import Connection
 
-from radishtally.connector import KeepingConnector, KeptHandler, OnUnasked, Usage
+from radishtally.connector import KeepingConnector, KeptHandler, Usage
 from radishtally.direct.const import CONNECT_SECONDS, POOL_SECONDS
 from radishtally.direct.sockets import open_socket
 
@@ -58,10 +59,13 @@
         return "chunked" in self.headers.get("Transfer-Encoding", "").lower()
 
 
-def open_session(force_close: bool, on_unasked: OnUnasked) -> aiohttp.ClientSession:
+def open_session(
+    force_close: bool, on_unasked: Callable[[], None]
+) -> aiohttp.ClientSession:
     """Open a pool of connections, or one that opens a connection for each request."""
     more = {} if force_close else {"keepalive_timeout": POOL_SECONDS}
     connector = KeepingConnector(
+        "upstream",
         on_unasked,
         limit=0,
         force_close=force_close,
--- a/radishtally/store/client.py
+++ b/radishtally/store/client.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from radishtally.connector import KeepingConnector
 from radishtally.outcome import Error, Ok, Result
 
 CONNECT_PART: Final = 0.5
@@ -38,7 +39,9 @@
 
     def __init__(self, timeout: float) -> None:
         limits = aiohttp.ClientTimeout(total=timeout, connect=timeout * CONNECT_PART)
-        self.session = aiohttp.ClientSession(timeout=limits)
+        # Nothing in an answer says which call it belongs to.
+        connector = KeepingConnector("platform")
+        self.session = aiohttp.ClientSession(connector=connector, timeout=limits)
         self.calls = 0
         self.retired = False
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from standins.rows import Name, Rows
-from tests.common import run
+from tests.common import READ_SECONDS, answer_twice, run
 from tests.gateway.common import WAIT_SECONDS, serve
 
 HOSTS = 600
@@ -82,3 +82,20 @@
         await client.stop()
 
     run(play())
+
+
+# A gateway goes by rows of another table, or of another time: the store answers a
+# question twice, and the second answer waits on the connection that the next question
+# takes. Nothing in an answer says which question it belongs to.
+def test_second_answer_of_the_store_is_not_taken_for_the_next_one() -> None:
+    async def play() -> None:
+        pages = b'{"rows": [], "ver": 1}', b'{"rows": [], "ver": 2}'
+        async with answer_twice(*pages) as address:
+            client = StoreClient(address)
+            await client.start()
+            assert (await client.read_table("servers")).ok.version == 1
+            await asyncio.sleep(3 * READ_SECONDS)
+            assert (await client.read_table("op")).ok.version == 2
+            await client.stop()
+
+    run(play())
--- a/tests/common.py
+++ b/tests/common.py
@@ -1,5 +1,6 @@
 """Helpers that the tests share."""
 
+import asyncio
 import itertools
 import json
 import os
@@ -7,8 +8,8 @@
 import subprocess
 import sys
 import urllib.request
-from collections.abc import Callable, Coroutine, Iterator
-from contextlib import ExitStack, contextmanager
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
+from contextlib import ExitStack, asynccontextmanager, contextmanager, suppress
 from pathlib import Path
 from typing import Any, Final, NamedTuple, TypeVar
 
@@ -32,6 +33,8 @@
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 START_SECONDS: Final = 60.0
+READ_SECONDS: Final = 0.02
+"""Time after which what was written before has been read."""
 ADDRESSES: Final = itertools.count()
 
 T = TypeVar("T")
@@ -202,3 +205,32 @@
             self.lose_replies -= 1
             return Error(Unclear("reply lost"))
         return result
+
+
+@asynccontextmanager
+async def answer_twice(first: bytes, second: bytes) -> AsyncIterator[str]:
+    """Serve answers without names: the first one twice, on connections kept open.
+
+    The repeat comes with the first answer's end, which is read apart from its head: the
+    connection is idle by the time at which the repeat is found.
+    """
+    answers = iter([first])
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                body = next(answers, second)
+                head = (
+                    f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+                )
+                writer.write(head)
+                await asyncio.sleep(READ_SECONDS)
+                writer.write(body + (head + body if body is first else b""))
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield "{}:{}".format(*server.sockets[0].getsockname()[:2])
+    finally:
+        server.close()
