Ask engines on connections that carry nothing else

Reports, lists of kept parts and the freeing of KV caches went out on the kept connections of requests, and bear no name: a late second answer to a prompt was believed. As a report the handle of a KV cache says that the engine has no role and took no order.

Change: questions open a connection each, as orders do; they are a few for each order and start. A report must name a role.

--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -136,11 +136,15 @@
         return read.bind(self._dialect.read_kept)
 
     async def _ask(self, instance: Instance, call: UpstreamCall) -> Result[bytes, str]:
-        """Give the body of an engine's answer to a question about itself."""
+        """Give the body of an engine's answer to a question about itself.
+
+        Its connection carries nothing else: the answer bears no name, and one that was
+        late for an earlier request would be believed.
+        """
         try:
             async with (
                 asyncio.timeout(ORDER_SECONDS),
-                self._send(instance.address, call, True) as response,
+                self._send(instance.address, call, False) as response,
             ):
                 return Ok(await response.read())
         except BROKEN as error:
@@ -184,9 +188,9 @@
             self._receive(host, Lost(*name, ran, _describe(error), 0))
 
     def _send(
-        self, address: str, call: UpstreamCall, repeatable: bool
+        self, address: str, call: UpstreamCall, on_kept: bool
     ) -> "aiohttp.client._RequestContextManager":
-        session = self._pooled if repeatable else self._fresh
+        session = self._pooled if on_kept else self._fresh
         return session.request(
             call.method,
             URL(f"http://{address}{call.path}", encoded=True),
@@ -311,7 +315,7 @@
         try:
             async with (
                 asyncio.timeout(DROP_SECONDS),
-                self._send(kv.url, call, True) as response,
+                self._send(kv.url, call, False) as response,
             ):
                 await response.read()
         except BROKEN as error:
--- a/tests/gateway/test_kept_connections.py
+++ b/tests/gateway/test_kept_connections.py
@@ -4,13 +4,16 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+from adapter.upstreams import PlatformUpstreams
 
+from radishtally.links.messages import DECODE
 from tests.common import run
 from tests.gateway.common import LOOPBACK, Deployment, deployment
 from tests.gateway.test_calls import ask
 
 PAUSE_SECONDS = 0.02
 """Time between two parts that are to be read one by one."""
+REPORT = '{"phase": "decode"}'
 
 
 def make_answer(names: tuple[str, ...], body: str) -> bytes:
@@ -28,6 +31,8 @@
         self.seen: list[str] = []
         self.answer: dict[str, Callable[[asyncio.StreamWriter], Awaitable[None]]] = {}
         """Requests that get another answer than that."""
+        self.late = b""
+        """What comes before a report on a connection that carried a request."""
 
     async def serve(self, made: Deployment) -> None:
         """Start, and wait until the gateway knows the host."""
@@ -40,9 +45,16 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        is_new = True
         try:
             while True:
-                name = _find_name(await reader.readuntil(b"\r\n\r\n"))
+                head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(b"GET /api/report"):
+                    late = b"" if is_new else self.late
+                    writer.write(late + make_answer((), REPORT))
+                    continue
+                is_new = False
+                name = _find_name(head)
                 self.seen.append(name)
                 if name in self.answer:
                     await self.answer[name](writer)
@@ -150,3 +162,25 @@
             assert host.connections == 1
 
     run(play())
+
+
+# A gateway believes what no engine said: questions to an engine went out on the
+# connections of requests, and bear no name by which answers could be told apart. The
+# engine answers a prompt twice, the second time late, when its report is asked for. As
+# a report, the handle of a KV cache says that the engine has no role and took no order
+# since its start.
+def test_second_answer_to_a_prompt_is_not_taken_for_a_report(host: Host) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            host.late = make_answer(("r1",), '{"kvHandle": "h"}')
+            await host.serve(made)
+            await ask(made, "/read/a", "r1")
+            (instance,) = made.gateway.members
+            read = await made.gateway.hosts.read_report(instance)
+            assert read.ok.role == DECODE
+
+    run(play())
+
+
+def test_report_without_a_role_is_no_report() -> None:
+    assert PlatformUpstreams().read_report(b'{"kvHandle": "h"}').is_error()
