--- a/radishtally/tasks.py
+++ b/radishtally/tasks.py
@@ -4,6 +4,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from eliot import log_message
+
 Work = Coroutine[Any, Any, None]
 
 
@@ -25,7 +27,7 @@
         """Do what belongs to no running attempt."""
         task = asyncio.create_task(work)
         self._kept.add(task)
-        task.add_done_callback(self._kept.discard)
+        task.add_done_callback(self._discard)
 
     def take(self, request: str, attempt: int) -> asyncio.Task[None] | None:
         """Take out an attempt that is to end in another way than by itself."""
@@ -44,8 +46,20 @@
             task.cancel()
         return tasks
 
+    def _discard(self, ended: asyncio.Task[None]) -> None:
+        self._kept.discard(ended)
+        _log_fault(ended)
+
     def _forget(self, name: tuple[str, int], ended: asyncio.Task[None]) -> None:
+        _log_fault(ended, request=name[0], attempt=name[1])
         # A task that was taken out ends later; another one may have its name by then,
         # and could not be cancelled any more.
         if self._running.get(name) is ended:
             del self._running[name]
+
+
+def _log_fault(ended: asyncio.Task[None], **name: Any) -> None:
+    """Log an error that no attempt should end with: its request would just hang."""
+    if ended.cancelled() or ended.exception() is None:
+        return
+    log_message("attempt:fault", error=type(ended.exception()).__name__, **name)
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from radishtally import tasks as tasks_module
 from radishtally.tasks import AttemptTasks
 from tests.common import run
 
@@ -38,3 +41,30 @@
         assert tasks.cancel_all() == []
 
     run(play())
+
+
+# A caller waits until its deadline and no line says why: an attempt ended with an error
+# that nothing expects, and only the task knew.
+def test_unexpected_end_of_an_attempt_is_logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(
+        tasks_module, "log_message", lambda kind, **more: lines.append((kind, more))
+    )
+
+    async def fail() -> None:
+        raise KeyError("unexpected")
+
+    async def play() -> None:
+        tasks = AttemptTasks()
+        tasks.start("r", 1, fail())
+        tasks.keep(fail())
+        for _ in range(3):
+            await asyncio.sleep(0)
+
+    run(play())
+    assert lines == [
+        ("attempt:fault", {"error": "KeyError", "request": "r", "attempt": 1}),
+        ("attempt:fault", {"error": "KeyError"}),
+    ]
