Don't use a connection on which half a head was read

Callers got 502, and never another's answer: a host's second answer was cut within its head, so nothing showed on the connection, and its rest was read as the beginning of the next request's answer. Change: before a kept connection is taken, its parser, which is replaced then, is asked whether it has begun a message. Both cases failed first.

--- a/radishtally/connector.py
+++ b/radishtally/connector.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from aiohttp.http import HttpProcessingError
 from eliot import log_message
 
 HEAD_END: Final = b"\r\n\r\n"
@@ -85,16 +86,28 @@
         return (data[:end], data[end:]) if end < len(data) else (data,)
 
     def has_unread(self) -> bool:
-        """Tell whether the kernel holds bytes, or the end, of the connection."""
+        """Tell whether anything has come that no request has taken.
+
+        The kernel may hold bytes, or the connection's end, since the loop last looked;
+        the parser may hold the beginning of a head, whose rest would then be read as
+        the beginning of the next answer.
+        """
         if self.transport is None:
             return False
-        return self._has_bytes()
+        return self._has_bytes() or self._has_part()
 
     def _has_bytes(self) -> bool:
         poller = select.poll()
         poller.register(self.transport.get_extra_info("socket"), select.POLLIN)
         return bool(poller.poll(0))
 
+    def _has_part(self) -> bool:
+        # A connection that is taken gets a new parser: this one is not needed any more.
+        try:
+            return self._parser is not None and self._parser.feed_eof() is not None
+        except HttpProcessingError:
+            return True
+
     def drop(self) -> None:
         """Close a connection on which something came unasked."""
         if self.transport is None:
--- a/tests/gateway/test_kept_answers.py
+++ b/tests/gateway/test_kept_answers.py
@@ -15,6 +15,35 @@
 from tests.gateway.test_streams import make_whole, start_engines, stream
 
 
+# A caller gets 502: a host's second answer is read in two parts, the first of which
+# ends within its head. The connection is kept, nothing shows on it, and the rest of
+# the head comes when the next request is out: read as the start of its own answer.
+@pytest.mark.parametrize("is_split", [True, False])
+def test_half_a_head_costs_no_later_request(is_split: bool) -> None:
+    first, second = make_answer(("r1",), "r1"), make_answer((), "twice")
+    host = Host()
+
+    async def answer_and_half(writer: asyncio.StreamWriter) -> None:
+        cut = len(first) - 1 if is_split else 0
+        writer.write(first[:cut])
+        await asyncio.sleep(PAUSE_SECONDS)
+        writer.write(first[cut:] + second[:30])
+
+    async def answer_behind(writer: asyncio.StreamWriter) -> None:
+        rest = second[30:] if host.connections == 1 else b""
+        writer.write(rest + make_answer(("r2",), "r2"))
+
+    async def play() -> None:
+        async with deployment() as made:
+            host.answer.update(r1=answer_and_half, r2=answer_behind)
+            await host.serve(made)
+            assert (await ask(made, "/read/a", "r1"))[2] == b"r1"
+            status, _, body = await ask(made, "/read/a", "r2")
+            assert (status, body) == (200, b"r2")
+
+    run(play())
+
+
 # Prompts are read twice if an answer about a prompt is not taken for its own one: an
 # engine names the request in these too, and connections to engines are kept.
 def test_each_prompt_is_read_once_on_a_kept_connection() -> None:
