--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -146,6 +146,8 @@
                 asyncio.timeout(ORDER_SECONDS),
                 self._send(instance.address, call, False) as response,
             ):
+                if response.status != OK:
+                    return Error(f"status {response.status}")
                 return Ok(await response.read())
         except BROKEN as error:
             return Error(_describe(error))
--- a/standins/staged.py
+++ b/standins/staged.py
@@ -11,6 +11,7 @@
 
 EVENTS: Final = 4
 SIGNATURE: Final = "X-Server-Signature"
+REQUEST_NAME: Final = "X-Request-Id"
 NOT_RUN: Final = {"X-Not-Executed": "1"}
 
 
@@ -53,6 +54,7 @@
         app.router.add_get("/api/kv-list", self._list_kept)
         app.router.add_delete("/api/kv-handle/{name}", self._free)
         app.router.add_route("*", "/{path:.*}", self._serve)
+        app.on_response_prepare.append(_echo_name)
         return app
 
     def restart(self, born: int) -> None:
@@ -111,7 +113,7 @@
         wants_prefill = request.headers.get("X-Serving-Phase") == "prefill"
         if wants_prefill != (self.phase == "prefill"):
             return web.Response(status=421, headers=NOT_RUN)
-        name = request.headers["X-Request-Id"]
+        name = request.headers[REQUEST_NAME]
         if wants_prefill:
             return await self._read_prompt()
         if "X-Kv-Source" in request.headers:
@@ -132,7 +134,6 @@
         headers = {
             "Content-Type": "text/event-stream",
             SIGNATURE: f"by-{self.instance}",
-            "X-Request-Id": name,
         }
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
@@ -151,6 +152,13 @@
         return response
 
 
+async def _echo_name(request: web.Request, response: web.StreamResponse) -> None:
+    """Name the request in each answer to one, refusals and handles too."""
+    name = request.headers.get(REQUEST_NAME)
+    if name is not None:
+        response.headers[REQUEST_NAME] = name
+
+
 def make_event(name: str, number: int) -> bytes:
     """Make one event of the answer to a request."""
     return f"id: {number}\ndata: {name}.{number}\n\n".encode()
