Test what callers have open while settings change

Of what the customer tells of settings that change in one data centre after the other: a reminder that came twice, one that never came, and a sheet that never came have a test each now: calls open at two gateways while settings and the configuration change run once and are answered, and a stream comes whole from the run that began it. They pass on the code as it is; no fault was found by them.

--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -1,13 +1,26 @@
 """Tests of settings that are read again while a gateway runs."""
 
+import asyncio
 import re
 
+import aiohttp
 import msgspec
+import pytest
+from aiohttp import web
 
 from radishtally.gateway.const import RETRY_PART
 from radishtally.gateway.daemon import Gateway
+from standins.staged import EVENTS
 from tests.common import run
-from tests.gateway.common import deployment, run_gateway
+from tests.gateway.common import (
+    deployment,
+    make_headers,
+    make_prompt,
+    run_gateway,
+    wait_until,
+)
+from tests.gateway.test_calls import answer_whole
+from tests.gateway.test_streams import make_whole, start_engines
 
 REQUESTS = 100
 
@@ -72,3 +85,83 @@
             assert f"radishtally_configuration_version {float(version)}" in text
 
     run(play())
+
+
+def change_settings(gateway: Gateway, ratio: float) -> None:
+    """Let a gateway read settings that differ in a bound."""
+    bounds = msgspec.structs.replace(gateway.settings.bounds, retry_ratio=ratio)
+    gateway.take_settings(msgspec.structs.replace(gateway.settings, bounds=bounds))
+
+
+# A reminder comes twice in one data centre and not at all in another: the settings
+# change at one gateway after the other while calls are open. What is open must go on as
+# it is, run once and be answered, by gateways of either settings.
+@pytest.mark.parametrize(("method", "path"), [("GET", "/read/a"), ("POST", "/book/a")])
+def test_call_that_is_open_while_settings_change_runs_once(
+    method: str, path: str
+) -> None:
+    async def play() -> None:
+        async with deployment() as made, run_gateway(made.store, "gateway-2") as other:
+            seen: list[str] = []
+            go_on = asyncio.Event()
+
+            async def answer_later(request: web.Request) -> web.Response:
+                seen.append(request.headers["X-Request-Id"])
+                await go_on.wait()
+                return await answer_whole(request)
+
+            await made.serve_desk("d-1", answer_later)
+            await wait_until(lambda: "d-1" in other.core.links)
+            gateways = made.gateway, other
+            names = ["r1", "r2", "r3", "r4"]
+
+            async def ask(name: str, gateway: Gateway) -> int:
+                url = f"http://{gateway.settings.address}{path}"
+                async with session.request(
+                    method, url, headers=make_headers(name)
+                ) as response:
+                    await response.read()
+                    return response.status
+
+            async with aiohttp.ClientSession() as session:
+                asked = [
+                    asyncio.create_task(ask(name, gateways[index % 2]))
+                    for index, name in enumerate(names)
+                ]
+                await wait_until(lambda: len(seen) == len(names))
+                change_settings(made.gateway, 0.5)
+                made.configure()
+                change_settings(other, 0.7)
+                change_settings(made.gateway, 0.9)
+                go_on.set()
+                assert await asyncio.gather(*asked) == [200] * len(names)
+            assert sorted(seen) == names
+
+    run(play())
+
+
+# A sheet never comes: the settings and the configuration change while it is being made.
+# Its caller must get it whole, over the connection and from the run that began it.
+def test_stream_that_is_open_while_settings_change_comes_whole() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            _, decode = await start_engines(made)
+            decode.seconds = 0.05
+            url = made.url + "/sheet/a"
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(url, headers=make_prompt("r1"), data=b"p") as response,
+            ):
+                body = await response.content.readany()
+                change_settings(made.gateway, 0.5)
+                made.configure()
+                version = made.version
+                router = made.gateway.router
+                await wait_until(lambda: router.configuration.version == version)
+                change_settings(made.gateway, 0.7)
+                body += await response.read()
+            assert body == make_whole("r1")
+            assert body.count(b"id: ") == EVENTS
+            assert decode.runs == {"r1": 1}
+
+    run(play())
