--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import time
-from functools import singledispatchmethod
 
 import msgspec
 from eliot import log_message
@@ -20,6 +19,7 @@
     mark_bounds,
 )
 from radishtally.gateway.changes import carry_out
+from radishtally.gateway.commands import carry_out_command
 from radishtally.gateway.config import GatewaySettings
 from radishtally.gateway.const import (
     ASSUMED_GATEWAYS,
@@ -33,18 +33,17 @@
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.front import Front
 from radishtally.gateway.members import Change, Members
-from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
+from radishtally.gateway.metrics import GatewayMetrics
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.recall import Recall
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, Routed, Router
 from radishtally.gateway.topology import Site
 from radishtally.limits.retries import RetryBudgets
-from radishtally.links.messages import Cancel, Message, Offer
+from radishtally.links.messages import Message
 from radishtally.outcome import Error, Refusal, Result
 from radishtally.routes.config import CallerLimits, FleetConfiguration
 from radishtally.runtime import Runtime, Waker, read_boot_clock
 from radishtally.serving import events
-from radishtally.serving.const import FIRST_FAILURE
 from radishtally.serving.core import EntryCore, handle_event
 from radishtally.serving.replies import Part, Replies
 from radishtally.stages.keeper import StageKeeper
@@ -330,55 +329,12 @@
         """Give the core an event and carry out its commands."""
         with self.runtime.guard():
             for command in handle_event(event, self.core, time.monotonic()):
-                self._execute(command)
+                carry_out_command(command, self)
             self.waker.wake_at(self.core.next_wake())
 
     def _receive(self, host: str, message: Message) -> None:
         self.handle(events.Received(host, message))
 
-    @singledispatchmethod
-    def _execute(self, command: events.Command) -> None:
-        raise TypeError(f"no way to carry out {type(command)}")
-
-    @_execute.register
-    def _(self, command: events.Send) -> None:
-        message = command.message
-        if isinstance(message, Offer):
-            terms = self.core.requests[message.work.request].terms
-            self.metrics.offered(message.stage)
-            self.hosts.run(command.host, message, terms)
-        elif isinstance(message, Cancel):
-            self.hosts.cancel(message)
-
-    @_execute.register
-    def _(self, command: events.DropKv) -> None:
-        self.hosts.drop(command.kv)
-
-    @_execute.register
-    def _(self, command: events.Begin) -> None:
-        self.metrics.begun(command.request)
-        self.replies.put(command)
-
-    @_execute.register
-    def _(self, command: events.Deliver) -> None:
-        self.replies.put(command)
-
-    @_execute.register
-    def _(self, command: events.Finish) -> None:
-        is_good = command.end.status < FIRST_FAILURE
-        self.metrics.ended(command.request, ANSWERED if is_good else FAILED)
-        self.replies.put(command)
-
-    @_execute.register
-    def _(self, command: events.Refuse) -> None:
-        self.note_refusal(command.request, command.refusal)
-        self.metrics.ended(command.request, REFUSED)
-        self.replies.put(command)
-
-    @_execute.register
-    def _(self, command: events.Note) -> None:
-        log_message("request:step", request=command.request, text=command.text)
-
 
 def make_lease(gateway: Gateway) -> LeaseHolder:
     """Make the lease under which one gateway gives engines their roles."""
