Split the gateways' rows and secret from the links that go by them

Peers read and wrote rows, shared the secret and kept links, in one module. A restore of the store needs the first two by themselves, so they are in gateway/register.py now, and can be tested without a gateway.

Nothing behaves otherwise.

--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -49,6 +49,8 @@
 BACKLOG_SECONDS: Final = 0.02
 """Time over which changes of what is open are put together for the other gateways; a
 third of the least time that an engine takes for a prompt."""
+JOIN_SECONDS: Final = 1.0
+"""Time between two calls to the store while this gateway or others are starting."""
 PEER_READ_SECONDS: Final = 10.0
 """Time between two looks for new gateways; each look is a call to the store."""
 FIRST_PEER_READS: Final = 4
--- /dev/null
+++ b/radishtally/gateway/register.py
@@ -0,0 +1,108 @@
+"""Read and write the gateways' rows, and the secret that they share."""
+
+import asyncio
+import secrets
+import time
+from typing import Final
+
+from eliot import log_message
+
+from radishtally.gateway.const import JOIN_SECONDS
+from radishtally.gateway.topology import Site
+from radishtally.outcome import Result
+from radishtally.store.core import (
+    ABSENT,
+    Conflict,
+    Delete,
+    Key,
+    Put,
+    ReadError,
+    Row,
+    Table,
+    Write,
+)
+from radishtally.store.settle import transact_settled
+
+GATEWAYS: Final = "gateways"
+"""Partition of the rows in which gateways say where they listen for each other."""
+SECRET: Final = Key("secrets", "peer-key")
+"""Row of the secret that gateways share; the first one draws it."""
+WRITE_SECONDS: Final = 2.0
+MAX_GATEWAYS: Final = 1_000
+"""Rows that are read at most: three times the gateways that are planned for."""
+
+
+class Register:
+    """Keep a gateway's row, and read those of the others."""
+
+    def __init__(self, table: Table, host: str, site: Site, address: str) -> None:
+        self._table = table
+        self._key = Key(GATEWAYS, host)
+        self._value = {"address": address, **site._asdict()}
+
+    async def find_secret(self) -> str:
+        """Read the shared secret, or draw it."""
+        while True:
+            read = await self._table.get(SECRET)
+            if read.is_ok() and read.ok is not None:
+                return read.ok.value["secret"]
+            if read.is_ok():
+                drawn = {"secret": secrets.token_hex(16)}
+                written = await self._write(Put(SECRET, drawn, ABSENT))
+                # Ours or another's stands now.
+                if written.is_ok() or isinstance(written.error, Conflict):
+                    continue
+                await _wait_for_store(str(written.error))
+                continue
+            await _wait_for_store(str(read.error))
+
+    async def write_own(self) -> bool:
+        """Write this gateway's row; tell whether it stood there from an earlier start.
+
+        Where it did not, engines keep nothing yet, or the others are at work and know.
+        """
+        while True:
+            read = await self._table.get(self._key)
+            if read.is_ok():
+                row = read.ok
+                if row is not None and row.value == self._value:
+                    return True
+                rev = ABSENT if row is None else row.rev
+                written = await self._write(Put(self._key, self._value, rev))
+                if written.is_ok():
+                    return row is not None
+                await _wait_for_store(str(written.error))
+                continue
+            await _wait_for_store(str(read.error))
+
+    async def read_rows(self) -> Result[dict[str, Row], ReadError]:
+        """Read the rows of all gateways by their names."""
+        read = await self._table.query(GATEWAYS, limit=MAX_GATEWAYS)
+        return read.map(lambda rows: {row.key.sk: row for row in rows})
+
+    async def remove(self, row: Row) -> None:
+        """Remove the row of a gateway that is gone."""
+        removed = await self._write(Delete(row.key, row.rev))
+        outcome = "removed" if removed.is_ok() else str(removed.error)
+        log_message("peers:gone", peer=row.key.sk, outcome=outcome)
+
+    async def _write(self, write: Write) -> Result:
+        return await transact_settled(
+            self._table,
+            [write],
+            secrets.token_hex(8),
+            deadline=time.monotonic() + WRITE_SECONDS,
+        )
+
+
+async def _wait_for_store(reason: str) -> None:
+    """Wait until it is worth asking the store again."""
+    log_message("peers:not_joined", reason=reason)
+    await asyncio.sleep(JOIN_SECONDS)
+
+
+def read_site(row: Row) -> Site:
+    """Read where a gateway stands; the row of another release may not say that."""
+    data_centre, cores = row.value.get("data_centre"), row.value.get("cores")
+    is_told = isinstance(data_centre, str) and isinstance(cores, int | float)
+    return Site(data_centre, cores) if is_told else Site()
