Keep one secret among gateways when the store was restored

Seen: gateways that start after a restore of the store and those from before it never link, until the latter restart; each group loads the engines without knowing what the other has open there. Cause: the secret by which links are made was lost with the store's newest writes. Whoever starts next draws another one, and nobody reads the row again. Change: in a new era each gateway reads the secret. Where none stands it writes the one in use, on the condition that none stands; where another one does, it goes by that: `LinkHub.change_key` ends the links made under the old one, and dials again at once. Why it holds: nobody changes or removes the row, so in one era it is written once, and all that have looked hold what stands in it, whichever came first. Requests don't go over these links.

One lets an answer run on while the secret changes.

--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -65,6 +65,7 @@
         self._address = address
         self._register = Register(gateway.table, host, site, address)
         self._incarnation = secrets.token_hex(8)
+        self._secret: str | None = None
         self._hub: LinkHub | None = None
         self._loads: LoadExchange | None = None
         self._dialled: set[str] = set()
@@ -76,7 +77,7 @@
 
     async def run(self) -> None:
         """Join the other gateways and keep up with them for good."""
-        secret = await self._register.find_secret()
+        self._secret = await self._register.find_secret()
         hello = Hello(
             self._host, self._site.data_centre, GATEWAYS, self._incarnation, 0
         )
@@ -88,7 +89,7 @@
             guard(self._receive),
             _is_always_busy,
         )
-        self._hub = LinkHub(hello, secret, callbacks)
+        self._hub = LinkHub(hello, self._secret, callbacks)
         self._loads = LoadExchange(
             self._host,
             self._hub,
@@ -124,8 +125,22 @@
         # Cleared first: should the era rise again meanwhile, all is looked at again.
         self._era_risen.clear()
         await asyncio.sleep(random.uniform(0.0, ERA_LOOK_SECONDS))
+        await self._share_secret()
         await self._register.write_own()
 
+    async def _share_secret(self) -> None:
+        """See to it that the secret in use is the one that stands in the store.
+
+        It may be gone from there. One that starts then draws another, and the two
+        groups would never link: neither changes the row, so all take what stands in it.
+        """
+        secret = await self._register.find_secret(self._secret)
+        if secret == self._secret:
+            return
+        log_message("peers:secret_changed")
+        self._secret = secret
+        self._hub.change_key(secret)
+
     async def stop(self) -> None:
         """Leave the other gateways."""
         if self._hub is not None:
--- a/radishtally/gateway/register.py
+++ b/radishtally/gateway/register.py
@@ -40,15 +40,15 @@
         self._key = Key(GATEWAYS, host)
         self._value = {"address": address, **site._asdict()}
 
-    async def find_secret(self) -> str:
-        """Read the shared secret, or draw it."""
+    async def find_secret(self, known: str | None = None) -> str:
+        """Read the shared secret; where none stands, write the known one or draw it."""
         while True:
             read = await self._table.get(SECRET)
             if read.is_ok() and read.ok is not None:
                 return read.ok.value["secret"]
             if read.is_ok():
-                drawn = {"secret": secrets.token_hex(16)}
-                written = await self._write(Put(SECRET, drawn, ABSENT))
+                value = {"secret": known or secrets.token_hex(16)}
+                written = await self._write(Put(SECRET, value, ABSENT))
                 # Ours or another's stands now.
                 if written.is_ok() or isinstance(written.error, Conflict):
                     continue
--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -107,6 +107,20 @@
         link.send(message)
         return True
 
+    def change_key(self, peer_key: str) -> None:
+        """Make all links anew under another shared key.
+
+        Whoever has only the old one is refused from now on, and dialled until it too
+        has the new one.
+        """
+        self._peer_key = peer_key
+        for link in list(self._links.values()):
+            link.close("the shared key changed")
+        # Anew, since a dialler that was refused for long tries but seldom.
+        for host, (address, _) in list(self._dialers.items()):
+            self.forget(host)
+            self.dial(host, address)
+
     def announce(self, revision: int) -> None:
         """Tell every peer at once which configuration revision is in force here."""
         self._hello = self._hello._replace(revision=revision)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -11,14 +11,14 @@
 from radishtally.gateway import peers, register
 from radishtally.gateway.bounds import find_retry_floor
 from radishtally.gateway.daemon import Gateway
-from radishtally.gateway.register import GATEWAYS
+from radishtally.gateway.register import GATEWAYS, SECRET
 from radishtally.outcome import Error, Result
 from radishtally.store.core import ABSENT, Delete, Key, Put, Unavailable
 from standins.rows import Name
 from tests.common import run
 from tests.gateway.common import Deployment, deployment, run_gateway, wait_until
 from tests.gateway.test_calls import Desk, answer_whole, ask
-from tests.gateway.test_streams import start_engines, stream
+from tests.gateway.test_streams import make_whole, start_engines, stream
 
 TABLE = "radishtally"
 STORE_READS = 2_000
@@ -251,3 +251,75 @@
             assert not failures
 
     run(play())
+
+
+def read_secret(made: Deployment) -> str:
+    return _decode(read_value(made, *SECRET))["secret"]
+
+
+def write_secret(made: Deployment, secret: str) -> None:
+    """Write a secret as another gateway does that was the first one."""
+    row = {"rev": 1, "write_id": "w", "value": {"secret": secret}}
+    data = base64.b64encode(msgspec.json.encode(row)).decode()
+    made.rows.write(Name(TABLE, *SECRET), data)
+
+
+# Gateways that start after a restore never link to those from before it, until these
+# restart: engines get too much work, as neither group knows what the other has open.
+# The secret was lost with the newest writes, and whoever starts next draws another.
+@pytest.mark.usefixtures("seldom_reads")
+def test_gateways_from_before_a_restore_link_to_those_that_start_after_it() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            secret = read_secret(made)
+            made.rows.write(Name(TABLE, *SECRET), None)
+            gateway.peers.enter_era()
+            await wait_for_row(made, *SECRET)
+            assert read_secret(made) == secret
+            async with run_gateway(made.store, "gateway-2") as second:
+                await wait_for_row(made, GATEWAYS, "gateway-2")
+                gateway.peers.enter_era()
+                await wait_until(lambda: gateway.peers._hub.hosts == ["gateway-2"])
+                await wait_until(lambda: second.peers._hub.hosts == ["gateway-1"])
+
+    run(play())
+
+
+# As above, but one that starts after the restore was sooner, and its secret stands.
+# The others take it one by one and link anew; a request that is being answered
+# meanwhile has its whole answer, and no gateway ends.
+@pytest.mark.usefixtures("seldom_reads")
+def test_gateways_take_the_secret_of_one_that_was_sooner() -> None:
+    async def play() -> None:
+        async with deployment() as made, run_gateway(made.store, "gateway-2") as second:
+            first = made.gateway
+            engines = await start_engines(made)
+            for engine in engines:
+                engine.seconds = 0.5
+            await wait_for_row(made, GATEWAYS, "gateway-2")
+            await wait_until(lambda: first.peers._hub is not None)
+            await first.peers._follow_rows()
+            await wait_until(lambda: second.peers._hub.hosts == ["gateway-1"])
+            write_secret(made, "another")
+            work = asyncio.create_task(stream(made, "/draft/a", "r1"))
+            for gateway in (first, second):
+                links = gateway.peers._hub._links.copy()
+                gateway.peers.enter_era()
+                await wait_until(lambda g=gateway: g.peers._hub._peer_key == "another")
+                await wait_until(
+                    lambda g=gateway, old=links: g.peers._hub._links != old
+                )
+            async with run_gateway(made.store, "gateway-3") as third:
+                await wait_for_row(made, GATEWAYS, "gateway-3")
+                for gateway in (first, second):
+                    gateway.peers.enter_era()
+                await wait_until(lambda: len(third.peers._hub.hosts) == 2)
+                await wait_until(lambda: len(first.peers._hub.hosts) == 2)
+            assert read_secret(made) == "another"
+            assert await work == make_whole("r1")
+            assert not first.runtime.stopping.is_set()
+            assert not second.runtime.stopping.is_set()
+
+    run(play())
--- a/tests/gateway/test_register.py
+++ b/tests/gateway/test_register.py
@@ -5,12 +5,15 @@
 import pytest
 
 from radishtally.gateway import register
-from radishtally.gateway.register import Register
+from radishtally.gateway.register import SECRET, Register
 from radishtally.gateway.topology import Site
 from radishtally.outcome import Error, Result
-from radishtally.store.core import Unavailable
+from radishtally.store.core import ABSENT, Put, Unavailable
 from tests.common import MemoryTable, run
 
+OURS = {"secret": "ours"}
+OTHERS = {"secret": "others"}
+
 
 def make_register(table: MemoryTable, host: str = "gateway-1") -> Register:
     return Register(table, host, Site("howrah", 0.8), "127.0.0.1:8104")
@@ -39,3 +42,58 @@
         assert table.calls == 1
 
     run(play())
+
+
+# Gateways that start after a restore never link to those from before it. The secret
+# was lost with the store's newest writes, and the next one to start draws another.
+def test_secret_in_use_is_written_again_where_none_stands() -> None:
+    async def play() -> None:
+        table = MemoryTable()
+        assert await make_register(table).find_secret("ours") == "ours"
+        assert (await table.get(SECRET)).ok.value == OURS
+        assert await make_register(table, "gateway-2").find_secret() == "ours"
+
+    run(play())
+
+
+# Two groups of gateways go on under a secret each. A gateway that started after the
+# restore has drawn another one first: all must take that one, as it never goes away.
+def test_secret_that_stands_is_taken_by_those_that_know_another() -> None:
+    async def play() -> None:
+        table = MemoryTable()
+        table.rows.apply([Put(SECRET, OTHERS, ABSENT)], "w")
+        assert await make_register(table).find_secret("ours") == "others"
+        assert (await table.get(SECRET)).ok.value == OTHERS
+
+    run(play())
+
+
+# As above, but the other one is written between this gateway's read, which finds none,
+# and its write. Written without a condition, it would replace what others have read.
+def test_secret_that_came_first_is_taken() -> None:
+    class Raced(MemoryTable):
+        async def transact(self, *args: object) -> Result:
+            self.rows.apply([Put(SECRET, OTHERS, ABSENT)], "w")
+            return await super().transact(*args)
+
+    async def play() -> None:
+        table = Raced()
+        assert await make_register(table).find_secret("ours") == "others"
+        assert (await table.get(SECRET)).ok.value == OTHERS
+
+    run(play())
+
+
+# Writes of before the restore end unclear, and so may those behind it. The secret is
+# neither given up nor drawn anew then: it is asked for until it stands.
+@pytest.mark.parametrize("fault", ["lose_replies", "drop_writes"])
+def test_secret_whose_write_is_unclear_is_asked_for_until_it_stands(
+    fault: str,
+) -> None:
+    async def play() -> None:
+        table = MemoryTable()
+        setattr(table, fault, 1)
+        assert await make_register(table).find_secret("ours") == "ours"
+        assert (await table.get(SECRET)).ok.value == OURS
+
+    run(play())
--- a/tests/links/test_hub.py
+++ b/tests/links/test_hub.py
@@ -62,6 +62,44 @@
     return ended
 
 
+def test_links_are_made_anew_under_a_changed_key() -> None:
+    # Two processes never link again, each with a key that the other refuses. They take
+    # another key while they run, one after the other: links made under the old key
+    # end, what dials with it is refused, and once both have the new one a link is up.
+    async def check() -> None:
+        async with pair() as (agent, entry, _):
+            await wait_for(lambda: agent.ups and entry.ups)
+            dials = count_dials(entry)
+            agent.hub.change_key("other")
+            await wait_for(lambda: len(dials) >= 3)
+            assert agent.downs == [("entry-0", "the shared key changed")]
+            assert len(agent.ups) == len(entry.ups) == 1
+            assert not agent.hub.hosts and not entry.hub.hosts
+            entry.hub.change_key("other")
+            await wait_for(lambda: len(agent.ups) == len(entry.ups) == 2)
+            assert agent.hub.hosts == ["entry-0"]
+            assert entry.hub.hosts == ["agent-0"]
+
+    run(check())
+
+
+def test_dialler_whose_key_changed_dials_under_the_new_one() -> None:
+    # A link stays up under a key that nobody else has. It is the dialler that takes
+    # another key first: it ends its link, and is refused until the other has it too.
+    async def check() -> None:
+        async with pair() as (agent, entry, _):
+            await wait_for(lambda: agent.ups and entry.ups)
+            dials = count_dials(entry)
+            entry.hub.change_key("other")
+            await wait_for(lambda: len(dials) >= 2)
+            assert entry.downs == [("agent-0", "the shared key changed")]
+            assert len(agent.ups) == len(entry.ups) == 1
+            agent.hub.change_key("other")
+            await wait_for(lambda: len(agent.ups) == len(entry.ups) == 2)
+
+    run(check())
+
+
 def test_silent_link_is_noticed_and_dialled_anew() -> None:
     # Messages flow again after a while. Something between the ends loses track of the
     # connection: no error comes, only silence. The heartbeat ends the link at either
