Keep gateways that a restored store lacks until they may have written

Seen: after a restore of the store gateways end links to others that are at work, and allow themselves more retries than they share: hosts that fail are asked more often than agreed. Cause: whoever was not in the next read of the partition counted as gone, also where its row was only lost with the store's newest writes. Change: `Roster` (gateway/roster.py) holds the gateways that are known. From a rise of the era on, those that a read lacks are kept beside those it has, until the store has answered for KEPT_SECONDS. Rows that stand replace the kept ones, and only rows that stand are removed. Why it holds: all see the era at their next read, 10 s later at most, look within 2 s and write within 2 s: the time is twice that. It begins at the first answer, and anew where the store is away again, as others can't write meanwhile either; gateways that have left are let go at its end. Where the era never rises the rows are what the read has.

--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -21,6 +21,7 @@
 from radishtally.gateway.loads import LoadExchange
 from radishtally.gateway.recall import Recall
 from radishtally.gateway.register import GATEWAYS, Register, read_site
+from radishtally.gateway.roster import Roster
 from radishtally.gateway.topology import (
     Site,
     choose_dialled,
@@ -69,11 +70,10 @@
         self._hub: LinkHub | None = None
         self._loads: LoadExchange | None = None
         self._dialled: set[str] = set()
+        self._roster = Roster()
         self._absences = Absences()
         self._era_risen = asyncio.Event()
         """Set while the rows of a new era have not been looked at."""
-        self._is_unread = False
-        """Whether the gateways have not been read since the era rose."""
 
     async def run(self) -> None:
         """Join the other gateways and keep up with them for good."""
@@ -107,12 +107,12 @@
             if stood_before and reads == 1:
                 gateway.runtime.spawn(gateway.recall.run(names))
             is_joining = reads < FIRST_PEER_READS
-            is_soon = is_joining or self._is_unread
+            is_soon = is_joining or self._roster.is_unread
             await self._pause(JOIN_SECONDS if is_soon else PEER_READ_SECONDS)
 
     def enter_era(self) -> None:
         """Look at the rows anew: what was written last may be gone from the store."""
-        self._is_unread = True
+        self._roster.enter_era()
         self._era_risen.set()
 
     async def _pause(self, seconds: float) -> None:
@@ -150,16 +150,16 @@
         """Read which gateways there are, keep up with them and give their names."""
         read = await self._register.read_rows()
         if read.is_error():
+            self._roster.note_unread()
             log_message("peers:unread", reason=str(read.error))
             return [self._host]
-        self._is_unread = False
-        rows = read.ok
-        if self._host not in rows:
+        rows = self._roster.take(read.ok, time.monotonic())
+        if self._host not in read.ok:
             # Another one has taken this gateway for gone, and it is back.
             await self._register.write_own()
         self._gateway.count_gateways(max(1, len(rows)))
         self._dial(rows)
-        await self._remove_gone(rows)
+        await self._remove_gone(rows, read.ok)
         return rows.keys() | {self._host}
 
     def _dial(self, rows: Mapping[str, Row]) -> None:
@@ -175,8 +175,10 @@
             self._hub.dial(name, rows[name].value["address"])
         self._dialled = dialled
 
-    async def _remove_gone(self, rows: Mapping[str, Row]) -> None:
-        """Remove the rows of gateways that are gone for good.
+    async def _remove_gone(
+        self, rows: Mapping[str, Row], standing: Mapping[str, Row]
+    ) -> None:
+        """Remove the rows that stand of gateways that are gone for good.
 
         Machines are replaced under new names. Left alone, the rows would grow in number
         for good: each gateway would dial more and more that never answer, and retries
@@ -194,7 +196,8 @@
         if find_first(watched, self._host, self._hub.hosts) != self._host:
             return
         for name in self._absences.list_longer(GONE_SECONDS, now):
-            await self._register.remove(rows[name])
+            if name in standing:
+                await self._register.remove(standing[name])
 
     def _link_up(self, hello: Hello) -> None:
         self._loads.greet(hello.host)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from radishtally.gateway import peers, register
+from radishtally.gateway import peers, register, roster
 from radishtally.gateway.bounds import find_retry_floor
 from radishtally.gateway.daemon import Gateway
 from radishtally.gateway.register import GATEWAYS, SECRET
@@ -323,3 +323,38 @@
             assert not second.runtime.stopping.is_set()
 
     run(play())
+
+
+# Hosts that fail are asked more often than agreed, and gateways don't know what others
+# have open: their rows are gone with the store's newest writes, so the links to them
+# end and the retries are shared among fewer, though all are at work and write again.
+@pytest.mark.usefixtures("seldom_reads")
+def test_gateways_that_a_new_era_lacks_are_kept_until_they_may_have_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with deployment() as made, run_gateway(made.store, "gateway-2") as second:
+            first = made.gateway
+            await wait_for_row(made, GATEWAYS, "gateway-2")
+            await wait_until(lambda: first.peers._hub is not None)
+            await first.peers._follow_rows()
+            await wait_until(lambda: first.peers._hub.hosts == ["gateway-2"])
+            shared = find_retry_floor(first.settings.bounds, 2)
+            link = first.peers._hub._links["gateway-2"]
+            made.rows.write(Name(TABLE, GATEWAYS, "gateway-2"), None)
+            first.peers.enter_era()
+            await wait_until(lambda: not first.peers._roster.is_unread)
+            assert first.peers._hub._links == {"gateway-2": link}
+            assert first.core.budgets.floor == shared
+            # One that did not write again is let go in the end.
+            monkeypatch.setattr(roster, "KEPT_SECONDS", 0.0)
+            await first.peers._follow_rows()
+            await wait_until(lambda: not first.peers._hub.hosts)
+            assert first.core.budgets.floor > shared
+            second.peers.enter_era()
+            await wait_for_row(made, GATEWAYS, "gateway-2")
+            await first.peers._follow_rows()
+            await wait_until(lambda: first.peers._hub.hosts == ["gateway-2"])
+            assert first.core.budgets.floor == shared
+
+    run(play())
