Test what gateways do where a new era turns their writes away

Checked, and found right as it stands: a write or removal under a revision of before a restore that ends in a conflict, unclear or not done gives a line in the log, no end of the process, and a new try under what stands then. A removed gateway's row that comes back with the copy is removed anew, and is not kept as that of one that may write again. The other tests have no fault to show; they hold for any later change.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -7,13 +7,23 @@
 
 import msgspec
 import pytest
+from eliot import add_destinations, remove_destination
 
 from radishtally.gateway import peers, register, roster
 from radishtally.gateway.bounds import find_retry_floor
 from radishtally.gateway.daemon import Gateway
 from radishtally.gateway.register import GATEWAYS, SECRET
 from radishtally.outcome import Error, Result
-from radishtally.store.core import ABSENT, Delete, Key, Put, Unavailable
+from radishtally.store.core import (
+    ABSENT,
+    Conflict,
+    Delete,
+    Key,
+    Put,
+    TableError,
+    Unavailable,
+    Unclear,
+)
 from standins.rows import Name
 from tests.common import run
 from tests.gateway.common import Deployment, deployment, run_gateway, wait_until
@@ -24,6 +34,7 @@
 STORE_READS = 2_000
 """Reads a second that the store carries out."""
 MOST_GATEWAYS = 330
+AWAY = Unavailable("away")
 LOOK_READS = 3
 """Reads by which a gateway looks at a new era: secret, own row, all rows."""
 
@@ -235,7 +246,7 @@
             await stack.enter_async_context(run_gateway(made.store, "gateway-2"))
             await wait_for_row(made, GATEWAYS, "gateway-2")
             read_rows = gateway.peers._register.read_rows
-            failures = [Error(Unavailable("away"))] * 3
+            failures = [Error(AWAY)] * 3
 
             async def read() -> Result:
                 return failures.pop() if failures else await read_rows()
@@ -358,3 +369,130 @@
             assert first.core.budgets.floor == shared
 
     run(play())
+
+
+# Gateways share their retries with a machine that was replaced, and dial it for good:
+# its row was removed, and came back with the copy from which the store was restored.
+# Being out of reach it is removed anew, and not kept as one that may write again.
+@pytest.mark.usefixtures("seldom_reads")
+def test_removed_gateway_that_came_back_with_the_copy_is_removed_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            older = {"rev": 1, "write_id": "w", "value": {"address": "127.0.0.1:9"}}
+            data = base64.b64encode(msgspec.json.encode(older)).decode()
+            made.rows.write(Name(TABLE, GATEWAYS, "gateway-0"), data)
+            gateway.peers.enter_era()
+            await wait_until(lambda: not gateway.peers._roster.is_unread)
+            assert read_value(made, GATEWAYS, "gateway-0") == data
+            assert gateway._gateways == 2
+            monkeypatch.setattr(peers, "GONE_SECONDS", -1.0)
+            await gateway.peers._follow_rows()
+            assert read_value(made, GATEWAYS, "gateway-0") is None
+            monkeypatch.setattr(roster, "KEPT_SECONDS", 0.0)
+            await gateway.peers._follow_rows()
+            assert gateway._gateways == 1
+
+    run(play())
+
+
+# The process ends, or the row stays for good. The removal of a gateway's row is turned
+# away, or left open, as its revision is of before the restore: that is no broken
+# invariant, and the next read gives the revision under which it can be removed.
+@pytest.mark.parametrize("error", [Conflict((0,)), Unclear("older era"), AWAY])
+@pytest.mark.usefixtures("seldom_reads")
+def test_removal_that_a_new_era_turns_away_is_tried_again(
+    error: TableError, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            gone = Put(Key(GATEWAYS, "gateway-0"), {"address": "127.0.0.1:9"}, ABSENT)
+            assert (await gateway.table.transact([gone], "w")).is_ok()
+            monkeypatch.setattr(peers, "GONE_SECONDS", -1.0)
+            monkeypatch.setattr(register, "WRITE_SECONDS", 0.1)
+            transact = gateway.table.transact
+            tried, logged = [], []
+            add_destinations(logged.append)
+            # Lines of before there was any destination come first.
+            logged.clear()
+
+            async def turn_away(*args: object) -> Result:
+                tried.append(args)
+                return Error(error)
+
+            monkeypatch.setattr(gateway.table, "transact", turn_away)
+            await gateway.peers._follow_rows()
+            remove_destination(logged.append)
+            assert tried
+            lines = [line for line in logged if line["message_type"] == "peers:gone"]
+            assert [line["outcome"] for line in lines] == [str(error)]
+            monkeypatch.setattr(gateway.table, "transact", transact)
+            await gateway.peers._follow_rows()
+            assert read_value(made, GATEWAYS, "gateway-0") is None
+            assert not gateway.runtime.stopping.is_set()
+
+    run(play())
+
+
+# What is written in a look is gone for good: the store is restored a second time while
+# the look is under way, and the gateway takes the rise for the one that it looks at.
+@pytest.mark.usefixtures("seldom_reads")
+def test_second_restore_within_a_look_leads_to_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            write_own, looks = gateway.peers._register.write_own, []
+
+            async def write() -> bool:
+                looks.append(await write_own())
+                if len(looks) == 1:
+                    made.rows.write(Name(TABLE, GATEWAYS, "gateway-1"), None)
+                    made.rows.write(Name(TABLE, *SECRET), None)
+                    gateway.peers.enter_era()
+                return looks[-1]
+
+            monkeypatch.setattr(gateway.peers._register, "write_own", write)
+            gateway.peers.enter_era()
+            await wait_until(lambda: len(looks) > 1)
+            await wait_for_row(made, GATEWAYS, "gateway-1")
+            await wait_for_row(made, *SECRET)
+
+    run(play())
+
+
+# As above, but the store is restored while the gateway starts, when what it has
+# written may be lost too: it goes on as if it had joined, and nobody finds it.
+@pytest.mark.usefixtures("seldom_reads")
+def test_restore_within_the_start_is_looked_at_once_started(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await wait_until(lambda: made.gateway._gateways == 1)
+            find_secret = register.Register.find_secret
+            found, restored = [], asyncio.Event()
+
+            async def find(self: register.Register, *known: str) -> str:
+                found.append(await find_secret(self, *known))
+                await restored.wait()
+                return found[-1]
+
+            monkeypatch.setattr(register.Register, "find_secret", find)
+            async with run_gateway(made.store, "gateway-2") as second:
+                await wait_until(lambda: len(found) == 1)
+                made.rows.write(Name(TABLE, *SECRET), None)
+                second.peers.enter_era()
+                restored.set()
+                await wait_for_row(made, *SECRET)
+                assert read_secret(made) == found[0]
+                await wait_for_row(made, GATEWAYS, "gateway-2")
+
+    run(play())
--- a/tests/gateway/test_register.py
+++ b/tests/gateway/test_register.py
@@ -3,14 +3,23 @@
 import asyncio
 
 import pytest
+from eliot import add_destinations, remove_destination
 
 from radishtally.gateway import register
 from radishtally.gateway.register import SECRET, Register
 from radishtally.gateway.topology import Site
 from radishtally.outcome import Error, Result
-from radishtally.store.core import ABSENT, Put, Unavailable
+from radishtally.store.core import (
+    ABSENT,
+    Conflict,
+    Put,
+    TableError,
+    Unavailable,
+    Unclear,
+)
 from tests.common import MemoryTable, run
 
+AWAY = Unavailable("away")
 OURS = {"secret": "ours"}
 OTHERS = {"secret": "others"}
 
@@ -97,3 +106,58 @@
         assert (await table.get(SECRET)).ok.value == OURS
 
     run(play())
+
+
+# The process ends, or the others never find this gateway. Its row was read before the
+# restore, so the write under that revision is turned away or left open: it reads the
+# row again, says so in the log, and writes under what stands now.
+@pytest.mark.parametrize("error", [Conflict((0,)), Unclear("older era"), AWAY])
+def test_own_row_is_written_though_a_new_era_turns_a_write_away(
+    error: TableError, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    class Restored(MemoryTable):
+        errors = [error]
+
+        async def transact(self, *args: object) -> Result:
+            if self.errors:
+                return Error(self.errors.pop())
+            return await super().transact(*args)
+
+    async def play() -> None:
+        monkeypatch.setattr(register, "JOIN_SECONDS", 0.0)
+        table, logged = Restored(), []
+        add_destinations(logged.append)
+        logged.clear()
+        assert not await make_register(table).write_own()
+        remove_destination(logged.append)
+        assert await make_register(table).write_own()
+        assert not table.errors
+        lines = [line for line in logged if line["message_type"] == "peers:not_joined"]
+        settled = [] if isinstance(error, Unclear) else [str(error)]
+        assert [line["reason"] for line in lines] == settled
+
+    run(play())
+
+
+# As above: a write that is left open until its time is over is not taken for done.
+def test_own_row_whose_write_stays_unclear_is_read_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        monkeypatch.setattr(register, "JOIN_SECONDS", 0.0)
+        monkeypatch.setattr(register, "WRITE_SECONDS", 0.01)
+        table, logged = MemoryTable(), []
+        table.drop_writes = 1_000_000
+        add_destinations(logged.append)
+        logged.clear()
+        writing = asyncio.create_task(make_register(table).write_own())
+        async with asyncio.timeout(10.0):
+            while not any("Unclear" in str(line.get("reason")) for line in logged):
+                await asyncio.sleep(0.005)
+        remove_destination(logged.append)
+        assert not writing.done()
+        table.drop_writes = 0
+        assert not await writing
+        assert await make_register(table).write_own()
+
+    run(play())
