--- /dev/null
+++ b/tests/gateway/test_peers_restore.py
@@ -0,0 +1,396 @@
+"""What gateways know of each other once the store was restored."""
+
+import asyncio
+import base64
+from contextlib import AsyncExitStack
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+from eliot import add_destinations, remove_destination
+
+from radishtally.gateway import peers, register, roster
+from radishtally.gateway.bounds import find_retry_floor
+from radishtally.gateway.register import GATEWAYS, SECRET
+from radishtally.outcome import Error, Result
+from radishtally.store.core import (
+    ABSENT,
+    Conflict,
+    Key,
+    Put,
+    TableError,
+    Unavailable,
+    Unclear,
+)
+from standins.rows import Name
+from tests.common import run
+from tests.gateway.common import Deployment, deployment, run_gateway, wait_until
+from tests.gateway.test_streams import make_whole, start_engines, stream
+
+TABLE = "radishtally"
+STORE_READS = 2_000
+"""Reads a second that the store carries out."""
+MOST_GATEWAYS = 330
+AWAY = Unavailable("away")
+LOOK_READS = 3
+"""Reads by which a gateway looks at a new era: secret, own row, all rows."""
+
+
+@pytest.fixture
+def seldom_reads(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let only a new era make gateways read the store again, and at once."""
+    monkeypatch.setattr(peers, "FIRST_PEER_READS", 1)
+    monkeypatch.setattr(peers, "PEER_READ_SECONDS", 1000.0)
+    monkeypatch.setattr(peers, "ERA_LOOK_SECONDS", 0.0)
+
+
+def read_value(made: Deployment, part: str, key: str) -> str | None:
+    """Read what the store holds as a row."""
+    _, value = made.rows._rows.get(Name(TABLE, part, key), (0, None))
+    return value
+
+
+def encode_value(value: dict) -> str:
+    """Make what the store holds as a row that was written once."""
+    row = {"rev": 1, "write_id": "w", "value": value}
+    return base64.b64encode(msgspec.json.encode(row)).decode()
+
+
+def decode_value(held: str) -> dict:
+    """Read a row's value from what the store holds."""
+    return msgspec.json.decode(base64.b64decode(held))["value"]
+
+
+async def wait_for_row(made: Deployment, part: str, key: str) -> str:
+    """Wait until a row stands; give what the store holds as such."""
+    await wait_until(lambda: read_value(made, part, key) is not None)
+    return read_value(made, part, key)
+
+
+# The others drop their links to a living gateway, and load its engines without knowing
+# what it has open there, for up to ten seconds. The store comes back from a copy of
+# before the gateway's first write, so its row is missing, or of before its latest one,
+# so it names another place. Only the next read of the partition noticed the former.
+@pytest.mark.parametrize("copied", [None, {"address": "127.0.0.1:9"}])
+@pytest.mark.usefixtures("seldom_reads")
+def test_own_row_is_written_again_at_once_in_a_new_era(copied: dict | None) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            name = Name(TABLE, GATEWAYS, "gateway-1")
+            value = await wait_for_row(made, GATEWAYS, "gateway-1")
+            data = encode_value(copied) if copied else None
+            made.rows.write(name, data)
+            made.gateway.peers.enter_era()
+            await wait_until(
+                lambda: read_value(made, *name[1:]) not in {None, data},
+            )
+            assert decode_value(read_value(made, *name[1:])) == decode_value(value)
+
+    run(play())
+
+
+# A gateway that has just started gets no links from the others for ten seconds. It is
+# in the restored copy, they haven't read it yet, and the rise of the era is a sign
+# that much may be otherwise than they know.
+@pytest.mark.usefixtures("seldom_reads")
+def test_others_are_read_at_once_in_a_new_era() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            async with run_gateway(made.store, "gateway-2"):
+                await wait_for_row(made, GATEWAYS, "gateway-2")
+                gateway.peers.enter_era()
+                await wait_until(lambda: gateway.peers._hub.hosts == ["gateway-2"])
+                assert gateway._gateways == 2
+
+    run(play())
+
+
+# Hosts' entries are read late just after a restore: all gateways see the new era at
+# once, and their looks at each other's rows take all calls that the store carries out.
+# A gateway's look begins some time after the rise, another one's at another time.
+def test_looks_at_a_new_era_are_spread(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        monkeypatch.setattr(peers, "FIRST_PEER_READS", 1)
+        monkeypatch.setattr(peers, "PEER_READ_SECONDS", 1000.0)
+        async with deployment() as made:
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            made.rows.write(Name(TABLE, GATEWAYS, "gateway-1"), None)
+            drawn = []
+            draw = SimpleNamespace(uniform=lambda *a: drawn.append(a) or 1000.0)
+            monkeypatch.setattr(peers, "random", draw)
+            gateway.peers.enter_era()
+            await wait_until(lambda: (0.0, peers.ERA_LOOK_SECONDS) in drawn)
+            for _ in range(50):
+                await asyncio.sleep(0)
+            assert read_value(made, GATEWAYS, "gateway-1") is None
+
+    run(play())
+    reads = MOST_GATEWAYS * LOOK_READS / peers.ERA_LOOK_SECONDS
+    assert reads <= STORE_READS / 2
+
+
+# A gateway is not found by those that start later, and does not find them. The store
+# is away again just when it looks at the new era: its look fails, and nothing makes it
+# look again before the next read, which is far off.
+@pytest.mark.usefixtures("seldom_reads")
+def test_store_that_is_away_in_a_new_era_is_asked_until_it_is_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with AsyncExitStack() as stack:
+            made = await stack.enter_async_context(deployment())
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            await stack.enter_async_context(run_gateway(made.store, "gateway-2"))
+            await wait_for_row(made, GATEWAYS, "gateway-2")
+            read_rows = gateway.peers._register.read_rows
+            failures = [Error(AWAY)] * 3
+
+            async def read() -> Result:
+                return failures.pop() if failures else await read_rows()
+
+            monkeypatch.setattr(gateway.peers._register, "read_rows", read)
+            for module in (peers, register):
+                monkeypatch.setattr(module, "JOIN_SECONDS", 0.01)
+            made.rows.write(Name(TABLE, GATEWAYS, "gateway-1"), None)
+            made.rows.gate._fault = {"mode": "down", "count": 10}
+            gateway.peers.enter_era()
+            await wait_for_row(made, GATEWAYS, "gateway-1")
+            await wait_until(lambda: gateway.peers._hub.hosts == ["gateway-2"])
+            assert not failures
+
+    run(play())
+
+
+def read_secret(made: Deployment) -> str:
+    return decode_value(read_value(made, *SECRET))["secret"]
+
+
+def write_secret(made: Deployment, secret: str) -> None:
+    """Write a secret as another gateway does that was the first one."""
+    made.rows.write(Name(TABLE, *SECRET), encode_value({"secret": secret}))
+
+
+# Gateways that start after a restore never link to those from before it, until these
+# restart: engines get too much work, as neither group knows what the other has open.
+# The secret was lost with the newest writes, and whoever starts next draws another.
+@pytest.mark.usefixtures("seldom_reads")
+def test_gateways_from_before_a_restore_link_to_those_that_start_after_it() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            secret = read_secret(made)
+            made.rows.write(Name(TABLE, *SECRET), None)
+            gateway.peers.enter_era()
+            await wait_for_row(made, *SECRET)
+            assert read_secret(made) == secret
+            async with run_gateway(made.store, "gateway-2") as second:
+                await wait_for_row(made, GATEWAYS, "gateway-2")
+                gateway.peers.enter_era()
+                await wait_until(lambda: gateway.peers._hub.hosts == ["gateway-2"])
+                await wait_until(lambda: second.peers._hub.hosts == ["gateway-1"])
+
+    run(play())
+
+
+# As above, but one that starts after the restore was sooner, and its secret stands.
+# The others take it one by one and link anew; a request that is being answered
+# meanwhile has its whole answer, and no gateway ends.
+@pytest.mark.usefixtures("seldom_reads")
+def test_gateways_take_the_secret_of_one_that_was_sooner() -> None:
+    async def play() -> None:
+        async with deployment() as made, run_gateway(made.store, "gateway-2") as second:
+            first = made.gateway
+            engines = await start_engines(made)
+            for engine in engines:
+                engine.seconds = 0.5
+            await wait_for_row(made, GATEWAYS, "gateway-2")
+            await wait_until(lambda: first.peers._hub is not None)
+            await first.peers._follow_rows()
+            await wait_until(lambda: second.peers._hub.hosts == ["gateway-1"])
+            write_secret(made, "another")
+            work = asyncio.create_task(stream(made, "/draft/a", "r1"))
+            for gateway in (first, second):
+                links = gateway.peers._hub._links.copy()
+                gateway.peers.enter_era()
+                await wait_until(lambda g=gateway: g.peers._hub._peer_key == "another")
+                await wait_until(
+                    lambda g=gateway, old=links: g.peers._hub._links != old
+                )
+            async with run_gateway(made.store, "gateway-3") as third:
+                await wait_for_row(made, GATEWAYS, "gateway-3")
+                for gateway in (first, second):
+                    gateway.peers.enter_era()
+                await wait_until(lambda: len(third.peers._hub.hosts) == 2)
+                await wait_until(lambda: len(first.peers._hub.hosts) == 2)
+            assert read_secret(made) == "another"
+            assert await work == make_whole("r1")
+            assert not first.runtime.stopping.is_set()
+            assert not second.runtime.stopping.is_set()
+
+    run(play())
+
+
+# Hosts that fail are asked more often than agreed, and gateways don't know what others
+# have open: their rows are gone with the store's newest writes, so the links to them
+# end and the retries are shared among fewer, though all are at work and write again.
+@pytest.mark.usefixtures("seldom_reads")
+def test_gateways_that_a_new_era_lacks_are_kept_until_they_may_have_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with deployment() as made, run_gateway(made.store, "gateway-2") as second:
+            first = made.gateway
+            await wait_for_row(made, GATEWAYS, "gateway-2")
+            await wait_until(lambda: first.peers._hub is not None)
+            await first.peers._follow_rows()
+            await wait_until(lambda: first.peers._hub.hosts == ["gateway-2"])
+            shared = find_retry_floor(first.settings.bounds, 2)
+            link = first.peers._hub._links["gateway-2"]
+            made.rows.write(Name(TABLE, GATEWAYS, "gateway-2"), None)
+            first.peers.enter_era()
+            await wait_until(lambda: not first.peers._roster.is_unread)
+            assert first.peers._hub._links == {"gateway-2": link}
+            assert first.core.budgets.floor == shared
+            # One that did not write again is let go in the end.
+            monkeypatch.setattr(roster, "KEPT_SECONDS", 0.0)
+            await first.peers._follow_rows()
+            await wait_until(lambda: not first.peers._hub.hosts)
+            assert first.core.budgets.floor > shared
+            second.peers.enter_era()
+            await wait_for_row(made, GATEWAYS, "gateway-2")
+            await first.peers._follow_rows()
+            await wait_until(lambda: first.peers._hub.hosts == ["gateway-2"])
+            assert first.core.budgets.floor == shared
+
+    run(play())
+
+
+# Gateways share their retries with a machine that was replaced, and dial it for good:
+# its row was removed, and came back with the copy from which the store was restored.
+# Being out of reach it is removed anew, and not kept as one that may write again.
+@pytest.mark.usefixtures("seldom_reads")
+def test_removed_gateway_that_came_back_with_the_copy_is_removed_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            data = encode_value({"address": "127.0.0.1:9"})
+            made.rows.write(Name(TABLE, GATEWAYS, "gateway-0"), data)
+            gateway.peers.enter_era()
+            await wait_until(lambda: not gateway.peers._roster.is_unread)
+            assert read_value(made, GATEWAYS, "gateway-0") == data
+            assert gateway._gateways == 2
+            monkeypatch.setattr(peers, "GONE_SECONDS", -1.0)
+            await gateway.peers._follow_rows()
+            assert read_value(made, GATEWAYS, "gateway-0") is None
+            monkeypatch.setattr(roster, "KEPT_SECONDS", 0.0)
+            await gateway.peers._follow_rows()
+            assert gateway._gateways == 1
+
+    run(play())
+
+
+# The process ends, or the row stays for good. The removal of a gateway's row is turned
+# away, or left open, as its revision is of before the restore: that is no broken
+# invariant, and the next read gives the revision under which it can be removed.
+@pytest.mark.parametrize("error", [Conflict((0,)), Unclear("older era"), AWAY])
+@pytest.mark.usefixtures("seldom_reads")
+def test_removal_that_a_new_era_turns_away_is_tried_again(
+    error: TableError, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            gone = Put(Key(GATEWAYS, "gateway-0"), {"address": "127.0.0.1:9"}, ABSENT)
+            assert (await gateway.table.transact([gone], "w")).is_ok()
+            monkeypatch.setattr(peers, "GONE_SECONDS", -1.0)
+            monkeypatch.setattr(register, "WRITE_SECONDS", 0.1)
+            transact = gateway.table.transact
+            tried, logged = [], []
+            add_destinations(logged.append)
+            # Lines of before there was any destination come first.
+            logged.clear()
+
+            async def turn_away(*args: object) -> Result:
+                tried.append(args)
+                return Error(error)
+
+            monkeypatch.setattr(gateway.table, "transact", turn_away)
+            await gateway.peers._follow_rows()
+            remove_destination(logged.append)
+            assert tried
+            lines = [line for line in logged if line["message_type"] == "peers:gone"]
+            assert [line["outcome"] for line in lines] == [str(error)]
+            monkeypatch.setattr(gateway.table, "transact", transact)
+            await gateway.peers._follow_rows()
+            assert read_value(made, GATEWAYS, "gateway-0") is None
+            assert not gateway.runtime.stopping.is_set()
+
+    run(play())
+
+
+# What is written in a look is gone for good: the store is restored a second time while
+# the look is under way, and the gateway takes the rise for the one that it looks at.
+@pytest.mark.usefixtures("seldom_reads")
+def test_second_restore_within_a_look_leads_to_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            gateway = made.gateway
+            await wait_until(lambda: gateway._gateways == 1)
+            write_own, looks = gateway.peers._register.write_own, []
+
+            async def write() -> bool:
+                looks.append(await write_own())
+                if len(looks) == 1:
+                    made.rows.write(Name(TABLE, GATEWAYS, "gateway-1"), None)
+                    made.rows.write(Name(TABLE, *SECRET), None)
+                    gateway.peers.enter_era()
+                return looks[-1]
+
+            monkeypatch.setattr(gateway.peers._register, "write_own", write)
+            gateway.peers.enter_era()
+            await wait_until(lambda: len(looks) > 1)
+            await wait_for_row(made, GATEWAYS, "gateway-1")
+            await wait_for_row(made, *SECRET)
+
+    run(play())
+
+
+# As above, but the store is restored while the gateway starts, when what it has
+# written may be lost too: it goes on as if it had joined, and nobody finds it.
+@pytest.mark.usefixtures("seldom_reads")
+def test_restore_within_the_start_is_looked_at_once_started(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await wait_until(lambda: made.gateway._gateways == 1)
+            find_secret = register.Register.find_secret
+            found, restored = [], asyncio.Event()
+
+            async def find(self: register.Register, *known: str) -> str:
+                found.append(await find_secret(self, *known))
+                await restored.wait()
+                return found[-1]
+
+            monkeypatch.setattr(register.Register, "find_secret", find)
+            async with run_gateway(made.store, "gateway-2") as second:
+                await wait_until(lambda: len(found) == 1)
+                made.rows.write(Name(TABLE, *SECRET), None)
+                second.peers.enter_era()
+                restored.set()
+                await wait_for_row(made, *SECRET)
+                assert read_secret(made) == found[0]
+                await wait_for_row(made, GATEWAYS, "gateway-2")
+
+    run(play())
