Let the store's stand-in be restored from an older copy

What the store loses and gives out again can't be shown by a test: the stand-in keeps all for ever and names no era. It now takes copies, goes back to one in a new era, loses the feeds that it holds, refuses a version that it does not have, and writes rows of others again in an order of its seed; real processes ask for it at /_copy and /_restore. Without an era it answers as before, but refuses a feed behind a version to come, as the store does.

--- a/standins/rows.py
+++ b/standins/rows.py
@@ -1,8 +1,10 @@
 """Stand-in for the platform's metadata store: rows, transactions and feeds."""
 
 import asyncio
+import random
 import time
-from typing import Any, Final, NamedTuple
+from collections.abc import Iterable
+from typing import Any, Final, NamedTuple, NotRequired, TypedDict
 
 from aiohttp import web
 
@@ -17,6 +19,7 @@
 )
 
 PAGE_ROWS: Final = 500
+ERA_HEADER: Final = "Store-Era"
 
 
 class Name(NamedTuple):
@@ -27,22 +30,53 @@
     key: str
 
 
+Held = dict[Name, tuple[int, str | None]]
+"""Version and value of each row that ever was; no value once it is dropped."""
+
+
+class Copy(NamedTuple):
+    """Hold what the store held at one moment."""
+
+    rows: Held
+    version: int
+    oldest: int
+
+
+class Restore(TypedDict):
+    """Ask for a restore."""
+
+    rewrite: NotRequired[list[str]]
+    """Tables whose rows of before are written again at once."""
+
+
 class Rows:
     """Keep rows and the versions at which they changed."""
 
-    def __init__(self) -> None:
+    def __init__(self, era: int = 0, seed: int = 0) -> None:
         self.gate = FaultGate(STORE_MODES)
-        self._rows: dict[Name, tuple[int, str | None]] = {}
-        """Version and value of each row that ever was; no value once it is dropped."""
+        self.era = era
+        """Number of the era that answers name; 0 names none, for ever."""
+        self._random = random.Random(seed)
+        self._rows: Held = {}
         self._version = 0
         self._oldest = 0
         """Version behind which the history is known."""
         self._changed = asyncio.Event()
+        self._copy = self.take_copy()
+        """Copy that a restore asked for by a call goes back to."""
+        self._lost: Held = {}
+        """Rows as they were before the last restore."""
+        self._restores = 0
+        self.held = 0
+        """Feeds that wait for a change."""
 
     def build_app(self) -> web.Application:
         """Build the application with its routes."""
         app = build_app()
+        app.on_response_prepare.append(self._name_era)
         app.router.add_post("/_compact", self._compact)
+        app.router.add_post("/_copy", self._keep_copy)
+        app.router.add_post("/_restore", self._restore)
         self.gate.install(app)
         app.router.add_post("/api/rows-tx", self._transact)
         app.router.add_get("/api/rows-get", self._get)
@@ -53,35 +87,77 @@
         """Write a row, or drop it, as the operator and the hosts do."""
         self._version += 1
         self._rows[name] = self._version, value
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake()
         return self._version
 
     def compact(self) -> None:
         """Forget the history."""
         self._version += 1
         self._oldest = self._version
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def _compact(self, request: web.Request) -> web.Response:
-        self.compact()
-        return reply_json({})
-
-    async def _transact(self, request: web.Request) -> web.Response:
-        body = await read_json(request, dict[str, Any])
+        self._wake()
+
+    def take_copy(self) -> Copy:
+        """Copy all rows, and the version that comes with them."""
+        return Copy(dict(self._rows), self._version, self._oldest)
+
+    def restore(self, copy: Copy) -> None:
+        """Go back to a copy, in a new era; what was written since is lost."""
+        self._lost = self._rows
+        self._rows = dict(copy.rows)
+        self._version, self._oldest = copy.version, copy.oldest
+        self._restores += 1
+        self.era += 1 if self.era else 0
+        self._wake()
+
+    def rewrite(self, names: Iterable[Name]) -> None:
+        """Write rows again as they were before the last restore, in any order."""
+        shuffled = sorted(names)
+        self._random.shuffle(shuffled)
+        for name in shuffled:
+            self.write(name, self._lost.get(name, (0, None))[1])
+
+    def transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Carry out a transaction; give status and body of the answer."""
         expected = [(_name(row), row["ver"]) for row in body.get("expected", [])]
         if any(self._get_version(name) != version for name, version in expected):
             rows = [self._show(name) for name, _ in expected if self._is_there(name)]
-            return reply_json(self._page(rows), status=412)
+            return 412, self._page(rows)
         self._version += 1
         for row in body.get("writes", []):
             self._rows[_name(row)] = self._version, row["value"]
         for row in body.get("remove", []):
             self._rows[_name(row)] = self._version, None
+        self._wake()
+        return 200, self._page([])
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return reply_json(self._page([]))
+
+    async def _name_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.era:
+            response.headers.setdefault(ERA_HEADER, str(self.era))
+
+    async def _compact(self, request: web.Request) -> web.Response:
+        self.compact()
+        return reply_json({})
+
+    async def _keep_copy(self, request: web.Request) -> web.Response:
+        self._copy = self.take_copy()
+        return reply_json({})
+
+    async def _restore(self, request: web.Request) -> web.Response:
+        asked = await read_json(request, Restore)
+        tables = asked.get("rewrite", [])
+        self.restore(self._copy)
+        self.rewrite(name for name in self._lost if name.table in tables)
+        return reply_json({})
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        status, page = self.transact(await read_json(request, dict[str, Any]))
+        return reply_json(page, status=status)
 
     async def _get(self, request: web.Request) -> web.Response:
         query = request.query
@@ -102,8 +178,11 @@
     async def _feed(self, request: web.Request) -> web.Response:
         table, after = request.query["table"], int(request.query["after"])
         until = time.monotonic() + int(request.query["waitMs"]) / 1000
+        restores = self._restores
         while True:
-            if after < self._oldest:
+            if restores != self._restores:
+                return abort(request)
+            if not self._oldest <= after <= self._version:
                 return web.Response(status=410)
             rows = [
                 self._show(name)
@@ -118,11 +197,14 @@
 
     async def _wait(self, seconds: float) -> None:
         changed = self._changed
+        self.held += 1
         try:
             async with asyncio.timeout(seconds):
                 await changed.wait()
         except TimeoutError:
             return
+        finally:
+            self.held -= 1
 
     def _is_there(self, name: Name) -> bool:
         return self._rows.get(name, (0, None))[1] is not None
@@ -140,14 +222,23 @@
         return {"rows": rows, "ver": self._version, "nowMs": steady}
 
 
+def abort(request: web.Request) -> web.Response:
+    """End a request as a lost connection."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
 def _name(row: dict[str, Any]) -> Name:
     return Name(row["table"], row.get("part", ""), row["key"])
 
 
 def main() -> None:
     """Run the store."""
-    args = build_parser("metadata store").parse_args()
-    serve(Rows().build_app(), args.address, args.port)
+    parser = build_parser("metadata store")
+    parser.add_argument("--era", type=int, default=0)
+    args = parser.parse_args()
+    serve(Rows(args.era).build_app(), args.address, args.port)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/adapter/test_rows_standin.py
@@ -0,0 +1,128 @@
+"""Tests of the store's stand-in: its eras, copies and restores."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from radishtally.exchange import SendOnce
+from standins.rows import Name, Rows
+from tests.common import run, standin
+from tests.gateway.common import WAIT_SECONDS, serve
+
+FIRST, SECOND, THIRD = (Name("servers", "", key) for key in "abc")
+ERA = "Store-Era"
+
+
+async def call(address, path, body=None):
+    """Make a call on a connection of its own; give status, era and decoded body."""
+    async with aiohttp.ClientSession() as session:
+        method = "GET" if body is None else "POST"
+        async with session.request(
+            method, f"http://{address}{path}", json=body, middlewares=(SendOnce(),)
+        ) as reply:
+            page = await reply.json() if reply.status in (200, 412) else None
+            return reply.status, reply.headers.get(ERA), page
+
+
+async def read(address):
+    """Read the values of one table."""
+    status, era, page = await call(address, "/api/rows-get?table=servers")
+    assert status == 200
+    return era, {row["key"]: row["value"] for row in page["rows"]}
+
+
+def feed(after, wait=0):
+    return f"/api/rows-feed?table=servers&after={after}&waitMs={wait}"
+
+
+def test_era_is_named_only_where_it_is_asked_for() -> None:
+    async def play() -> None:
+        silent, telling = Rows(), Rows(era=3)
+        for rows, era in ((silent, None), (telling, "3")):
+            address = await serve(rows.build_app())
+            assert await read(address) == (era, {})
+            assert (await call(address, feed(9)))[:2] == (410, era)
+            assert (await call(address, "/api/unknown"))[:2] == (404, era)
+            refused = {"expected": [{**FIRST._asdict(), "ver": 4}]}
+            assert (await call(address, "/api/rows-tx", refused))[:2] == (412, era)
+        silent.restore(silent.take_copy())
+        assert silent.era == 0
+
+    run(play())
+
+
+def test_restore_goes_back_and_gives_versions_out_again() -> None:
+    async def play() -> None:
+        rows = Rows(era=1)
+        address = await serve(rows.build_app())
+        rows.write(FIRST, "old")
+        copy = rows.take_copy()
+        lost = rows.write(FIRST, "new")
+        rows.write(SECOND, "new")
+        rows.restore(copy)
+        assert await read(address) == ("2", {"a": "old"})
+        assert (await call(address, feed(lost)))[0] == 410
+        assert (await call(address, feed(lost - 1)))[0] == 200
+        assert rows.write(THIRD, "other") == lost
+        assert (await call(address, feed(lost)))[2]["rows"] == []
+        rows.restore(copy)
+        assert await read(address) == ("3", {"a": "old"})
+
+    run(play())
+
+
+def test_rows_are_written_again_in_an_order_of_the_seed() -> None:
+    names = [Name("servers", "", str(number)) for number in range(20)]
+
+    def restore(seed):
+        rows = Rows(era=1, seed=seed)
+        rows.write(THIRD, "there")
+        copy = rows.take_copy()
+        for name in names:
+            rows.write(name, f"value {name.key}")
+        rows.write(THIRD, None)
+        rows.restore(copy)
+        rows.rewrite([*names, THIRD])
+        return rows.take_copy().rows
+
+    held = restore(1)
+    assert held == restore(1)
+    assert [held[name] for name in names] != [restore(2)[name] for name in names]
+    assert [held[name][1] for name in names] == [f"value {n.key}" for n in names]
+    assert held[THIRD][1] is None
+    versions = [version for version, _ in held.values()]
+    assert sorted(versions) == list(range(2, 23))
+
+
+def test_held_feed_is_lost_at_a_restore() -> None:
+    async def play() -> None:
+        rows = Rows(era=1)
+        address = await serve(rows.build_app())
+        held = asyncio.create_task(call(address, feed(0, 30_000)))
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not rows.held:
+                await asyncio.sleep(0)
+            rows.restore(rows.take_copy())
+            with pytest.raises(aiohttp.ClientError):
+                await held
+        assert rows.held == 0
+
+    run(play())
+
+
+def test_process_is_restored_by_a_call() -> None:
+    with standin("rows", "--era", "1") as store:
+
+        def write(value, *names):
+            writes = [{**name._asdict(), "value": value} for name in names]
+            store.post("/api/rows-tx", {"writes": writes})
+
+        write("old", FIRST)
+        store.post("/_copy", {})
+        write("new", FIRST, SECOND)
+        store.post("/_restore", {})
+        assert run(read(store.address)) == ("2", {"a": "old"})
+        write("new", FIRST, SECOND)
+        store.post("/_restore", {"rewrite": ["servers"]})
+        assert run(read(store.address)) == ("3", {"a": "new", "b": "new"})
