Write under no version of the store that is of an older era

A write is made over another's and its writer is told that all is well: after a restore from an older copy, versions and counts of writes are given out again, and a condition holds by chance. Cause: the table's versions were kept across the restore, and a row read anew was told from the expected one by its count alone. A write that crossed a restore is unclear, nothing is remembered from it, and then only the write id settles it.

Rows tell their era. Two tests gave the table no client at all; they give one that nobody answers now.

--- a/radishtally/store/core.py
+++ b/radishtally/store/core.py
@@ -25,6 +25,8 @@
     rev: int
     write_id: str
     value: dict[str, Any]
+    era: int = 0
+    """Era of the store whose answer showed the row; 0 where it tells none."""
 
 
 class Put(NamedTuple):
--- a/radishtally/store/settle.py
+++ b/radishtally/store/settle.py
@@ -39,14 +39,18 @@
     The write id must be new, and rows that others write too need a condition.
     """
     unclear: Unclear | None = None
+    unclear_in = 0
     pause = FIRST_PAUSE_SECONDS
     while (left := deadline - clock()) > 0:
+        era = _get_era(table)
         result = await _transact_within(table, writes, write_id, left)
         if result.is_ok():
             return result
         error = result.error
         if isinstance(error, Conflict):
-            verdict = await _judge_conflict(table, writes, write_id, error, unclear)
+            verdict = await _judge_conflict(
+                table, writes, write_id, error, unclear, unclear_in
+            )
             if verdict is not None:
                 return verdict
             error = Unclear("conflict, and its rows can't be read")
@@ -56,7 +60,9 @@
         # Symptom: taking the later answer for the outcome of the earlier attempt,
         # which may have taken effect or still be under way. Once unclear, only a
         # write that passed or a conflict that is not our own settles it.
-        unclear = error if isinstance(error, Unclear) else unclear
+        if isinstance(error, Unclear):
+            unclear_in = era if unclear is None else unclear_in
+            unclear = error
         await asyncio.sleep(min(random.uniform(0.5, 1) * pause, deadline - clock()))
         pause = min(2 * pause, MAX_PAUSE_SECONDS)
     return Error(unclear or Unavailable("deadline passed before the write was sent"))
@@ -78,10 +84,19 @@
     write_id: str,
     conflict: Conflict,
     unclear: Unclear | None,
+    unclear_in: int,
 ) -> Verdict | None:
+    # Failure: the store is restored from an older copy after an unclear attempt.
+    # Symptom: rows that the attempt wrote have gone back, and it is taken for one that
+    # never passed, while it may still be carried out. Then nothing but the write id
+    # tells.
+    def is_one_era(row: Row | None = None) -> bool:
+        eras = {_get_era(table), unclear_in if row is None else row.era}
+        return unclear is None or eras == {unclear_in}
+
     # Had an attempt of ours passed, every row that it wrote under a condition would
     # have moved on and would conflict now. One that does not tells that none passed.
-    if any(
+    if is_one_era() and any(
         index not in conflict.indexes and _is_conditional(write)
         for index, write in enumerate(writes)
     ):
@@ -94,11 +109,16 @@
             return None
         if read.ok is not None and read.ok.write_id == write_id:
             return Ok(None)
-        if _is_first_successor(write, read.ok):
+        if is_one_era(read.ok) and _is_first_successor(write, read.ok):
             return Error(conflict)
     return Error(conflict if unclear is None else unclear)
 
 
+def _get_era(table: Table) -> int:
+    """Give the newest era that a table has seen; 0 for one that knows none."""
+    return getattr(table, "era", 0)
+
+
 def _is_conditional(write: Write) -> bool:
     return isinstance(write, Delete) or (
         isinstance(write, Put) and write.expect is not None
--- a/tests/adapter/test_settings_file.py
+++ b/tests/adapter/test_settings_file.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 import radishtallyd
+from adapter.store import StoreClient
 
 from radishtally.gateway.config import GatewaySettings
 from radishtally.runtime import Runtime
@@ -13,6 +14,8 @@
 from tests.gateway.common import make_gateway
 
 WAIT_SECONDS = 10.0
+NOBODY = "127.0.0.1:9"
+"""Address of a store that nobody asks."""
 
 
 class FakeGateway:
@@ -51,7 +54,7 @@
     monkeypatch.setattr(radishtallyd, "Watcher", NoWatcher)
 
     async def play() -> None:
-        settings = make_gateway(None, "127.0.0.1:9", "g").settings
+        settings = make_gateway(StoreClient(NOBODY), NOBODY, "g").settings
         changed = msgspec.structs.replace(settings.bounds, grace_seconds=9.0)
         settings_now = msgspec.structs.replace(settings, bounds=changed)
         file.write_bytes(msgspec.json.encode(settings_now))
@@ -71,7 +74,7 @@
     monkeypatch.setattr(
         radishtallyd, "log_message", lambda name, **more: lines.append(name)
     )
-    settings = make_gateway(None, "127.0.0.1:9", "g").settings
+    settings = make_gateway(StoreClient(NOBODY), NOBODY, "g").settings
     gateway = FakeGateway(settings)
     follower = radishtallyd.SettingsFollower(gateway, settings)
     file.write_bytes(msgspec.json.encode(settings)[:-20])
--- a/tests/store/test_settle.py
+++ b/tests/store/test_settle.py
@@ -8,9 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from radishtally.outcome import Error
+from radishtally.outcome import Error, Ok
 from radishtally.store import settle
-from radishtally.store.core import ABSENT, Check, Conflict, Key, Put, Unavailable
+from radishtally.store.core import ABSENT, Check, Conflict, Key, Put, Row, Unavailable
 from radishtally.store.settle import transact_settled
 from tests.common import run
 from tests.store.common import name_outcome
@@ -128,3 +128,71 @@
         return await asyncio.wait_for(settled, HANG_SECONDS)
 
     assert name_outcome(run(body())) == "Unclear"
+
+
+class RestoredTable(FaultyTable):
+    """Be restored before the second attempt, which meets another's write there."""
+
+    def __init__(self, faults: list[str], is_restored: bool) -> None:
+        super().__init__(faults)
+        self.era = 1
+        self.copy: dict[Key, Row] = {}
+        """Rows that a restore goes back to."""
+        self._attempts = 0
+        self._is_restored = is_restored
+
+    async def get(self, key):
+        """Read one row."""
+        read = await super().get(key)
+        if read.is_error() or read.ok is None:
+            return read
+        return Ok(read.ok._replace(era=self.era))
+
+    async def transact(self, writes, write_id):
+        """Carry out all writes or none, in the era that is now."""
+        self._attempts += 1
+        if self._attempts == 2:
+            self._restore()
+            self.write_as_other(writes[:1])
+        return await super().transact(writes, write_id)
+
+    def _restore(self) -> None:
+        if not self._is_restored:
+            return
+        self.rows.clear()
+        self.rows.update(self.copy)
+        self.era += 1
+
+
+# A writer is told that its write never passed, and it stands all the same or is done
+# later: the first attempt was unclear, the store was restored from an older copy, and
+# the next attempt meets another's write there. A row one further on, or one that has
+# not moved, tells of the attempts in its own era only.
+@pytest.mark.parametrize("rows", [1, 2])
+@pytest.mark.parametrize(
+    ("fault", "is_restored", "outcome"),
+    [
+        (LOST, False, "Conflict"),
+        (LATE, False, "Conflict"),
+        (LAST, False, "Conflict"),
+        (LOST, True, "Unclear"),
+        (KEPT, True, "Unclear"),
+        (LATE, True, "Unclear"),
+        (LAST, True, "Unclear"),
+    ],
+)
+def test_restore_between_sending_and_judging(fault, is_restored, outcome, rows):
+    table = RestoredTable([fault], is_restored)
+    puts = [Put(Key("p", str(n)), {}, 1) for n in range(rows)]
+    table.write_as_other(puts)
+    table.copy = dict(table.rows)
+    assert name_outcome(write(table, puts)) == outcome
+
+
+# What stands under the write's id has passed, also where the store was restored from a
+# copy made behind the write.
+def test_write_id_decides_after_a_restore():
+    table = RestoredTable([KEPT], is_restored=True)
+    puts = [Put(Key("p", str(n)), {}, ABSENT) for n in range(2)]
+    table.copy = {puts[1].key: Row(puts[1].key, 1, "mine", {})}
+    assert name_outcome(write(table, puts)) == "Ok"
