Play writers, followers and late writes across restores of the store

Any order of reads, conditional writes by two tables, feeds by two followers, restores, rows written again and writes done late is held against what was acknowledged in which era.

--- /dev/null
+++ b/tests/adapter/test_eras_machine.py
@@ -0,0 +1,267 @@
+"""State machine of a store that is restored: writers, followers and late writes."""
+
+import base64
+import json
+from typing import Any, NamedTuple
+
+import uvloop
+from adapter.store import Compacted, Page, StoreClient
+from adapter.table import TABLE, StoreTable
+from aiohttp import web
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from radishtally.outcome import Result
+from radishtally.store.core import ABSENT, Conflict, Key, Put, Row, TableError, Unclear
+from standins.common import read_json
+from standins.rows import Copy, Name, Rows, abort
+from tests.gateway.common import serve
+
+KEYS = st.sampled_from([Key("p", "a"), Key("p", "b")])
+BOTH = st.integers(0, 1)
+HOSTS = st.sampled_from("xyz")
+SERVERS = "servers"
+
+
+class Kept(NamedTuple):
+    """Hold a copy of the store and what was acknowledged when it was made."""
+
+    copy: Copy
+    acknowledged: dict[Key, str]
+
+
+class LossyRows(Rows):
+    """Keep writes back for later, as a store does that answers none of them."""
+
+    def __init__(self) -> None:
+        super().__init__(era=1)
+        self.keeps_back = False
+        self.late: list[dict[str, Any]] = []
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        if not self.keeps_back:
+            return await super()._transact(request)
+        self.late.append(await read_json(request, dict[str, Any]))
+        return abort(request)
+
+
+class Writer:
+    """Write rows as it last saw them, through a table of its own."""
+
+    def __init__(self, client: StoreClient) -> None:
+        self.client = client
+        self.table = StoreTable(client)
+        self.seen: dict[Key, Row | None] = {}
+
+    async def read(self, key: Key) -> Row | None:
+        """Read until the era of the answer is the one that was known."""
+        while (read := await self.table.get(key)).is_error():
+            pass
+        self.seen[key] = read.ok
+        return read.ok
+
+
+class Follower:
+    """Follow the hosts' table; drop the version when the era rises."""
+
+    def __init__(self, client: StoreClient) -> None:
+        self.client = client
+        self.version: int | None = None
+        self.hosts: dict[str, bytes] = {}
+        client.on_era.append(self._enter_era)
+
+    def _enter_era(self, before: int, after: int) -> None:
+        self.version = None
+
+    async def follow(self) -> None:
+        """Take what is new until an answer was taken."""
+        while not self._take(await self._ask()):
+            pass
+
+    async def _ask(self) -> Page | Compacted | None:
+        if self.version is None:
+            read = await self.client.read_table(SERVERS)
+        else:
+            read = await self.client.follow_table(SERVERS, self.version, 0.0)
+        return None if read.is_error() else read.ok
+
+    def _take(self, page: Page | Compacted | None) -> bool:
+        if not isinstance(page, Page):
+            self.version = None if isinstance(page, Compacted) else self.version
+            return False
+        if self.version is None:
+            self.hosts.clear()
+        self.version = page.version
+        for row in page.rows:
+            self.hosts.pop(row.key, None)
+            if row.value is not None:
+                self.hosts[row.key] = row.value
+        return True
+
+
+class ErasMachine(RuleBasedStateMachine):
+    """Play writers, followers and restores against what was acknowledged."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = uvloop.new_event_loop()
+        self.rows = LossyRows()
+        self.ids = 0
+        self.acknowledged: dict[Key, str] = {}
+        """Id of the newest write of each row that was acknowledged in this era."""
+        self.clients: list[StoreClient] = []
+        self.loop.run_until_complete(self._start())
+        self.kept = [Kept(self.rows.take_copy(), {})]
+
+    async def _start(self) -> None:
+        address = await serve(self.rows.build_app())
+        for _ in range(4):
+            client = StoreClient(address)
+            await client.start()
+            self.clients.append(client)
+        self.writers = [Writer(client) for client in self.clients[:2]]
+        self.followers = [Follower(client) for client in self.clients[2:]]
+
+    def teardown(self) -> None:
+        """Check that nothing was missed, and end the calls."""
+        for number in range(2):
+            self.follow(number)
+        self.loop.run_until_complete(self._stop())
+        self.loop.close()
+
+    async def _stop(self) -> None:
+        for client in self.clients:
+            await client.stop()
+
+    @rule(number=BOTH, key=KEYS)
+    def read(self, number: int, key: Key) -> None:
+        """Read a row as it stands."""
+        row = self.loop.run_until_complete(self.writers[number].read(key))
+        assert (row and row.write_id) == self._find_id(key)
+        assert row is None or row.era == self.rows.era
+
+    @rule(number=BOTH, key=KEYS)
+    def list_rows(self, number: int, key: Key) -> None:
+        """Read rows through a writer's table without its knowledge."""
+        self.loop.run_until_complete(self.writers[number].table.query(key.pk))
+
+    @rule(number=BOTH, key=KEYS, is_late=st.booleans())
+    def write(self, number: int, key: Key, is_late: bool) -> None:
+        """Write a row as its writer saw it last, whenever that was."""
+        stood = self._find_id(key)
+        self.rows.keeps_back = is_late
+        wrote = self._send(number, key)
+        self.rows.keeps_back = False
+        if wrote.is_ok():
+            assert not is_late
+        elif isinstance(wrote.error, Unclear):
+            self._note(key)
+        else:
+            assert self._find_id(key) == stood
+        if wrote.is_error() and isinstance(wrote.error, Conflict):
+            # Refused, a writer that reads anew is let through.
+            self.read(number, key)
+            assert self._send(number, key).is_ok()
+
+    def _send(self, number: int, key: Key) -> Result[None, TableError]:
+        writer = self.writers[number]
+        row, stood = writer.seen.get(key), self._find_id(key)
+        self.ids += 1
+        write_id = str(self.ids)
+        put = Put(key, {}, ABSENT if row is None else row.rev)
+        wrote = self.loop.run_until_complete(writer.table.transact([put], write_id))
+        if wrote.is_ok():
+            assert stood == (row and row.write_id)
+            assert self._find_id(key) == write_id
+            self.acknowledged[key] = write_id
+            writer.seen[key] = Row(key, put.expect + 1, write_id, {}, self.rows.era)
+        return wrote
+
+    @rule(data=st.data())
+    def deliver(self, data: st.DataObject) -> None:
+        """Carry out a write that was kept back, if its condition holds now."""
+        if not self.rows.late:
+            return
+        number = data.draw(st.integers(0, len(self.rows.late) - 1))
+        body = self.rows.late.pop(number)
+        status, _ = self.rows.transact(body)
+        if status == 200:
+            [row] = body["writes"]
+            self._note(Key(row["part"], row["key"]))
+
+    @rule(host=HOSTS, value=st.sampled_from(["e30=", "W10=", None]))
+    def announce(self, host: str, value: str | None) -> None:
+        """Write a host's entry, or drop it."""
+        self.rows.write(Name(SERVERS, "", host), value)
+
+    @rule()
+    def compact(self) -> None:
+        """Forget the history."""
+        self.rows.compact()
+
+    @rule()
+    def copy(self) -> None:
+        """Make a copy of the store."""
+        self.kept.append(Kept(self.rows.take_copy(), dict(self.acknowledged)))
+
+    @rule(data=st.data(), hosts=st.frozensets(HOSTS))
+    def restore(self, data: st.DataObject, hosts: frozenset[str]) -> None:
+        """Go back to a copy; some hosts write their entries again."""
+        kept = data.draw(st.sampled_from(self.kept))
+        self._restore(kept)
+        self.rows.rewrite(Name(SERVERS, "", host) for host in hosts)
+
+    @rule(number=BOTH, key=KEYS, looks=st.booleans())
+    def overtake(self, number: int, key: Key, looks: bool) -> None:
+        """Lose a writer's newest write, and have another write the row instead."""
+        self.copy()
+        self.write(number, key, is_late=False)
+        self._restore(self.kept[-1])
+        self.read(1 - number, key)
+        self.write(1 - number, key, is_late=False)
+        if looks:
+            self.list_rows(number, key)
+
+    @rule(number=BOTH)
+    def follow(self, number: int) -> None:
+        """Ask for what is new."""
+        follower = self.followers[number]
+        self.loop.run_until_complete(follower.follow())
+        held = self.rows.take_copy().rows
+        standing = {
+            name.key
+            for name, (_, value) in held.items()
+            if name.table == SERVERS and value
+        }
+        assert follower.hosts.keys() == standing
+        for host, value in follower.hosts.items():
+            expected = {"e30=": b"{}", "W10=": b"[]"}[held[Name(SERVERS, "", host)][1]]
+            assert value == expected
+
+    @invariant()
+    def hold_what_was_acknowledged(self) -> None:
+        """Check that writes stand that were acknowledged and not lost since."""
+        for key, write_id in self.acknowledged.items():
+            assert self._find_id(key) == write_id
+
+    def _restore(self, kept: Kept) -> None:
+        self.kept = self.kept[: self.kept.index(kept) + 1]
+        self.rows.restore(kept.copy)
+        self.acknowledged = dict(kept.acknowledged)
+
+    def _note(self, key: Key) -> None:
+        """Take note of a write that stands though nobody has heard so."""
+        found = self._find_id(key)
+        if found is not None:
+            self.acknowledged[key] = found
+
+    def _find_id(self, key: Key) -> str | None:
+        held = self.rows.take_copy().rows.get(Name(TABLE, key.pk, key.sk))
+        if held is None or held[1] is None:
+            return None
+        return json.loads(base64.b64decode(held[1]))["write_id"]
+
+
+TestEras = ErasMachine.TestCase
+TestEras.settings = settings(max_examples=100, stateful_step_count=25, deadline=None)
