Believe no entry that an older copy of the store shows of a leaving host

A host that drains or is gone would get work again, and an engine work of its former role, when the store comes back from an older copy: its entry there was taken like any other.

Change: entries' counts of heartbeats are read. In the first list behind Members.enter_era an entry of the same start that differs from what is known and whose count is not higher is passed over. Of a host that is gone or missing the count alone shows nothing, since heartbeats before it went were never told: its entry waits until the host has written in the new era. A change behind the first list shows that at once; a heartbeat wakes no question, so the list is read again each 1.5 s while entries are in doubt; and one that stands for 6 s has been renewed, as the store drops what is not. Hosts that a copy shows as they are go on at once. Hosts that are gone are remembered for 60 s, at most 1,000. Missing hosts have their time from the restore on. Without a restore nothing changes.

--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -1,11 +1,11 @@
 """Follow which hosts stand behind the upstreams."""
 
-from collections import Counter, deque
-from collections.abc import Iterable
+from collections import Counter, OrderedDict, deque
+from collections.abc import Iterable, Mapping
 from enum import StrEnum
 from typing import Final, NamedTuple
 
-from radishtally.direct.core import EngineReport, Instance
+from radishtally.direct.core import EngineReport, Instance, is_same_start
 from radishtally.gateway.starts import Restart, Source, Starts
 
 LAPSE_SECONDS: Final = 1.6
@@ -22,6 +22,18 @@
 """Fewest such removals: that one host leaves a small upstream is ordinary. The last one
 is kept all the same, as there is no other that could serve meanwhile."""
 
+REMEMBER_SECONDS: Final = 60.0
+"""Time for which a host that is gone is remembered: longer than a copy of the store is
+old, so that an entry in it that is not remembered is one of a host that was there."""
+MAX_REMEMBERED: Final = 1_000
+"""Most such hosts, those that went last."""
+REVIEW_SECONDS: Final = 1.5
+"""Time after which the list is read again while an entry of an older copy is in doubt:
+a heartbeat of 1.2 s, which tells no change, and a margin."""
+SILENCE_SECONDS: Final = 6.0
+"""Time for which an entry of an older copy may stand without a write of its host: the
+store drops it after three heartbeats, and needs some time to come to it."""
+
 
 class Set(NamedTuple):
     """Say that a host is there, and as what."""
@@ -65,8 +77,25 @@
     instance: Instance
 
 
+class _Doubt(NamedTuple):
+    """Hold an entry of an older copy that says nothing until its host has written."""
+
+    instance: Instance
+    beats: int
+    until: float
+    """Time from which an entry that still stands must have been written again."""
+
+
 class Members:
-    """Hold the hosts by the store's list, and those that the list may have lost."""
+    """Hold the hosts by the store's list, and those that the list may have lost.
+
+    A store that was restored shows entries of an older copy. One that is behind what is
+    known of the same start is passed over: its count of heartbeats grows with each
+    write, so that a lower one was written earlier. Of a host that is gone the count
+    does not tell, since its last heartbeats before it went were never shown. Its
+    entry says nothing until it has changed from what the first list of the era held,
+    or has stood for longer than the store keeps an entry that is not renewed.
+    """
 
     def __init__(self) -> None:
         self.starts = Starts()
@@ -75,23 +104,83 @@
         """Times at which hosts that the list lacks count as gone."""
         self._removals: deque[_Removal] = deque()
         """Removals of hosts in service, the last LAPSE_SECONDS' ones."""
+        self._beats: dict[str, int] = {}
+        """Counts of heartbeats in the entries that were taken last."""
+        self._gone: OrderedDict[str, tuple[float, Instance]] = OrderedDict()
+        """Hosts that went in the last REMEMBER_SECONDS, with when."""
+        self._entered_at: float | None = None
+        """Time of the store's restore until the list has been read after it."""
+        self._doubts: dict[str, _Doubt] = {}
+        self._review_at = float("inf")
 
     def __iter__(self):  # noqa: ANN204
         """Iterate over the hosts."""
         return iter(self._instances.values())
 
+    def enter_era(self, now: float) -> None:
+        """Take that the store was restored: the next list is that of an older copy."""
+        self._entered_at = now
+        # Hosts that are missing could not write anew before this.
+        until = now + LAPSE_SECONDS
+        self._missing = dict.fromkeys(self._missing, until)
+        self._doubts.clear()
+        self._review_at = float("inf")
+        self._forget_gone(now)
+
     def replace(
-        self, instances: Iterable[Instance], now: float, after_outage: bool
+        self,
+        instances: Iterable[Instance],
+        now: float,
+        after_outage: bool,
+        beats: Mapping[str, int] | None = None,
     ) -> list[Change]:
-        """Take the whole list."""
+        """Take the whole list, with its hosts' counts of heartbeats."""
+        beats = beats or {}
         listed = {instance.host: instance for instance in instances}
         gone = self._instances.keys() - listed.keys()
-        changes = self.remove(gone, now, after_outage)
-        for instance in listed.values():
-            changes += self.set(instance)
+        # Hosts could write from the restore on, however late the list is read.
+        since = now if self._entered_at is None else self._entered_at
+        changes = self.remove(gone, since, after_outage)
+        doubts = self._find_doubts(listed, beats, now)
+        for host, instance in listed.items():
+            if host not in doubts:
+                changes += self.set(instance, beats.get(host, 0))
+        self._doubts = doubts
+        self._review_at = now + REVIEW_SECONDS if doubts else float("inf")
+        self._entered_at = None
         return changes
 
-    def set(self, instance: Instance) -> list[Change]:
+    def _find_doubts(
+        self, listed: Mapping[str, Instance], beats: Mapping[str, int], now: float
+    ) -> dict[str, _Doubt]:
+        """Find the entries that their hosts have not written in the present era."""
+        if self._entered_at is not None:
+            return {
+                host: _Doubt(instance, beats.get(host, 0), now + SILENCE_SECONDS)
+                for host, instance in listed.items()
+                if self._is_behind(instance, beats.get(host, 0))
+            }
+        return {
+            host: doubt
+            for host, doubt in self._doubts.items()
+            if now < doubt.until
+            and (listed.get(host), beats.get(host, 0)) == (doubt.instance, doubt.beats)
+        }
+
+    def _is_behind(self, instance: Instance, beats: int) -> bool:
+        """Tell whether a copy's entry may be older than what is known of its host."""
+        host = instance.host
+        if host in self._gone:
+            return is_same_start(self._gone[host][1].started_ms, instance.started_ms)
+        known = self._instances.get(host)
+        if known is None or not is_same_start(known.started_ms, instance.started_ms):
+            return False
+        if host in self._missing:
+            return True
+        shown = instance._replace(started_ms=known.started_ms)
+        return shown != known and beats <= self._beats.get(host, 0)
+
+    def set(self, instance: Instance, beats: int = 0) -> list[Change]:
         """Take one entry; one of a start that has ended says nothing."""
         host = instance.host
         if self.starts.is_ended(host, instance.started_ms):
@@ -99,7 +188,11 @@
         changes: list[Change] = []
         if self._missing.pop(host, None) is not None:
             changes.append(Return(host))
-        return changes + self._take(instance, Source.LISTED)
+        changes += self._take(instance, Source.LISTED)
+        self._beats[host] = beats
+        self._doubts.pop(host, None)
+        self._gone.pop(host, None)
+        return changes
 
     def take_report(self, asked: Instance, report: EngineReport) -> list[Change]:
         """Take what an engine said when asked, which may be newer than its entry.
@@ -124,6 +217,8 @@
         host = instance.host
         restart = self.starts.note(host, instance.started_ms, source)
         changes: list[Change] = [] if restart is None else [restart]
+        if restart is not None:
+            self._beats.pop(host, None)
         instance = instance._replace(started_ms=self.starts.get(host))
         if self._instances.get(host) == instance:
             return changes
@@ -139,6 +234,9 @@
         the list after its return may lack hosts that serve as well as before. Dropped
         at once, whole upstreams would be empty until their hosts have written again.
         """
+        hosts = list(hosts)
+        for host in hosts:
+            self._doubts.pop(host, None)
         known = (self._instances.get(host) for host in hosts)
         removed = [
             instance
@@ -154,12 +252,13 @@
             elif instance.upstream in emptied:
                 changes.append(self._miss(instance.host, now, MissReason.MANY_AT_ONCE))
             else:
-                changes.append(self._forget(instance.host))
+                changes.append(self._forget(instance.host, now))
         return changes
 
-    def reject(self, host: str) -> list[Change]:
+    def reject(self, host: str, now: float) -> list[Change]:
         """Take that a host's entry is there and names no host any more."""
-        return [self._forget(host)] if host in self._instances else []
+        self._doubts.pop(host, None)
+        return [self._forget(host, now)] if host in self._instances else []
 
     def _note_removals(self, removed: Iterable[Instance], now: float) -> None:
         while self._removals and self._removals[0].at <= now - LAPSE_SECONDS:
@@ -190,19 +289,37 @@
         """Count the hosts that the list lacks and that are kept all the same."""
         return len(self._missing)
 
+    def list_doubted(self) -> list[str]:
+        """List the hosts whose entries of an older copy say nothing."""
+        return list(self._doubts)
+
     def _miss(self, host: str, now: float, reason: MissReason) -> Change:
         self._missing[host] = now + LAPSE_SECONDS
         return Miss(host, reason)
 
-    def _forget(self, host: str) -> Change:
+    def _forget(self, host: str, now: float) -> Change:
         self._missing.pop(host, None)
-        del self._instances[host]
+        self._beats.pop(host, None)
+        self._gone[host] = now, self._instances.pop(host)
+        self._gone.move_to_end(host)
+        self._forget_gone(now)
         return Forget(host)
 
+    def _forget_gone(self, now: float) -> None:
+        while self._gone:
+            host, (at, _) = next(iter(self._gone.items()))
+            if len(self._gone) <= MAX_REMEMBERED and now < at + REMEMBER_SECONDS:
+                return
+            del self._gone[host]
+
     def next_expiry(self) -> float:
         """Give the time at which the next missing host counts as gone."""
         return min(self._missing.values(), default=float("inf"))
 
+    def next_review(self) -> float:
+        """Give the time at which the whole list is to be read for entries in doubt."""
+        return self._review_at if self._doubts else float("inf")
+
     def expire(self, now: float, after_outage: bool) -> list[Change]:
         """Give up the hosts that have not come back, on an answer of the store.
 
@@ -211,6 +328,10 @@
         empty until it is back. Just after that return they get their time once more.
         """
         if after_outage:
+            self._doubts = {
+                host: doubt._replace(until=max(doubt.until, now + SILENCE_SECONDS))
+                for host, doubt in self._doubts.items()
+            }
             return []
         late = [host for host, until in self._missing.items() if until <= now]
-        return [self._forget(host) for host in late]
+        return [self._forget(host, now) for host in late]
--- a/tests/adapter/test_outages.py
+++ b/tests/adapter/test_outages.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import selectors
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Final, NamedTuple
 
@@ -79,6 +79,8 @@
 
     def __init__(self, outages: list[Outage]) -> None:
         self.outages = outages
+        self.era = 0
+        self.on_era: list[Callable[[int, int], None]] = []
         self.rows: dict[str, StoredRow] = {}
         self.version = 1
         self.changed = asyncio.Event()
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -33,6 +33,8 @@
 
     def __init__(self, *answers: Result) -> None:
         self.answers = list(answers)
+        self.era = 0
+        self.on_era: list[Callable[[int, int], None]] = []
         self.asked: list[tuple[str, float]] = []
 
     async def read_table(self, table: str) -> Result:
