--- a/tests/adapter/test_restored.py
+++ b/tests/adapter/test_restored.py
@@ -1,8 +1,12 @@
 """Stores that come back from an older copy, played on a clock of their own."""
 
 import asyncio
+import itertools
 import json
+from bisect import bisect_left
 from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
 from typing import Any, Final, NamedTuple
 
 import pytest
@@ -19,6 +23,11 @@
 from tests.gateway.common import ENTRY
 
 AWAY: Final = Error(Unavailable("away"))
+READS_PER_SECOND: Final = 2_000
+"""Read calls that the store allows to all gateways together."""
+DRAIN_SECONDS: Final = 2.0
+SLOW_SECONDS: Final = 0.25
+"""Time that a slow store takes for an answer."""
 AWAY_SECONDS: Final = 0.3
 """Time for which the store is away here: no entry lapses in it."""
 
@@ -37,6 +46,8 @@
         self.rows: dict[tuple[str, str], StoredRow] = {}
         self.version = 0
         self.era = 1
+        self.calls: list[tuple[float, int]] = []
+        """Times of the calls, and the eras that their gateways knew then."""
         self.back_at = 0.0
         self.trip = TRIP_SECONDS
         self.changed = asyncio.Event()
@@ -97,6 +108,8 @@
 
     async def _call(self, table: str, after: int | None, wait: float) -> Result:
         sent, rose = self.era, self._rose
+        loop = asyncio.get_running_loop()
+        self.store.calls.append((loop.time(), sent))
         answer = asyncio.create_task(self._answer(table, after, wait))
         ended = asyncio.create_task(rose.wait())
         try:
@@ -203,6 +216,12 @@
             await asyncio.sleep(0.01)
 
 
+def find_most(times: list[float]) -> int:
+    """Find the most calls within a second."""
+    times = sorted(times)
+    return max(bisect_left(times, at + 1.0) - n for n, at in enumerate(times))
+
+
 # A draining host gets work for good: it said so at a version that the old era had too,
 # and the question behind that era's last version lacked it once the store had come so
 # far again. The answer looked whole.
@@ -292,3 +311,56 @@
         assert taken == [(b"v", False)]
 
     play(day)
+
+
+# The store refuses calls with 429 and gateways know no hosts for longer: all of them
+# learn of the restore within half a second, and each read both tables at once.
+@pytest.mark.parametrize("away", [0.0, AWAY_SECONDS, 2.5])
+@pytest.mark.parametrize("gateways", [68, 330])
+@pytest.mark.parametrize("lost", [False, True])
+def test_gateways_spread_their_reads_in_a_new_era(
+    gateways: int, away: float, lost: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    seeds = itertools.count()
+    seeded = SimpleNamespace(Random=lambda: Random(next(seeds)))
+    monkeypatch.setattr("adapter.watch.random", seeded)
+
+    async def day(store: EraStore) -> None:
+        listeners = [Listener(store, gateways) for _ in range(gateways)]
+        copy = store.take_copy()
+        if lost:
+            store.write(const.HOSTS_TABLE, "d", make_entry("d"))
+        await asyncio.sleep(2.0)
+        store.restore(copy, away)
+        await asyncio.sleep(away + 5.0)
+        assert all(listener.client.era == 2 for listener in listeners)
+        since = [(at, era) for at, era in store.calls if at >= store.back_at]
+        reads = [at for at, era in since if era == 2]
+        assert len(reads) >= 4 * gateways
+
+        # A look for each half second that hosts are missing comes on top.
+        assert find_most(reads) < READS_PER_SECOND / (1 if lost else 2)
+        assert find_most([at for at, _ in since]) < READS_PER_SECOND
+
+    play(day)
+
+
+# A host gets requests for longer than it goes on serving: it began to drain just after
+# the store's return, and a gateway read the list too late to know.
+@pytest.mark.parametrize("seed", range(20))
+def test_drain_after_the_restore_is_known_in_time(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    seeded = SimpleNamespace(Random=lambda: Random(seed))
+    monkeypatch.setattr("adapter.watch.random", seeded)
+
+    async def day(store: EraStore) -> None:
+        listener = Listener(store, 330)
+        await asyncio.sleep(1.0)
+        store.restore(store.take_copy())
+        store.trip = SLOW_SECONDS
+        await wait_until(lambda: listener.client.era == 2, 2.0)
+        store.write(const.HOSTS_TABLE, "a", make_entry("a", 9, state="draining"))
+        await wait_until(lambda: listener.list_serving() == {"b", "c"}, DRAIN_SECONDS)
+
+    play(day)
