Let the operator go back to a lower number after a restore

An operator whose newest configuration was lost writes another one under a lower number, or the same number with other content, and gateways that know the lost one pass it over until the numbers have come as far again.

Without a restore all stays as it was.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -221,11 +221,23 @@
         """Tell whether connections should be brought to an end."""
         return self.runtime.stopping.is_set()
 
-    def configure(self, configuration: FleetConfiguration) -> None:
-        """Bring a configuration into force, unless a newer one is."""
+    def configure(
+        self, configuration: FleetConfiguration, *, is_rewritten: bool = False
+    ) -> None:
+        """Bring a configuration into force, unless a newer one is.
+
+        One that the operator has written since the store was restored holds whatever
+        its number: the newer ones may be gone from the store.
+        """
         known = self.router.configuration
         if known is not None and known.version >= configuration.version:
-            return
+            if not is_rewritten or known == configuration:
+                return
+            log_message(
+                "configuration:rewritten",
+                before=known.version,
+                version=configuration.version,
+            )
         self.router.configure(configuration)
         self.placement.configure(configuration.upstreams.values())
         self.metrics.set_configuration(configuration.version)
--- a/tests/adapter/test_restored.py
+++ b/tests/adapter/test_restored.py
@@ -11,16 +11,18 @@
 
 import pytest
 from adapter import const
-from adapter.store import Page, StoredRow
+from adapter.config import decode_configuration
+from adapter.store import Page, StoreClient, StoredRow
 from adapter.watch import TableWatch, Watcher
 
 from radishtally.gateway.bounds import find_gathering
 from radishtally.gateway.members import Change, Members
 from radishtally.outcome import Error, Ok, Result
+from radishtally.routes.config import FleetConfiguration
 from radishtally.runtime import Runtime
 from radishtally.store.core import Unavailable
 from tests.adapter.test_outages import BOUNDS, TRIP_SECONDS, leap
-from tests.gateway.common import ENTRY
+from tests.gateway.common import ENTRY, LIMITS, make_gateway, make_route
 
 AWAY: Final = Error(Unavailable("away"))
 READS_PER_SECOND: Final = 2_000
@@ -167,6 +169,7 @@
         self.members = Members()
         self.runtime = Runtime()
         self.gateways = gateways
+        self.configured: list[tuple[int, bool]] = []
         self.changes: list[Change] = []
         self.client = EraClient(store)
         self.client.on_era.append(self._enter_era)
@@ -186,6 +189,9 @@
     def apply(self, changes: list[Change]) -> None:
         self.changes += changes
 
+    def configure(self, configuration: Any, *, is_rewritten: bool = False) -> None:
+        self.configured.append((configuration.version, is_rewritten))
+
     def list_serving(self) -> set[str]:
         return {i.host for i in self.members if not i.is_draining}
 
@@ -364,3 +370,74 @@
         await wait_until(lambda: listener.list_serving() == {"b", "c"}, DRAIN_SECONDS)
 
     play(day)
+
+
+def make_configuration(version: int, *names: str) -> bytes:
+    limits = {"maxHeaderBytes": 1, "maxBodyBytes": 1, "idleTimeoutMs": 1}
+    routes = [make_route(name, "safe", "desk") for name in names]
+    value = {"version": version, "routes": routes, "services": [{"name": "desk"}]}
+    return json.dumps({**value, "limits": {**LIMITS, **limits}}).encode()
+
+
+# An operator writes a configuration anew after the restore, under a lower number than
+# the one that was lost, and gateways pass it over as an old one. What the copy holds is
+# passed over all the same, so that it undoes nothing by itself.
+def test_configuration_that_is_written_after_a_restore_is_told_so() -> None:
+    async def day(store: EraStore) -> None:
+        def write(version: int) -> None:
+            value = make_configuration(version)
+            store.write(const.CONFIGURATION_TABLE, const.CONFIGURATION_KEY, value)
+
+        write(3)
+        listener = Listener(store, 4)
+        await asyncio.sleep(1.0)
+        copy = store.take_copy()
+        write(9)
+        await asyncio.sleep(1.0)
+        store.restore(copy)
+        await asyncio.sleep(3.0)
+        assert listener.configured == [(3, False), (9, False), (3, False)]
+        write(6)
+        await asyncio.sleep(1.0)
+        assert listener.configured[3:] == [(6, True)]
+
+    play(day)
+
+
+def test_configuration_that_is_read_whole_once_more_is_told_from_the_copys() -> None:
+    async def day(store: EraStore) -> None:
+        listener = Listener(store, 4)
+        row = StoredRow(const.CONFIGURATION_KEY, make_configuration(3), 5)
+        watcher, configured = listener.watcher, listener.configured
+        watcher._take_whole_configuration((row,), False)
+        watcher._enter_era(1, 2)
+        watcher._take_whole_configuration((row,), True)
+        watcher._take_whole_configuration((row,), False)
+        watcher._take_whole_configuration((row._replace(version=7),), False)
+        assert [told for _, told in configured] == [False, False, False, True]
+
+    play(day)
+
+
+def test_only_what_is_written_after_a_restore_goes_back_to_a_lower_number() -> None:
+    def read(version: int, *names: str) -> FleetConfiguration:
+        return decode_configuration(make_configuration(version, *names)).ok
+
+    def get_paths() -> list[str]:
+        return [r.name for r in gateway.router.configuration.routes]
+
+    async def play_gateway() -> None:
+        gateway.configure(read(9, "read"))
+        gateway.configure(read(3, "book"))
+        gateway.configure(read(9, "book"))
+        assert get_paths() == ["read"]
+        gateway.configure(read(9, "book"), is_rewritten=True)
+        assert get_paths() == ["book"]
+        gateway.configure(read(6, "read"), is_rewritten=True)
+        assert get_paths() == ["read"]
+        gateway.configure(read(6, "book"))
+        assert get_paths() == ["read"]
+
+    client = StoreClient("127.0.0.1:1")
+    gateway = make_gateway(client, "127.0.0.1:1", "gateway-1")
+    asyncio.run(play_gateway())
