Keep the count that is known of a host over a copy that shows it unchanged

An engine that took a role, left it and took it again could be taken for the middle one, where two restores follow each other: the first copy showed it as it is at a lower count, which was kept, and the second copy's entry passed for newer. The higher count is kept; a change of the new era sets it anew.

--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -143,8 +143,13 @@
         changes = self.remove(gone, since, after_outage)
         doubts = self._find_doubts(listed, beats, now)
         for host, instance in listed.items():
-            if host not in doubts:
-                changes += self.set(instance, beats.get(host, 0))
+            if host in doubts:
+                continue
+            count = beats.get(host, 0)
+            if self._entered_at is not None and self._instances.get(host) == instance:
+                # Unchanged in an older copy, it is known from a later write.
+                count = max(count, self._beats.get(host, 0))
+            changes += self.set(instance, count)
         self._doubts = doubts
         self._review_at = now + REVIEW_SECONDS if doubts else float("inf")
         self._entered_at = None
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -116,6 +116,20 @@
     assert members.list_doubted() == []
 
 
+# An engine is taken for a role that it left: a first copy showed it as it is, from an
+# earlier time, and its lower count let a second copy pass for newer.
+def test_count_that_is_known_is_not_taken_back_by_a_copy() -> None:
+    now_again, between = A._replace(role=PREFILL), A._replace(role=DECODE)
+    members = Members()
+    members.set(now_again, 3)
+    members.set(between, 7)
+    members.set(now_again, 9)
+    members.enter_era(20.0)
+    assert members.replace([now_again], 21.0, True, {"a": 4}) == []
+    members.enter_era(25.0)
+    assert members.replace([between], 26.0, True, {"a": 7}) == []
+
+
 # Callers are refused by all hosts of a small upstream: entries of hosts that changed
 # nothing were doubted for their lower counts, though most copies hold lower ones.
 def test_hosts_that_a_copy_shows_as_they_are_go_on_serving() -> None:
