--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -242,6 +242,26 @@
         self.metrics.set_configuration(configuration.version)
         log_message("configuration:in_force", version=configuration.version)
 
+    def enter_era(self, before: int, after: int) -> None:
+        """Take that the store is in another era; before is 0 at first sight."""
+        held_lease = self.lease.fencing is not None
+        self.lease.enter_era(after)
+        if not before:
+            log_message("store:era_seen", era=after)
+            return
+        configuration = self.router.configuration
+        log_message(
+            "store:restored",
+            before=before,
+            after=after,
+            held_lease=held_lease,
+            version=None if configuration is None else configuration.version,
+            hosts=len(list(self.members)),
+        )
+        self.metrics.note_restore()
+        self.members.enter_era(read_boot_clock())
+        self.peers.enter_era()
+
     def list_served_hosts(self) -> list[Instance]:
         """List the hosts of the upstreams that the configuration names.
 
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -89,6 +89,11 @@
             "Version of the configuration in force, 0 before the first one",
             registry=self._registry,
         )
+        self._restores = Counter(
+            "radishtally_store_restores",
+            "Times that the store came back from an older copy",
+            registry=self._registry,
+        )
         self._settings = Gauge(
             "radishtally_settings",
             "Mark of the settings in force, equal where gateways go by the same ones",
@@ -118,6 +123,10 @@
         """Take how many entries of the list can't be read."""
         self._unreadable.set(count)
 
+    def note_restore(self) -> None:
+        """Count that the store came back from an older copy."""
+        self._restores.inc()
+
     def set_configuration(self, version: int) -> None:
         """Take which configuration is in force."""
         self._configuration.set(version)
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -135,9 +135,9 @@
 
 
 @asynccontextmanager
-async def deployment() -> AsyncIterator[Deployment]:
+async def deployment(rows: Rows | None = None) -> AsyncIterator[Deployment]:
     """Run a store and a gateway that has a configuration."""
-    made = Deployment()
+    made = Deployment(rows or Rows())
     made.store = await serve(made.rows.build_app())
     made.configure()
     async with run_gateway(made.store) as gateway:
--- /dev/null
+++ b/tests/gateway/test_restore.py
@@ -0,0 +1,84 @@
+"""A gateway whose store comes back from an older copy, whole."""
+
+from radishtally.authority.lease import LEASE, LeaseTerms
+from radishtally.gateway.const import STAGES
+from radishtally.gateway.register import GATEWAYS
+from radishtally.store.core import Key
+from standins.rows import Name, Rows
+from tests.common import run
+from tests.gateway.common import deployment, run_gateway, wait_until
+from tests.gateway.test_calls import Desk, answer_whole, ask
+from tests.gateway.test_streams import make_whole, start_engines, stream
+
+SHORT_TERMS = LeaseTerms(granted=0.6, margin=0.1, renew_every=0.2, read_every=0.05)
+
+
+# Callers get what an older configuration allows, work goes to a host that is leaving,
+# and two gateways order engines: all that was written since the copy is gone, and each
+# gateway would take what the store shows for the newest state.
+def test_restore_undoes_nothing_that_a_gateway_knows() -> None:
+    async def play() -> None:
+        rows = Rows(era=1)
+        async with deployment(rows) as made:
+            gateway = made.gateway
+            staying, leaving = Desk(answer_whole), Desk(answer_whole)
+            await made.serve_desk("d-1", staying)
+            await made.serve_desk("d-2", leaving)
+            await start_engines(made)
+            copy = rows.take_copy()
+            made.announce("d-2", made.addresses["d-2"], "desk", state="draining")
+            made.configure()
+            version = made.version
+            await wait_until(lambda: gateway.router.configuration.version == version)
+            await wait_until(lambda: not gateway.core.hosts["d-2"].live)
+
+            rows.restore(copy)
+            restores = "radishtally_store_restores_total 1.0"
+            await wait_until(lambda: restores in gateway.render_metrics().decode())
+            for number in range(6):
+                status, _, _ = await ask(made, "/read/a", f"r{number}")
+                assert status == 200
+            assert await stream(made, "/sheet/a", "s1") == make_whole("s1")
+            assert gateway.router.configuration.version == version
+            assert leaving.seen == []
+            rows.rewrite([Name("op", "", "config"), Name("servers", "", "d-2")])
+            assert not gateway.core.hosts["d-2"].live
+
+    run(play())
+
+
+def test_lease_is_held_again_under_a_higher_number() -> None:
+    async def play() -> None:
+        rows = Rows(era=1)
+        async with deployment(rows) as made:
+            lease = made.gateway.lease
+            lease.set_terms(SHORT_TERMS)
+            copy = rows.take_copy()
+            await wait_until(lambda: lease.fencing is not None)
+            before = lease.fencing
+            rows.restore(copy)
+            await wait_until(lambda: (lease.fencing or 0) > before)
+            row = (await made.gateway.table.get(Key(LEASE, STAGES))).ok
+            assert row.value["fencing"] == lease.fencing
+            assert row.era == 2
+
+    run(play())
+
+
+def test_gateways_of_a_restored_store_find_each_other_again() -> None:
+    async def play() -> None:
+        rows = Rows(era=1)
+        copy = rows.take_copy()
+        async with (
+            deployment(rows) as made,
+            run_gateway(made.store, "gateway-2") as two,
+        ):
+            both = made.gateway, two
+            await wait_until(lambda: all(one.peers._hub.hosts for one in both))
+            rows.restore(copy)
+            made.configure()
+            while len((await two.table.query(GATEWAYS)).default_value([])) < len(both):
+                assert all(one.peers._hub.hosts for one in both)
+            assert all(one.peers._hub.hosts for one in both)
+
+    run(play())
