Tell a lease row that stood by its write id, not by its count of writes alone

Two gateways may give orders: the lease is taken over from a holder that has just written. A store restored from an older copy gives counts of writes out again, so another holder's row came under the count of the row that was seen before, and its standing was counted on from the old one's first sight.

Change: a row is unchanged if count and write id are; no write id is given twice. Nothing changes where counts only rise.

--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -261,7 +261,7 @@
         """Take over what the table shows."""
         if row is not None and row.write_id in self._sent:
             return self._adopt(row.write_id, now)
-        unchanged = self._seen and _get_rev(row) == _get_rev(self._row)
+        unchanged = self._seen and _identify(row) == _identify(self._row)
         if not unchanged:
             # Counted from when the row was seen, not from when it was asked for: its
             # writer sent it before that, so its writer's time ends first.
@@ -366,3 +366,9 @@
 
 def _get_rev(row: Row | None) -> int:
     return ABSENT if row is None else row.rev
+
+
+def _identify(row: Row | None) -> tuple[int, str]:
+    # The count of writes alone goes back with a restored store and is given again to
+    # another content: a lease that is renewed would seem to stand. No write id is.
+    return (ABSENT, "") if row is None else (row.rev, row.write_id)
