Wait out a whole lease where the store is restored from an older copy

Two gateways give orders: one holds the lease, the store comes back from a copy that lacks its row, and what stands there is released, the other one's own or nothing, all of which let that one take over at once; or its standing was counted from a sight before the restore, or a takeover sent before it was believed.

Change: a lease row names its writer's era. In a new era all that is known of the row is forgotten, calls under way are ended, and a row that was not written in it, or none, is taken over only after the longest lease known and the margin from its first sight there. The holder stops at once and contends as the others do. It could write the row again within its own time; given up, the lease is back a lease time later, and no special case is to be trusted. A first sight of an era counts as entering it.

Why it holds: the last holder's time counts from before a write that was acknowledged before the restore. With an era of 0 nothing changes.

--- a/radishtally/authority/holder.py
+++ b/radishtally/authority/holder.py
@@ -9,6 +9,8 @@
 from radishtally.authority.lease import (
     Command,
     Contend,
+    EraEntered,
+    Event,
     Gained,
     LeaseCore,
     LeaseTerms,
@@ -52,6 +54,7 @@
         self._table = table
         self._terms = terms or LeaseTerms()
         self._contenders = 1
+        self._era = 0
         core = LeaseCore(place, host, incarnation, self._terms)
         super().__init__(core, Tick(), clock)
         self._on_gained = on_gained
@@ -95,6 +98,25 @@
         """Give a number up that was refused; contend for the lease under a new one."""
         self._handle(Outdated(fencing))
 
+    def enter_era(self, era: int) -> None:
+        """Take that the store answers from a new era, or that its era is seen first."""
+        if era <= self._era:
+            return
+        self._era = era
+        # A write of the earlier era would be sent again in this one.
+        for call in self._calls:
+            call.cancel()
+        self._handle(EraEntered(era))
+
+    def _report(self, era: int, event: Event) -> None:
+        """Give a call's outcome, unless the call was ended by a new era.
+
+        The answer that shows the era is handed on right after it is entered, before
+        its call can be stopped.
+        """
+        if era == self._era:
+            self._handle(event)
+
     async def stop(self) -> None:
         """Give the lease up, so that a successor need not wait for it to lapse."""
         self._handle(Resign())
@@ -127,19 +149,20 @@
         self._wake_at(command.time)
 
     async def _read(self, command: ReadLease) -> None:
-        asked_at = self._clock()
+        era, asked_at = self._era, self._clock()
         try:
             async with asyncio.timeout(self._terms.granted * CALL_PART):
                 result = await self._table.get(command.key)
         except TimeoutError:
-            self._handle(ReadFailed())
+            self._report(era, ReadFailed())
             return
         if result.is_error():
-            self._handle(ReadFailed())
+            self._report(era, ReadFailed())
             return
-        self._handle(RowRead(result.ok, asked_at))
+        self._report(era, RowRead(result.ok, asked_at))
 
     async def _write(self, command: WriteLease) -> None:
+        era = self._era
         deadline = self._clock() + self._terms.granted * CALL_PART
         outcome = await transact_settled(
             self._table,
@@ -148,4 +171,4 @@
             deadline=deadline,
             clock=self._clock,
         )
-        self._handle(WriteSettled(command.write_id, outcome))
+        self._report(era, WriteSettled(command.write_id, outcome))
--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -3,10 +3,14 @@
 No two clocks are compared. A contender takes over only after it has watched one
 revision of the row stand for the whole lease time and a margin on its own monotonic
 clock; the holder counts its time from before it sent the write.
+
+A store that is restored from an older copy begins a new era and loses what it has
+acknowledged since that copy. No row from before an era shows who holds the lease in it:
+whoever enters one waits out the longest lease that it knows of.
 """
 
 from functools import singledispatchmethod
-from typing import Final, NamedTuple, TypedDict
+from typing import Final, NamedTuple, NotRequired, TypedDict
 
 from radishtally.outcome import Result
 from radishtally.store.core import (
@@ -43,6 +47,8 @@
     fencing: int
     granted: float
     counter: int
+    era: NotRequired[int]
+    """Newest era that the writer knew of; absent counts as 0."""
 
 
 class Tick(NamedTuple):
@@ -83,7 +89,25 @@
     fencing: int
 
 
-Event = Tick | RowRead | ReadFailed | WriteSettled | Resign | Contend | Outdated
+class EraEntered(NamedTuple):
+    """Say that the store answers from a new era, or that its era was seen first.
+
+    Calls that are under way are over with it: their outcomes are not to be given.
+    """
+
+    era: int
+
+
+Event = (
+    Tick
+    | RowRead
+    | ReadFailed
+    | WriteSettled
+    | Resign
+    | Contend
+    | Outdated
+    | EraEntered
+)
 
 
 class ReadLease(NamedTuple):
@@ -156,6 +180,9 @@
         self._read_at = float("-inf")
         self._retry_at = float("-inf")
         self._highest = 0
+        self._era = 0
+        self._entered_at = float("-inf")
+        self._longest = terms.granted
         self._resigned = False
         self._contends = True
 
@@ -180,6 +207,7 @@
 
     def handle(self, event: Event, now: float) -> list[Command]:
         """Take one event and give the commands that follow."""
+        self._longest = max(self._longest, self.terms.granted)
         commands = self._expire(now)
         commands += self._take(event, now)
         return commands + self._proceed(now)
@@ -205,11 +233,20 @@
 
     @_take.register
     def _(self, event: RowRead, now: float) -> list[Command]:
+        # A look that was begun in an earlier era ended with it, whatever it shows.
+        if event.asked_at < self._entered_at:
+            return []
         self._busy = False
+        if event.row is not None and event.row.era < self._era:
+            return []
         return self._see(event.row, now)
 
     @_take.register
     def _(self, event: WriteSettled, now: float) -> list[Command]:
+        # A write of an earlier era may have been done and lost, or be done by chance:
+        # its outcome says nothing of the row as it stands.
+        if event.write_id not in self._sent:
+            return []
         self._busy = False
         if event.outcome.is_ok():
             return self._adopt(event.write_id, now)
@@ -257,6 +294,26 @@
         self._held = None
         return [LostLease("fencing number out of date")]
 
+    @_take.register
+    def _(self, event: EraEntered, now: float) -> list[Command]:
+        if event.era <= self._era:
+            return []
+        # Failure: the row of the last holder is lost, and an older one stands that is
+        # released, one's own or none. Symptom: a second holder gives orders. What is
+        # known of the row is forgotten, and its time counts from a sight in this era:
+        # whoever held it has written before, so that one's time ends first. A process
+        # that has just started can't tell its first sight of an era from a restore,
+        # so the first holder of all also waits that long where the store tells eras.
+        self._era = event.era
+        self._entered_at = now
+        self._sent.clear()
+        self._seen = self._known = self._busy = False
+        self._read_at = float("-inf")
+        if self._held is None:
+            return []
+        self._held = None
+        return [LostLease("store restored")]
+
     def _see(self, row: Row | None, now: float) -> list[Command]:
         """Take over what the table shows."""
         if row is not None and row.write_id in self._sent:
@@ -268,6 +325,8 @@
             self._row_since = now
             self._row = row
             self._sent.clear()
+            if row is not None:
+                self._longest = max(self._longest, row.value["granted"])
         self._seen = True
         self._known = True
         if unchanged or self._held is None:
@@ -278,7 +337,8 @@
     def _adopt(self, write_id: str, now: float) -> list[Command]:
         """Count a write of our own as done."""
         sent = self._sent[write_id]
-        self._row = Row(self.key, _get_rev(self._row) + 1, write_id, dict(sent.value))
+        rev = _get_rev(self._row) + 1
+        self._row = Row(self.key, rev, write_id, dict(sent.value), self._era)
         self._row_since = now
         self._known = True
         self._sent.clear()
@@ -325,6 +385,8 @@
         return now >= self._take_over_at()
 
     def _take_over_at(self) -> float:
+        if self._get_row_era() != self._era:
+            return self._row_since + self._longest + self.terms.margin
         if self._row is None:
             return float("-inf")
         granted = self._row.value["granted"]
@@ -333,6 +395,9 @@
             return float("-inf")
         return self._row_since + granted + self.terms.margin
 
+    def _get_row_era(self) -> int:
+        return 0 if self._row is None else self._row.value.get("era", 0)
+
     def _next_fencing(self) -> int:
         if self._held is not None:
             return self._held.fencing
@@ -358,6 +423,7 @@
             fencing=fencing,
             granted=granted,
             counter=self._counter,
+            era=self._era,
         )
         self._sent[write_id] = _Sent(now, value)
         self._busy = True
--- a/radishtally/store/core.py
+++ b/radishtally/store/core.py
@@ -25,6 +25,7 @@
     rev: int
     write_id: str
     value: dict[str, Any]
+    era: int = 0
 
 
 class Put(NamedTuple):
