Begin fencing numbers above those of all former eras of the store

An engine gets orders of two holders under one number, or a later holder's under a lower one: the row that counts the numbers goes back with a restored store.

Change: a new number is above all that were seen and above the era, shifted by 32 bits; an era is never given out again, and both fit below 2**53 for eras below 2**21. An era of 0 counts as before.

--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -27,6 +27,9 @@
 LEASE: Final = "lease"
 RELEASED: Final = 0.0
 """Seconds granted by a row whose holder has given the lease up."""
+ERA_SHIFT: Final = 32
+"""Bits of a fencing number below its era: with it, the numbers that an era may need and
+the eras that there may be are two million and more, and both fit in a JSON number."""
 
 
 class LeaseTerms(NamedTuple):
@@ -183,6 +186,7 @@
         self._era = 0
         self._entered_at = float("-inf")
         self._longest = terms.granted
+        self._top = 0
         self._resigned = False
         self._contends = True
 
@@ -327,6 +331,7 @@
             self._sent.clear()
             if row is not None:
                 self._longest = max(self._longest, row.value["granted"])
+                self._top = max(self._top, row.value["fencing"])
         self._seen = True
         self._known = True
         if unchanged or self._held is None:
@@ -340,6 +345,7 @@
         rev = _get_rev(self._row) + 1
         self._row = Row(self.key, rev, write_id, dict(sent.value), self._era)
         self._row_since = now
+        self._top = max(self._top, sent.value["fencing"])
         self._known = True
         self._sent.clear()
         return self._hold(sent, now)
@@ -401,7 +407,9 @@
     def _next_fencing(self) -> int:
         if self._held is not None:
             return self._held.fencing
-        return 1 if self._row is None else self._row.value["fencing"] + 1
+        # The row that counts the numbers goes back with the store: hosts would be given
+        # one that they have seen from another holder. An era is never given out again.
+        return max(self._top, self._era << ERA_SHIFT) + 1
 
     def _next_read(self) -> float:
         if self._known and self._held is not None:
--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -6,6 +6,7 @@
 import pytest
 
 from radishtally.authority.holder import LeaseHolder
+from radishtally.authority.lease import ERA_SHIFT
 from radishtally.direct.core import EngineReport, Instance, OrderOutcome
 from radishtally.engines.state import START_RATE
 from radishtally.links.messages import DECODE, PREFILL
@@ -245,6 +246,39 @@
     assert run(play_on()) == [("e3", 1), ("e2", 2)]
 
 
+# Two gateways order one engine: the store is restored from an older copy, which lacks
+# the lease's row, and the holder goes on ordering under a number that another one may
+# be given. It must stop at once, and go on only under a number of the new era.
+def test_no_order_is_given_between_a_restore_and_the_new_lease() -> None:
+    async def play_on() -> list[int]:
+        orders, clock, table = FakeOrders(OrderOutcome.TAKEN), Clock(), MemoryTable()
+        lease = LeaseHolder(
+            table, "stages", "g", "g-1", on_gained=print, on_lost=print, clock=clock
+        )
+        keeper = StageKeeper("g", orders, lambda: [ENGINE], lease, give_rate, clock)
+        lease.start()
+        while lease.fencing is None:
+            await asyncio.sleep(0)
+        await keeper._carry_out(ENGINE, CHANGE)
+        table.rows.rows.clear()
+        lease.enter_era(1)
+        for _ in range(8):
+            await keeper._carry_out(ENGINE, CHANGE)
+            assert len(orders.given) == 1
+            clock.now += 1.0
+            lease.contend(True)
+            await asyncio.sleep(0)
+        clock.now += 10.0
+        while lease.fencing is None:
+            lease.contend(True)
+            await asyncio.sleep(0)
+        await keeper._carry_out(ENGINE, CHANGE)
+        await lease.stop()
+        return [fencing for _, _, _, fencing, _ in orders.given]
+
+    assert run(play_on()) == [1, (1 << ERA_SHIFT) + 1]
+
+
 EARLY, LATE = 5_000, 4_000
 """Two starts in their order: the clock has stepped back between them."""
 
