--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the real programs under faults from outside, and check what is promised."""
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,322 @@
+"""Start and end the processes of a soak, and lead their connections through proxies."""
+
+import asyncio
+import base64
+import itertools
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+
+from bench.fleet import ROOT, Child, launch, make_environment, read_address
+from soak.checks import Ledger, Trouble
+from soak.const import (
+    BOUNDS,
+    ENGINE,
+    ENTRY,
+    EVENT_SECONDS,
+    EVENTS,
+    GRACE_SECONDS,
+    LIMITS,
+    POLL_SECONDS,
+    ROUTES,
+    START_SECONDS,
+    STOP_CODES,
+)
+from standins.proxy import FaultProxy
+from standins.runs import Order, RunReader, read_clock
+
+PROGRAM: Final = ROOT / "platform" / "radishtallyd.py"
+TAKEN: Final = 202
+"""Status with which an engine takes another role."""
+IPS: Final = itertools.count(1)
+
+
+@dataclass
+class Gateway:
+    """Hold one gateway and what stands before and behind it."""
+
+    name: str
+    ip: str
+    front: FaultProxy
+    store: FaultProxy
+    settings: dict[str, Any]
+    process: subprocess.Popen[bytes] | None = None
+    is_ending: bool = False
+    """Whether the process was told to end."""
+    was_ready: bool = False
+    """Whether the process has taken callers."""
+
+    @property
+    def address(self) -> str:
+        """Give where callers connect."""
+        return self.front.address
+
+
+@dataclass
+class Host:
+    """Hold a host of an upstream, reached through a proxy only."""
+
+    name: str
+    service: str
+    phase: str
+    proxy: FaultProxy
+    child: Child
+    reader: RunReader
+    is_listed: bool = False
+    sequence: int = 0
+
+
+@dataclass
+class Fleet:
+    """Hold what runs."""
+
+    folder: Path
+    ledger: Ledger
+    trouble: Trouble
+    chance: random.Random
+    gateways: list[Gateway] = field(default_factory=list)
+    hosts: list[Host] = field(default_factory=list)
+    """Hosts that are in service, those that left not among them."""
+    version: int = 0
+    _started: list[subprocess.Popen[bytes]] = field(default_factory=list)
+    _proxies: list[FaultProxy] = field(default_factory=list)
+    _readers: list[RunReader] = field(default_factory=list)
+    _names: itertools.count = field(default_factory=lambda: itertools.count(1))
+
+    async def start(self, gateways: int, engines: int, desks: int) -> None:
+        """Start everything and wait until callers are taken."""
+        self.session = aiohttp.ClientSession()
+        child = await self._launch("store", "rows")
+        self.store = child
+        await self.configure()
+        roles = ["prefill", "decode"] * engines + [""] * desks
+        await asyncio.gather(*(self.add_host(role) for role in roles))
+        for number in range(gateways):
+            self.gateways.append(await self._prepare_gateway(f"g-{number + 1}"))
+        for gateway in self.gateways:
+            self.start_gateway(gateway)
+        for gateway in self.gateways:
+            await self.wait_ready(gateway)
+
+    async def stop(self) -> None:
+        """End every process that was started."""
+        for process in self._started:
+            # A paused process is killed all the same.
+            process.kill()
+        for process in self._started:
+            process.wait()
+            if process.stdout is not None:
+                process.stdout.close()
+        for proxy in self._proxies:
+            await proxy.stop()
+        await self.session.close()
+
+    async def configure(self, **changes: Any) -> None:
+        """Write a configuration with changed or added routes as the operator does."""
+        self.version += self.chance.randint(1, 4)
+        more = changes.pop("more", [])
+        routes = [
+            {**r, **changes, "prefix": f"/{r['name']}/"} for r in (*ROUTES, *more)
+        ]
+        services = [{"name": "llm", "engine": ENGINE}, {"name": "desk"}]
+        value = {"version": self.version, "routes": routes, "services": services}
+        await self._write("op", "config", {**value, "limits": LIMITS})
+
+    async def add_host(self, phase: str, proxy: FaultProxy | None = None) -> Host:
+        """Start a host, at an address that another one had if there is such a one."""
+        name = f"{phase[:1] or 's'}-{next(self._names)}"
+        log = self.folder / f"{name}.runs"
+        args = ["--instance", name, "--log", str(log)]
+        if phase:
+            args += ["--phase", phase, "--seconds", str(EVENT_SECONDS)]
+            args += ["--events", str(EVENTS)]
+        child = await self._launch(name, "staged" if phase else "desk", *args)
+        if proxy is None:
+            proxy = await self._add_proxy(child.address)
+        ip, port = child.address.rsplit(":", 1)
+        proxy.target = (ip, int(port))
+        service = "llm" if phase else "desk"
+        reader = RunReader(log)
+        self._readers.append(reader)
+        host = Host(name, service, phase, proxy, child, reader)
+        await self.announce(host)
+        self.hosts.append(host)
+        return host
+
+    async def announce(self, host: Host, state: str = "ready") -> None:
+        """Write a host's entry as the host does."""
+        host.sequence += 1
+        entry = {**ENTRY, "service": host.service, "address": host.proxy.address}
+        more = {"phase": host.phase} if host.phase else {}
+        more |= {"state": state, "sequence": host.sequence}
+        await self._write("servers", host.name, {**entry, **more})
+
+    async def withdraw(self, host: Host) -> None:
+        """Remove a host's entry."""
+        await self._write("servers", host.name, None)
+        self.ledger.gone[host.name] = read_clock()
+
+    async def garble(self, host: Host) -> None:
+        """Write over a host's entry as a foreign writer may."""
+        await self._write("servers", host.name, ["no entry"])
+
+    async def _write(self, table: str, key: str, value: Any) -> None:
+        row: dict[str, Any] = {"table": table, "key": key}
+        if value is not None:
+            row["value"] = base64.b64encode(json.dumps(value).encode()).decode()
+        await self.post(self.store.address, "/_write", row)
+
+    async def post(self, address: str, path: str, body: Any) -> None:
+        """Tell a stand-in something, not through a proxy."""
+        async with self.session.post(f"http://{address}{path}", json=body) as reply:
+            reply.raise_for_status()
+
+    async def read_runs(self) -> None:
+        """Read what hosts have noted, and compare the answers with it."""
+        signed = self.ledger.take_signed()
+        records = [record for reader in self._readers for record in reader.read()]
+        self.ledger.take(records)
+        self.ledger.check_signed(signed)
+        for order in records:
+            if isinstance(order, Order) and order.status == TAKEN:
+                await self._change_role(order)
+
+    async def _change_role(self, order: Order) -> None:
+        """Write the entry of an engine that has taken another role."""
+        for host in self.hosts:
+            if host.name == order.host:
+                host.phase = order.role
+                await self.announce(host)
+
+    def start_gateway(self, gateway: Gateway) -> None:
+        """Start a gateway's process with its settings as they stand."""
+        path = self.write_settings(gateway)
+        command = [sys.executable, str(PROGRAM), "gateway"]
+        environment = {**make_environment(), "RADISHTALLY_CONFIG": str(path)}
+        with (self.folder / f"{gateway.name}.log").open("ab") as log:
+            gateway.process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+        gateway.is_ending = gateway.was_ready = False
+        self._started.append(gateway.process)
+
+    def write_settings(self, gateway: Gateway) -> Path:
+        """Write a gateway's settings file."""
+        path = self.folder / f"{gateway.name}.json"
+        text = json.dumps(gateway.settings, indent=2)
+        whole = path.with_suffix(".new")
+        whole.write_text(text)
+        whole.replace(path)
+        return path
+
+    def signal_gateway(self, gateway: Gateway, number: int) -> None:
+        """Send a signal to the process that the soak has started."""
+        with suppress(ProcessLookupError):
+            gateway.process.send_signal(number)
+
+    async def restart_gateway(self, gateway: Gateway, number: int) -> None:
+        """End a gateway by a signal, killed when its time is up, and start it anew."""
+        process, is_first = gateway.process, not gateway.is_ending
+        gateway.is_ending = True
+        self.signal_gateway(gateway, number)
+        if not is_first:
+            return
+        until = read_clock() + GRACE_SECONDS
+        while process.poll() is None:
+            if read_clock() > until:
+                process.kill()
+            await asyncio.sleep(POLL_SECONDS)
+        self.check_end(gateway)
+        self.start_gateway(gateway)
+        await self.wait_ready(gateway)
+
+    async def wait_ready(self, gateway: Gateway) -> None:
+        """Wait until a gateway's process takes callers, or has been told to end."""
+        process, until = gateway.process, read_clock() + START_SECONDS
+        while process is gateway.process and not gateway.is_ending:
+            if process.poll() is not None or await self._answers(gateway):
+                break
+            if read_clock() > until:
+                self.ledger.find(f"{gateway.name} was not ready in {START_SECONDS} s")
+                break
+            await asyncio.sleep(POLL_SECONDS)
+        gateway.was_ready = process is gateway.process
+
+    async def _answers(self, gateway: Gateway) -> bool:
+        url = f"http://{gateway.settings['ready_address']}/api/ready"
+        try:
+            wait = aiohttp.ClientTimeout(total=1.0)
+            async with self.session.get(url, timeout=wait) as reply:
+                return reply.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    def check_end(self, gateway: Gateway) -> None:
+        """Check how a gateway's process ended that was told to."""
+        code = gateway.process.returncode
+        if code not in STOP_CODES:
+            self.ledger.find(f"{gateway.name} ended with {code}; see its log")
+
+    def check_processes(self) -> None:
+        """Start gateways again that ended though nobody told them to."""
+        for gateway in self.gateways:
+            if gateway.is_ending or gateway.process.poll() is None:
+                continue
+            code = gateway.process.returncode
+            self.ledger.find(f"{gateway.name} ended by itself with {code}")
+            self.start_gateway(gateway)
+
+    async def heal(self) -> None:
+        """End all faults; what is stopped goes on."""
+        for gateway in self.gateways:
+            self.signal_gateway(gateway, signal.SIGCONT)
+        for proxy in self._proxies:
+            proxy.delay(0.0)
+            proxy.heal()
+        for host in self.hosts:
+            host.child.process.send_signal(signal.SIGCONT)
+            await self.announce(host)
+
+    async def _prepare_gateway(self, name: str) -> Gateway:
+        ip = take_ip()
+        front = await self._add_proxy(f"{ip}:8101")
+        store = await self._add_proxy(self.store.address)
+        settings = {
+            "host": name,
+            "data_centre": "howrah",
+            "cores": 1.0,
+            "core_share": 0.8,
+            "address": f"{ip}:8101",
+            "ready_address": f"{ip}:8102",
+            "metrics_address": f"{ip}:9464",
+            "peer_address": f"{ip}:8104",
+            "store_address": store.address,
+            "bounds": dict(BOUNDS),
+        }
+        return Gateway(name, ip, front, store, settings)
+
+    async def _add_proxy(self, target: str) -> FaultProxy:
+        proxy = await FaultProxy.start(target, take_ip())
+        self._proxies.append(proxy)
+        return proxy
+
+    async def _launch(self, name: str, kind: str, *args: str) -> Child:
+        command = [sys.executable, "-m", f"standins.{kind}", "--address", take_ip()]
+        child = launch(name, [*command, *args])
+        self._started.append(child.process)
+        return await asyncio.to_thread(read_address, child)
+
+
+def take_ip() -> str:
+    """Give a loopback address that nothing else on the machine uses."""
+    process = os.getpid() % 12_500
+    return f"127.{200 + process // 250}.{1 + process % 250}.{next(IPS) % 250 + 1}"
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -43,6 +43,7 @@
         """Build the application with its routes."""
         app = build_app()
         app.router.add_post("/_compact", self._compact)
+        app.router.add_post("/_write", self._write)
         self.gate.install(app)
         app.router.add_post("/api/rows-tx", self._transact)
         app.router.add_get("/api/rows-get", self._get)
@@ -64,6 +65,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    async def _write(self, request: web.Request) -> web.Response:
+        row = await read_json(request, dict[str, Any])
+        return reply_json({"ver": self.write(_name(row), row.get("value"))})
+
     async def _compact(self, request: web.Request) -> web.Response:
         self.compact()
         return reply_json({})
--- /dev/null
+++ b/standins/runs.py
@@ -0,0 +1,90 @@
+"""Keep a stand-in's own record of what it ran, for who checks the callers' answers."""
+
+import hashlib
+import os
+import time
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+RUN: Final = "run"
+PROMPT: Final = "prompt"
+ORDER: Final = "order"
+
+
+class Run(NamedTuple):
+    """Hold a request that a host ran, or a prompt that it read."""
+
+    kind: str
+    at: float
+    """Steady clock of the machine, which its processes share."""
+    host: str
+    id: str
+    method: str
+    path: str
+    body: str
+    """Digest of the request's body."""
+    signature: str
+    status: int
+    answer: str
+    """Digest of the answer's body; empty where it is a stream."""
+
+
+class Order(NamedTuple):
+    """Hold an order that an engine got, taken or not."""
+
+    kind: str
+    at: float
+    host: str
+    owner: str
+    fence: int
+    role: str
+    status: int
+
+
+class RunLog:
+    """Write records to a file, each before anything of its answer goes out."""
+
+    def __init__(self, path: str) -> None:
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        self._file = os.open(path, flags, 0o644) if path else None
+
+    def write(self, record: Run | Order) -> None:
+        """Write one record; it outlives the process, however that ends."""
+        if self._file is not None:
+            os.write(self._file, msgspec.json.encode(record) + b"\n")
+
+
+class RunReader:
+    """Read what was added to a log."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._offset = 0
+
+    def read(self) -> list[Run | Order]:
+        """Read the records that are whole and were not read before."""
+        if not self._path.exists():
+            return []
+        with self._path.open("rb") as file:
+            file.seek(self._offset)
+            data = file.read()
+        whole = data[: data.rfind(b"\n") + 1]
+        self._offset += len(whole)
+        return [_decode(line) for line in whole.splitlines()]
+
+
+def _decode(line: bytes) -> Run | Order:
+    fields: list[Any] = msgspec.json.decode(line)
+    return Order(*fields) if fields[0] == ORDER else Run(*fields)
+
+
+def digest(data: bytes) -> str:
+    """Give a short digest of a body."""
+    return hashlib.blake2b(data, digest_size=8).hexdigest()
+
+
+def read_clock() -> float:
+    """Read the clock that the machine's processes share."""
+    return time.monotonic()
--- a/standins/staged.py
+++ b/standins/staged.py
@@ -7,7 +7,8 @@
 
 from aiohttp import web
 
-from standins.common import build_app, build_parser, reply_json, serve
+from standins.common import build_app, build_parser, read_json, reply_json, serve
+from standins.runs import ORDER, PROMPT, RUN, Order, Run, RunLog, digest, read_clock
 
 EVENTS: Final = 4
 SIGNATURE: Final = "X-Server-Signature"
@@ -18,8 +19,12 @@
 class StagedEngine:
     """Read prompts or make answers, as its stage is, and count what it ran."""
 
-    def __init__(self, instance: str, phase: str, seconds: float = 0.0) -> None:
+    def __init__(
+        self, instance: str, phase: str, seconds: float = 0.0, log: str = ""
+    ) -> None:
         self.instance = instance
+        self.events = EVENTS
+        """Events of each answer."""
         self.phase = phase
         self.seconds = seconds
         """Time of each event, and of a prompt."""
@@ -45,10 +50,13 @@
         self.dropped: list[str] = []
         """Requests whose callers left before the end."""
         self._names = itertools.count(1)
+        self._log = RunLog(log)
+        self._signatures = itertools.count(1)
 
     def build_app(self) -> web.Application:
         """Build the application with its routes."""
         app = build_app()
+        app.router.add_post("/_fault", self._set_fault)
         app.router.add_get("/api/report", self._report)
         app.router.add_post("/api/order", self._order)
         app.router.add_get("/api/kv-list", self._list_kept)
@@ -68,6 +76,13 @@
         self.highest_fence = 0
         self._names = itertools.count(1)
 
+    async def _set_fault(self, request: web.Request) -> web.Response:
+        fault = await read_json(request, dict[str, Any])
+        self.refuses = fault.get("refuses", False)
+        self.loses_handles = fault.get("loses_handles", False)
+        self.cut_after = fault.get("cut_after")
+        return reply_json({})
+
     def describe_start(self) -> dict[str, int]:
         """Say when it started, as in all that it says of itself."""
         return {"born": self.born} if self.born else {}
@@ -88,16 +103,22 @@
 
     async def _order(self, request: web.Request) -> web.Response:
         order = await request.json()
+        status = self._take_order(order)
+        seen = order["owner"], order["fenceToken"], order["phase"], status
+        self._log.write(Order(ORDER, read_clock(), self.instance, *seen))
+        return web.Response(status=status)
+
+    def _take_order(self, order: dict[str, Any]) -> int:
         if order["fenceToken"] < self.highest_fence:
-            return web.Response(status=412)
+            return 412
         if order.get("expected", len(self.orders)) != len(self.orders):
-            return web.Response(status=409)
+            return 409
         self.highest_fence = order["fenceToken"]
         if order["phase"] == self.phase:
-            return web.Response(status=200)
+            return 200
         self.orders.append(order)
         self.phase = order["phase"]
-        return web.Response(status=202)
+        return 202
 
     async def _free(self, request: web.Request) -> web.Response:
         self.freed.append(request.match_info["name"])
@@ -105,7 +126,7 @@
         return web.Response()
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
-        await request.read()
+        body = await request.read()
         if request.headers.get("X-Target-Instance") != self.instance:
             return web.Response(status=421, headers={"X-Instance-Id": self.instance})
         if self.refuses:
@@ -115,12 +136,23 @@
             return web.Response(status=421, headers=NOT_RUN)
         name = request.headers[REQUEST_NAME]
         if wants_prefill:
+            self._note(PROMPT, request, body, "")
             return await self._read_prompt()
         if "X-Kv-Source" in request.headers:
             self.fetched.append(request.headers["X-Kv-Source"])
             if self.loses_handles:
                 return web.Response(status=503, headers=NOT_RUN)
-        return await self._stream(request, name)
+        signature = f"by-{self.instance}-{next(self._signatures)}"
+        self._note(RUN, request, body, signature)
+        return await self._stream(request, name, signature)
+
+    def _note(
+        self, kind: str, request: web.Request, body: bytes, signature: str
+    ) -> None:
+        name, asked = request.headers[REQUEST_NAME], digest(body)
+        sent = name, request.method, request.raw_path, asked
+        run = Run(kind, read_clock(), self.instance, *sent, signature, 200, "")
+        self._log.write(run)
 
     async def _read_prompt(self) -> web.Response:
         await self._sleep(self.born)
@@ -128,18 +160,20 @@
         self.handles.add(handle)
         return reply_json({"kvHandle": handle, "tokens": 1, "version": 1})
 
-    async def _stream(self, request: web.Request, name: str) -> web.StreamResponse:
+    async def _stream(
+        self, request: web.Request, name: str, signature: str
+    ) -> web.StreamResponse:
         born = self.born
         self.runs[name] += 1
         headers = {
             "Content-Type": "text/event-stream",
-            SIGNATURE: f"by-{self.instance}",
+            SIGNATURE: signature,
         }
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         try:
-            for number in range(first, EVENTS + 1):
+            for number in range(first, self.events + 1):
                 await self._sleep(born)
                 await response.write(make_event(name, number))
                 if number == self.cut_after:
@@ -170,8 +204,11 @@
     parser.add_argument("--instance", default="i-0")
     parser.add_argument("--phase", default="decode", choices=["prefill", "decode"])
     parser.add_argument("--seconds", type=float, default=0.0)
+    parser.add_argument("--events", type=int, default=EVENTS)
+    parser.add_argument("--log", default="")
     args = parser.parse_args()
-    engine = StagedEngine(args.instance, args.phase, args.seconds)
+    engine = StagedEngine(args.instance, args.phase, args.seconds, args.log)
+    engine.events = args.events
     serve(engine.build_app(), args.address, args.port, cancel_on_disconnect=True)
 
 
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,21 @@
+"""A short soak: the programs under a seed's faults, and what is promised then."""
+
+import asyncio
+
+from soak.core import run_seed
+from soak.schedule import make_schedule
+
+SEED = 3
+SECONDS = 12.0
+
+
+def test_nothing_promised_is_broken_under_faults() -> None:
+    outcome = asyncio.run(run_seed(SEED, SECONDS))
+    assert outcome.findings == [], f"logs: {outcome.folder}"
+    served = [outcome.counts.get(f"{kind} 200", 0) for kind in ("read", "book")]
+    assert all(served) and outcome.faults
+
+
+def test_seed_names_the_schedule() -> None:
+    assert make_schedule(SEED, 60.0) == make_schedule(SEED, 60.0)
+    assert make_schedule(SEED, 60.0) != make_schedule(SEED + 1, 60.0)
