--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,30 +1,45 @@
-"""Run seeds one after another: `script/soak SEED... [--seconds N] [--scale N]`."""
+"""Run seeds one after another, or with --kept those that ever failed."""
 
 import argparse
 import asyncio
 import shutil
+import signal
 import sys
+from pathlib import Path
+from typing import Final
 
 from soak.core import run_seed
 from soak.schedule import make_schedule
 
+KEPT: Final = Path(__file__).parent / "kept.txt"
+
 
 def main() -> None:
     """Run the seeds that are named; the exit code tells whether anything was found."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("seeds", nargs="+", type=int, metavar="SEED")
+    parser.add_argument("seeds", nargs="*", type=int, metavar="SEED")
     parser.add_argument("--seconds", type=float, default=60.0, help="time of faults")
     parser.add_argument("--scale", type=int, default=1, help="times as many processes")
+    parser.add_argument("--kept", action="store_true", help="seeds that ever failed")
     parser.add_argument("--show", action="store_true", help="print the schedule only")
     args = parser.parse_args()
+    # The default would leave the fleet's processes behind.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     if args.show:
         for seed in args.seeds:
             print(*make_schedule(seed, args.seconds), sep="\n")
         return
-    found = [_run(seed, args.seconds, args.scale) for seed in args.seeds]
+    runs = [(seed, args.seconds, args.scale) for seed in args.seeds]
+    found = [_run(*run) for run in (runs + _read_kept() if args.kept else runs)]
     sys.exit(1 if any(found) else 0)
 
 
+def _read_kept() -> list[tuple[int, float, int]]:
+    lines = KEPT.read_text().splitlines()
+    kept = [line.split()[:3] for line in lines if not line.startswith("#")]
+    return [(int(seed), float(seconds), int(scale)) for seed, seconds, scale in kept]
+
+
 def _run(seed: int, seconds: float, scale: int) -> int:
     command = f"script/soak {seed} --seconds {seconds:g} --scale {scale}"
     print(f"replay: {command}", flush=True)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,7 +16,7 @@
 
 import aiohttp
 
-from bench.fleet import ROOT, Child, launch, make_environment, read_address
+from bench.fleet import ROOT, Child, make_environment, read_address
 from soak.checks import Ledger, Trouble
 from soak.const import (
     BOUNDS,
@@ -311,9 +311,16 @@
 
     async def _launch(self, name: str, kind: str, *args: str) -> Child:
         command = [sys.executable, "-m", f"standins.{kind}", "--address", take_ip()]
-        child = launch(name, [*command, *args])
-        self._started.append(child.process)
-        return await asyncio.to_thread(read_address, child)
+        with (self.folder / "standins.log").open("ab") as log:
+            process = subprocess.Popen(
+                [*command, *args],
+                cwd=ROOT,
+                env=make_environment(),
+                stdout=subprocess.PIPE,
+                stderr=log,
+            )
+        self._started.append(process)
+        return await asyncio.to_thread(read_address, Child(name, process, ""))
 
 
 def take_ip() -> str:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,8 +5,8 @@
 from soak.core import run_seed
 from soak.schedule import make_schedule
 
-SEED = 3
-SECONDS = 12.0
+SEED = 101
+SECONDS = 20.0
 
 
 def test_nothing_promised_is_broken_under_faults() -> None:
