--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -243,13 +243,15 @@
         """Wait until a gateway's process takes callers, or has been told to end."""
         process, until = gateway.process, read_clock() + START_SECONDS
         while process is gateway.process and not gateway.is_ending:
-            if process.poll() is not None or await self._answers(gateway):
-                break
+            if await self._answers(gateway):
+                gateway.was_ready = process is gateway.process
+                return
+            if process.poll() is not None:
+                return
             if read_clock() > until:
                 self.ledger.find(f"{gateway.name} was not ready in {START_SECONDS} s")
-                break
+                return
             await asyncio.sleep(POLL_SECONDS)
-        gateway.was_ready = process is gateway.process
 
     async def _answers(self, gateway: Gateway) -> bool:
         url = f"http://{gateway.settings['ready_address']}/api/ready"
