--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,13 +3,13 @@
 import asyncio
 import random
 from collections.abc import Sequence
-from typing import Final, Protocol
+from typing import Final
 
 from soak.checks import Ledger, Sent, Trouble
 from soak.const import (
     ATTEMPTS,
-    AUTHORITY,
     DEADLINE_MS,
+    DEPLOYMENT,
     HANG_SECONDS,
     KINDS,
     LEAVE_CHANCE,
@@ -19,6 +19,7 @@
     STREAMS,
     SWITCH_CHANCE,
 )
+from soak.fleet import Gateway
 from soak.wire import Answer, Connection
 from standins.runs import digest, read_clock
 
@@ -27,21 +28,11 @@
 EVENT_MARK: Final = b"\n\n"
 
 
-class Door(Protocol):
-    """Be a gateway to callers."""
-
-    name: str
-
-    @property
-    def address(self) -> str:
-        """Give where callers connect."""
-
-
 class Caller:
     """Send requests one by one."""
 
     def __init__(
-        self, name: str, doors: Sequence[Door], ledger: Ledger, trouble: Trouble
+        self, name: str, doors: Sequence[Gateway], ledger: Ledger, trouble: Trouble
     ) -> None:
         self._name = name
         self._doors = doors
@@ -136,7 +127,7 @@
         body = b"" if kind == "read" else f"{name} ".encode() * 8
         path = f"/{kind}/{self._number}?by={self._name}"
         headers = [
-            f"Host: {AUTHORITY}",
+            f"Host: {DEPLOYMENT['route']['host']}",
             f"X-Request-Id: {name}",
             f"X-Deadline-Ms: {DEADLINE_MS}",
             f"Content-Length: {len(body)}",
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -181,7 +181,7 @@
         if gone is None or run.at < gone + GONE_SECONDS:
             return
         what = "store", f"store:{sent.gateway}", sent.gateway, run.host
-        if not self._trouble.touches(gone, run.at, *what):
+        if not self._trouble.touches(run.at - GONE_SECONDS, run.at, *what):
             late = run.at - gone
             self.find(f"{run}: {late:.1f} s after its host was gone: {sent}")
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -1,8 +1,9 @@
 """Constants of the soak."""
 
+import json
+from pathlib import Path
 from typing import Any, Final
 
-AUTHORITY: Final = "desk.example"
 EVENTS: Final = 12
 """Events of each stream."""
 EVENT_SECONDS: Final = 0.02
@@ -27,8 +28,9 @@
 GONE_SECONDS: Final = 10.0
 """Time after which a host whose entry is gone gets no new request; the gateways are
 told 2 s."""
-LINGER_SECONDS: Final = 14.0
-"""Time for which a host that left goes on serving whatever comes."""
+LINGER_SECONDS: Final = 17.0
+"""Time for which a host that left goes on serving whatever comes: some seconds more
+than GONE_SECONDS behind the last fault of others."""
 SILENCE_SECONDS: Final = 30.0
 """Time after a silence for which a caller may still meet the silenced connection."""
 ORDER_SLACK_SECONDS: Final = 5.0
@@ -39,8 +41,6 @@
 """Time between two looks at the hosts' records."""
 POLL_SECONDS: Final = 0.02
 START_SECONDS: Final = 60.0
-GRACE_SECONDS: Final = 8.0
-"""Time from a gateway's SIGTERM to its kill."""
 STOP_CODES: Final = frozenset({0, -9, -15})
 NOT_RUN: Final = frozenset({408, 421, 429, 503})
 """Statuses that promise that the request did not run and never will."""
@@ -50,53 +50,9 @@
 ONCE: Final = frozenset({"book", "sheet"})
 """Kinds that may run at most once under one name."""
 STREAMS: Final = frozenset({"draft", "sheet"})
-BOUNDS: Final[dict[str, float]] = {
-    "grace_seconds": GRACE_SECONDS,
-    "drain_ms": 2000,
-    "lease_ms": 3000,
-    "retry_ratio": 0.2,
-    "retry_slack": 54,
-    "retry_window_seconds": 10,
-}
-LIMITS: Final = {
-    "maxHeaderBytes": 16384,
-    "maxBodyBytes": 100_000,
-    "headerTimeoutMs": 3000,
-    "idleTimeoutMs": 15000,
-}
-ENGINE: Final = {
-    "slots": 64,
-    "kvCapacityTokens": 500_000,
-    "kvTokenBytes": 35136,
-    "stride": 10,
-    "handleTtlS": 5.0,
-    "roleSwitchS": 3.0,
-}
-ENTRY: Final[dict[str, Any]] = {
-    "zone": "howrah",
-    "version": "v1",
-    "slots": 64,
-    "state": "ready",
-    "coldRemainingMs": 0,
-    "sequence": 1,
-}
-ROUTE: Final[dict[str, Any]] = {
-    "host": AUTHORITY,
-    "timeoutMs": 5000,
-    "targetLatencyMs": 1000,
-    "priority": 1,
-    "maxAttempts": 2,
-}
-ROUTES: Final[tuple[dict[str, Any], ...]] = (
-    {**ROUTE, "name": "read", "kind": "safe", "service": "desk"},
-    {**ROUTE, "name": "book", "kind": "unsafe", "service": "desk"},
-    {
-        **ROUTE,
-        "name": "draft",
-        "kind": "streaming",
-        "service": "llm",
-        "resumable": True,
-        "maxAttempts": 3,
-    },
-    {**ROUTE, "name": "sheet", "kind": "streaming", "service": "llm"},
+DEPLOYMENT: Final[dict[str, Any]] = json.loads(
+    Path(__file__).with_name("deployment.json").read_bytes()
 )
+"""Bounds, limits, routes and entries, named as on the platform's wire."""
+GRACE_SECONDS: Final[float] = DEPLOYMENT["bounds"]["grace_seconds"]
+"""Time from a gateway's SIGTERM to its kill."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -38,7 +38,7 @@
     {"cut_after": 7},
     {"cut_after": 12},
 )
-Carry = Callable[[Fleet, Fault], Awaitable[None]]
+Carry = Callable[[Fleet, Fault, str], Awaitable[None]]
 
 
 async def carry_out(fleet: Fleet, fault: Fault) -> None:
@@ -206,14 +206,13 @@
     """Change times and add a route, then take it away."""
     variant = fault.variant
     times = {"timeoutMs": 4000 + variant % 2000, "priority": variant % 5}
-    more = [{"name": f"more-{variant % 3}", "kind": "safe", "service": "desk"}]
-    route = {"host": "more.example", "targetLatencyMs": 1000, "maxAttempts": 1}
-    await fleet.configure(**times, more=[{**route, **one} for one in more])
+    route = {"name": f"more-{variant % 3}", "kind": "safe", "service": "desk"}
+    await fleet.configure(route, **times)
     await asyncio.sleep(fault.seconds)
     await fleet.configure()
 
 
-_CARRIERS: Final[dict[str, Callable[[Fleet, Fault, str], Awaitable[None]]]] = {
+_CARRIERS: Final[dict[str, Carry]] = {
     "link": _disturb_link,
     "gateway": _disturb_gateway,
     "store": _disturb_store,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,15 +19,11 @@
 from bench.fleet import ROOT, Child, make_environment, read_address
 from soak.checks import Ledger, Trouble
 from soak.const import (
-    BOUNDS,
-    ENGINE,
-    ENTRY,
+    DEPLOYMENT,
     EVENT_SECONDS,
     EVENTS,
     GRACE_SECONDS,
-    LIMITS,
     POLL_SECONDS,
-    ROUTES,
     START_SECONDS,
     STOP_CODES,
 )
@@ -120,16 +116,16 @@
             await proxy.stop()
         await self.session.close()
 
-    async def configure(self, **changes: Any) -> None:
+    async def configure(self, *more: dict[str, Any], **changes: Any) -> None:
         """Write a configuration with changed or added routes as the operator does."""
         self.version += self.chance.randint(1, 4)
-        more = changes.pop("more", [])
         routes = [
-            {**r, **changes, "prefix": f"/{r['name']}/"} for r in (*ROUTES, *more)
+            {**DEPLOYMENT["route"], **changes, "prefix": f"/{one['name']}/", **one}
+            for one in (*DEPLOYMENT["routes"], *more)
         ]
-        services = [{"name": "llm", "engine": ENGINE}, {"name": "desk"}]
-        value = {"version": self.version, "routes": routes, "services": services}
-        await self._write("op", "config", {**value, "limits": LIMITS})
+        value = {name: DEPLOYMENT[name] for name in ("services", "limits")}
+        value |= {"version": self.version, "routes": routes}
+        await self._write("op", "config", value)
 
     async def add_host(self, phase: str, proxy: FaultProxy | None = None) -> Host:
         """Start a host, at an address that another one had if there is such a one."""
@@ -155,7 +151,11 @@
     async def announce(self, host: Host, state: str = "ready") -> None:
         """Write a host's entry as the host does."""
         host.sequence += 1
-        entry = {**ENTRY, "service": host.service, "address": host.proxy.address}
+        entry = {
+            **DEPLOYMENT["entry"],
+            "service": host.service,
+            "address": host.proxy.address,
+        }
         more = {"phase": host.phase} if host.phase else {}
         more |= {"state": state, "sequence": host.sequence}
         await self._write("servers", host.name, {**entry, **more})
@@ -302,7 +302,7 @@
             "metrics_address": f"{ip}:9464",
             "peer_address": f"{ip}:8104",
             "store_address": store.address,
-            "bounds": dict(BOUNDS),
+            "bounds": dict(DEPLOYMENT["bounds"]),
         }
         return Gateway(name, ip, front, store, settings)
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -38,7 +38,9 @@
     chance = random.Random(seed)
     kinds = chance.sample(KINDS, chance.randint(FEWEST_SERIES, len(KINDS)))
     faults = [fault for kind in kinds for fault in _make_series(kind, seconds, chance)]
-    return sorted(faults)
+    # What comes to a host that left can be judged only once the store is left in peace.
+    last = Fault(seconds, "host_leave", chance.randrange(TARGETS), 0.0, 0)
+    return [*sorted(faults), last]
 
 
 def _make_series(kind: str, seconds: float, chance: random.Random) -> list[Fault]:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -116,7 +116,7 @@
         ledger.gone["h-1"] = 100.0
 
     def cut_off(ledger: Ledger) -> None:
-        ledger._trouble.spans["store:g-1"].append([101.0, 102.0])
+        ledger._trouble.spans["store:g-1"].append([111.0, 112.0])
 
     assert "after its host was gone" in play(leave, note(late))[0]
     assert play(leave, cut_off, note(late)) == []
