--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+import aiohttp
+
 from soak.const import LINGER_SECONDS, SILENCE_SECONDS
 from soak.fleet import Fleet, Gateway, Host
 from soak.schedule import Fault
@@ -197,7 +199,7 @@
     """Tell a host how to answer, as long as it runs."""
     try:
         await fleet.post(host.child.address, "/_fault", fault)
-    except OSError:
+    except aiohttp.ClientError:
         if host in fleet.hosts:
             raise
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -90,7 +90,9 @@
 
     async def start(self, gateways: int, engines: int, desks: int) -> None:
         """Start everything and wait until callers are taken."""
-        self.session = aiohttp.ClientSession()
+        # A connection that is kept may end just as a process is told something on it.
+        connector = aiohttp.TCPConnector(force_close=True)
+        self.session = aiohttp.ClientSession(connector=connector)
         child = await self._launch("store", "rows")
         self.store = child
         await self.configure()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,7 @@
 """A short soak: the programs under a seed's faults, and what is promised then."""
 
 import asyncio
+import shutil
 
 from soak.core import run_seed
 from soak.schedule import make_schedule
@@ -14,6 +15,7 @@
     assert outcome.findings == [], f"logs: {outcome.folder}"
     served = [outcome.counts.get(f"{kind} 200", 0) for kind in ("read", "book")]
     assert all(served) and outcome.faults
+    shutil.rmtree(outcome.folder)
 
 
 def test_seed_names_the_schedule() -> None:
