Tell how old what was believed is when the store was restored

The line of a restore lacked the age of what a gateway went by, and whether its own row was lost and is written again. Logged now; no behaviour is changed.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -242,8 +242,11 @@
         self.metrics.set_configuration(configuration.version)
         log_message("configuration:in_force", version=configuration.version)
 
-    def enter_era(self, before: int, after: int) -> None:
-        """Take that the store is in another era; before is 0 at first sight."""
+    def enter_era(self, before: int, after: int, silence: float) -> None:
+        """Take that the store is in another era; before is 0 at first sight.
+
+        What was believed of hosts and configuration is as many seconds old.
+        """
         held_lease = self.lease.fencing is not None
         self.lease.enter_era(after)
         if not before:
@@ -254,6 +257,7 @@
             "store:restored",
             before=before,
             after=after,
+            silence=round(silence, 3),
             held_lease=held_lease,
             version=None if configuration is None else configuration.version,
             hosts=len(list(self.members)),
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -126,7 +126,8 @@
         self._era_risen.clear()
         await asyncio.sleep(random.uniform(0.0, ERA_LOOK_SECONDS))
         await self._share_secret()
-        await self._register.write_own()
+        stood = await self._register.write_own()
+        log_message("peers:row_stands", was_lost=not stood)
 
     async def _share_secret(self) -> None:
         """See to it that the secret in use is the one that stands in the store.
--- a/tests/adapter/test_restored.py
+++ b/tests/adapter/test_restored.py
@@ -175,7 +175,8 @@
         self.watcher = Watcher(self.client, self, self.loop.time)
         self.watcher.start()
 
-    def enter_era(self, before: int, after: int) -> None:
+    def enter_era(self, before: int, after: int, silence: float) -> None:
+        assert silence >= 0.0
         if before:
             self.members.enter_era(self.loop.time())
 
