--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -329,6 +329,7 @@
             upstream=work.upstream,
             kind=work.kind,
             timeout=round(routed.timeout, 3),
+            content=routed.terms.content,
             version=self.router.configuration.version,
         )
         now = time.monotonic()
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -1,5 +1,6 @@
 """Make work of a caller's request by the route that it takes."""
 
+from hashlib import sha256
 from typing import Final, NamedTuple
 
 from xxhash import xxh3_64_intdigest
@@ -22,6 +23,8 @@
 )
 """Answers find their caller by the name: a second one would take the first's place, who
 then waits for ever."""
+CONTENT_DIGITS: Final = 32
+"""Hex digits of the digest that are kept."""
 NO_ROUTE: Final = Refusal(404, "no_route", "no route leads from this path")
 
 
@@ -85,11 +88,24 @@
             route.priority,
             asked.output_tokens or asked.max_tokens,
             asked.parts,
+            hash_content(method, asked.authority, target, body),
         )
         timeout = min(route.timeout, asked.timeout or route.timeout)
         return Ok(Routed(work, terms, timeout, is_streamed))
 
 
+def hash_content(method: str, authority: str, target: str, body: bytes) -> str:
+    """Digest what a request asks, whoever sends it and under whatever name.
+
+    Not a fast hash: with one that collides at will a caller could get the requests of
+    others taken for its own.
+    """
+    head = "\0".join((method, authority, target)).encode()
+    digest = sha256(len(head).to_bytes(4) + head)
+    digest.update(body)
+    return digest.hexdigest()[:CONTENT_DIGITS]
+
+
 def hash_shared_parts(asked: CallerRequest) -> int:
     """Hash the parts of a prompt that other requests share: all but the last."""
     names = "\0".join(part.name for part in asked.parts[:-1])
