--- /dev/null
+++ b/tests/gateway/ending.py
@@ -0,0 +1,157 @@
+"""Engines that end when they begin to run a certain prompt, and start again."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+from aiohttp import web
+
+from standins.staged import StagedEngine
+from tests.gateway.common import (
+    LOOPBACK,
+    Deployment,
+    deployment,
+    make_prompt,
+    run_gateway,
+    wait_until,
+)
+
+POISON = b"poison"
+
+
+class EndingEngine(StagedEngine):
+    """End at once, with all its connections, as a poison prompt begins to run."""
+
+    def __init__(self, name: str, phase: str, made: Deployment) -> None:
+        super().__init__(name, phase)
+        self.ends = 0
+        self.arrivals = 0
+        """Poison prompts that have come to be answered."""
+        self.is_safe = False
+        """Whether it bears the prompt, as a mended release does."""
+        self._made = made
+        self._name = name
+        self._runner: web.AppRunner | None = None
+        self._port = 0
+
+    async def start(self) -> None:
+        """Listen where it did before, under a new id, and write its entry."""
+        self.instance = f"{self._name}-{self.ends}"
+        self._runner = web.AppRunner(
+            self.build_app(), handler_cancellation=True, shutdown_timeout=0
+        )
+        await self._runner.setup()
+        await web.TCPSite(
+            self._runner, LOOPBACK, self._port, reuse_address=True
+        ).start()
+        self._port = self._runner.addresses[0][1]
+        self._made.addresses[self.instance] = f"{LOOPBACK}:{self._port}"
+        self._made.announce_engine(self)
+
+    async def end(self) -> None:
+        """End without a word to anybody."""
+        runner, self._runner = self._runner, None
+        if runner is None:
+            return
+        self.ends += 1
+        for site in list(runner.sites):
+            site._server.close()
+        for connection in runner.server.connections:
+            connection.transport.abort()
+
+    async def _stream(
+        self, request: web.Request, name: str, signature: str
+    ) -> web.StreamResponse:
+        if await request.read() != POISON:
+            return await super()._stream(request, name, signature)
+        self.arrivals += 1
+        if self.is_safe:
+            return await super()._stream(request, name, signature)
+        response = web.StreamResponse(headers={"X-Server-Signature": signature})
+        await response.prepare(request)
+        await self.end()
+        return response
+
+
+class Fleet:
+    """Hold engines that may end, and the gateways before them."""
+
+    def __init__(self, made: Deployment, urls: list[str], answering: int) -> None:
+        self.made = made
+        self.urls = urls
+        self.prompts = EndingEngine("p", "prefill", made)
+        self.answers = [EndingEngine(f"d{n}", "decode", made) for n in range(answering)]
+
+    @property
+    def ends(self) -> int:
+        """Count the ends of all engines."""
+        return sum(engine.ends for engine in self.answers)
+
+    @property
+    def arrivals(self) -> int:
+        """Count the poison prompts that have come to be answered."""
+        return sum(engine.arrivals for engine in self.answers)
+
+    async def start_ended(self) -> None:
+        """Start what has ended, and wait until the gateways know all engines."""
+        for engine in self.answers:
+            if engine._runner is None:
+                self.made.withdraw(engine.instance)
+                await engine.start()
+
+    async def send(
+        self, number: int, name: str, body: bytes = POISON, path: str = "/sheet/a"
+    ) -> tuple[int, bytes]:
+        """Send a request to one of the gateways; status 0 if its answer breaks off."""
+        url = self.urls[number % len(self.urls)] + path
+        async with aiohttp.ClientSession() as session:
+            try:
+                async with session.post(
+                    url, headers=make_prompt(name), data=body
+                ) as response:
+                    return response.status, await response.read()
+            except aiohttp.ClientError:
+                return 0, b""
+
+
+@asynccontextmanager
+async def run_fleet(answering: int, gateways: int = 1) -> AsyncIterator[Fleet]:
+    """Run engines behind linked gateways."""
+    async with deployment() as made:
+        fleet = Fleet(made, [made.url], answering)
+        running = []
+        known = [made.gateway]
+        try:
+            for number in range(2, gateways + 1):
+                context = run_gateway(made.store, f"gateway-{number}")
+                gateway = await context.__aenter__()
+                running.append(context)
+                known.append(gateway)
+                fleet.urls.append(f"http://{gateway.settings.address}")
+            for engine in (fleet.prompts, *fleet.answers):
+                await engine.start()
+            fleet.gateways = known
+            await wait_for_engines(fleet)
+            await wait_for_links(fleet)
+            yield fleet
+        finally:
+            for context in reversed(running):
+                await context.__aexit__(None, None, None)
+
+
+async def wait_for_engines(fleet: Fleet) -> None:
+    """Wait until each gateway lists the engines as they are, and no other."""
+    names = {engine.instance for engine in (fleet.prompts, *fleet.answers)}
+    for gateway in fleet.gateways:
+        await wait_until(lambda g=gateway: g.core.links.keys() == names)
+
+
+async def wait_for_links(fleet: Fleet) -> None:
+    """Wait until each gateway has a link to each other one."""
+    others = len(fleet.gateways) - 1
+    for gateway in fleet.gateways if others else ():
+        await wait_until(
+            lambda g=gateway: g.peers._hub and len(g.peers._hub.hosts) == others
+        )
+    await asyncio.sleep(0)
