Deny a request under which three hosts have ended in a row

Cause: a gateway knows a request by its name alone, and each repeat has another one. Nothing tied a repeat to what became of the ones before, at the same gateway or at another, so each was offered to the next sound host.

Change: hosts that ended in a row are counted by what a request asks (a digest of method, authority, target and body). A host has ended if an answer broke off and its port refuses a connection; a reset, a cut link, a garbled answer and a paused host are no end, nor is the end of a host that had said that it leaves, nor one that a prompt alone met. An end counts in a row only if its run began when the end before was known, so a rack that is lost at once counts once; a whole answer clears a request, and a run four times as long as those that ended before begins anew. From two ends on a request is kept from the last host that could run it, and runs where no other such request does and least is lost; from three on it is refused at once, not run, with the time to come back.

--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -27,7 +27,7 @@
     UpstreamCall,
 )
 from radishtally.direct.doubts import Doubt, ForeignAnswerError, find_doubt
-from radishtally.direct.pool import WatchedResponse, open_session
+from radishtally.direct.pool import WatchedResponse, is_refused, open_session
 from radishtally.direct.stream import EventCutter
 from radishtally.exchange import (
     BROKEN,
@@ -36,6 +36,7 @@
 )
 from radishtally.links.messages import (
     CALL,
+    ENDED,
     LEAVING,
     PREFILL,
     REPLACED,
@@ -61,7 +62,6 @@
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
-
 Receive = Callable[[str, Message], None]
 Name = tuple[str, int]
 
@@ -83,6 +83,8 @@
         self._receive = receive
         self._tasks = AttemptTasks()
         self._instances: dict[str, Instance] = {}
+        self._looks: dict[Instance, asyncio.Task[bool]] = {}
+        """Looks under way whether hosts have ended."""
         self.on_doubt: Callable[[Doubt], None] = lambda doubt: None
 
     async def start(self) -> None:
@@ -187,7 +189,25 @@
         except BROKEN as error:
             # A prompt that was to be computed has not run: no token was made of it.
             ran = Ran.NO if offer.stage == PREFILL else Ran.UNKNOWN
-            self._receive(host, Lost(*name, ran, _describe(error), 0))
+            has_ended = await self._has_ended(instance, error)
+            reason = ENDED if has_ended else _describe(error)
+            self._receive(host, Lost(*name, ran, reason, 0))
+
+    async def _has_ended(self, instance: Instance, error: BaseException) -> bool:
+        """Tell whether an answer broke off because its host has ended.
+
+        A reset, a cut link and a spoiled answer look alike on the connection, and say
+        nothing of the request. Answers that break off together are looked into once.
+        """
+        is_foreign = isinstance(error, ForeignAnswerError)
+        if is_foreign or not isinstance(error, aiohttp.ClientError):
+            return False
+        look = self._looks.get(instance)
+        if look is None:
+            look = asyncio.create_task(_look_for_end(instance))
+            self._looks[instance] = look
+            look.add_done_callback(lambda _: self._looks.pop(instance))
+        return await asyncio.shield(look)
 
     def _send(
         self, address: str, call: UpstreamCall, on_kept: bool
@@ -330,6 +350,13 @@
     return _Progress(len(offer.done), offer.tokens_done, xxhash.xxh64(offer.done))
 
 
+async def _look_for_end(instance: Instance) -> bool:
+    has_ended = await is_refused(instance.address)
+    if has_ended:
+        log_message("upstream:ended", upstream_host=instance.host)
+    return has_ended
+
+
 def _describe(error: BaseException) -> str:
     # Texts of the library's errors hold parts of answers.
     if isinstance(error, ForeignAnswerError):
--- a/radishtally/direct/pool.py
+++ b/radishtally/direct/pool.py
@@ -1,5 +1,6 @@
 """Open pools of connections to hosts, and watch the answers on them."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Final
 
@@ -59,6 +60,20 @@
         return "chunked" in self.headers.get("Transfer-Encoding", "").lower()
 
 
+async def is_refused(address: str) -> bool:
+    """Tell whether nothing listens at an IP and port that can be reached."""
+    ip, port = address.rsplit(":", 1)
+    try:
+        async with asyncio.timeout(CONNECT_SECONDS):
+            _, writer = await asyncio.open_connection(ip, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
 def open_session(
     force_close: bool, on_unasked: Callable[[], None]
 ) -> aiohttp.ClientSession:
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -247,6 +247,11 @@
         engine = self._engines.get(host)
         return "" if engine is None else engine.role
 
+    def count_open(self, host: KnownHost) -> int:
+        """Count the answers that would be lost with a host, those of others too."""
+        engine = self._engines.get(host.host)
+        return host.in_flight if engine is None else engine.count_answers()
+
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
         engine = self._engines.get(host.host)
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -210,6 +210,7 @@
 
     def render_metrics(self) -> bytes:
         """Give the figures of the metrics address."""
+        self.metrics.set_denied(self.core.suspects.count_denied(time.monotonic()))
         return self.metrics.render()
 
     def is_ready(self) -> bool:
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -21,7 +21,14 @@
     may_collect,
 )
 from radishtally.links.hub import LinkHub
-from radishtally.links.messages import Backlog, DemandReport, Message, PartsRead
+from radishtally.links.messages import (
+    Backlog,
+    DemandReport,
+    Message,
+    PartsRead,
+    Suspicions,
+)
+from radishtally.serving.suspects import Suspects, list_suspicions
 from radishtally.stages.const import TELL_SECONDS
 from radishtally.stages.keeper import StageKeeper
 
@@ -57,6 +64,7 @@
         placement: EnginePlacement,
         stages: StageKeeper,
         contend: Callable[[bool], None] = lambda _: None,
+        suspects: Suspects | None = None,
     ) -> None:
         self._own = own
         self._contend = contend
@@ -66,6 +74,7 @@
         self._hub = hub
         self._placement = placement
         self._stages = stages
+        self._suspects = Suspects() if suspects is None else suspects
         self._sites: Sites = {own: Site()}
         self._linked: list[str] | None = None
         """Links by which the circle was found; none where it is to be found anew."""
@@ -75,8 +84,9 @@
         """Seconds between two rounds."""
         self._heard: set[str] = set()
         """Engines that others have told of since the last round."""
-        self._heard_parts: list[tuple[str, PartsRead]] = []
-        """What others have told a collector since the last round, and who."""
+        self._heard_once: list[tuple[str, Message]] = []
+        """What others have told a collector since the last round that they tell only
+        once, and who."""
         self._refreshed_at = float("-inf")
 
     def set_sites(self, sites: Sites) -> None:
@@ -97,7 +107,7 @@
             self._follow_links()
             self._follow_candidates(now)
             self._tell_backlog(now)
-            self._tell_parts()
+            self._tell_once(now)
             if now >= told_demand + TELL_SECONDS:
                 told_demand = now
                 self._tell_demand(now)
@@ -111,6 +121,9 @@
         # One that has just started would have all parts read again, and elsewhere.
         for parts in self._placement.list_parts():
             self._hub.send(peer, parts)
+        now = time.monotonic()
+        for suspicions in list_suspicions(self._suspects.list_all(now)):
+            self._hub.send(peer, Suspicions(suspicions))
 
     def forget(self, peer: str) -> None:
         """Forget what a gateway has told, as its link is down."""
@@ -133,8 +146,25 @@
             self._stages.take_report(peer, message, now)
         elif isinstance(message, PartsRead):
             self._placement.take_parts(message)
-            if self._collects:
-                self._heard_parts.append((peer, message))
+            self._pass_on(peer, message)
+        elif isinstance(message, Suspicions):
+            self._take_suspicions(peer, message, now)
+            self._pass_on(peer, message)
+
+    def _take_suspicions(self, peer: str, message: Suspicions, now: float) -> None:
+        for suspicion in message.suspicions:
+            if self._suspects.take(suspicion, now):
+                log_message(
+                    "suspects:denied",
+                    content=suspicion.content,
+                    ends=suspicion.ends,
+                    told_by=peer,
+                )
+
+    def _pass_on(self, peer: str, message: Message) -> None:
+        """Tell the others in the next round, if this gateway collects."""
+        if self._collects:
+            self._heard_once.append((peer, message))
 
     @property
     def _collects(self) -> bool:
@@ -222,16 +252,19 @@
         for peer in self._circle.audience:
             self._hub.send(peer, self._make_backlog(hosts, peer))
 
-    def _tell_parts(self) -> None:
-        """Tell what engines were first given: nothing is told of what they keep."""
+    def _tell_once(self, now: float) -> None:
+        """Tell what engines were first given, and under which requests hosts ended."""
         told = [(self._own, parts) for parts in self._placement.take_read()]
-        told += self._heard_parts
-        self._heard_parts = []
+        suspicions = self._suspects.take_changed(now)
+        if suspicions:
+            told.append((self._own, Suspicions(tuple(suspicions))))
+        told += self._heard_once
+        self._heard_once = []
         for peer in self._circle.audience:
             left_out = self._list_left_out(peer) or ()
-            for teller, parts in told:
+            for teller, message in told:
                 if teller not in left_out:
-                    self._hub.send(peer, parts)
+                    self._hub.send(peer, message)
 
     def _make_backlog(self, hosts: Iterable[str] | None, peer: str) -> Backlog:
         return self._placement.make_backlog(hosts, self._list_left_out(peer))
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -74,6 +74,11 @@
         self._open = Gauge(
             "radishtally_open_requests", "Open requests", registry=self._registry
         )
+        self._denied = Gauge(
+            "radishtally_denied_requests",
+            "Requests, by what they ask, that hosts have ended under in a row",
+            registry=self._registry,
+        )
         self._missing = Gauge(
             "radishtally_missing_hosts",
             "Hosts that the list lacks and that get work all the same for a while",
@@ -115,6 +120,10 @@
             registry=self._registry,
         )
 
+    def set_denied(self, count: int) -> None:
+        """Take how many requests are offered to no host."""
+        self._denied.set(count)
+
     def set_missing(self, count: int) -> None:
         """Take how many hosts are kept that the list lacks."""
         self._missing.set(count)
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -32,6 +32,7 @@
 from radishtally.links.hub import Callbacks, LinkHub
 from radishtally.links.messages import Hello, Message
 from radishtally.runtime import Runtime
+from radishtally.serving.state import EntryCore
 from radishtally.stages.keeper import StageKeeper
 from radishtally.store.core import Row, Table
 
@@ -48,6 +49,7 @@
     recall: Recall
     stages: StageKeeper
     lease: LeaseHolder
+    core: EntryCore
     table: Table
 
     def count_gateways(self, count: int) -> None:
@@ -96,6 +98,7 @@
             gateway.placement,
             gateway.stages,
             gateway.lease.contend,
+            gateway.core.suspects,
         )
         await self._hub.start(self._address)
         gateway.runtime.spawn(self._loads.run())
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -30,6 +30,8 @@
 """Reason of a refusal: another instance has the host's address now."""
 RESTARTED: Final = "restarted"
 """Reason of a loss: the host has started again, and knows nothing of the attempt."""
+ENDED: Final = "host ended"
+"""Reason of a loss: the answer broke off, and nothing listens at the host any more."""
 
 
 class Hello(NamedTuple):
@@ -367,6 +369,25 @@
     """The least recently used first."""
 
 
+class Suspicion(NamedTuple):
+    """Say how many hosts ended in a row under a request."""
+
+    content: str
+    """Digest of what is asked, as it is the same in all repeats."""
+    ends: int
+    """None if the request was answered since."""
+    seconds: float
+    """Longest time for which one of them had been answering it."""
+    left: float
+    """Seconds for which that is remembered."""
+
+
+class Suspicions(NamedTuple):
+    """Tell the other entries under which requests hosts have ended."""
+
+    suspicions: tuple[Suspicion, ...]
+
+
 class FormerDemandReport(NamedTuple):
     """Hold the place of what the release before tells; it is not taken."""
 
@@ -418,6 +439,7 @@
     | Backlog
     | DemandReport
     | PartsRead
+    | Suspicions
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -447,6 +469,7 @@
     DemandReport,
     PartsRead,
     Backlog,
+    Suspicions,
 )
 """A kind's number is its place here: add at the end, never reorder, and give a message
 whose fields change a kind of its own; an older release reads neither more nor fewer."""
--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -5,6 +5,7 @@
 
 from radishtally.links.messages import (
     DECODE,
+    ENDED,
     KEY_REUSED,
     LEAVING,
     NOT_KNOWN,
@@ -53,6 +54,7 @@
     OpenRequest,
 )
 from radishtally.serving.state import EntryCore
+from radishtally.serving.suspects import End
 
 
 @singledispatch
@@ -85,6 +87,7 @@
         core.hosts[host].refusals = 0
         core.hosts[host].unreached = 0
     request.phase = ACCEPTED
+    request.accepted_at = now
     wait(request, float("inf"), core)
     joined = ", joined to the answer of its key" if message.attached else ""
     yield Note(message.request, f"accepted by {host}{joined}")
@@ -170,6 +173,8 @@
         reason = f"status {message.status}"
         yield from lose(request, Ran.UNKNOWN, reason, core, now)
         return
+    if message.status < const.FIRST_FAILURE:
+        core.suspects.clear(request.terms.content)
     if host in core.hosts:
         core.hosts[host].breaker.succeeded()
         core.placement.finish(request, core.hosts[host])
@@ -213,6 +218,8 @@
     if message.reason != NOT_KNOWN and host in core.hosts:
         core.hosts[host].breaker.failed(now)
         core.hosts[host].unreached += message.reason == UNREACHED
+    if message.reason == ENDED:
+        yield from _note_end(request, host, core, now)
     ran = _believe(message.ran, request, now)
     yield from lose(request, ran, message.reason, core, now)
 
@@ -255,6 +262,20 @@
     return ran if young else Ran.UNKNOWN
 
 
+def _note_end(
+    request: OpenRequest, host: str, core: EntryCore, now: float
+) -> Iterator[Command]:
+    """Take that a host has ended under a request that it may have begun to run."""
+    known = core.hosts.get(host)
+    # One that leaves ends by itself. A prompt alone that is computed is no run.
+    if known is None or not known.live or request.stage == PREFILL:
+        return
+    began = now if request.accepted_at is None else request.accepted_at
+    end = End(request.ends_known, now - began)
+    ends = core.suspects.note_end(request.terms.content, end, now)
+    yield Note(request.work.request, f"{host} ended under it, {ends} hosts in a row")
+
+
 def _pass_over(host: str, reason: str, core: EntryCore, now: float) -> None:
     """Leave a host out that refuses: for good if another one has its address.
 
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -1,12 +1,14 @@
 """Decide where a request goes next, and when it goes no further."""
 
 from collections.abc import Iterator
+from typing import Final
 
 from radishtally.limits.retries import backoff
 from radishtally.links.messages import (
     CALL,
     DECODE,
     NOT_KNOWN,
+    PREFILL,
     RESTARTED,
     STREAM,
     UNREACHED,
@@ -20,6 +22,10 @@
 from radishtally.serving.placement import Declined, Placed
 from radishtally.serving.requests import CLAIMING, OFFERED, WAITING, OpenRequest
 from radishtally.serving.state import EntryCore
+from radishtally.serving.suspects import ENDS_TO_SPARE
+
+LEAST_TO_RISK: Final = 2
+"""Hosts that must be able to run a request for one of them to be risked."""
 
 
 def wait(request: OpenRequest, until: float, core: EntryCore) -> None:
@@ -34,6 +40,11 @@
         # Nobody waits any more: what has not begun is not begun now.
         yield from fail(request, 499, const.CODE_DEADLINE, "nobody waits", core)
         return
+    denied = core.suspects.find_wait(request.terms.content, now)
+    if denied:
+        text = "hosts have ended under this request one after another"
+        yield from refuse(request, 503, const.CODE_ENDS_HOSTS, text, denied, core)
+        return
     placed = _place(request, core, now)
     if isinstance(placed, Declined):
         if placed.retry_after is not None:
@@ -55,6 +66,8 @@
     request.phase = OFFERED
     request.incarnation = core.links[host]
     request.offered_at = now
+    request.accepted_at = None
+    request.ends_known = core.suspects.note_offer(request.terms.content, now)
     request.asked_again_at = -1
     wait(request, now + core.offer_seconds, core)
     known = core.hosts[host]
@@ -183,9 +196,38 @@
     if request.offers >= const.MAX_OFFERS:
         return Declined(None)
     usable = _list_usable(request, core, now)
+    if core.suspects.count(request.terms.content, now) >= ENDS_TO_SPARE:
+        usable = _spare_hosts(usable, core, now)
+        if not usable:
+            return Declined(None, "hosts ended under it, and too few are left")
     return core.placement.place(request, usable, core.place, now)
 
 
+def _spare_hosts(
+    usable: list[KnownHost], core: EntryCore, now: float
+) -> list[KnownHost]:
+    """Leave one host to run a request that may end it: never the last one.
+
+    Rather one without another suspect, so that the guilty one ends alone, and then the
+    one with the least that would be lost.
+    """
+    find_role = core.placement.find_role
+    running = [known for known in usable if find_role(known.host) != PREFILL]
+    if len(running) < LEAST_TO_RISK:
+        return []
+    tried = {
+        other.host
+        for other in core.requests.values()
+        if core.suspects.count(other.terms.content, now) >= ENDS_TO_SPARE
+    }
+    risked = min(
+        running,
+        key=lambda known: (known.host in tried, core.placement.count_open(known)),
+    )
+    reading = [known for known in usable if find_role(known.host) == PREFILL]
+    return [*reading, risked]
+
+
 def _go_without_host(
     request: OpenRequest, core: EntryCore, now: float
 ) -> Iterator[Command]:
--- a/radishtally/serving/placement.py
+++ b/radishtally/serving/placement.py
@@ -38,6 +38,9 @@
     def find_role(self, host: str) -> str:
         """Find a host's role: only hosts of the same one can replace it."""
 
+    def count_open(self, host: KnownHost) -> int:
+        """Count the answers that would be lost with a host."""
+
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
 
@@ -74,6 +77,10 @@
         """Give one role to all hosts of an upstream: agents have the last word."""
         return ""
 
+    def count_open(self, host: KnownHost) -> int:
+        """Count the answers that would be lost with a host."""
+        return host.in_flight
+
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Note that the request was offered to a host."""
 
--- a/radishtally/serving/requests.py
+++ b/radishtally/serving/requests.py
@@ -41,6 +41,10 @@
     incarnation: str = ""
     """Process that the present attempt was offered to."""
     offered_at: float = 0.0
+    accepted_at: float | None = None
+    """Time at which the present attempt's host began to answer."""
+    ends_known: int = 0
+    """Hosts that were known to have ended under it at the present attempt's offer."""
     stage: str = WHOLE
     next_stage: str = WHOLE
     kv: KvRef | None = None
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -9,6 +9,7 @@
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.placement import Placement, RankedPlacement
 from radishtally.serving.requests import OpenRequest
+from radishtally.serving.suspects import Suspects
 
 
 @dataclass(slots=True)
@@ -33,6 +34,7 @@
     links: dict[str, str] = field(default_factory=dict)
     """Incarnation of each process that a link is up to."""
     requests: dict[str, OpenRequest] = field(default_factory=dict)
+    suspects: Suspects = field(default_factory=Suspects)
     wakes: list[tuple[float, str]] = field(default_factory=list)
     """Heap of the times at which requests want to be looked at."""
 
--- a/tests/gateway/ending.py
+++ b/tests/gateway/ending.py
@@ -1,12 +1,12 @@
 """Engines that end when they begin to run a certain prompt, and start again."""
 
-import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
 from aiohttp import web
 
+from radishtally.gateway.daemon import Gateway
 from standins.staged import StagedEngine
 from tests.gateway.common import (
     LOOPBACK,
@@ -80,6 +80,7 @@
     def __init__(self, made: Deployment, urls: list[str], answering: int) -> None:
         self.made = made
         self.urls = urls
+        self.gateways = [made.gateway]
         self.prompts = EndingEngine("p", "prefill", made)
         self.answers = [EndingEngine(f"d{n}", "decode", made) for n in range(answering)]
 
@@ -114,30 +115,46 @@
             except aiohttp.ClientError:
                 return 0, b""
 
+    async def ask(self, name: str) -> aiohttp.ClientResponse:
+        """Send the poison prompt to the first gateway and give the whole answer."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(
+                f"{self.urls[0]}/sheet/a", headers=make_prompt(name), data=POISON
+            ) as response,
+        ):
+            await response.read()
+            return response
+
+    async def wait_for_runs(self, count: int) -> None:
+        """Wait until so many requests are answered at once."""
+        await wait_until(
+            lambda: sum(len(engine.runs) for engine in self.answers) >= count
+        )
+
+    @asynccontextmanager
+    async def run_another(self, host: str) -> AsyncIterator[Gateway]:
+        """Run one more gateway, linked to the others."""
+        async with run_gateway(self.made.store, host) as gateway:
+            self.gateways.append(gateway)
+            self.urls.append(f"http://{gateway.settings.address}")
+            await wait_for_engines(self)
+            await wait_for_links(self)
+            yield gateway
+
 
 @asynccontextmanager
 async def run_fleet(answering: int, gateways: int = 1) -> AsyncIterator[Fleet]:
     """Run engines behind linked gateways."""
-    async with deployment() as made:
+    async with AsyncExitStack() as stack:
+        made = await stack.enter_async_context(deployment())
         fleet = Fleet(made, [made.url], answering)
-        running = []
-        known = [made.gateway]
-        try:
-            for number in range(2, gateways + 1):
-                context = run_gateway(made.store, f"gateway-{number}")
-                gateway = await context.__aenter__()
-                running.append(context)
-                known.append(gateway)
-                fleet.urls.append(f"http://{gateway.settings.address}")
-            for engine in (fleet.prompts, *fleet.answers):
-                await engine.start()
-            fleet.gateways = known
-            await wait_for_engines(fleet)
-            await wait_for_links(fleet)
-            yield fleet
-        finally:
-            for context in reversed(running):
-                await context.__aexit__(None, None, None)
+        for engine in (fleet.prompts, *fleet.answers):
+            await engine.start()
+        for number in range(2, gateways + 1):
+            await stack.enter_async_context(fleet.run_another(f"gateway-{number}"))
+        await wait_for_engines(fleet)
+        yield fleet
 
 
 async def wait_for_engines(fleet: Fleet) -> None:
@@ -154,4 +171,3 @@
         await wait_until(
             lambda g=gateway: g.peers._hub and len(g.peers._hub.hosts) == others
         )
-    await asyncio.sleep(0)
--- a/tests/gateway/test_request_ends_hosts.py
+++ b/tests/gateway/test_request_ends_hosts.py
@@ -1,10 +1,17 @@
 """Requests under which one host after another ends."""
 
+import asyncio
+
+import pytest
+
+from radishtally.serving import suspects
 from tests.common import run
-from tests.gateway.ending import Fleet, run_fleet, wait_for_engines
+from tests.gateway.common import make_route, wait_until
+from tests.gateway.ending import POISON, Fleet, run_fleet, wait_for_engines
 
 REPEATS = 12
 ENDS_ALLOWED = 3
+BESIDE = 30
 RETRIES_ALLOWED = 3
 """Times that a request may reach hosts after that many have ended under it."""
 
@@ -39,3 +46,227 @@
             assert fleet.arrivals <= ENDS_ALLOWED + RETRIES_ALLOWED
 
     run(play())
+
+
+def test_denied_request_is_refused_at_once_as_not_run() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=3) as fleet:
+            await repeat_poison(fleet)
+            read = len(fleet.prompts.handles)
+            answer = await fleet.ask("last")
+            assert answer.status == 503
+            assert answer.headers["X-Ran"] == "no"
+            assert float(answer.headers["Retry-After"]) > 0
+            assert len(fleet.prompts.handles) == read
+
+    run(play())
+
+
+# Callers whose answers are made beside the request that ends hosts are denied like it,
+# since hosts have ended under theirs as well.
+def test_those_beside_the_request_are_served() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=3) as fleet:
+            for engine in fleet.answers:
+                engine.seconds = 0.02
+                engine.events = 20
+            beside = [
+                asyncio.create_task(
+                    fleet.send(0, f"beside-{n}", b"prompt %d" % n, "/draft/a")
+                )
+                for n in range(BESIDE)
+            ]
+            await fleet.wait_for_runs(BESIDE)
+            await fleet.send(0, "poison-0")
+            outcomes = await asyncio.gather(*beside)
+            assert fleet.ends == 1
+            assert all(status == 200 for status, _ in outcomes)
+            assert all(body.count(b"id: ") == 20 for _, body in outcomes)
+            await fleet.start_ended()
+            await wait_for_engines(fleet)
+            # They come again, as any request may.
+            again = [fleet.send(0, f"again-{n}", b"prompt %d" % n) for n in range(5)]
+            assert [status for status, _ in await asyncio.gather(*again)] == [200] * 5
+
+    run(play())
+
+
+# Three racks are lost in a row with the same requests open: nobody has ended them.
+def test_requests_open_at_hosts_lost_together_are_served() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=4) as fleet:
+            for engine in fleet.answers:
+                engine.seconds = 30.0
+            for rack in range(ENDS_ALLOWED):
+                open_ones = [
+                    asyncio.create_task(fleet.send(0, f"r{rack}-{n}", b"prompt %d" % n))
+                    for n in range(BESIDE)
+                ]
+                await fleet.wait_for_runs(BESIDE)
+                await asyncio.gather(*(engine.end() for engine in fleet.answers))
+                await asyncio.gather(*open_ones)
+                await fleet.start_ended()
+                await wait_for_engines(fleet)
+                for engine in fleet.answers:
+                    engine.seconds = 0.0
+                    engine.runs.clear()
+                served = [
+                    fleet.send(0, f"s{rack}-{n}", b"prompt %d" % n)
+                    for n in range(BESIDE)
+                ]
+                outcomes = await asyncio.gather(*served)
+                assert [status for status, _ in outcomes] == [200] * BESIDE
+                for engine in fleet.answers:
+                    engine.seconds = 30.0
+                    engine.runs.clear()
+
+    run(play())
+
+
+# Hosts that live and break answers off would have their callers denied.
+def test_answers_that_break_off_at_living_hosts_deny_nobody() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=2) as fleet:
+            for engine in fleet.answers:
+                engine.cut_after = 1
+            for number in range(2 * ENDS_ALLOWED):
+                status, _ = await fleet.send(number, f"cut-{number}", b"prompt")
+                assert status == 0
+            for engine in fleet.answers:
+                engine.cut_after = None
+            assert (await fleet.send(0, "whole", b"prompt"))[0] == 200
+
+    run(play())
+
+
+# A rolling release ends each host in turn with work open: who meets it again and again
+# would be denied.
+def test_ends_of_hosts_that_said_they_leave_deny_nobody() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=3) as fleet:
+            for step in range(2 * ENDS_ALLOWED):
+                for engine in fleet.answers:
+                    engine.seconds = 30.0
+                task = asyncio.create_task(fleet.send(0, f"r-{step}", b"prompt"))
+                await fleet.wait_for_runs(1)
+                leaving = next(e for e in fleet.answers if e.runs)
+                fleet.made.announce_engine(leaving, state="draining")
+                core = fleet.gateways[0].core
+                await wait_until(lambda c=core, e=leaving: not c.hosts[e.instance].live)
+                await leaving.end()
+                await task
+                leaving.runs.clear()
+                await fleet.start_ended()
+                await wait_for_engines(fleet)
+            for engine in fleet.answers:
+                engine.seconds = 0.0
+            assert (await fleet.send(0, "served", b"prompt"))[0] == 200
+
+    run(play())
+
+
+# A stream that may be resumed is taken from engine to engine by its gateway itself.
+def test_retries_within_one_request_are_bounded_too() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=6) as fleet:
+            route = make_route("draft", "streaming", "llm", resumable=True)
+            fleet.made.configure(route | {"maxAttempts": 8})
+            router = fleet.gateways[0].router
+            await wait_until(lambda: router.configuration.routes[0].max_attempts == 8)
+            status, _ = await fleet.send(0, "poison-0", POISON, "/draft/a")
+            assert status in (0, 502)
+            assert fleet.arrivals <= ENDS_ALLOWED
+
+    run(play())
+
+
+# The service is gone for all: its last host ends under a request that has ended two.
+def test_last_host_is_not_risked() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=3) as fleet:
+            for number in range(REPEATS):
+                await fleet.send(number, f"poison-{number}")
+            assert fleet.ends == 2
+            assert (await fleet.send(0, "served", b"prompt"))[0] == 200
+
+    run(play())
+
+
+def test_gateway_that_starts_is_told_of_denied_requests() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=3) as fleet:
+            await repeat_poison(fleet)
+            arrivals = fleet.arrivals
+            async with fleet.run_another("gateway-9") as gateway:
+                await wait_until(lambda: gateway.core.suspects.list_all(0.0))
+                await fleet.send(len(fleet.urls) - 1, "poison-late")
+            assert fleet.arrivals == arrivals
+
+    run(play())
+
+
+def test_request_is_denied_while_the_store_is_away() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=9, gateways=2) as fleet:
+            fleet.made.rows.gate._fault = {"mode": "down"}
+            for number in range(REPEATS):
+                await fleet.send(number, f"poison-{number}")
+            assert fleet.arrivals <= ENDS_ALLOWED + RETRIES_ALLOWED
+
+    run(play())
+
+
+# A release that bears the request would never be given it again.
+def test_mended_release_is_given_the_request_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with run_fleet(answering=3) as fleet:
+            monkeypatch.setattr(suspects, "FORGET_SECONDS", 0.5)
+            await repeat_poison(fleet, ENDS_ALLOWED)
+            for engine in fleet.answers:
+                engine.is_safe = True
+            await asyncio.sleep(0.6)
+            assert (await fleet.send(0, "tried"))[0] == 200
+            assert (await fleet.send(0, "free"))[0] == 200
+
+    run(play())
+
+
+def test_metrics_count_denied_requests() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=3) as fleet:
+            await repeat_poison(fleet)
+            rendered = fleet.gateways[0].render_metrics()
+            assert b"radishtally_denied_requests 1.0" in rendered
+
+    run(play())
+
+
+# A prompt that is read apart runs nothing: who meets three engines that end while they
+# read would be denied.
+def test_ends_of_engines_that_read_prompts_deny_nobody() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=2) as fleet:
+            for engine in fleet.answers:
+                engine.seconds = 30.0
+            for number in range(ENDS_ALLOWED + 1):
+                fleet.prompts.seconds = 30.0
+                task = asyncio.create_task(fleet.send(0, f"r-{number}", b"prompt"))
+                core = fleet.gateways[0].core
+                reading = fleet.prompts.instance
+                await wait_until(lambda c=core, h=reading: c.hosts[h].in_flight)
+                await fleet.prompts.end()
+                # Its answer would clear the request of what its prompt has met.
+                await wait_until(lambda c=core, h=reading: not c.hosts[h].in_flight)
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+                fleet.prompts.seconds = 0.0
+                fleet.made.withdraw(reading)
+                await fleet.prompts.start()
+                await wait_for_engines(fleet)
+            for engine in fleet.answers:
+                engine.seconds = 0.0
+            assert (await fleet.send(0, "served", b"prompt"))[0] == 200
+
+    run(play())
--- /dev/null
+++ b/tests/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what becomes of requests at hosts."""
