Read, log and count what the head of an answer says of its host

The logs can't tell whether a gateway was told that a host leaves, or wants a pause. The head of each answer is read for both, at offers, reports, orders, lists of what is kept and freed KV caches; a 421 is left out, since another host answers there. upstream:notice and radishtally_host_notices tell. Seconds are read with fractions, at least none and an hour at most; dates and what is no number ask for no pause. No decision is changed. Tests of the reading: tests/adapter/test_decoding.py.

--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -1,7 +1,7 @@
 """Contracts between the entry and the hosts that it reaches without an agent."""
 
 from enum import StrEnum
-from typing import NamedTuple, Protocol
+from typing import Final, NamedTuple, Protocol
 
 from radishtally.exchange import Headers
 from radishtally.links.messages import KvRef, Offer
@@ -56,6 +56,18 @@
     """To be passed on to the caller."""
 
 
+class Notice(NamedTuple):
+    """Hold what a host says of itself in the head of any answer."""
+
+    is_leaving: bool = False
+    """Whether it ends soon, and wants no new work."""
+    pause: float = 0.0
+    """Seconds for which it wants no work from this process."""
+
+
+NO_NOTICE: Final = Notice()
+
+
 class EngineReport(NamedTuple):
     """Hold what an engine says of itself."""
 
@@ -127,5 +139,8 @@
     def read_head(self, status: int, headers: Headers) -> Head:
         """Read the head of an answer."""
 
+    def read_notice(self, status: int, headers: Headers) -> Notice:
+        """Read what the head of any answer says of its host."""
+
     def read_handle(self, body: bytes, instance: Instance) -> Result[KvRef, str]:
         """Read where the KV cache of a computed prompt lies."""
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -18,11 +18,13 @@
     READ_BYTES,
 )
 from radishtally.direct.core import (
+    NO_NOTICE,
     Dialect,
     EngineReport,
     Head,
     Instance,
     KeptPart,
+    Notice,
     OrderOutcome,
     UpstreamCall,
 )
@@ -86,6 +88,7 @@
         self._looks: dict[Instance, asyncio.Task[bool]] = {}
         """Looks under way whether hosts have ended."""
         self.on_doubt: Callable[[Doubt], None] = lambda doubt: None
+        self.on_notice: Callable[[Instance, Notice], None] = lambda host, notice: None
 
     async def start(self) -> None:
         """Open the pools of connections."""
@@ -148,6 +151,7 @@
                 asyncio.timeout(ORDER_SECONDS),
                 self._send(instance.address, call, False) as response,
             ):
+                self._take_notice(response, instance)
                 if response.status != OK:
                     return Error(f"status {response.status}")
                 return Ok(await response.read())
@@ -164,6 +168,7 @@
                 asyncio.timeout(ORDER_SECONDS),
                 self._send(instance.address, call, False) as response,
             ):
+                self._take_notice(response, instance)
                 return self._dialect.read_order(response.status)
         except NOT_CONNECTED:
             return OrderOutcome.UNREACHED
@@ -236,6 +241,7 @@
             response.abort()
             self._note_doubt(doubt, head, response.usage, instance, offer)
             raise ForeignAnswerError(doubt)
+        self._take_notice(response, instance)
         if head.not_run:
             reason = REPLACED if head.is_replaced else f"status {head.status}"
             self._receive(host, Refused(*name, reason, 0.0))
@@ -251,6 +257,12 @@
             return
         await self._follow(response, host, offer, head)
 
+    def _take_notice(self, response: WatchedResponse, instance: Instance) -> None:
+        headers = decode_headers(response.raw_headers)
+        notice = self._dialect.read_notice(response.status, headers)
+        if notice != NO_NOTICE:
+            self.on_notice(instance, notice)
+
     def _note_doubt(
         self, doubt: Doubt, head: Head, usage: Usage, instance: Instance, offer: Offer
     ) -> None:
@@ -339,6 +351,9 @@
                 asyncio.timeout(DROP_SECONDS),
                 self._send(kv.url, call, False) as response,
             ):
+                instance = self._instances.get(kv.host)
+                if instance is not None and instance.address == kv.url:
+                    self._take_notice(response, instance)
                 await response.read()
         except BROKEN as error:
             log_message(
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 
 from radishtally.authority.holder import LeaseHolder
-from radishtally.direct.core import Dialect, EngineReport, Instance
+from radishtally.direct.core import Dialect, EngineReport, Instance, Notice
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
 from radishtally.gateway.bounds import (
@@ -89,6 +89,7 @@
         )
         self.hosts = DirectHosts(upstreams, self.runtime.guard_call(self._receive))
         self.hosts.on_doubt = self.metrics.doubted
+        self.hosts.on_notice = self.runtime.guard_call(self.take_notice)
         self.front = Front(self, callers)
         self._stop_begun: float | None = None
         self.lease = make_lease(self)
@@ -289,6 +290,16 @@
         """Take how many entries of the list can't be read."""
         self.metrics.set_unreadable(count)
 
+    def take_notice(self, asked: Instance, notice: Notice) -> None:
+        """Take what the head of an answer says of its host."""
+        log_message(
+            "upstream:notice",
+            upstream_host=asked.host,
+            is_leaving=notice.is_leaving,
+            pause=notice.pause,
+        )
+        self.metrics.noticed(notice)
+
     def _take_report(self, asked: Instance, report: EngineReport) -> None:
         self.apply(self.members.take_report(asked, report))
 
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -11,6 +11,7 @@
     generate_latest,
 )
 
+from radishtally.direct.core import Notice
 from radishtally.direct.doubts import Doubt
 from radishtally.gateway.requests import Routed
 
@@ -74,6 +75,12 @@
         self._open = Gauge(
             "radishtally_open_requests", "Open requests", registry=self._registry
         )
+        self._notices = Counter(
+            "radishtally_host_notices",
+            "Answers whose hosts say that they leave, or ask for a pause",
+            ["notice"],
+            registry=self._registry,
+        )
         self._denied = Gauge(
             "radishtally_denied_requests",
             "Requests, by what they ask, that hosts have ended under in a row",
@@ -120,6 +127,13 @@
             registry=self._registry,
         )
 
+    def noticed(self, notice: Notice) -> None:
+        """Count an answer by what it says of its host."""
+        if notice.is_leaving:
+            self._notices.labels("leaving").inc()
+        if notice.pause:
+            self._notices.labels("pause").inc()
+
     def set_denied(self, count: int) -> None:
         """Take how many requests are offered to no host."""
         self._denied.set(count)
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -6,9 +6,9 @@
 from adapter.callers import PlatformCallers
 from adapter.config import decode_configuration
 from adapter.instances import decode_instance
-from adapter.upstreams import PlatformUpstreams
+from adapter.upstreams import MAX_PAUSE_SECONDS, PlatformUpstreams
 
-from radishtally.direct.core import Instance
+from radishtally.direct.core import Instance, Notice
 from radishtally.links.messages import PREFILL, STREAM, KvRef, Offer, Work
 from radishtally.routes.core import RouteKind, Split
 from radishtally.serving.terms import PromptPart, Terms
@@ -190,3 +190,30 @@
     status: int, headers: tuple[tuple[str, str], ...], not_run: bool
 ) -> None:
     assert PlatformUpstreams().read_head(status, headers).not_run == not_run
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "notice"),
+    [
+        (200, (), Notice()),
+        (200, (("Server-Leaving", "1"),), Notice(is_leaving=True)),
+        (503, (("server-leaving", "1"),), Notice(is_leaving=True)),
+        (200, (("Server-Leaving", "0"),), Notice()),
+        (503, (("Retry-After", "2.5"),), Notice(pause=2.5)),
+        (503, (("Retry-After", "-3"),), Notice()),
+        (503, (("Retry-After", "nan"),), Notice()),
+        (503, (("Retry-After", "1e300"),), Notice(pause=MAX_PAUSE_SECONDS)),
+        (503, (("Retry-After", "inf"),), Notice(pause=MAX_PAUSE_SECONDS)),
+        (503, (("Retry-After", "Thu, 01 Jan 2099 00:00:00 GMT"),), Notice()),
+        (503, (("Retry-After", ""),), Notice()),
+        # Only a refusal asks for a pause.
+        (200, (("Retry-After", "2.5"),), Notice()),
+        (429, (("Retry-After", "2.5"),), Notice()),
+        # Another host answers for the one that was asked.
+        (421, (("Server-Leaving", "1"),), Notice()),
+    ],
+)
+def test_what_a_host_says_of_itself_is_read(
+    status: int, headers: tuple[tuple[str, str], ...], notice: Notice
+) -> None:
+    assert PlatformUpstreams().read_notice(status, headers) == notice
