--- a/standins/staged.py
+++ b/standins/staged.py
@@ -26,6 +26,8 @@
         self.events = EVENTS
         """Events of each answer."""
         self.phase = phase
+        self.notice: dict[str, str] = {}
+        """Headers of all that it answers."""
         self.seconds = seconds
         """Time of each event, and of a prompt."""
         self.born = 0
@@ -63,8 +65,14 @@
         app.router.add_delete("/api/kv-handle/{name}", self._free)
         app.router.add_route("*", "/{path:.*}", self._serve)
         app.on_response_prepare.append(_echo_name)
+        app.on_response_prepare.append(self._add_notice)
         return app
 
+    async def _add_notice(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers.update(self.notice)
+
     def restart(self, born: int) -> None:
         """Start again under the same id, as after a reset: it holds nothing.
 
