Leave a host alone once an answer of it says that it leaves

Callers saw nothing yet: two answers were made at an engine 2.4 s and 2.6 s after it had said that it leaves, where 2 s are agreed; later ones would have ended with it.

Cause: that a host leaves was learned from the store alone. It was away from 6.2 s to 20 s; the engine wrote at 7.5 s that it leaves, and the store had that at 20.4 s. Evidence: the gateway that had passed on such an answer at 9.158 s sent it 25 more until 15.4 s. Ruled out: an older entry that undoes it (nothing was there to be undone) and a way for answers of its own (one choice serves both).

Change: what an answer says counts like an entry that says so, and for good: an entry that still says ready, is written again so, or comes back from an older copy of the store does not undo it. Another start of the host does (its id or its time of start). All readers of answers hear it: offers (whole, failed, refused, streams by their head), reports, orders, lists of what is kept, freed KV caches. A report and a freed KV cache name the host that is meant now, so that the next one at its address says 421 and is not believed. The word of an earlier start, or of a host that is gone, says nothing. Other gateways are not told: each hears it in the first answer that it gets.

The stand-in checks whom reports and orders mean.

--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -116,7 +116,7 @@
     def encode_drop(self, kv: KvRef) -> UpstreamCall:
         """Give the request that frees a KV cache that nobody will fetch."""
 
-    def encode_report(self) -> UpstreamCall:
+    def encode_report(self, instance: Instance) -> UpstreamCall:
         """Give the request that asks an engine what it does."""
 
     def read_report(self, body: bytes) -> Result[EngineReport, str]:
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -132,7 +132,7 @@
 
     async def read_report(self, instance: Instance) -> Result[EngineReport, str]:
         """Ask an engine what it does."""
-        read = await self._ask(instance, self._dialect.encode_report())
+        read = await self._ask(instance, self._dialect.encode_report(instance))
         return read.bind(self._dialect.read_report)
 
     async def read_kept(self, instance: Instance) -> Result[list[KeptPart], str]:
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -292,13 +292,12 @@
 
     def take_notice(self, asked: Instance, notice: Notice) -> None:
         """Take what the head of an answer says of its host."""
-        log_message(
-            "upstream:notice",
-            upstream_host=asked.host,
-            is_leaving=notice.is_leaving,
-            pause=notice.pause,
-        )
         self.metrics.noticed(notice)
+        changes = self.members.take_leaving(asked) if notice.is_leaving else []
+        if not changes:
+            return
+        log_message("upstream:notice", upstream_host=asked.host, is_leaving=True)
+        self.apply(changes)
 
     def _take_report(self, asked: Instance, report: EngineReport) -> None:
         self.apply(self.members.take_report(asked, report))
--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -111,6 +111,8 @@
         self._entered_at: float | None = None
         """Time of the store's restore until the list has been read after it."""
         self._doubts: dict[str, _Doubt] = {}
+        self._leaving: OrderedDict[str, int] = OrderedDict()
+        """Starts of hosts that have said themselves that they leave."""
         self._review_at = float("inf")
 
     def __iter__(self):  # noqa: ANN204
@@ -199,6 +201,28 @@
         self._gone.pop(host, None)
         return changes
 
+    def is_present(self, asked: Instance) -> bool:
+        """Tell whether a host that was asked is there, and has not started again."""
+        known = self._instances.get(asked.host)
+        if known is None or self.starts.is_ended(asked.host, asked.started_ms):
+            return False
+        return is_same_start(known.started_ms, asked.started_ms)
+
+    def take_leaving(self, asked: Instance) -> list[Change]:
+        """Take that a host has said in an answer that it leaves.
+
+        Its entry may say otherwise for as long as the store is away, and an older copy
+        of the store even after it did not. Only another start of it comes back.
+        """
+        if not self.is_present(asked):
+            return []
+        known = self._instances[asked.host]
+        self._leaving[asked.host] = known.started_ms
+        self._leaving.move_to_end(asked.host)
+        while len(self._leaving) > MAX_REMEMBERED:
+            self._leaving.popitem(last=False)
+        return self._take(known, Source.ANSWERED)
+
     def take_report(self, asked: Instance, report: EngineReport) -> list[Change]:
         """Take what an engine said when asked, which may be newer than its entry.
 
@@ -225,6 +249,9 @@
         if restart is not None:
             self._beats.pop(host, None)
         instance = instance._replace(started_ms=self.starts.get(host))
+        left = self._leaving.get(host)
+        if left is not None and is_same_start(left, instance.started_ms):
+            instance = instance._replace(is_draining=True)
         if self._instances.get(host) == instance:
             return changes
         self._instances[host] = instance
--- a/radishtally/gateway/starts.py
+++ b/radishtally/gateway/starts.py
@@ -17,6 +17,7 @@
 
     LISTED = "list"
     REPORTED = "report"
+    ANSWERED = "answer"
 
 
 class Restart(NamedTuple):
--- a/standins/staged.py
+++ b/standins/staged.py
@@ -102,6 +102,8 @@
             await asyncio.Event().wait()
 
     async def _report(self, request: web.Request) -> web.Response:
+        if request.headers.get("X-Target-Instance") != self.instance:
+            return web.Response(status=421, headers={"X-Instance-Id": self.instance})
         state = {"phase": self.phase, "busy": False, "sequence": len(self.orders)}
         return reply_json({**state, **self.describe_start()})
 
@@ -110,6 +112,8 @@
         return reply_json({"epoch": 1, "next": 1, "held": self.kept})
 
     async def _order(self, request: web.Request) -> web.Response:
+        if request.headers.get("X-Target-Instance") != self.instance:
+            return web.Response(status=421, headers={"X-Instance-Id": self.instance})
         order = await request.json()
         status = self._take_order(order)
         seen = order["owner"], order["fenceToken"], order["phase"], status
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -265,3 +265,59 @@
     members.remove(["a"], 2.0, False)
     members.expire(2.0 + LAPSE_SECONDS, False)
     assert members.replace([A], 5.0, False, {"a": 3}) == [Set(A)]
+
+
+LEAVING_A = make_instance("a", is_draining=True)
+
+
+# The store is away while a host leaves: its entry says that it is ready, is written so
+# again, is lost with the outage, or comes back from an older copy of the store.
+def test_entry_does_not_undo_what_a_host_said_of_its_leaving() -> None:
+    members = Members()
+    members.replace([A, B], 0.0, False, {"a": 1, "b": 1})
+    assert members.take_leaving(A) == [Set(LEAVING_A)]
+    assert members.take_leaving(A) == []
+    assert members.set(A, 2) == []
+    assert members.replace([A, B], 1.0, False, {"a": 3, "b": 3}) == []
+    members.remove(["a"], 2.0, False)
+    assert members.set(A, 4) == [Set(LEAVING_A)]
+    members.enter_era(3.0)
+    members.replace([A, B], 3.0, False, {"a": 1, "b": 1})
+    assert LEAVING_A in list(members)
+
+
+def test_new_start_of_a_host_that_left_is_used() -> None:
+    members = Members()
+    first, second = (A._replace(started_ms=start) for start in (1_000, 2_000))
+    members.set(first)
+    members.take_leaving(first)
+    members.set(second)
+    assert list(members) == [second]
+
+
+# A host that has just started again is left alone for what its former start had said.
+def test_late_word_of_an_earlier_start_says_nothing() -> None:
+    members = Members()
+    first, second = (A._replace(started_ms=start) for start in (1_000, 2_000))
+    members.set(first)
+    members.set(second)
+    assert members.take_leaving(first) == []
+    assert list(members) == [second]
+
+
+def test_word_of_a_host_that_is_gone_says_nothing() -> None:
+    members = Members()
+    members.replace([A, B], 0.0, False)
+    members.remove(["a"], 0.0, False)
+    assert members.take_leaving(A) == []
+    assert list(members) == [B]
+
+
+def test_hosts_that_left_are_not_remembered_for_good() -> None:
+    members = Members()
+    for number in range(2 * MAX_REMEMBERED):
+        leaving = make_instance(f"h-{number}")
+        members.set(leaving)
+        members.take_leaving(leaving)
+        members.remove([leaving.host], float(number), False)
+    assert len(members._leaving) == MAX_REMEMBERED
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -7,6 +7,8 @@
 import pytest
 from aiohttp import web
 
+from radishtally.direct.core import Instance
+from radishtally.links.messages import DECODE, KvRef
 from standins.staged import StagedEngine
 from tests.common import run
 from tests.gateway.common import Deployment, deployment
@@ -50,7 +52,7 @@
     return [status for status, _, _ in await asyncio.gather(*asked)]
 
 
-# A host is sent requests until it ends under them: its answers say that it leaves, while
+# A host gets requests until it ends under them: its answers say that it leaves, while
 # the store that would say so is away.
 @pytest.mark.parametrize("answer", [answer_whole, refuse, fail])
 def test_host_whose_answer_says_that_it_leaves_is_left_alone(answer: Answer) -> None:
@@ -108,3 +110,73 @@
             assert len(pausing.seen) <= ALLOWED_IN_PAUSE
 
     run(play())
+
+
+async def find_instance(made: Deployment, host: str) -> Instance:
+    return next(item for item in made.gateway.members if item.host == host)
+
+
+async def ask_report(made: Deployment, instance: Instance) -> None:
+    await made.gateway.hosts.read_report(instance)
+
+
+async def ask_kept(made: Deployment, instance: Instance) -> None:
+    await made.gateway.hosts.read_kept(instance)
+
+
+async def give_order(made: Deployment, instance: Instance) -> None:
+    await made.gateway.hosts.order_role(instance, DECODE, "gateway-1", 1, 0)
+
+
+async def free_kv(made: Deployment, instance: Instance) -> None:
+    made.gateway.hosts.drop(KvRef(instance.host, instance.address, "h", 1))
+    await asyncio.gather(*made.gateway.hosts._tasks._kept)
+
+
+# Whatever a gateway asks a host, the answer says that it leaves: heard there alone, it
+# would be lost until the next request has met the host.
+@pytest.mark.parametrize("question", [ask_report, ask_kept, give_order, free_kv])
+def test_answer_to_any_question_says_that_a_host_leaves(
+    question: Callable[[Deployment, Instance], Awaitable[None]],
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            engine = StagedEngine("d-1", "decode")
+            await made.serve_engine(engine)
+            engine.notice = LEAVING
+            await question(made, await find_instance(made, "d-1"))
+            assert (await find_instance(made, "d-1")).is_draining
+            assert not made.gateway.core.hosts["d-1"].live
+
+    run(play())
+
+
+# A host that stays is left alone for what the next one at its former address says.
+def test_word_of_another_host_at_the_address_is_not_taken() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            engine = StagedEngine("d-1", "decode")
+            await made.serve_engine(engine)
+            engine.notice = LEAVING
+            engine.instance = "d-2"
+            for question in (ask_report, give_order):
+                await question(made, await find_instance(made, "d-1"))
+            assert not (await find_instance(made, "d-1")).is_draining
+
+    run(play())
+
+
+def test_only_host_that_leaves_is_not_waited_for() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await made.serve_desk(
+                "leaving", Desk(answer_with(answer_whole, Server_Leaving="1"))
+            )
+            assert (await ask(made, "/read/a", "first"))[0] == 200
+            begun = time.monotonic()
+            status, headers, _ = await ask(made, "/read/a", "second")
+            assert status == 503
+            assert headers["X-Ran"] == "no"
+            assert time.monotonic() < begun + DRAIN_SECONDS
+
+    run(play())
