Send a host nothing for as long as it asks for a pause

Cause: a host's Retry-After was read by nobody. A refusal said only that this request was not run, and from the second one on the host was left out by a breaker of its own times. Ruled out: that the breaker could do: it is passed over where no other host has the role, and it grows with each refusal, as if the host failed.

Change: a host that answers 503 with Retry-After gets no offer until then and up to a tenth of it longer, at random, so that gateways don't come back together; that is no fault of it, and a new start of it is free. If nobody can stand in, a caller is refused at once, not run, with the time to come back at, also before its prompt is read; pauses up to half a second and answers that have begun are waited for.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -293,10 +293,15 @@
     def take_notice(self, asked: Instance, notice: Notice) -> None:
         """Take what the head of an answer says of its host."""
         self.metrics.noticed(notice)
+        if notice.pause and self.members.is_present(asked):
+            self.core.pause_host(asked.host, notice.pause, time.monotonic())
+            log_message(
+                "upstream:paused", upstream_host=asked.host, seconds=notice.pause
+            )
         changes = self.members.take_leaving(asked) if notice.is_leaving else []
         if not changes:
             return
-        log_message("upstream:notice", upstream_host=asked.host, is_leaving=True)
+        log_message("upstream:leaving", upstream_host=asked.host)
         self.apply(changes)
 
     def _take_report(self, asked: Instance, report: EngineReport) -> None:
--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -283,7 +283,8 @@
     fewest open requests of all and would be chosen for each new one.
     """
     known = core.hosts.get(host)
-    if known is None:
+    # One that asks for a pause is well, and says itself how long it is left out.
+    if known is None or now < known.paused_until:
         return
     if reason == REPLACED:
         known.live = False
--- a/radishtally/serving/const.py
+++ b/radishtally/serving/const.py
@@ -29,6 +29,11 @@
 UNREACHED_TO_MISS: Final = 2
 """Offers in a row that could not be brought to a host, from which it is taken for gone
 before the list of hosts says so: one alone may be a lost packet."""
+PAUSE_SPREAD: Final = 0.1
+"""Part of a pause by which its end is put off at random: all who were asked for it
+would come back together."""
+MAX_HOLD_SECONDS: Final = 0.5
+"""Longest pause that a request waits for; for longer ones its caller is told."""
 FIRST_FAILURE: Final = 500
 """Least status of an answer in which an upstream says that it failed."""
 MIN_RETRY_AFTER: Final = 0.5
--- a/radishtally/serving/hosts.py
+++ b/radishtally/serving/hosts.py
@@ -26,6 +26,8 @@
     """Refusals since the host last took an offer."""
     unreached: int = 0
     """Offers in a row that could not be brought to it."""
+    paused_until: float = 0.0
+    """Time until which it has asked for no work."""
     breaker: Breaker = field(default_factory=Breaker)
 
     def note_load(self, load: Load, now: float) -> None:
@@ -40,6 +42,7 @@
         self.reported_in_flight = 0
         self.refusals = 0
         self.unreached = 0
+        self.paused_until = 0.0
         self.breaker = Breaker()
 
     def describe(self, now: float) -> Candidate:
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -231,6 +231,12 @@
 def _go_without_host(
     request: OpenRequest, core: EntryCore, now: float
 ) -> Iterator[Command]:
+    pause = _find_pause(request, core, now)
+    if pause > const.MAX_HOLD_SECONDS and not request.is_begun:
+        text = "all hosts have asked for a pause"
+        code = const.CODE_OVERLOADED
+        yield from refuse(request, 503, code, text, pause, core)
+        return
     if now < request.patience:
         yield from _hold(request, "no host takes it now", core, now)
         return
@@ -243,9 +249,25 @@
     yield from refuse(request, status, code, text, request.retry_after, core)
 
 
-def _list_usable(request: OpenRequest, core: EntryCore, now: float) -> list[KnownHost]:
+def _find_pause(request: OpenRequest, core: EntryCore, now: float) -> float:
+    """Find how long hosts pause that no other host can stand in for; 0 if none does."""
+    find_role = core.placement.find_role
+    served = {find_role(known.host) for known in _list_usable(request, core, now)}
+    waits = [
+        known.paused_until - now
+        for known in _list_live(request, core)
+        if now < known.paused_until and find_role(known.host) not in served
+    ]
+    return min(waits, default=0.0)
+
+
+def _list_live(request: OpenRequest, core: EntryCore) -> list[KnownHost]:
     pool = core.pools.get(request.work.upstream, {})
-    live = [known for known in pool.values() if known.live and known.host in core.links]
+    return [known for known in pool.values() if known.live and known.host in core.links]
+
+
+def _list_usable(request: OpenRequest, core: EntryCore, now: float) -> list[KnownHost]:
+    live = [known for known in _list_live(request, core) if known.paused_until <= now]
     # Hosts that fail are left out only while others have their role: with all of them
     # left out each request would be refused, though some would have been served. The
     # only engine for answers that broke off one in five was left out for seconds.
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass, field
 
 from radishtally.limits.retries import RetryBudgets
-from radishtally.serving.const import OFFER_SECONDS, UNREACHED_TO_MISS
+from radishtally.serving.const import (
+    OFFER_SECONDS,
+    PAUSE_SPREAD,
+    UNREACHED_TO_MISS,
+)
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.placement import Placement, RankedPlacement
 from radishtally.serving.requests import OpenRequest
@@ -74,6 +78,13 @@
         known = self.hosts.get(host)
         return known is not None and known.unreached >= UNREACHED_TO_MISS
 
+    def pause_host(self, host: str, seconds: float, now: float) -> None:
+        """Take that a host wants no work for a while."""
+        known = self.hosts.get(host)
+        if known is not None:
+            seconds *= 1.0 + self.random.uniform(0.0, PAUSE_SPREAD)
+            known.paused_until = max(known.paused_until, now + seconds)
+
     def set_host(self, host: str, place: str, upstream: str, live: bool) -> None:
         """Take what the membership makes of a host."""
         known = self.hosts.get(host)
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -4,14 +4,15 @@
 import time
 from collections.abc import Awaitable, Callable
 
+import aiohttp
 import pytest
 from aiohttp import web
 
-from radishtally.direct.core import Instance
+from radishtally.direct.core import Instance, Notice
 from radishtally.links.messages import DECODE, KvRef
 from standins.staged import StagedEngine
 from tests.common import run
-from tests.gateway.common import Deployment, deployment
+from tests.gateway.common import Deployment, deployment, make_prompt, wait_until
 from tests.gateway.test_calls import SIGNED, Desk, answer_whole, ask
 from tests.gateway.test_streams import make_whole, stream
 
@@ -38,7 +39,10 @@
 
 
 async def refuse(request: web.Request) -> web.Response:
-    return web.Response(status=503, headers={"X-Not-Executed": "1"})
+    name = request.headers["X-Request-Id"]
+    return web.Response(
+        status=503, headers={"X-Not-Executed": "1", "X-Request-Id": name}
+    )
 
 
 async def fail(request: web.Request) -> web.Response:
@@ -180,3 +184,79 @@
             assert time.monotonic() < begun + DRAIN_SECONDS
 
     run(play())
+
+
+# All callers come back at the same moment, or wait for hosts that take nothing.
+def test_callers_are_told_when_all_hosts_pause() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            pausing = Desk(answer_with(refuse, Retry_After="3.5"), answer_whole)
+            await made.serve_desk("only", pausing)
+            await ask(made, "/read/a", "first")
+            pausing.seen.clear()
+            waits = set()
+            for number in range(REQUESTS):
+                status, headers, _ = await ask(made, "/read/a", f"r{number}")
+                assert status == 503
+                assert headers["X-Ran"] == "no"
+                waits.add(float(headers["Retry-After"]))
+            assert not pausing.seen
+            assert all(2.0 < wait < 4.0 for wait in waits)
+
+    run(play())
+
+
+# A host that was full for a moment is left out for longer and longer, as if it failed.
+def test_pause_is_no_fault_of_its_host() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            refusal = answer_with(refuse, Retry_After="0.3")
+            await made.serve_desk("only", Desk(*[refusal] * 4, answer_whole))
+            for number in range(4):
+                assert (await ask(made, "/read/a", f"full-{number}"))[0] in (429, 503)
+                await asyncio.sleep(0.4)
+            assert made.gateway.core.hosts["only"].refusals == 0
+            assert (await ask(made, "/read/a", "served"))[0] == 200
+
+    run(play())
+
+
+def test_engine_that_pauses_is_used_again_after_its_restart() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            engine = StagedEngine("d-1", "decode")
+            engine.born = 1_000
+            await made.serve_engine(engine)
+            instance = await find_instance(made, "d-1")
+            made.gateway.take_notice(instance, Notice(pause=60.0))
+            engine.restart(2_000)
+            made.announce_engine(engine)
+            await wait_until(lambda: made.gateway.members.starts.get("d-1") == 2_000)
+            assert await stream(made, "/sheet/a", "r1") == make_whole("r1")
+
+    run(play())
+
+
+# The engines that make answers pause: a prompt would be read, and its caller kept
+# waiting for an engine that takes it.
+def test_callers_are_told_when_all_engines_for_answers_pause() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            engines = [StagedEngine("p-1", "prefill"), StagedEngine("d-1", "decode")]
+            for engine in engines:
+                await made.serve_engine(engine)
+            instance = await find_instance(made, "d-1")
+            made.gateway.take_notice(instance, Notice(pause=3.5))
+            begun = time.monotonic()
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(
+                    f"{made.url}/sheet/a", headers=make_prompt("r1"), data=b"prompt"
+                ) as response,
+            ):
+                assert response.status == 503
+                assert 2.0 < float(response.headers["Retry-After"]) < 4.0
+            assert time.monotonic() < begun + 2.0
+            assert not engines[0].handles
+
+    run(play())
