Take back the end of a host that takes new work after it

Cause: a refused connection is taken for the end of a host, and a cut may refuse too. Change: what was open at a host that was found to have ended is remembered there; the first answer of it to a request that was offered later clears all of that. A host that has really ended never answers under its id, and a new start forgets what is remembered. Ruled out: that it frees a guilty request, whose host would have to live on. Test with a host that comes back as itself three times; it fails without the change.

--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -40,6 +40,7 @@
     Send,
     Settle,
 )
+from radishtally.serving.hosts import KnownHost
 from radishtally.serving.offers import (
     fail,
     lose,
@@ -86,6 +87,7 @@
         core.hosts[host].breaker.succeeded()
         core.hosts[host].refusals = 0
         core.hosts[host].unreached = 0
+        _note_alive(request, core.hosts[host], core)
     request.phase = ACCEPTED
     request.accepted_at = now
     wait(request, float("inf"), core)
@@ -273,9 +275,23 @@
     began = now if request.accepted_at is None else request.accepted_at
     end = End(request.ends_known, now - began)
     ends = core.suspects.note_end(request.terms.content, end, now)
+    known.ended_at = now
+    known.ended_under.add(request.terms.content)
     yield Note(request.work.request, f"{host} ended under it, {ends} hosts in a row")
 
 
+def _note_alive(request: OpenRequest, known: KnownHost, core: EntryCore) -> None:
+    """Take back that a host has ended which takes new work.
+
+    A cut link may refuse connections as well, and looks like an end.
+    """
+    if not known.ended_under or request.offered_at <= known.ended_at:
+        return
+    for content in known.ended_under:
+        core.suspects.clear(content)
+    known.ended_under.clear()
+
+
 def _pass_over(host: str, reason: str, core: EntryCore, now: float) -> None:
     """Leave a host out that refuses: for good if another one has its address.
 
--- a/radishtally/serving/hosts.py
+++ b/radishtally/serving/hosts.py
@@ -26,6 +26,10 @@
     """Refusals since the host last took an offer."""
     unreached: int = 0
     """Offers in a row that could not be brought to it."""
+    ended_at: float = 0.0
+    """Time at which it was last found to have ended."""
+    ended_under: set[str] = field(default_factory=set)
+    """What was asked by the requests that were open there."""
     paused_until: float = 0.0
     """Time until which it has asked for no work."""
     breaker: Breaker = field(default_factory=Breaker)
@@ -42,6 +46,7 @@
         self.reported_in_flight = 0
         self.refusals = 0
         self.unreached = 0
+        self.ended_under.clear()
         self.paused_until = 0.0
         self.breaker = Breaker()
 
--- a/tests/gateway/ending.py
+++ b/tests/gateway/ending.py
@@ -38,6 +38,10 @@
     async def start(self) -> None:
         """Listen where it did before, under a new id, and write its entry."""
         self.instance = f"{self._name}-{self.ends}"
+        await self.start_again()
+
+    async def start_again(self) -> None:
+        """Listen where it did before, as if it had never ended."""
         self._runner = web.AppRunner(
             self.build_app(), handler_cancellation=True, shutdown_timeout=0
         )
--- a/tests/gateway/test_request_ends_hosts.py
+++ b/tests/gateway/test_request_ends_hosts.py
@@ -270,3 +270,26 @@
             assert (await fleet.send(0, "served", b"prompt"))[0] == 200
 
     run(play())
+
+
+# A link that refuses connections while it is cut looks like the end of the host behind
+# it; who was cut off there three times would be denied.
+def test_hosts_behind_cut_links_deny_nobody() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=1) as fleet:
+            engine = fleet.answers[0]
+            for number in range(ENDS_ALLOWED):
+                engine.seconds = 30.0
+                engine.runs.clear()
+                task = asyncio.create_task(fleet.send(0, f"cut-{number}", b"prompt"))
+                await fleet.wait_for_runs(1)
+                await engine.end()
+                await task
+                await engine.start_again()
+                engine.seconds = 0.0
+                core = fleet.gateways[0].core
+                core.hosts[engine.instance].breaker.succeeded()
+                assert (await fleet.send(0, f"other-{number}", b"other"))[0] == 200
+            assert (await fleet.send(0, "served", b"prompt"))[0] == 200
+
+    run(play())
