Tell callers of a pause before a prompt is read for them

With all engines for answers pausing, a prompt was read first where callers wait for longer than a change of role takes, and refused behind it: found by reading the mend again. All callers of one gateway were told the same moment to come back at. Now the pause is looked at before a host is chosen, for the hosts that could run the request alone (prompts can be read elsewhere), only while any host pauses, and each caller is told a time of its own.

--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -45,6 +45,12 @@
         text = "hosts have ended under this request one after another"
         yield from refuse(request, 503, const.CODE_ENDS_HOSTS, text, denied, core)
         return
+    pause = _find_pause(request, core, now)
+    if pause > const.MAX_HOLD_SECONDS and not request.is_begun:
+        text = "all hosts that could run it have asked for a pause"
+        wait_for = core.spread_pause(pause)
+        yield from refuse(request, 503, const.CODE_OVERLOADED, text, wait_for, core)
+        return
     placed = _place(request, core, now)
     if isinstance(placed, Declined):
         if placed.retry_after is not None:
@@ -231,12 +237,6 @@
 def _go_without_host(
     request: OpenRequest, core: EntryCore, now: float
 ) -> Iterator[Command]:
-    pause = _find_pause(request, core, now)
-    if pause > const.MAX_HOLD_SECONDS and not request.is_begun:
-        text = "all hosts have asked for a pause"
-        code = const.CODE_OVERLOADED
-        yield from refuse(request, 503, code, text, pause, core)
-        return
     if now < request.patience:
         yield from _hold(request, "no host takes it now", core, now)
         return
@@ -250,15 +250,14 @@
 
 
 def _find_pause(request: OpenRequest, core: EntryCore, now: float) -> float:
-    """Find how long hosts pause that no other host can stand in for; 0 if none does."""
+    """Find how long all hosts pause that could run a request; 0 if one does not."""
+    if now >= core.paused_until:
+        return 0.0
     find_role = core.placement.find_role
-    served = {find_role(known.host) for known in _list_usable(request, core, now)}
-    waits = [
-        known.paused_until - now
-        for known in _list_live(request, core)
-        if now < known.paused_until and find_role(known.host) not in served
+    running = [
+        known for known in _list_live(request, core) if find_role(known.host) != PREFILL
     ]
-    return min(waits, default=0.0)
+    return max(0.0, min((known.paused_until - now for known in running), default=0.0))
 
 
 def _list_live(request: OpenRequest, core: EntryCore) -> list[KnownHost]:
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -39,6 +39,8 @@
     """Incarnation of each process that a link is up to."""
     requests: dict[str, OpenRequest] = field(default_factory=dict)
     suspects: Suspects = field(default_factory=Suspects)
+    paused_until: float = 0.0
+    """Time from which no host pauses."""
     wakes: list[tuple[float, str]] = field(default_factory=list)
     """Heap of the times at which requests want to be looked at."""
 
@@ -82,8 +84,13 @@
         """Take that a host wants no work for a while."""
         known = self.hosts.get(host)
         if known is not None:
-            seconds *= 1.0 + self.random.uniform(0.0, PAUSE_SPREAD)
-            known.paused_until = max(known.paused_until, now + seconds)
+            until = now + self.spread_pause(seconds)
+            known.paused_until = max(known.paused_until, until)
+            self.paused_until = max(self.paused_until, until)
+
+    def spread_pause(self, seconds: float) -> float:
+        """Put off the end of a pause, each time by another part of it."""
+        return seconds * (1.0 + self.random.uniform(0.0, PAUSE_SPREAD))
 
     def set_host(self, host: str, place: str, upstream: str, live: bool) -> None:
         """Take what the membership makes of a host."""
