--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -273,9 +273,20 @@
         until = time.monotonic() + START_SECONDS
         while not condition():
             self._check_children()
-            assert time.monotonic() < until, f"waited in vain for {what}"
+            if time.monotonic() >= until:
+                told = "\n".join(self._list_lease_lines())
+                raise AssertionError(f"waited in vain for {what}\n{told}")
             time.sleep(POLL_SECONDS)
 
+    def _list_lease_lines(self) -> list[str]:
+        """List what the entries logged of leases: without it a wait tells no cause."""
+        return [
+            line
+            for entry in self.entries
+            for line in (self.folder / f"{entry}.log").read_text().splitlines()
+            if '"lease:' in line
+        ]
+
     def _check_children(self) -> None:
         for child in (*self.entries.values(), *self.agents.values()):
             code = child.process.poll()
