Tell of ended hosts in messages that grow with the gateways

Found by reading the mend again, and shown by a test that failed first: where one collects, each suspicion was passed on as it came, one message for each gateway that had news to each other one; a host's end is news at all of them at once, so messages grew with the square of the gateways. Another test has every gateway hear of a denial and of its end, from 2 to 60 of them in one to five data centres.

--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -26,9 +26,10 @@
     DemandReport,
     Message,
     PartsRead,
+    Suspicion,
     Suspicions,
 )
-from radishtally.serving.suspects import Suspects, list_suspicions
+from radishtally.serving.suspects import Suspects, group_suspicions
 from radishtally.stages.const import TELL_SECONDS
 from radishtally.stages.keeper import StageKeeper
 
@@ -84,9 +85,10 @@
         """Seconds between two rounds."""
         self._heard: set[str] = set()
         """Engines that others have told of since the last round."""
-        self._heard_once: list[tuple[str, Message]] = []
-        """What others have told a collector since the last round that they tell only
-        once, and who."""
+        self._heard_parts: list[tuple[str, PartsRead]] = []
+        """What others have told a collector since the last round, and who."""
+        self._heard_suspicions: list[tuple[str, Suspicion]] = []
+        """The same of requests under which hosts have ended."""
         self._refreshed_at = float("-inf")
 
     def set_sites(self, sites: Sites) -> None:
@@ -107,7 +109,8 @@
             self._follow_links()
             self._follow_candidates(now)
             self._tell_backlog(now)
-            self._tell_once(now)
+            self._tell_parts()
+            self._tell_suspicions(now)
             if now >= told_demand + TELL_SECONDS:
                 told_demand = now
                 self._tell_demand(now)
@@ -121,9 +124,7 @@
         # One that has just started would have all parts read again, and elsewhere.
         for parts in self._placement.list_parts():
             self._hub.send(peer, parts)
-        now = time.monotonic()
-        for suspicions in list_suspicions(self._suspects.list_all(now)):
-            self._hub.send(peer, Suspicions(suspicions))
+        self._send_suspicions(peer, self._suspects.list_all(time.monotonic()))
 
     def forget(self, peer: str) -> None:
         """Forget what a gateway has told, as its link is down."""
@@ -146,10 +147,10 @@
             self._stages.take_report(peer, message, now)
         elif isinstance(message, PartsRead):
             self._placement.take_parts(message)
-            self._pass_on(peer, message)
+            if self._collects:
+                self._heard_parts.append((peer, message))
         elif isinstance(message, Suspicions):
             self._take_suspicions(peer, message, now)
-            self._pass_on(peer, message)
 
     def _take_suspicions(self, peer: str, message: Suspicions, now: float) -> None:
         for suspicion in message.suspicions:
@@ -160,11 +161,8 @@
                     ends=suspicion.ends,
                     told_by=peer,
                 )
-
-    def _pass_on(self, peer: str, message: Message) -> None:
-        """Tell the others in the next round, if this gateway collects."""
         if self._collects:
-            self._heard_once.append((peer, message))
+            self._heard_suspicions += [(peer, told) for told in message.suspicions]
 
     @property
     def _collects(self) -> bool:
@@ -252,19 +250,31 @@
         for peer in self._circle.audience:
             self._hub.send(peer, self._make_backlog(hosts, peer))
 
-    def _tell_once(self, now: float) -> None:
-        """Tell what engines were first given, and under which requests hosts ended."""
+    def _tell_parts(self) -> None:
+        """Tell what engines were first given: nothing is told of what they keep."""
         told = [(self._own, parts) for parts in self._placement.take_read()]
-        suspicions = self._suspects.take_changed(now)
-        if suspicions:
-            told.append((self._own, Suspicions(tuple(suspicions))))
-        told += self._heard_once
-        self._heard_once = []
+        told += self._heard_parts
+        self._heard_parts = []
         for peer in self._circle.audience:
             left_out = self._list_left_out(peer) or ()
-            for teller, message in told:
+            for teller, parts in told:
                 if teller not in left_out:
-                    self._hub.send(peer, message)
+                    self._hub.send(peer, parts)
+
+    def _tell_suspicions(self, now: float) -> None:
+        """Tell under which requests hosts have ended, in few messages."""
+        changed = self._suspects.take_changed(now)
+        told = [(self._own, suspicion) for suspicion in changed]
+        told += self._heard_suspicions
+        self._heard_suspicions = []
+        for peer in self._circle.audience if told else ():
+            left_out = self._list_left_out(peer) or ()
+            news = (suspicion for teller, suspicion in told if teller not in left_out)
+            self._send_suspicions(peer, news)
+
+    def _send_suspicions(self, peer: str, suspicions: Iterable[Suspicion]) -> None:
+        for group in group_suspicions(suspicions):
+            self._hub.send(peer, Suspicions(group))
 
     def _make_backlog(self, hosts: Iterable[str] | None, peer: str) -> Backlog:
         return self._placement.make_backlog(hosts, self._list_left_out(peer))
--- a/radishtally/serving/suspects.py
+++ b/radishtally/serving/suspects.py
@@ -168,7 +168,7 @@
             self._changed.popitem(last=False)
 
 
-def list_suspicions(suspicions: Iterable[Suspicion]) -> list[tuple[Suspicion, ...]]:
+def group_suspicions(suspicions: Iterable[Suspicion]) -> list[tuple[Suspicion, ...]]:
     """Group suspicions as they are told at once."""
     rest = tuple(suspicions)
     return [rest[i : i + MAX_TOLD] for i in range(0, len(rest), MAX_TOLD)]
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -1,5 +1,6 @@
 """Tests of gateways that hear of each other's work, without links."""
 
+import time
 from collections import defaultdict
 
 import pytest
@@ -29,6 +30,7 @@
 )
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.requests import OpenRequest
+from radishtally.serving.suspects import ENDS_TO_DENY, End, Suspects
 from radishtally.stages.keeper import StageKeeper
 
 MANY = MESH_GATEWAYS + 8
@@ -96,6 +98,7 @@
             for gateway in self.gateways.values():
                 gateway.loads._follow_links()
                 gateway.loads._tell_backlog(at)
+                gateway.loads._tell_suspicions(at)
                 gateway.loads._tell_demand(at)
 
 
@@ -111,8 +114,9 @@
             name, None, lambda: [ENGINE], None, self.placement.measure_rate
         )
         self.contends = False
+        self.suspects = Suspects()
         self.loads = LoadExchange(
-            name, self, self.placement, self.stages, self.set_contending
+            name, self, self.placement, self.stages, self.set_contending, self.suspects
         )
 
     def set_contending(self, contends: bool) -> None:
@@ -327,3 +331,38 @@
         net.gateways[name].loads.greet("late")
     cache = net.gateways["late"].placement._engines[ENGINE.host].cache
     assert cache.list_shared() == [part]
+
+
+def deny(gateway: Gateway, content: str, now: float) -> None:
+    """End hosts under a request of one gateway."""
+    for known in range(ENDS_TO_DENY):
+        gateway.suspects.note_end(content, End(known, 0.05), now)
+
+
+# A request that has ended hosts at one gateway would end as many at each other one.
+@pytest.mark.parametrize("data_centres", [1, 2, 5])
+@pytest.mark.parametrize("count", [2, MESH_GATEWAYS, MANY, 3 * MANY])
+def test_each_gateway_hears_of_denied_requests(count: int, data_centres: int) -> None:
+    net = Net(count, data_centres)
+    net.play(0.0)
+    now = time.monotonic()
+    deny(net.gateways[f"g-{count - 1}"], "a", now)
+    net.play(now)
+    assert all(each.suspects.find_wait("a", now) for each in net.gateways.values())
+    net.gateways["g-0"].suspects.clear("a")
+    net.play(now)
+    assert not any(each.suspects.find_wait("a", now) for each in net.gateways.values())
+
+
+# Thousands of requests fail at once, and gateways tell each other of nothing else.
+def test_messages_about_ended_hosts_grow_with_the_gateways() -> None:
+    sent = {}
+    for count in (MANY, 10 * MANY):
+        net = Net(count, 5)
+        net.play(0.0)
+        net.sent = 0
+        for gateway in net.gateways.values():
+            gateway.suspects.note_end(f"of-{gateway.name}", End(0, 0.05), 0.0)
+        net.play(0.0)
+        sent[count] = net.sent / count
+    assert sent[10 * MANY] <= 1.1 * sent[MANY]
--- a/tests/serving/test_suspects.py
+++ b/tests/serving/test_suspects.py
@@ -16,7 +16,7 @@
     TRIAL_SECONDS,
     End,
     Suspects,
-    list_suspicions,
+    group_suspicions,
 )
 
 QUICK = 0.05
@@ -155,7 +155,7 @@
     assert len(suspects.take_changed(0.0)) == MAX_TOLD
     assert len(suspects.take_changed(0.0)) == 1
     assert suspects.take_changed(0.0) == []
-    assert list(map(len, list_suspicions(suspects.list_all(0.0)))) == [MAX_TOLD, 1]
+    assert list(map(len, group_suspicions(suspects.list_all(0.0)))) == [MAX_TOLD, 1]
 
 
 def test_request_without_a_digest_is_never_suspected(suspects: Suspects) -> None:
