Free no request by a host that keeps its name when it starts again

Found by reading the mend again: the first answer of a host after its end takes that end back, since a cut link may look like one. A host that starts again under its own name answers too, before its next heartbeat tells the new start, and freed the request that had ended it each time. Ends of hosts that tell their starts are not taken back any more; a cut link that refuses connections may count there as one.

--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -283,9 +283,10 @@
 def _note_alive(request: OpenRequest, known: KnownHost, core: EntryCore) -> None:
     """Take back that a host has ended which takes new work.
 
-    A cut link may refuse connections as well, and looks like an end.
+    A cut link may refuse connections as well, and looks like an end. A host that keeps
+    its name may have started again since, which its next heartbeat tells.
     """
-    if not known.ended_under or request.offered_at <= known.ended_at:
+    if known.tells_start or request.offered_at <= known.ended_at:
         return
     for content in known.ended_under:
         core.suspects.clear(content)
--- a/radishtally/serving/hosts.py
+++ b/radishtally/serving/hosts.py
@@ -26,6 +26,8 @@
     """Refusals since the host last took an offer."""
     unreached: int = 0
     """Offers in a row that could not be brought to it."""
+    tells_start: bool = False
+    """Whether its starts are told apart by more than its name."""
     ended_at: float = 0.0
     """Time at which it was last found to have ended."""
     ended_under: set[str] = field(default_factory=set)
