Let the one trial of a denied request run where its prompt is read apart

A denied request was never tried again at engines that read prompts and make answers apart: the offer of its prompt counted as the trial, and the offer of its answer was denied behind it. Found by reading; the test of a mended release had not shown it, since it shortened the time by which ends are remembered as well. It lets the denials' time be over now, checks that the request is denied before, and fails without this change, as does a new one of repeats that come together when a denial is over: one ends one more host, no others. Beside them: calls that end hosts of a plain service, and hosts that keep their names.

--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -64,6 +64,7 @@
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
+
 Receive = Callable[[str, Message], None]
 Name = tuple[str, int]
 
--- a/radishtally/serving/const.py
+++ b/radishtally/serving/const.py
@@ -29,6 +29,8 @@
 UNREACHED_TO_MISS: Final = 2
 """Offers in a row that could not be brought to a host, from which it is taken for gone
 before the list of hosts says so: one alone may be a lost packet."""
+LEAST_TO_RISK: Final = 2
+"""Hosts that must be able to run a request for one of them to be risked."""
 PAUSE_SPREAD: Final = 0.1
 """Part of a pause by which its end is put off at random: all who were asked for it
 would come back together."""
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -1,7 +1,6 @@
 """Decide where a request goes next, and when it goes no further."""
 
 from collections.abc import Iterator
-from typing import Final
 
 from radishtally.limits.retries import backoff
 from radishtally.links.messages import (
@@ -24,9 +23,6 @@
 from radishtally.serving.state import EntryCore
 from radishtally.serving.suspects import ENDS_TO_SPARE
 
-LEAST_TO_RISK: Final = 2
-"""Hosts that must be able to run a request for one of them to be risked."""
-
 
 def wait(request: OpenRequest, until: float, core: EntryCore) -> None:
     """Look at the request again at a time, if its phase lasts so long."""
@@ -73,7 +69,8 @@
     request.incarnation = core.links[host]
     request.offered_at = now
     request.accepted_at = None
-    request.ends_known = core.suspects.note_offer(request.terms.content, now)
+    if request.stage != PREFILL:
+        request.ends_known = core.suspects.note_offer(request.terms.content, now)
     request.asked_again_at = -1
     wait(request, now + core.offer_seconds, core)
     known = core.hosts[host]
@@ -219,7 +216,7 @@
     """
     find_role = core.placement.find_role
     running = [known for known in usable if find_role(known.host) != PREFILL]
-    if len(running) < LEAST_TO_RISK:
+    if len(running) < const.LEAST_TO_RISK:
         return []
     tried = {
         other.host
--- a/tests/gateway/ending.py
+++ b/tests/gateway/ending.py
@@ -16,11 +16,63 @@
     run_gateway,
     wait_until,
 )
+from tests.gateway.test_calls import answer_whole
 
 POISON = b"poison"
 
 
-class EndingEngine(StagedEngine):
+class Ending:
+    """Listen, and end at once with all connections."""
+
+    _runner: web.AppRunner | None = None
+    _port = 0
+
+    @property
+    def has_ended(self) -> bool:
+        """Tell whether nothing listens here."""
+        return self._runner is None
+
+    async def listen(self, app: web.Application) -> str:
+        """Listen where it did before; give the address."""
+        self._runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, LOOPBACK, self._port, reuse_address=True)
+        await site.start()
+        self._port = self._runner.addresses[0][1]
+        return f"{LOOPBACK}:{self._port}"
+
+    def break_off(self) -> None:
+        """End without a word to anybody."""
+        runner, self._runner = self._runner, None
+        if runner is None:
+            return
+        for site in list(runner.sites):
+            site._server.close()
+        for connection in runner.server.connections:
+            connection.transport.abort()
+
+
+class EndingDesk(Ending):
+    """Be a host of the plain service that ends under calls of one path."""
+
+    def __init__(self, name: str, made: Deployment) -> None:
+        self._name = name
+        self._made = made
+
+    async def start(self) -> None:
+        """Listen, and wait until the gateway knows it."""
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self._answer)
+        self._made.announce(self._name, await self.listen(app), "desk")
+        await self._made.wait_for(self._name)
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        if request.path.endswith("poison"):
+            self.break_off()
+        return await answer_whole(request)
+
+
+class EndingEngine(Ending, StagedEngine):
     """End at once, with all its connections, as a poison prompt begins to run."""
 
     def __init__(self, name: str, phase: str, made: Deployment) -> None:
@@ -32,8 +84,6 @@
         """Whether it bears the prompt, as a mended release does."""
         self._made = made
         self._name = name
-        self._runner: web.AppRunner | None = None
-        self._port = 0
 
     async def start(self) -> None:
         """Listen where it did before, under a new id, and write its entry."""
@@ -42,27 +92,14 @@
 
     async def start_again(self) -> None:
         """Listen where it did before, as if it had never ended."""
-        self._runner = web.AppRunner(
-            self.build_app(), handler_cancellation=True, shutdown_timeout=0
-        )
-        await self._runner.setup()
-        await web.TCPSite(
-            self._runner, LOOPBACK, self._port, reuse_address=True
-        ).start()
-        self._port = self._runner.addresses[0][1]
-        self._made.addresses[self.instance] = f"{LOOPBACK}:{self._port}"
+        address = await self.listen(self.build_app())
+        self._made.addresses[self.instance] = address
         self._made.announce_engine(self)
 
     async def end(self) -> None:
         """End without a word to anybody."""
-        runner, self._runner = self._runner, None
-        if runner is None:
-            return
-        self.ends += 1
-        for site in list(runner.sites):
-            site._server.close()
-        for connection in runner.server.connections:
-            connection.transport.abort()
+        self.ends += not self.has_ended
+        self.break_off()
 
     async def _stream(
         self, request: web.Request, name: str, signature: str
@@ -101,7 +138,7 @@
     async def start_ended(self) -> None:
         """Start what has ended, and wait until the gateways know all engines."""
         for engine in self.answers:
-            if engine._runner is None:
+            if engine.has_ended:
                 self.made.withdraw(engine.instance)
                 await engine.start()
 
--- a/tests/gateway/test_request_ends_hosts.py
+++ b/tests/gateway/test_request_ends_hosts.py
@@ -2,12 +2,16 @@
 
 import asyncio
 
-import pytest
-
-from radishtally.serving import suspects
 from tests.common import run
-from tests.gateway.common import make_route, wait_until
-from tests.gateway.ending import POISON, Fleet, run_fleet, wait_for_engines
+from tests.gateway.common import deployment, make_route, wait_until
+from tests.gateway.ending import (
+    POISON,
+    EndingDesk,
+    Fleet,
+    run_fleet,
+    wait_for_engines,
+)
+from tests.gateway.test_calls import ask
 
 REPEATS = 12
 ENDS_ALLOWED = 3
@@ -16,6 +20,13 @@
 """Times that a request may reach hosts after that many have ended under it."""
 
 
+def expire_denials(fleet: Fleet) -> None:
+    """Let the time of all denials be over."""
+    for gateway in fleet.gateways:
+        for suspect in gateway.core.suspects._suspects.values():
+            suspect.until = 0.0
+
+
 async def repeat_poison(fleet: Fleet, times: int = REPEATS) -> list[int]:
     """Send the poison prompt again and again, to one gateway after the other."""
     statuses = []
@@ -217,22 +228,71 @@
 
 
 # A release that bears the request would never be given it again.
-def test_mended_release_is_given_the_request_again(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_mended_release_is_given_the_request_again() -> None:
     async def play() -> None:
         async with run_fleet(answering=3) as fleet:
-            monkeypatch.setattr(suspects, "FORGET_SECONDS", 0.5)
-            await repeat_poison(fleet, ENDS_ALLOWED)
+            await repeat_poison(fleet)
             for engine in fleet.answers:
                 engine.is_safe = True
-            await asyncio.sleep(0.6)
+            assert (await fleet.send(0, "denied"))[0] == 503
+            expire_denials(fleet)
             assert (await fleet.send(0, "tried"))[0] == 200
             assert (await fleet.send(0, "free"))[0] == 200
 
     run(play())
 
 
+# All repeats that came meanwhile would go to hosts at once when a denial is over.
+def test_denial_that_is_over_lets_one_repeat_through() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=3) as fleet:
+            await repeat_poison(fleet)
+            expire_denials(fleet)
+            repeats = [fleet.send(0, f"repeat-{n}") for n in range(REPEATS)]
+            await asyncio.gather(*repeats)
+            assert fleet.ends == ENDS_ALLOWED + 1
+
+    run(play())
+
+
+# A host that starts again under its own name would free the request that has ended it,
+# with the first other request that it takes.
+def test_hosts_that_keep_their_names_do_not_free_the_request() -> None:
+    async def play() -> None:
+        async with run_fleet(answering=3) as fleet:
+            for engine in fleet.answers:
+                engine.born = 1_000
+                fleet.made.announce_engine(engine)
+            core = fleet.gateways[0].core
+            for number in range(REPEATS):
+                await fleet.send(number, f"poison-{number}")
+                for engine in fleet.answers:
+                    if engine.has_ended:
+                        await engine.start_again()
+                        core.hosts[engine.instance].breaker.succeeded()
+                assert (await fleet.send(0, f"o-{number}", b"other"))[0] == 200
+            assert fleet.ends <= ENDS_ALLOWED + RETRIES_ALLOWED
+
+    run(play())
+
+
+# A call of a plain service ends hosts as well: no answer has begun by then.
+def test_call_that_ends_hosts_of_a_plain_service_is_denied() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            hosts = [EndingDesk(f"desk-{n}", made) for n in range(8)]
+            for host in hosts:
+                await host.start()
+            for number in range(REPEATS):
+                await ask(made, "/read/poison", f"poison-{number}")
+                assert (await ask(made, "/read/a", f"other-{number}"))[0] == 200
+            assert sum(host.has_ended for host in hosts) <= ENDS_ALLOWED
+            status, headers, _ = await ask(made, "/read/poison", "last")
+            assert (status, headers["X-Ran"]) == (503, "no")
+
+    run(play())
+
+
 def test_metrics_count_denied_requests() -> None:
     async def play() -> None:
         async with run_fleet(answering=3) as fleet:
