Pass on a denial around a cut link between gateways

Found by reading the mend again: few gateways tell each other directly and nobody passes on what it hears, so with the link between two of them cut the one went on ending hosts with a request that the other denied. A gateway of a mesh that hears of a new denial tells it once itself. Only denials go round, at most a hundred and forty-four short messages each in the largest mesh; where one collects, it passes all on already.

--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -161,6 +161,9 @@
                     ends=suspicion.ends,
                     told_by=peer,
                 )
+                # In a mesh nobody passes news on, and a link may be cut.
+                if is_mesh(self._sites):
+                    self._suspects.tell(suspicion.content)
         if self._collects:
             self._heard_suspicions += [(peer, told) for told in message.suspicions]
 
--- a/radishtally/serving/suspects.py
+++ b/radishtally/serving/suspects.py
@@ -85,7 +85,7 @@
         if known.ends >= ENDS_TO_DENY:
             # Its time is over, and one run may show whether it still ends its host.
             known.until = now + TRIAL_SECONDS
-            self._tell(content)
+            self.tell(content)
         return known.ends
 
     def note_end(self, content: str, end: End, now: float) -> int:
@@ -98,13 +98,13 @@
         ends = max(known.ends, min(end.known, known.ends) + 1)
         until = now + _find_seconds(ends)
         self._set(content, _Suspect(ends, max(known.seconds, end.seconds), until))
-        self._tell(content)
+        self.tell(content)
         return ends
 
     def clear(self, content: str) -> None:
         """Take that a request has its whole answer."""
         if self._suspects.pop(content, None) is not None:
-            self._tell(content)
+            self.tell(content)
 
     def take(self, suspicion: Suspicion, now: float) -> bool:
         """Take what another entry tells; say whether that denies the request anew."""
@@ -131,6 +131,12 @@
             if now < known.until or known.ends >= ENDS_TO_DENY
         ]
 
+    def tell(self, content: str) -> None:
+        """Have the other entries told of a request with the next that has changed."""
+        self._changed[content] = None
+        while len(self._changed) > MAX_SUSPECTS:
+            self._changed.popitem(last=False)
+
     def take_changed(self, now: float) -> list[Suspicion]:
         """Take some of what has changed since the last call."""
         told = []
@@ -162,11 +168,6 @@
         )
         return next(few, None) or next(iter(self._suspects))
 
-    def _tell(self, content: str) -> None:
-        self._changed[content] = None
-        while len(self._changed) > MAX_SUSPECTS:
-            self._changed.popitem(last=False)
-
 
 def group_suspicions(suspicions: Iterable[Suspicion]) -> list[tuple[Suspicion, ...]]:
     """Group suspicions as they are told at once."""
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -354,6 +354,19 @@
     assert not any(each.suspects.find_wait("a", now) for each in net.gateways.values())
 
 
+# The link between two gateways is cut, and the one goes on ending hosts with a request
+# that the other has long denied.
+def test_denial_goes_round_a_cut_link() -> None:
+    net = Net(4)
+    net.play(0.0)
+    net.linked["g-0"] = ["g-2", "g-3"]
+    net.linked["g-1"] = ["g-2", "g-3"]
+    now = time.monotonic()
+    deny(net.gateways["g-0"], "a", now)
+    net.play(now)
+    assert net.gateways["g-1"].suspects.find_wait("a", now)
+
+
 # Thousands of requests fail at once, and gateways tell each other of nothing else.
 def test_messages_about_ended_hosts_grow_with_the_gateways() -> None:
     sent = {}
