--- a/tests/gateway/ending.py
+++ b/tests/gateway/ending.py
@@ -1,4 +1,4 @@
-"""Engines that end when they begin to run a certain prompt, and start again."""
+"""Hosts that end when they begin to run a certain request, and start again."""
 
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -136,7 +136,7 @@
         return sum(engine.arrivals for engine in self.answers)
 
     async def start_ended(self) -> None:
-        """Start what has ended, and wait until the gateways know all engines."""
+        """Start the engines anew that have ended."""
         for engine in self.answers:
             if engine.has_ended:
                 self.made.withdraw(engine.instance)
