--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -100,7 +100,9 @@
     Not a fast hash: with one that collides at will a caller could get the requests of
     others taken for its own.
     """
-    head = "\0".join((method, authority, target)).encode()
+    text = "\0".join((method, authority, target))
+    # Bytes of a path that are no text come as lone surrogates.
+    head = text.encode(errors="surrogateescape")
     digest = sha256(len(head).to_bytes(4) + head)
     digest.update(body)
     return digest.hexdigest()[:CONTENT_DIGITS]
--- a/tests/gateway/test_content.py
+++ b/tests/gateway/test_content.py
@@ -24,3 +24,14 @@
 )
 def test_other_request_has_another_content(other: tuple[str, str, str, bytes]) -> None:
     assert hash_content(*other) != hash_content(*ASKED)
+
+
+# A path with bytes that are no text is answered 500 by the HTTP library, and its caller
+# learns nothing.
+def test_path_that_is_no_text_has_a_content() -> None:
+    target = b"/draft/\xff".decode(errors="surrogateescape")
+    other = b"/draft/\xfe".decode(errors="surrogateescape")
+    hashes = [
+        hash_content("GET", "desk.example", path, b"") for path in (target, other)
+    ]
+    assert hashes[0] != hashes[1]
