Log and count how each answer is ended towards its caller

The record of streams that end short can't be told apart by the logs: request:closed gave an outcome only, the same for a failure that the caller got whole and for one that ended a stream. It tells now what the caller saw (whole, stream_end, broken_off, refused, caller_left), status, bytes and last event; a lost attempt tells after which event; upstream:answer_unframed names answers that end with their connection. A counter has the ends by outcome. No logic is changed.

The stand-in of a staged engine can spoil single runs: a failure in place of a stream, an end after any event by reset or close, an answer without framing, another first event. Existing faults are as they were.

--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -281,6 +281,20 @@
             carried=usage.carried,
         )
 
+    def _note_end(
+        self, response: WatchedResponse, host: str, offer: Offer, rest: int = 0
+    ) -> None:
+        if response.is_framed:
+            return
+        log_message(
+            "upstream:answer_unframed",
+            request=offer.work.request,
+            attempt=offer.attempt,
+            upstream_host=host,
+            # Bytes of an event that has not come whole.
+            rest=rest,
+        )
+
     def _note_unasked(self) -> None:
         self.on_doubt(Doubt.UNASKED)
 
@@ -310,6 +324,7 @@
                 text = f"the answer is over {MAX_ANSWER_BYTES} bytes"
                 raise aiohttp.ClientPayloadError(text)
         response.check_end()
+        self._note_end(response, host, offer)
         checksum = xxhash.xxh64_intdigest(bytes(body))
         if body:
             self._receive(host, Chunk(*name, 0, bytes(body), 0))
@@ -331,6 +346,7 @@
             progress.tokens = max(progress.tokens, found.last)
             self._pass_on(host, name, progress, found.data)
         response.check_end()
+        self._note_end(response, host, offer, len(cutter.rest))
         if cutter.rest:
             self._pass_on(host, name, progress, cutter.rest)
         length, checksum = progress.offset, progress.checksum.intdigest()
--- a/radishtally/direct/pool.py
+++ b/radishtally/direct/pool.py
@@ -45,8 +45,7 @@
 
     def check_end(self) -> None:
         """Raise if an answer without a length ended otherwise than by a close."""
-        is_framed = "Content-Length" in self.headers or self.is_chunked
-        if is_framed or self._watched is None:
+        if self.is_framed or self._watched is None:
             return
         error = self._watched.exception()
         if isinstance(error, OSError) and not isinstance(
@@ -55,9 +54,10 @@
             raise aiohttp.ClientPayloadError("the connection was reset") from error
 
     @property
-    def is_chunked(self) -> bool:
-        """Tell whether the answer's end is marked."""
-        return "chunked" in self.headers.get("Transfer-Encoding", "").lower()
+    def is_framed(self) -> bool:
+        """Tell whether the answer's end is marked, by its length or by chunks."""
+        coding = self.headers.get("Transfer-Encoding", "").lower()
+        return "Content-Length" in self.headers or "chunked" in coding
 
 
 async def is_refused(address: str) -> bool:
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -31,6 +31,7 @@
     UNLOAD_SECONDS,
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
+from radishtally.gateway.endings import Given
 from radishtally.gateway.front import Front
 from radishtally.gateway.members import Change, Members
 from radishtally.gateway.metrics import GatewayMetrics
@@ -365,16 +366,20 @@
             text=refusal.message,
         )
 
-    def close(self, request: str, done: bool) -> None:
+    def close(self, request: str, given: Given) -> None:
         """Say that the caller has its answer, or is gone."""
         self.replies.close(request)
-        if not done:
+        if not given.is_done:
             self.handle(events.CallerGone(request))
-        outcome, seconds = self.metrics.closed(request)
+        outcome, seconds = self.metrics.closed(request, given.ending)
         log_message(
             "request:closed",
             request=request,
             outcome=outcome,
+            ending=given.ending,
+            status=given.status,
+            sent=given.sent,
+            last_event=given.last_event,
             seconds=round(seconds, 4),
         )
 
--- a/radishtally/gateway/front.py
+++ b/radishtally/gateway/front.py
@@ -24,6 +24,7 @@
     SWEEP_SECONDS,
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
+from radishtally.gateway.endings import Ending, Given
 from radishtally.gateway.metrics import CONTENT_TYPE
 from radishtally.gateway.requests import Routed
 from radishtally.outcome import Error, Ok, Ran, Refusal, Result
@@ -52,7 +53,7 @@
     def open(self, routed: Routed) -> asyncio.Queue[Part]:
         """Bring a request in."""
 
-    def close(self, request: str, done: bool) -> None:
+    def close(self, request: str, given: Given) -> None:
         """Say that its caller has its answer, or is gone."""
 
     def is_ready(self) -> bool:
@@ -154,13 +155,11 @@
         routed = admitted.ok
         name = routed.work.request
         parts = self._gate.open(routed)
-        done = False
+        given = Given()
         try:
-            response = await self._give(request, parts)
-            done = True
-            return response
+            return await self._give(request, parts, given)
         finally:
-            self._gate.close(name, done)
+            self._gate.close(name, given)
 
     async def _admit(self, request: web.BaseRequest) -> Result[Routed, Refusal]:
         body = await self._read_body(request)
@@ -190,21 +189,30 @@
         return Ok(bytes(body))
 
     async def _give(
-        self, request: web.BaseRequest, parts: asyncio.Queue[Part]
+        self, request: web.BaseRequest, parts: asyncio.Queue[Part], given: Given
     ) -> web.StreamResponse:
         part = await parts.get()
         if isinstance(part, Refuse):
-            return self._respond_refusal(part.refusal)
+            response = self._respond_refusal(part.refusal)
+            given.ending, given.status = Ending.REFUSED, response.status
+            return response
         if isinstance(part, Finish):
+            given.ending, given.status = Ending.WHOLE, part.end.status
+            given.sent = len(part.body)
             return self._respond_whole(part)
         if not isinstance(part, Begin):
             raise AssertionError(f"an answer began with {part!r}")
-        return await self._stream(request, part, parts)
+        return await self._stream(request, part, parts, given)
 
     async def _stream(
-        self, request: web.BaseRequest, begin: Begin, parts: asyncio.Queue[Part]
+        self,
+        request: web.BaseRequest,
+        begin: Begin,
+        parts: asyncio.Queue[Part],
+        given: Given,
     ) -> web.StreamResponse:
         response = web.StreamResponse(status=begin.status)
+        given.status = begin.status
         _copy_headers(begin.headers, response)
         response.enable_chunked_encoding()
         self._end_keep_alive(response)
@@ -213,10 +221,14 @@
             part = await parts.get()
             if isinstance(part, Deliver):
                 await response.write(part.data)
+                given.sent += len(part.data)
+                given.last_event = part.tokens
                 continue
             if isinstance(part, Finish):
                 await response.write_eof()
+                given.ending = Ending.STREAM_END
                 return response
+            given.ending = Ending.BROKEN_OFF
             # Only a connection that breaks tells the caller that its answer is not
             # whole: the end of the chunks would make a part of it look complete.
             if request.transport is not None:
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -13,6 +13,7 @@
 
 from radishtally.direct.core import Notice
 from radishtally.direct.doubts import Doubt
+from radishtally.gateway.endings import Ending
 from radishtally.gateway.requests import Routed
 
 CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
@@ -52,6 +53,12 @@
             ["kind", "outcome"],
             registry=self._registry,
         )
+        self._endings = Counter(
+            "radishtally_answer_endings",
+            "Answers by kind of route, end as the caller sees it, and outcome",
+            ["kind", "ending", "outcome"],
+            registry=self._registry,
+        )
         self._refusals = Counter(
             "radishtally_refusals",
             "Answers of the gateway's own by code",
@@ -188,7 +195,7 @@
         """Count an answer of the gateway's own."""
         self._refusals.labels(code, ran).inc()
 
-    def closed(self, request: str) -> tuple[str, float]:
+    def closed(self, request: str, ending: Ending) -> tuple[str, float]:
         """Count a request that is over; give its outcome and how long it took."""
         began, kind = self._started.pop(request, (time.monotonic(), ""))
         outcome = self._outcomes.pop(request, LEFT)
@@ -196,6 +203,7 @@
         seconds = time.monotonic() - began
         self._open.dec()
         self._ended.labels(kind, outcome).inc()
+        self._endings.labels(kind, ending, outcome).inc()
         if outcome == ANSWERED:
             self._whole.labels(kind).observe(seconds)
         return outcome, seconds
--- a/radishtally/logs.py
+++ b/radishtally/logs.py
@@ -26,7 +26,12 @@
 """Lines of refusals in a lasting flood: five times what one of the planned nodes is
 asked in a second, 14,000 over 330."""
 BURST_REFUSALS: Final = 1_000.0
-STEP_KINDS: Final = ("request:step", "request:closed", "request:arrived")
+STEP_KINDS: Final = (
+    "request:step",
+    "request:closed",
+    "request:arrived",
+    "upstream:answer_unframed",
+)
 """Kinds that grow with the load."""
 REFUSAL_KINDS: Final = (
     "request:refused",
--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -159,7 +159,7 @@
         core.placement.note_answer(request, core.hosts[host], now)
     is_open = request.begun or request.work.kind != STREAM
     if request.streamed and is_open and not request.answered:
-        yield Deliver(message.request, new)
+        yield Deliver(message.request, new, request.tokens)
 
 
 @receive.register
--- a/radishtally/serving/events.py
+++ b/radishtally/serving/events.py
@@ -132,6 +132,8 @@
 
     request: str
     data: bytes
+    tokens: int = 0
+    """Tokens of the answer up to its end; of a stream of events the last one's id."""
 
 
 class Finish(NamedTuple):
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -87,6 +87,8 @@
 ) -> Iterator[Command]:
     """Go on after an attempt has failed: elsewhere, or with a refusal."""
     text = f"attempt {request.attempt} at {request.host} lost: {reason}, ran {ran}"
+    if request.received:
+        text += f", after event {request.tokens} ({len(request.received)} bytes)"
     yield Note(request.work.request, text)
     # A host that the offer never reached, or a new start of one, has refused nothing.
     if request.host is not None and reason not in (NOT_KNOWN, RESTARTED):
--- a/standins/staged.py
+++ b/standins/staged.py
@@ -3,16 +3,23 @@
 import asyncio
 import itertools
 from collections import Counter
+from collections.abc import Iterator
 from typing import Any, Final
 
 from aiohttp import web
 
 from standins.common import build_app, build_parser, read_json, reply_json, serve
 from standins.runs import ORDER, PROMPT, RUN, Order, Run, RunLog, digest, read_clock
+from standins.spoiling import (
+    REQUEST_NAME,
+    SIGNATURE,
+    SOUND,
+    EventWriter,
+    RunFault,
+    draw_faults,
+)
 
 EVENTS: Final = 4
-SIGNATURE: Final = "X-Server-Signature"
-REQUEST_NAME: Final = "X-Request-Id"
 NOT_RUN: Final = {"X-Not-Executed": "1"}
 
 
@@ -41,6 +48,8 @@
         self.loses_handles = False
         self.cut_after: int | None = None
         """Event after which it breaks the connection."""
+        self.faults: Iterator[RunFault] = iter(())
+        """Faults of the next runs, in place of that one."""
         self.fetched: list[str] = []
         """KV caches that it was told to fetch."""
         self.freed: list[str] = []
@@ -89,6 +98,7 @@
         self.refuses = fault.get("refuses", False)
         self.loses_handles = fault.get("loses_handles", False)
         self.cut_after = fault.get("cut_after")
+        self.faults = draw_faults(fault.get("runs", ()), fault.get("seed", 0))
         return reply_json({})
 
     def describe_start(self) -> dict[str, int]:
@@ -155,15 +165,33 @@
             if self.loses_handles:
                 return web.Response(status=503, headers=NOT_RUN)
         signature = f"by-{self.instance}-{next(self._signatures)}"
+        fault = next(self.faults, SOUND._replace(cut_after=self.cut_after))
+        if fault.status:
+            return self._fail(request, body, signature, fault)
         self._note(RUN, request, body, signature)
-        return await self._stream(request, name, signature)
+        return await self._stream(request, name, signature, fault)
+
+    def _fail(
+        self, request: web.Request, asked: bytes, signature: str, fault: RunFault
+    ) -> web.Response:
+        self.runs[request.headers[REQUEST_NAME]] += 1
+        body = fault.body.encode()
+        self._note(RUN, request, asked, signature, fault.status, digest(body))
+        headers = {SIGNATURE: signature}
+        return web.Response(status=fault.status, body=body, headers=headers)
 
     def _note(
-        self, kind: str, request: web.Request, body: bytes, signature: str
+        self,
+        kind: str,
+        request: web.Request,
+        body: bytes,
+        signature: str,
+        status: int = 200,
+        answer: str = "",
     ) -> None:
         name, asked = request.headers[REQUEST_NAME], digest(body)
         sent = name, request.method, request.raw_path, asked
-        run = Run(kind, read_clock(), self.instance, *sent, signature, 200, "")
+        run = Run(kind, read_clock(), self.instance, *sent, signature, status, answer)
         self._log.write(run)
 
     async def _read_prompt(self) -> web.Response:
@@ -173,7 +201,7 @@
         return reply_json({"kvHandle": handle, "tokens": 1, "version": 1})
 
     async def _stream(
-        self, request: web.Request, name: str, signature: str
+        self, request: web.Request, name: str, signature: str, fault: RunFault
     ) -> web.StreamResponse:
         born = self.born
         self.runs[name] += 1
@@ -181,21 +209,24 @@
             "Content-Type": "text/event-stream",
             SIGNATURE: signature,
         }
-        response = web.StreamResponse(headers=headers)
-        await response.prepare(request)
-        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        writer = EventWriter(request, headers, fault)
+        await writer.start()
+        asked = int(request.headers.get("Last-Event-Id", 0)) + 1
+        if fault.cut_after == 0:
+            await writer.break_off()
+            return writer.response
         try:
-            for number in range(first, self.events + 1):
+            for number in range(fault.first_event or asked, self.events + 1):
                 await self._sleep(born)
-                await response.write(make_event(name, number))
-                if number == self.cut_after:
-                    await response.write(b"id: 99\ndata: half an ev")
-                    request.transport.abort()
-                    return response
+                await writer.write(make_event(name, number))
+                if number == fault.cut_after:
+                    await writer.break_off()
+                    return writer.response
         except (ConnectionError, asyncio.CancelledError):
             self.dropped.append(name)
             raise
-        return response
+        await writer.end()
+        return writer.response
 
 
 async def _echo_name(request: web.Request, response: web.StreamResponse) -> None:
--- a/tests/gateway/ending.py
+++ b/tests/gateway/ending.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from radishtally.gateway.daemon import Gateway
+from standins.spoiling import RunFault
 from standins.staged import StagedEngine
 from tests.gateway.common import (
     LOOPBACK,
@@ -102,13 +103,13 @@
         self.break_off()
 
     async def _stream(
-        self, request: web.Request, name: str, signature: str
+        self, request: web.Request, name: str, signature: str, fault: RunFault
     ) -> web.StreamResponse:
         if await request.read() != POISON:
-            return await super()._stream(request, name, signature)
+            return await super()._stream(request, name, signature, fault)
         self.arrivals += 1
         if self.is_safe:
-            return await super()._stream(request, name, signature)
+            return await super()._stream(request, name, signature, fault)
         response = web.StreamResponse(headers={"X-Server-Signature": signature})
         await response.prepare(request)
         await self.end()
--- /dev/null
+++ b/tests/gateway/test_endings.py
@@ -0,0 +1,89 @@
+"""What logs and metrics tell of how an answer ended towards its caller."""
+
+import asyncio
+from collections.abc import Iterator, Sequence
+
+import aiohttp
+import pytest
+
+from radishtally.gateway.endings import Ending, Given
+from standins.spoiling import RunFault
+from standins.staged import EVENTS, StagedEngine, make_event
+from tests.common import run
+from tests.gateway.common import Deployment, deployment, make_prompt, wait_until
+
+FAILED = RunFault(status=500, body="failed")
+CUT = RunFault(cut_after=2)
+
+
+async def begin(made: Deployment, faults: Iterator[RunFault]) -> StagedEngine:
+    """Start an engine for prompts and one for answers; give the latter."""
+    answering = StagedEngine("d-1", "decode")
+    answering.faults = faults
+    for engine in (StagedEngine("p-1", "prefill"), answering):
+        await made.serve_engine(engine)
+    return answering
+
+
+async def ask(made: Deployment) -> None:
+    """Ask for an answer, and take what comes of it."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(f"{made.url}/sheet/a", headers=make_prompt("r1")) as response,
+    ):
+        try:
+            await response.read()
+        except aiohttp.ClientPayloadError:
+            return
+
+
+# On call, a stream that was broken off looks like one that came whole.
+@pytest.mark.parametrize(
+    ("faults", "ending", "status", "events"),
+    [
+        ((), Ending.STREAM_END, 200, EVENTS),
+        ([CUT], Ending.BROKEN_OFF, 200, 2),
+        ([FAILED], Ending.WHOLE, 500, 0),
+    ],
+    ids=["whole", "cut", "failed"],
+)
+def test_log_tells_how_an_answer_ended(
+    faults: Sequence[RunFault], ending: Ending, status: int, events: int
+) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            await begin(made, iter(faults))
+            given: list[Given] = []
+            close = made.gateway.close
+
+            def note(request: str, one: Given) -> None:
+                given.append(one)
+                close(request, one)
+
+            made.gateway.close = note
+            await ask(made)
+            await wait_until(lambda: bool(given))
+            sent = len(FAILED.body)
+            if status == 200:
+                sent = sum(len(make_event("r1", n + 1)) for n in range(events))
+            assert given == [Given(ending, status, sent, events)]
+            text = made.gateway.render_metrics().decode()
+            assert f'ending="{ending}",kind="stream"' in text
+
+    run(play())
+
+
+def test_caller_that_leaves_is_told_apart() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            answering = await begin(made, iter(()))
+            answering.seconds = 5.0
+            task = asyncio.create_task(ask(made))
+            await wait_until(lambda: answering.runs["r1"] == 1)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await wait_until(lambda: not made.gateway.replies)
+            text = made.gateway.render_metrics().decode()
+            assert f'ending="{Ending.CALLER_LEFT}",kind="stream"' in text
+
+    run(play())
