--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -201,6 +201,21 @@
     assert (finish.end.status, finish.end.finish_reason) == (400, "prompt too long")
 
 
+# A text ends as complete after a part: the engine that is to go on refuses the request,
+# which has grown by that part.
+def test_refusal_of_the_rest_does_not_end_a_text_as_complete() -> None:
+    driver = Driver()
+    driver.open(make_text())
+    host, _ = driver.find_offer()
+    driver.receive(host, make_chunk("r", 1, 0, b"ab"))
+    driver.receive(host, Lost("r", 1, Ran.UNKNOWN, "crashed", 2))
+    host, offer = driver.find_offer()
+    assert offer.done == b"ab"
+    end = make_finished("r", offer.attempt, b"ab")
+    driver.receive(host, end._replace(status=400, finish_reason="prompt too long"))
+    assert not driver.list_of(Finish)
+
+
 def test_end_is_confirmed_to_its_agent() -> None:
     driver = Driver()
     driver.open(make_text())
