Tell the end of a begun answer from an answer given at once

Callers got some events of a stream and then its regular end. A Finish stood for two things: the whole answer for a caller that has nothing, and the end of what its caller was given bit by bit. OpenRequest.failure keeps a Finish of the first kind, the failure of an earlier run, and refuse() handed it out however far the answer had come; the front took it for the second kind and wrote the end of the chunks.

End and Break are types of their own now, for callers that have a part; Finish and Refuse are for those that have none. One module decides between them (serving/conclusions.py), and all ends go through it: refusals, deadlines, stops, unclear outcomes, repeats of a key, denials. The front ends chunks on an End only, which holds no answer, so no other run's end can come there. At the entry with agents the same: a 400 of the engine that is to go on with a text ended it with [DONE]; it is broken off with an error now, and a 500 goes on elsewhere.

Tests of the entry's core looked for Finish and Refuse; they look for both kinds now and compare what was delivered with the whole, which is as strict.

--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -41,7 +41,7 @@
 from radishtally.serving import const, events
 from radishtally.serving.core import EntryCore, handle_event
 from radishtally.serving.placement import RankedPlacement
-from radishtally.serving.replies import Part, Replies
+from radishtally.serving.replies import Replies, Reply
 from radishtally.settings.config import Settings
 
 LEAVE_POLL_SECONDS: Final = 0.02
@@ -143,7 +143,7 @@
         """Tell whether new requests are refused, as the process stops."""
         return self._closed
 
-    def open(self, work: Work, timeout: float, streamed: bool) -> asyncio.Queue[Part]:
+    def open(self, work: Work, timeout: float, streamed: bool) -> asyncio.Queue[Reply]:
         """Bring a request in."""
         now = time.monotonic()
         self._started[work.request] = now
@@ -205,7 +205,13 @@
         self.replies.put(command)
 
     @_execute.register
-    def _(self, command: events.Refuse) -> None:
+    def _(self, command: events.End) -> None:
+        self.steps.note(command.request, "answered whole")
+        self.process.metrics.incr("answered")
+        self.replies.put(command)
+
+    @_execute.register
+    def _(self, command: events.Break | events.Refuse) -> None:
         refusal = command.refusal
         log_message(
             "request:refused",
--- a/radishtally/entry/http.py
+++ b/radishtally/entry/http.py
@@ -35,8 +35,8 @@
 )
 from radishtally.links.messages import CHAT, COMPLETION, Finished, Work
 from radishtally.outcome import Error, Ran, Refusal, Result
-from radishtally.serving.events import Deliver, Finish, Refuse
-from radishtally.serving.replies import Part
+from radishtally.serving.events import Break, Deliver, Finish, Refuse, Whole
+from radishtally.serving.replies import Reply
 
 MAX_REQUEST_BYTES: Final = 16 * 1024 * 1024
 MAX_HEADER_BYTES: Final = 16 * 1024
@@ -62,7 +62,7 @@
     directory: Directory | None
     ratio: TokenRatio
 
-    def open(self, work: Work, timeout: float, streamed: bool) -> asyncio.Queue[Part]:
+    def open(self, work: Work, timeout: float, streamed: bool) -> asyncio.Queue[Reply]:
         """Bring a request in."""
 
     def close(self, request: str, done: bool) -> None:
@@ -244,7 +244,7 @@
     def learn(end: Finished) -> None:
         front.ratio.learn(work.model, len(generation.text), end.prompt_tokens)
 
-    async def give(parts: asyncio.Queue[Part]) -> HTTPResponse | None:
+    async def give(parts: asyncio.Queue[Reply]) -> HTTPResponse | None:
         if generation.streamed:
             return await _stream(request, answer, generation, parts, learn)
         return await _wait_whole(answer, parts, learn)
@@ -279,7 +279,7 @@
     work: Work,
     envelope: Envelope,
     streamed: bool,
-    give: Callable[[asyncio.Queue[Part]], Awaitable[HTTPResponse | None]],
+    give: Callable[[asyncio.Queue[Reply]], Awaitable[HTTPResponse | None]],
 ) -> HTTPResponse | None:
     """Bring work in and give its answer; a caller that goes is noticed."""
     parts = front.open(work, envelope.timeout, streamed)
@@ -295,9 +295,9 @@
 
 
 async def _wait_whole(
-    answer: Answer, parts: asyncio.Queue[Part], learn: Learn
+    answer: Answer, parts: asyncio.Queue[Whole], learn: Learn
 ) -> HTTPResponse:
-    end = await _wait_end(parts)
+    end = await parts.get()
     if isinstance(end, Refuse):
         return respond_refusal(end.refusal)
     if end.end.status != 200:
@@ -307,8 +307,8 @@
     return raw(body, content_type="application/json")
 
 
-async def _wait_call(parts: asyncio.Queue[Part]) -> HTTPResponse:
-    end = await _wait_end(parts)
+async def _wait_call(parts: asyncio.Queue[Whole]) -> HTTPResponse:
+    end = await parts.get()
     if isinstance(end, Refuse):
         return respond_refusal(end.refusal)
     headers = dict(end.end.headers)
@@ -316,18 +316,11 @@
     return raw(end.body, status=end.end.status, headers=headers, content_type=kind)
 
 
-async def _wait_end(parts: asyncio.Queue[Part]) -> Finish | Refuse:
-    while True:
-        part = await parts.get()
-        if not isinstance(part, Deliver):
-            return part
-
-
 async def _stream(
     request: Request,
     answer: Answer,
     generation: Generation,
-    parts: asyncio.Queue[Part],
+    parts: asyncio.Queue[Reply],
     learn: Learn,
 ) -> HTTPResponse | None:
     """Stream an answer; what is cut short ends with an error and without [DONE]."""
@@ -348,7 +341,7 @@
             await _send(request, response, format_part(answer, text, first))
             first = False
         part = await parts.get()
-    if isinstance(part, Refuse):
+    if isinstance(part, Break):
         last = format_event(format_refusal(part.refusal))
     else:
         learn(part.end)
--- a/radishtally/gateway/commands.py
+++ b/radishtally/gateway/commands.py
@@ -6,7 +6,13 @@
 from eliot import log_message
 
 from radishtally.direct.hosts import DirectHosts
-from radishtally.gateway.metrics import ANSWERED, FAILED, REFUSED, GatewayMetrics
+from radishtally.gateway.metrics import (
+    ANSWERED,
+    BROKEN_OFF,
+    FAILED,
+    REFUSED,
+    GatewayMetrics,
+)
 from radishtally.links.messages import Cancel, Offer
 from radishtally.outcome import Refusal
 from radishtally.serving import events
@@ -67,6 +73,19 @@
     parts.replies.put(command)
 
 
+@carry_out_command.register
+def _(command: events.End, parts: Parts) -> None:
+    parts.metrics.ended(command.request, ANSWERED)
+    parts.replies.put(command)
+
+
+@carry_out_command.register
+def _(command: events.Break, parts: Parts) -> None:
+    parts.note_refusal(command.request, command.refusal)
+    parts.metrics.ended(command.request, BROKEN_OFF)
+    parts.replies.put(command)
+
+
 @carry_out_command.register
 def _(command: events.Refuse, parts: Parts) -> None:
     parts.note_refusal(command.request, command.refusal)
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -46,7 +46,7 @@
 from radishtally.runtime import Runtime, Waker, read_boot_clock
 from radishtally.serving import events
 from radishtally.serving.core import EntryCore, handle_event
-from radishtally.serving.replies import Part, Replies
+from radishtally.serving.replies import Replies, Reply
 from radishtally.stages.keeper import StageKeeper
 from radishtally.store.core import Table
 
@@ -335,7 +335,7 @@
     def _grace(self) -> float:
         return self.settings.bounds.grace_seconds - LEAVE_MARGIN_SECONDS
 
-    def open(self, routed: Routed) -> asyncio.Queue[Part]:
+    def open(self, routed: Routed) -> asyncio.Queue[Reply]:
         """Bring a request in."""
         work = routed.work
         queue = self.replies.open(work.request)
--- a/radishtally/gateway/front.py
+++ b/radishtally/gateway/front.py
@@ -29,8 +29,8 @@
 from radishtally.gateway.requests import Routed
 from radishtally.outcome import Error, Ok, Ran, Refusal, Result
 from radishtally.routes.config import CallerLimits
-from radishtally.serving.events import Begin, Deliver, Finish, Refuse
-from radishtally.serving.replies import Part
+from radishtally.serving.events import Begin, Deliver, End, Finish, Refuse
+from radishtally.serving.replies import Reply
 
 NEVER_SECONDS: Final = 86_400.0
 """Stands for no bound of the library's own on idle connections: it can't follow the
@@ -50,7 +50,7 @@
     def note_refusal(self, request: str, refusal: Refusal) -> None:
         """Take note that a request was turned away before it came in."""
 
-    def open(self, routed: Routed) -> asyncio.Queue[Part]:
+    def open(self, routed: Routed) -> asyncio.Queue[Reply]:
         """Bring a request in."""
 
     def close(self, request: str, given: Given) -> None:
@@ -189,7 +189,7 @@
         return Ok(bytes(body))
 
     async def _give(
-        self, request: web.BaseRequest, parts: asyncio.Queue[Part], given: Given
+        self, request: web.BaseRequest, parts: asyncio.Queue[Reply], given: Given
     ) -> web.StreamResponse:
         part = await parts.get()
         if isinstance(part, Refuse):
@@ -208,7 +208,7 @@
         self,
         request: web.BaseRequest,
         begin: Begin,
-        parts: asyncio.Queue[Part],
+        parts: asyncio.Queue[Reply],
         given: Given,
     ) -> web.StreamResponse:
         response = web.StreamResponse(status=begin.status)
@@ -224,7 +224,7 @@
                 given.sent += len(part.data)
                 given.last_event = part.tokens
                 continue
-            if isinstance(part, Finish):
+            if isinstance(part, End):
                 await response.write_eof()
                 given.ending = Ending.STREAM_END
                 return response
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -122,8 +122,6 @@
         self._started: dict[str, tuple[float, str]] = {}
         """Time at which an open request came, and its kind."""
         self._outcomes: dict[str, str] = {}
-        self._begun: set[str] = set()
-        """Open requests whose callers have a part of the answer."""
 
     def _make_histogram(self, name: str, what: str) -> Histogram:
         return Histogram(
@@ -181,15 +179,13 @@
 
     def begun(self, request: str) -> None:
         """Time the first part of an answer."""
-        self._begun.add(request)
         began, kind = self._started.get(request, (None, ""))
         if began is not None:
             self._first.labels(kind).observe(time.monotonic() - began)
 
     def ended(self, request: str, outcome: str) -> None:
         """Note how a request ended."""
-        is_cut = outcome == REFUSED and request in self._begun
-        self._outcomes[request] = BROKEN_OFF if is_cut else outcome
+        self._outcomes[request] = outcome
 
     def refused(self, code: str, ran: str) -> None:
         """Count an answer of the gateway's own."""
@@ -199,7 +195,6 @@
         """Count a request that is over; give its outcome and how long it took."""
         began, kind = self._started.pop(request, (time.monotonic(), ""))
         outcome = self._outcomes.pop(request, LEFT)
-        self._begun.discard(request)
         seconds = time.monotonic() - began
         self._open.dec()
         self._ended.labels(kind, outcome).inc()
--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -30,6 +30,7 @@
 )
 from radishtally.outcome import Ran
 from radishtally.serving import const
+from radishtally.serving.conclusions import conclude
 from radishtally.serving.events import (
     Begin,
     Command,
@@ -138,6 +139,7 @@
     # What was fetched is the engine's own now, and is nobody's to free.
     request.kv = None
     if not request.answered:
+        request.has_part = True
         yield Begin(message.request, message.status, message.headers)
 
 
@@ -159,6 +161,7 @@
         core.placement.note_answer(request, core.hosts[host], now)
     is_open = request.begun or request.work.kind != STREAM
     if request.streamed and is_open and not request.answered:
+        request.has_part = True
         yield Deliver(message.request, new, request.tokens)
 
 
@@ -169,6 +172,9 @@
         return
     if not (yield from _confirm_end(message, request, host, core)):
         return
+    if request.has_part and message.status != const.OK:
+        yield from _end_rest(message, request, core, now)
+        return
     body = bytes(request.received)
     if message.status >= const.FIRST_FAILURE and request.work.idempotent:
         request.failure = Finish(message.request, message, body)
@@ -182,8 +188,7 @@
         core.placement.finish(request, core.hosts[host])
     core.leave_host(request)
     core.requests.pop(message.request)
-    if not request.answered:
-        yield Finish(message.request, message, body)
+    yield from conclude(request, message, body)
     if request.is_claimed:
         yield Settle(request.work, message.status, message.headers, body)
 
@@ -337,6 +342,19 @@
     return False
 
 
+def _end_rest(
+    message: Finished, request: OpenRequest, core: EntryCore, now: float
+) -> Iterator[Command]:
+    """Take another answer than the rest of the one that the caller has a part of."""
+    if message.status >= const.FIRST_FAILURE:
+        reason = f"status {message.status}"
+        yield from lose(request, Ran.UNKNOWN, reason, core, now)
+        return
+    # The request itself is at fault: another host would say the same.
+    text = f"a host answered {message.status} to the rest of the answer"
+    yield from fail(request, 502, const.CODE_REST_REFUSED, text, core)
+
+
 def _ask_again(request: OpenRequest, host: str) -> Iterator[Command]:
     """Ask for the answer from the first missing byte, once for each gap."""
     offset = len(request.received)
--- a/radishtally/serving/const.py
+++ b/radishtally/serving/const.py
@@ -36,6 +36,7 @@
 would come back together."""
 MAX_HOLD_SECONDS: Final = 0.5
 """Longest pause that a request waits for; for longer ones its caller is told."""
+OK: Final = 200
 FIRST_FAILURE: Final = 500
 """Least status of an answer in which an upstream says that it failed."""
 MIN_RETRY_AFTER: Final = 0.5
@@ -51,6 +52,7 @@
 CODE_STORE_AWAY: Final = "store_unavailable"
 CODE_CORRUPT: Final = "answer_corrupt"
 CODE_LOST: Final = "upstream_lost"
+CODE_REST_REFUSED: Final = "rest_refused"
 CODE_RETRY_BUDGET: Final = "retry_budget_spent"
 CODE_ENDS_HOSTS: Final = "ends_hosts"
 CODE_STOPPING: Final = "stopping"
--- a/radishtally/serving/core.py
+++ b/radishtally/serving/core.py
@@ -13,10 +13,10 @@
 from radishtally.outcome import Ran
 from radishtally.serving import const, events
 from radishtally.serving.attempts import receive
+from radishtally.serving.conclusions import conclude, give_up
 from radishtally.serving.events import (
     Command,
     Event,
-    Finish,
     Note,
     Send,
 )
@@ -83,19 +83,19 @@
 @_handle.register
 def _(event: events.Repeated, core: EntryCore, now: float) -> Iterator[Command]:
     request = core.requests.pop(event.request, None)
-    if request is None or request.answered:
+    if request is None:
         return
     end = Finished(
         event.request, 0, len(event.body), 0, event.status, "", 0, 0, event.headers
     )
-    yield Finish(event.request, end, event.body)
+    yield from conclude(request, end, event.body)
 
 
 @_handle.register
 def _(event: events.Denied, core: EntryCore, now: float) -> Iterator[Command]:
     request = core.requests.pop(event.request, None)
-    if request is not None and not request.answered:
-        yield events.Refuse(event.request, event.refusal)
+    if request is not None:
+        yield from give_up(request, event.refusal)
 
 
 @_handle.register
--- a/radishtally/serving/events.py
+++ b/radishtally/serving/events.py
@@ -136,17 +136,30 @@
     """Tokens of the answer up to its end; of a stream of events the last one's id."""
 
 
+class End(NamedTuple):
+    """End an answer of which the caller has a part: it has come whole."""
+
+    request: str
+    end: Finished
+
+
+class Break(NamedTuple):
+    """Break off an answer of which the caller has a part."""
+
+    request: str
+    refusal: Refusal
+
+
 class Finish(NamedTuple):
-    """End the caller's answer: it is whole."""
+    """Give the whole answer to a caller that has no part of one."""
 
     request: str
     end: Finished
     body: bytes
-    """The whole answer."""
 
 
 class Refuse(NamedTuple):
-    """Tell the caller that it gets no answer, or no more of it."""
+    """Refuse a caller that has no part of an answer."""
 
     request: str
     refusal: Refusal
@@ -159,6 +172,10 @@
     text: str
 
 
-Command = (
-    Send | Claim | Release | Settle | DropKv | Begin | Deliver | Finish | Refuse | Note
-)
+Part = Begin | Deliver | End | Break
+"""What a caller is given of an answer that is passed on as it comes."""
+
+Whole = Finish | Refuse
+"""What a caller is given at once, and nothing before it."""
+
+Command = Send | Claim | Release | Settle | DropKv | Part | Whole | Note
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -16,7 +16,8 @@
 )
 from radishtally.outcome import Ran, Refusal
 from radishtally.serving import const
-from radishtally.serving.events import Command, DropKv, Note, Refuse, Release, Send
+from radishtally.serving.conclusions import give_up
+from radishtally.serving.events import Command, DropKv, Note, Release, Send
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.placement import Declined, Placed
 from radishtally.serving.requests import CLAIMING, OFFERED, WAITING, OpenRequest
@@ -151,10 +152,10 @@
     A call that may not run twice is not cut. When its outcome comes it is kept for a
     repeat of the key, or the claim is given back if the call did not run.
     """
+    yield from give_up(request, Refusal(status, code, text, Ran.UNKNOWN))
     request.answered = True
     request.deadline = now + const.OUTCOME_SECONDS
     core.schedule(request)
-    yield Refuse(request.work.request, Refusal(status, code, text, Ran.UNKNOWN))
 
 
 def fail(
@@ -185,12 +186,7 @@
     ran = Ran.UNKNOWN if request.maybe_ran else Ran.NO
     if status in (429, 503):
         retry_after = _bound(retry_after)
-    if not request.answered:
-        refusal = Refusal(status, code, text, ran, retry_after)
-        name = request.work.request
-        # What an upstream itself said of its failure tells the caller more than that
-        # no other one could be asked.
-        yield request.failure or Refuse(name, refusal)
+    yield from give_up(request, Refusal(status, code, text, ran, retry_after))
     # A claim that is still asked for is given back when it is granted.
     if request.is_claimed and ran == Ran.NO and request.phase != CLAIMING:
         yield Release(request.work)
--- a/radishtally/serving/replies.py
+++ b/radishtally/serving/replies.py
@@ -2,16 +2,16 @@
 
 import asyncio
 
-from radishtally.serving.events import Begin, Deliver, Finish, Refuse
+from radishtally.serving.events import Part, Whole
 
-Part = Begin | Deliver | Finish | Refuse
+Reply = Part | Whole
 
 
 class Replies:
     """Hold a queue for each caller that waits."""
 
     def __init__(self) -> None:
-        self._queues: dict[str, asyncio.Queue[Part]] = {}
+        self._queues: dict[str, asyncio.Queue[Reply]] = {}
 
     def __len__(self) -> int:
         """Count the callers that wait."""
@@ -21,9 +21,9 @@
         """Tell whether somebody waits for a request's answer."""
         return request in self._queues
 
-    def open(self, request: str) -> asyncio.Queue[Part]:
+    def open(self, request: str) -> asyncio.Queue[Reply]:
         """Begin to wait for a request's answer."""
-        queue: asyncio.Queue[Part] = asyncio.Queue()
+        queue: asyncio.Queue[Reply] = asyncio.Queue()
         self._queues[request] = queue
         return queue
 
@@ -31,8 +31,8 @@
         """Wait no longer."""
         self._queues.pop(request, None)
 
-    def put(self, part: Part) -> None:
-        """Hand over a part, if somebody still waits for it."""
-        queue = self._queues.get(part.request)
+    def put(self, reply: Reply) -> None:
+        """Hand over an answer or a part of it, if somebody still waits for it."""
+        queue = self._queues.get(reply.request)
         if queue is not None:
-            queue.put_nowait(part)
+            queue.put_nowait(reply)
--- a/radishtally/serving/requests.py
+++ b/radishtally/serving/requests.py
@@ -68,6 +68,8 @@
     asked_again_at: int = -1
     begun: bool = False
     """Whether the head of an answer that is passed on as it comes has been."""
+    has_part: bool = False
+    """Whether the caller has been given a part of an answer."""
     failure: Finish | None = None
     """Last answer in which an upstream said that it failed."""
     answered: bool = False
--- a/tests/entry/common.py
+++ b/tests/entry/common.py
@@ -16,6 +16,7 @@
     Offer,
     Work,
 )
+from radishtally.outcome import Refusal
 from radishtally.serving import events
 from radishtally.serving.core import EntryCore, handle_event
 
@@ -92,15 +93,31 @@
             if isinstance(c, events.Send) and isinstance(c.message, kind)
         ]
 
-    def list_of(self, kind: type) -> list[events.Command]:
+    def list_of(self, kind: type | tuple[type, ...]) -> list[events.Command]:
         return [c for c in self.log if isinstance(c, kind)]
 
+    def list_refusals(self) -> list[events.Refuse | events.Break]:
+        return self.list_of((events.Refuse, events.Break))
+
+    def list_ends(self) -> list[events.Finish | events.End]:
+        return self.list_of((events.Finish, events.End))
+
     @property
-    def refusal(self) -> events.Refuse:
+    def refusal(self) -> Refusal:
         """Give the one refusal."""
-        (found,) = self.list_of(events.Refuse)
+        (found,) = self.list_refusals()
         return found.refusal
 
+    @property
+    def answer(self) -> bytes:
+        """Give the one whole answer as its caller has it."""
+        (end,) = self.list_ends()
+        delivered = b"".join(part.data for part in self.list_of(events.Deliver))
+        if isinstance(end, events.End):
+            return delivered
+        assert not delivered
+        return end.body
+
 
 def make_text(request: str = "r", **more: object) -> Work:
     """Make a request for text."""
--- a/tests/entry/front.py
+++ b/tests/entry/front.py
@@ -16,8 +16,8 @@
 from radishtally.entry.http import make_app
 from radishtally.links.messages import Finished, Work
 from radishtally.outcome import Refusal
-from radishtally.serving.events import Deliver, Finish, Refuse
-from radishtally.serving.replies import Part
+from radishtally.serving.events import Break, Deliver, End, Finish, Refuse
+from radishtally.serving.replies import Reply
 from tests.common import START_SECONDS
 
 KEY = "lagna-demo-key"
@@ -47,25 +47,28 @@
         self.closed: list[bool] = []
         self.was_closed = asyncio.Event()
 
-    def open(self, work: Work, timeout: float, streamed: bool) -> asyncio.Queue[Part]:
+    def open(self, work: Work, timeout: float, streamed: bool) -> asyncio.Queue[Reply]:
         if self.broken:
             raise AssertionError("a prompt that must not be shown")
         self.works.append(work)
         self.timeouts.append(timeout)
-        queue: asyncio.Queue[Part] = asyncio.Queue()
+        queue: asyncio.Queue[Reply] = asyncio.Queue()
+        has_part = False
         for part in self.parts:
-            refused = isinstance(part, Refusal)
-            kind = Refuse if refused else Deliver
-            if streamed or refused:
+            if isinstance(part, Refusal):
+                kind = Break if has_part else Refuse
                 queue.put_nowait(kind(work.request, part))
+            elif streamed:
+                has_part = True
+                queue.put_nowait(Deliver(work.request, part))
         if self.whole:
-            queue.put_nowait(self._finish(work.request))
+            queue.put_nowait(self._finish(work.request, has_part))
         return queue
 
-    def _finish(self, request: str) -> Finish:
+    def _finish(self, request: str, has_part: bool) -> Finish | End:
         length = len(self.whole)
         end = Finished(request, 1, length, 0, self.status, "stop", 3, 4)
-        return Finish(request, end, self.whole)
+        return End(request, end) if has_part else Finish(request, end, self.whole)
 
     def close(self, request: str, done: bool) -> None:
         self.closed.append(done)
--- a/tests/entry/test_calls.py
+++ b/tests/entry/test_calls.py
@@ -20,10 +20,8 @@
     CallerGone,
     Claim,
     Denied,
-    Finish,
     Granted,
     LinkDown,
-    Refuse,
     Release,
     Repeated,
     Settle,
@@ -105,7 +103,7 @@
     assert driver.list_sent(Attach) == [(host, Attach("r", 1, 0))]
     driver.receive(host, make_chunk("r", 1, 0, b"sent"))
     driver.receive(host, make_finished("r", 1, b"sent"))
-    assert driver.list_of(Finish)[0].body == b"sent"
+    assert driver.answer == b"sent"
 
 
 def test_withdrawal_is_repeated_over_a_new_link(driver: Driver) -> None:
@@ -113,7 +111,7 @@
     driver.pass_time(const.OFFER_SECONDS)
     driver.give(LinkDown(host))
     driver.pass_time(const.CANCEL_SECONDS)
-    assert not driver.list_of(Refuse)
+    assert not driver.list_refusals()
     driver.link_up(host)
     assert driver.list_sent(Cancel) == 2 * [(host, Cancel("r", 1))]
     driver.receive(host, Cancelled("r", 1, Ran.NO))
@@ -188,7 +186,7 @@
     driver.receive(host, make_chunk("r", 1, 0, b"sent"))
     driver.receive(host, make_finished("r", 1, b"sent"))
     assert [s.body for s in driver.list_of(Settle)] == [b"sent"]
-    assert not driver.list_of(Finish)
+    assert not driver.list_ends()
 
 
 def test_call_is_not_begun_for_a_caller_that_was_told_unknown(driver: Driver) -> None:
--- a/tests/entry/test_faults.py
+++ b/tests/entry/test_faults.py
@@ -53,7 +53,7 @@
     world.settle_down()
     world.check_quiet()
     assert world.ledger.effects == {"key k": 1}
-    assert world.callers["r"].end.body
+    assert world.callers["r"].whole
 
 
 def test_agent_restarts_after_it_began_a_call(world: World) -> None:
@@ -114,7 +114,7 @@
     world.deliver(old, DOWN)
     world.settle_down()
     world.check_quiet()
-    assert world.callers["r"].end.body
+    assert world.callers["r"].whole
 
 
 def test_call_that_may_run_again_is_one_runs_answer(world: World) -> None:
@@ -130,7 +130,7 @@
     assert world.entries["entry-0"].requests["r"].received
     world.fail(host)
     world.settle_down()
-    assert world.callers["r"].end.body == b"run 2 of the call"
+    assert world.callers["r"].whole == b"run 2 of the call"
 
 
 def test_claim_comes_after_the_deadline(world: World) -> None:
@@ -157,4 +157,4 @@
         world.arrive(work, f"entry-{number % entries}", 30.0, True)
     world.settle_down()
     world.check_quiet()
-    assert all(caller.end.body for caller in world.callers.values())
+    assert all(caller.whole for caller in world.callers.values())
--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -39,4 +39,4 @@
     driver.open(make_call())
     driver.give(events.CallerGone("r"))
     driver.give(events.Leave())
-    assert not driver.list_of(events.Refuse)
+    assert not driver.list_refusals()
--- a/tests/entry/test_moves.py
+++ b/tests/entry/test_moves.py
@@ -12,7 +12,7 @@
 )
 from radishtally.outcome import Ran
 from radishtally.serving import const
-from radishtally.serving.events import Finish, LinkDown, Refuse
+from radishtally.serving.events import LinkDown
 from tests.entry.common import (
     KV,
     Driver,
@@ -35,7 +35,7 @@
     driver.receive("agent-0", make_handover("r", 1, b"abc"))
     driver.give(LinkDown("agent-0"))
     driver.pass_time(8.0)
-    assert not driver.list_of(Refuse)
+    assert not driver.list_refusals()
 
     driver.link_up("agent-0", "2")
     driver.pass_time(MAX_BACKOFF_SECONDS)
@@ -72,7 +72,7 @@
         driver.receive(host, make_handover("r", offer.attempt, data))
     host, offer = driver.find_offer()
     driver.receive(host, make_finished("r", offer.attempt, b"x" * 20))
-    assert driver.list_of(Finish)[0].body == b"x" * 20
+    assert driver.answer == b"x" * 20
 
 
 def test_moved_work_is_never_called_not_run() -> None:
@@ -95,7 +95,7 @@
     driver.receive("agent-0", Refused("r", 1, LEAVING, 1.0))
     driver.give(LinkDown("agent-0"))
     driver.pass_time(const.REQUEUE_SECONDS - 1)
-    assert not driver.list_of(Refuse)
+    assert not driver.list_refusals()
     driver.pass_time(MAX_BACKOFF_SECONDS)
     assert driver.refusal.ran == Ran.NO
     assert driver.refusal.retry_after is not None
--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -17,7 +17,7 @@
 )
 from radishtally.outcome import Ran
 from radishtally.serving import const
-from radishtally.serving.events import Deliver, Finish, LinkDown, Refuse
+from radishtally.serving.events import Deliver, Finish, LinkDown
 from tests.entry.common import (
     POOL,
     Driver,
@@ -36,7 +36,7 @@
     driver.open(make_text())
     driver.receive("agent-0", make_chunk("r", 1, 0, b"abc"))
     driver.receive("agent-0", Lost("r", 1, Ran.UNKNOWN, "crashed", 3))
-    assert not driver.list_of(Refuse)
+    assert not driver.list_refusals()
     _, offer = driver.wait_for_offer(5.0)
     assert (offer.attempt, offer.done, offer.tokens_done) == (2, b"abc", 3)
 
@@ -62,7 +62,7 @@
     driver.receive(host, make_chunk("r", 1, 0, b"abc"))
     driver.receive(host, Lost("r", 1, Ran.UNKNOWN, "crashed", 3))
     assert len(driver.list_offers()) == 1
-    assert not driver.list_of(Refuse)
+    assert not driver.list_refusals()
     driver.pass_time(10.0 + 2 * MAX_BACKOFF_SECONDS)
     assert len(driver.list_offers()) == 2
 
@@ -88,7 +88,7 @@
         assert offer.attempt == number + 1
         driver.receive(host, make_chunk("r", offer.attempt, number, b"x"))
         driver.receive(host, Lost("r", offer.attempt, Ran.UNKNOWN, "crash", number + 1))
-        while driver.find_offer()[1] == offer and not driver.list_of(Refuse):
+        while driver.find_offer()[1] == offer and not driver.list_refusals():
             driver.wait_for_offer()
         host, offer = driver.find_offer()
     assert (driver.refusal.code, driver.refusal.ran) == (const.CODE_LOST, Ran.UNKNOWN)
@@ -117,7 +117,7 @@
     assert driver.receive("agent-0", message) == []
     driver.receive("agent-0", make_chunk("r", 2, 2, b"cd"))
     driver.receive("agent-0", make_finished("r", 2, b"abcd"))
-    assert driver.list_of(Finish)[0].body == b"abcd"
+    assert driver.answer == b"abcd"
 
 
 def test_late_acceptance_is_cancelled() -> None:
@@ -147,7 +147,7 @@
     assert offer.done == b""
     driver.receive(host, make_chunk("r", 2, 0, b"second run"))
     driver.receive(host, make_finished("r", 2, b"second run"))
-    assert driver.list_of(Finish)[0].body == b"second run"
+    assert driver.answer == b"second run"
 
 
 def test_parts_sent_again_count_their_tokens_once() -> None:
@@ -188,7 +188,7 @@
         const.CODE_CORRUPT,
         Ran.UNKNOWN,
     )
-    assert not driver.list_of(Finish)
+    assert not driver.list_ends()
 
 
 def test_engine_refusal_of_the_request_is_passed_on() -> None:
@@ -213,7 +213,7 @@
     assert offer.done == b"ab"
     end = make_finished("r", offer.attempt, b"ab")
     driver.receive(host, end._replace(status=400, finish_reason="prompt too long"))
-    assert not driver.list_of(Finish)
+    assert not driver.list_ends()
 
 
 def test_end_is_confirmed_to_its_agent() -> None:
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -25,9 +25,16 @@
     entry: str
     streamed: bool
     delivered: bytes = b""
-    end: entry_events.Finish | Refusal | None = None
+    end: entry_events.Finish | entry_events.End | Refusal | None = None
     gone: bool = False
 
+    @property
+    def whole(self) -> bytes:
+        """Give the whole answer; empty if there is none."""
+        if isinstance(self.end, entry_events.Finish):
+            return self.end.body
+        return self.delivered if isinstance(self.end, entry_events.End) else b""
+
     def deliver(self, data: bytes, ledger: Ledger) -> None:
         assert self.end is None and self.streamed
         self.delivered += data
@@ -39,6 +46,12 @@
         ledger.check_whole(self.work, end.body)
         assert not self.streamed or self.delivered == end.body
 
+    def finish_stream(self, end: entry_events.End, ledger: Ledger) -> None:
+        assert self.end is None, "two final words"
+        assert self.streamed and self.delivered
+        self.end = end
+        ledger.check_whole(self.work, self.delivered)
+
     def refuse(self, refusal: Refusal, ledger: Ledger) -> None:
         assert self.end is None, "two final words"
         self.end = refusal
@@ -176,11 +189,17 @@
                 self.claims.release(work)
             case entry_events.Settle(work, _, _, body):
                 self.claims.finish(work, body)
-            case entry_events.Deliver(request, data):
+            case entry_events.Deliver(request, data, _):
                 self.callers[request].deliver(data, self.ledger)
             case entry_events.Finish(request, _, _):
                 self.callers[request].finish(command, self.ledger)
+            case entry_events.End(request, _):
+                self.callers[request].finish_stream(command, self.ledger)
+            case entry_events.Break(request, refusal):
+                assert self.callers[request].delivered
+                self.callers[request].refuse(refusal, self.ledger)
             case entry_events.Refuse(request, refusal):
+                assert not self.callers[request].delivered
                 self.callers[request].refuse(refusal, self.ledger)
 
     def _execute_agent(self, host: str, command: agent_events.Command) -> None:
