Add to a begun stream only what a run that goes on with it gives

Callers got events of a stream and behind them bytes of another run's answer: a run that was to go on answered 500, 404 or 302, its body was taken as if it stood at the stream's first byte, and whatever of it was longer than the events was passed on. The checksum was compared when the bytes were with the caller already.

Each attempt has its own head now (OpenRequest.head, set by a 200 that is followed); without it nothing of the attempt is added to a stream of which the caller has a part, and its end is judged by its status before any comparison. The head itself is passed on with the first event: a stream that broke off behind its head left the caller with an empty 200, though an engine's 500 was there to be given, or the next run could have been.

Five tests failed before: a failure before or after a lone head is given whole, and the bodies of 500, 404 and 302 are not joined.

--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -132,21 +132,18 @@
 @receive.register
 def _(message: Begun, host: str, core: EntryCore, now: float) -> Iterator[Command]:
     request = _find(message, host, core)
-    # An answer that goes on elsewhere keeps the head that the caller has.
-    if request is None or request.begun:
+    if request is None:
         return
-    request.begun = True
+    request.head = message
     # What was fetched is the engine's own now, and is nobody's to free.
     request.kv = None
-    if not request.answered:
-        request.has_part = True
-        yield Begin(message.request, message.status, message.headers)
+    yield from ()
 
 
 @receive.register
 def _(message: Chunk, host: str, core: EntryCore, now: float) -> Iterator[Command]:
     request = _find(message, host, core)
-    if request is None:
+    if request is None or _is_foreign(request):
         return
     new = request.append(message.offset, message.data, message.tokens)
     if new is None:
@@ -159,10 +156,7 @@
         wait(request, float("inf"), core)
     if host in core.hosts:
         core.placement.note_answer(request, core.hosts[host], now)
-    is_open = request.begun or request.work.kind != STREAM
-    if request.streamed and is_open and not request.answered:
-        request.has_part = True
-        yield Deliver(message.request, new, request.tokens)
+    yield from _deliver(new, request)
 
 
 @receive.register
@@ -170,11 +164,12 @@
     request = _find(message, host, core)
     if request is None:
         return
-    if not (yield from _confirm_end(message, request, host, core)):
-        return
     if request.has_part and message.status != const.OK:
+        yield _ack(message, host)
         yield from _end_rest(message, request, core, now)
         return
+    if not (yield from _confirm_end(message, request, host, core)):
+        return
     body = bytes(request.received)
     if message.status >= const.FIRST_FAILURE and request.work.idempotent:
         request.failure = Finish(message.request, message, body)
@@ -317,6 +312,31 @@
         known.breaker.failed(now)
 
 
+def _is_foreign(request: OpenRequest) -> bool:
+    """Tell whether what comes is another answer than the one the caller has a part of.
+
+    Only a run that has said to go on with a stream gives more of it. A failure's body
+    would stand behind the events of the run before.
+    """
+    is_rest = request.work.kind != STREAM or request.head is not None
+    return request.has_part and not is_rest
+
+
+def _deliver(new: bytes, request: OpenRequest) -> Iterator[Command]:
+    """Pass on what came of an answer, if its caller takes it bit by bit."""
+    if request.answered or not request.streamed:
+        return
+    name = request.work.request
+    if request.work.kind == STREAM and not request.has_part:
+        if request.head is None:
+            return
+        # A head that no event follows binds nobody: another host's answer, or its
+        # failure, may still be given whole.
+        yield Begin(name, request.head.status, request.head.headers)
+    request.has_part = True
+    yield Deliver(name, new, request.tokens)
+
+
 def _move(request: OpenRequest, host: str, patience: float) -> None:
     """Take note that a planned change moves the request: it is not cut for that."""
     request.tried = {host}
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -70,6 +70,7 @@
     request.incarnation = core.links[host]
     request.offered_at = now
     request.accepted_at = None
+    request.head = None
     if request.stage != PREFILL:
         request.ends_known = core.suspects.note_offer(request.terms.content, now)
     request.asked_again_at = -1
@@ -127,7 +128,7 @@
     # A second run of a call may answer otherwise: its bytes put behind the first
     # run's would be an answer that nobody gave.
     kind = request.work.kind
-    if kind == CALL or (kind == STREAM and not request.begun):
+    if kind == CALL or (kind == STREAM and not request.has_part):
         request.drop_received()
     # An answer that has begun is not cut because no host is free at this moment.
     if request.is_begun:
--- a/radishtally/serving/requests.py
+++ b/radishtally/serving/requests.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from radishtally.links.messages import CALL, WHOLE, KvRef, Offer, Work
+from radishtally.links.messages import CALL, WHOLE, Begun, KvRef, Offer, Work
 from radishtally.serving.events import Finish
 from radishtally.serving.terms import DEFAULT_TERMS, Terms
 
@@ -66,8 +66,8 @@
     received: bytearray = field(default_factory=bytearray)
     tokens: int = 0
     asked_again_at: int = -1
-    begun: bool = False
-    """Whether the head of an answer that is passed on as it comes has been."""
+    head: Begun | None = None
+    """Head of the present attempt's answer, if that is passed on as it comes."""
     has_part: bool = False
     """Whether the caller has been given a part of an answer."""
     failure: Finish | None = None
