Take no close for the end of an answer that is surely or likely cut

Callers got the first part of an event, or an empty stream, as a complete answer: an answer without length or chunks ends with its connection, and any close but a reset counted as its end. A close within an event, or before the first one, is no end of a stream now. Where the host has ended just behind its answer and had not said that it leaves, the answer may be cut as well, for the kernel closes the connections of a killed process regularly: the attempt is lost, a call that may not run twice ends as 502, others go on elsewhere. One look at the host's port for each such answer; answers with framing, and those that have no body by their status or method, are not looked into.

--- a/radishtally/direct/doubts.py
+++ b/radishtally/direct/doubts.py
@@ -1,4 +1,4 @@
-"""Tell whether an answer may belong to another request."""
+"""Tell whether an answer may belong to another request, or lack a part."""
 
 from collections.abc import Collection
 from enum import StrEnum
@@ -17,6 +17,21 @@
     UNASKED = "it came while no request was out"
 
 
+class Flaw(StrEnum):
+    """Say why an answer that has ended regularly may not be whole."""
+
+    CUT_EVENT = "closed within an event"
+    NO_EVENT = "closed before the first event"
+    HOST_ENDED = "closed by a host that has ended"
+
+
+class FlawedAnswerError(aiohttp.ClientPayloadError):
+    """Say why the end of an answer is not believed."""
+
+    def __init__(self, flaw: Flaw) -> None:
+        super().__init__(f"the answer may not be whole: {flaw}")
+
+
 class ForeignAnswerError(aiohttp.ClientPayloadError):
     """Say why an answer is not taken for the request's own."""
 
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -28,7 +28,13 @@
     OrderOutcome,
     UpstreamCall,
 )
-from radishtally.direct.doubts import Doubt, ForeignAnswerError, find_doubt
+from radishtally.direct.doubts import (
+    Doubt,
+    Flaw,
+    FlawedAnswerError,
+    ForeignAnswerError,
+    find_doubt,
+)
 from radishtally.direct.pool import WatchedResponse, is_refused, open_session
 from radishtally.direct.stream import EventCutter
 from radishtally.exchange import (
@@ -208,6 +214,9 @@
         is_foreign = isinstance(error, ForeignAnswerError)
         if is_foreign or not isinstance(error, aiohttp.ClientError):
             return False
+        return await self._look_for_end(instance)
+
+    async def _look_for_end(self, instance: Instance) -> bool:
         look = self._looks.get(instance)
         if look is None:
             look = asyncio.create_task(_look_for_end(instance))
@@ -254,9 +263,9 @@
         if not head.signature and head.status < 300:
             raise aiohttp.ClientPayloadError("the answer is not the host's own")
         if offer.work.kind == CALL or head.status != OK:
-            await self._collect(response, host, offer, head)
+            await self._collect(response, instance, offer, head)
             return
-        await self._follow(response, host, offer, head)
+        await self._follow(response, instance, offer, head)
 
     def _take_notice(self, response: WatchedResponse, instance: Instance) -> None:
         headers = decode_headers(response.raw_headers)
@@ -281,19 +290,31 @@
             carried=usage.carried,
         )
 
-    def _note_end(
-        self, response: WatchedResponse, host: str, offer: Offer, rest: int = 0
+    async def _check_close(
+        self, instance: Instance, offer: Offer, rest: int = 0, is_empty: bool = False
     ) -> None:
-        if response.is_framed:
-            return
+        """Raise if an answer that ended with its connection may lack a part.
+
+        A process that is killed closes its connections like one that is done.
+        """
+        known = self._instances.get(instance.host)
+        # What leaves ends soon after its last answer.
+        is_leaving = known is None or known.is_draining
+        has_ended = not is_leaving and await self._look_for_end(instance)
         log_message(
             "upstream:answer_unframed",
             request=offer.work.request,
             attempt=offer.attempt,
-            upstream_host=host,
-            # Bytes of an event that has not come whole.
+            upstream_host=instance.host,
             rest=rest,
+            has_ended=has_ended,
         )
+        if rest:
+            raise FlawedAnswerError(Flaw.CUT_EVENT)
+        if is_empty:
+            raise FlawedAnswerError(Flaw.NO_EVENT)
+        if has_ended:
+            raise FlawedAnswerError(Flaw.HOST_ENDED)
 
     def _note_unasked(self) -> None:
         self.on_doubt(Doubt.UNASKED)
@@ -313,9 +334,10 @@
         self._receive(instance.host, end)
 
     async def _collect(
-        self, response: WatchedResponse, host: str, offer: Offer, head: Head
+        self, response: WatchedResponse, instance: Instance, offer: Offer, head: Head
     ) -> None:
         """Take an answer as a whole before any of it is passed on."""
+        host = instance.host
         name = offer.work.request, offer.attempt
         body = bytearray()
         async for data in response.content.iter_chunked(READ_BYTES):
@@ -324,7 +346,8 @@
                 text = f"the answer is over {MAX_ANSWER_BYTES} bytes"
                 raise aiohttp.ClientPayloadError(text)
         response.check_end()
-        self._note_end(response, host, offer)
+        if not response.is_framed:
+            await self._check_close(instance, offer)
         checksum = xxhash.xxh64_intdigest(bytes(body))
         if body:
             self._receive(host, Chunk(*name, 0, bytes(body), 0))
@@ -332,9 +355,10 @@
         self._receive(host, end)
 
     async def _follow(
-        self, response: WatchedResponse, host: str, offer: Offer, head: Head
+        self, response: WatchedResponse, instance: Instance, offer: Offer, head: Head
     ) -> None:
         """Pass on the events of a stream as they come whole."""
+        host = instance.host
         name = offer.work.request, offer.attempt
         progress = _begin(offer)
         cutter = EventCutter()
@@ -346,7 +370,9 @@
             progress.tokens = max(progress.tokens, found.last)
             self._pass_on(host, name, progress, found.data)
         response.check_end()
-        self._note_end(response, host, offer, len(cutter.rest))
+        if not response.is_framed:
+            is_empty = progress.offset == len(offer.done)
+            await self._check_close(instance, offer, len(cutter.rest), is_empty)
         if cutter.rest:
             self._pass_on(host, name, progress, cutter.rest)
         length, checksum = progress.offset, progress.checksum.intdigest()
@@ -391,6 +417,6 @@
 
 def _describe(error: BaseException) -> str:
     # Texts of the library's errors hold parts of answers.
-    if isinstance(error, ForeignAnswerError):
+    if isinstance(error, ForeignAnswerError | FlawedAnswerError):
         return str(error)
     return type(error).__name__
--- a/radishtally/direct/pool.py
+++ b/radishtally/direct/pool.py
@@ -14,6 +14,8 @@
 SKIPPED_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """Headers that the library would add of its own: hosts get the caller's alone."""
 
+BODILESS_STATUSES: Final = (204, 304)
+
 
 class WatchedResponse(aiohttp.ClientResponse):
     """Know how the connection of an answer was before it, and how it ended.
@@ -55,7 +57,9 @@
 
     @property
     def is_framed(self) -> bool:
-        """Tell whether the answer's end is marked, by its length or by chunks."""
+        """Tell whether the answer's end is marked, by its head, length or chunks."""
+        if self.status in BODILESS_STATUSES or self.method == "HEAD":
+            return True
         coding = self.headers.get("Transfer-Encoding", "").lower()
         return "Content-Length" in self.headers or "chunked" in coding
 
--- /dev/null
+++ b/tests/gateway/test_unframed_ends.py
@@ -0,0 +1,98 @@
+"""Answers without framing whose hosts end just behind them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from aiohttp import web
+
+from tests.common import run
+from tests.gateway.common import deployment, wait_until
+from tests.gateway.ending import Ending
+from tests.gateway.test_calls import answer_whole, ask
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Signature: by-desk\r\nX-Request-Id: "
+PART = b"only a part"
+DELIVERY_SECONDS = 0.02
+
+
+class EndingDesk(Ending):
+    """Answer without framing, and end."""
+
+    def __init__(self) -> None:
+        self.answers = 0
+        self.prepare: Callable[[], Awaitable[None]] | None = None
+        """What is done before the answer."""
+
+    async def answer(self, request: web.Request) -> web.Response:
+        """Send what may be a part, and end without a word to anybody."""
+        self.answers += 1
+        if self.prepare is not None:
+            await self.prepare()
+        name = request.headers["X-Request-Id"].encode()
+        request.transport.write(HEAD + name + b"\r\n\r\n" + PART)
+        await asyncio.sleep(DELIVERY_SECONDS)
+        self.break_off()
+        return web.Response()
+
+    def build_app(self) -> web.Application:
+        """Build the application."""
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self.answer)
+        return app
+
+
+# The caller gets a part of an answer as complete: its host is killed, and the kernel
+# closes the connections of a killed process as regularly as those of one that is done.
+def test_part_of_an_answer_is_not_given_where_its_host_has_ended() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            desk = EndingDesk()
+            made.announce("d-1", await desk.listen(desk.build_app()), "desk")
+            await made.wait_for("d-1")
+            status, _, body = await ask(made, "/book/a", "r1", "POST")
+            assert (status, desk.answers) == (502, 1)
+            assert PART not in body
+
+    run(play())
+
+
+def test_answer_goes_on_elsewhere_where_its_host_has_ended() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            desk = EndingDesk()
+            made.announce("d-1", await desk.listen(desk.build_app()), "desk")
+            await made.wait_for("d-1")
+            await made.serve_desk("d-2", answer_whole)
+            answers = [await ask(made, "/read/a", f"r{number}") for number in range(8)]
+            assert desk.answers == 1
+            assert [(status, body) for status, _, body in answers] == [
+                (200, b"whole")
+            ] * 8
+
+    run(play())
+
+
+# A whole answer is thrown away: its host leaves as planned, and ends with it.
+@pytest.mark.parametrize("is_gone", [False, True], ids=["draining", "gone"])
+def test_last_answer_of_a_host_that_leaves_is_given(is_gone: bool) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            desk = EndingDesk()
+            address = await desk.listen(desk.build_app())
+
+            async def leave() -> None:
+                hosts = made.gateway.core.hosts
+                if is_gone:
+                    made.withdraw("d-1")
+                else:
+                    made.announce("d-1", address, "desk", state="draining")
+                await wait_until(lambda: not hosts["d-1"].live)
+
+            desk.prepare = leave
+            made.announce("d-1", address, "desk")
+            await made.wait_for("d-1")
+            status, _, body = await ask(made, "/book/a", "r1", "POST")
+            assert (status, body) == (200, PART)
+
+    run(play())
