Join no run to a stream that begins at another event than asked for

Callers would get events twice, or miss some: a run that was to go on behind an event began before it or left some out, and its events were put behind the others as they came. The id of its first event is compared with those that the caller has now: it must be higher, and the next one where the ids have grown one by one so far, so that they number the events. Else the attempt is lost, and the stream is broken off where no other run goes on.

--- a/radishtally/direct/doubts.py
+++ b/radishtally/direct/doubts.py
@@ -18,15 +18,16 @@
 
 
 class Flaw(StrEnum):
-    """Say why an answer that has ended regularly may not be whole."""
+    """Say why an answer may lack a part, though nothing broke it off."""
 
     CUT_EVENT = "closed within an event"
     NO_EVENT = "closed before the first event"
+    OTHER_EVENT = "it goes on at another event than asked for"
     HOST_ENDED = "closed by a host that has ended"
 
 
 class FlawedAnswerError(aiohttp.ClientPayloadError):
-    """Say why the end of an answer is not believed."""
+    """Say why an answer is not taken for a whole one."""
 
     def __init__(self, flaw: Flaw) -> None:
         super().__init__(f"the answer may not be whole: {flaw}")
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -36,7 +36,7 @@
     find_doubt,
 )
 from radishtally.direct.pool import WatchedResponse, is_refused, open_session
-from radishtally.direct.stream import EventCutter
+from radishtally.direct.stream import EventCutter, is_next
 from radishtally.exchange import (
     BROKEN,
     SendOnce,
@@ -367,6 +367,9 @@
             found = cutter.feed(data)
             if found is None:
                 continue
+            is_rest = progress.offset == len(offer.done) > 0
+            if is_rest and not is_next(found.first, offer.done):
+                raise FlawedAnswerError(Flaw.OTHER_EVENT)
             progress.tokens = max(progress.tokens, found.last)
             self._pass_on(host, name, progress, found.data)
         response.check_end()
--- a/radishtally/direct/stream.py
+++ b/radishtally/direct/stream.py
@@ -1,6 +1,7 @@
 """Cut a stream of server-sent events into whole events."""
 
 import re
+from itertools import pairwise
 from typing import Final, NamedTuple
 
 BOUNDARY: Final = re.compile(rb"\r?\n\r?\n")
@@ -11,10 +12,25 @@
     """Hold whole events in a row."""
 
     data: bytes
+    first: int
+    """Id of the first of them that has one, else 0."""
     last: int
     """Id of the last of them that has one, else 0."""
 
 
+def is_next(first: int, done: bytes) -> bool:
+    """Tell whether a run that begins with an event's id goes on behind other events.
+
+    Ids grow. Those of a stream that have grown one by one so far number its events, so
+    that a greater step leaves some out.
+    """
+    ids = [int(found) for found in ID.findall(done)]
+    if not ids or first <= ids[-1]:
+        return False
+    is_counting = all(after == before + 1 for before, after in pairwise(ids))
+    return first == ids[-1] + 1 or not is_counting
+
+
 class EventCutter:
     """Hold back an event that has not come whole.
 
@@ -39,4 +55,5 @@
             return None
         whole = data[:end]
         ids = ID.findall(whole)
-        return Events(whole, int(ids[-1]) if ids else 0)
+        first, last = (int(ids[0]), int(ids[-1])) if ids else (0, 0)
+        return Events(whole, first, last)
