Break off a stream without ids whose run is lost

Callers would get events twice: a stream whose events have no ids can be resumed by nobody, since no host can be told where to go on; it was offered anew all the same, and the new run's events came behind those of the first. It is broken off now. Found by reading for the cause of the streams that ended short; the test failed before.

Beside it a state machine spoils the runs of one stream in any way and order, and checks that its caller gets one answer: refused, given whole with the status and body of one run, or events that are whole from the first on and end as complete behind the last one only.

--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -117,9 +117,10 @@
 
 
 def _is_stuck(request: OpenRequest) -> bool:
-    """Tell whether the caller has a part of a call that can't be gone on from."""
-    is_call = request.work.kind == CALL
-    return is_call and request.streamed and bool(request.received)
+    """Tell whether the caller has a part of an answer that can't be gone on from."""
+    # No host can be told where to go on in a stream whose events have no ids.
+    is_nameless = request.work.kind == STREAM and not request.tokens
+    return request.has_part and (request.work.kind == CALL or is_nameless)
 
 
 def _prepare_retry(request: OpenRequest) -> None:
--- /dev/null
+++ b/tests/serving/test_begun_streams.py
@@ -0,0 +1,175 @@
+"""What a caller gets of a stream of events, whatever its runs do."""
+
+import xxhash
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from radishtally.links.messages import (
+    STREAM,
+    Accepted,
+    Begun,
+    Chunk,
+    Finished,
+    Lost,
+    Refused,
+    Work,
+)
+from radishtally.outcome import Ran
+from radishtally.serving import events
+from tests.entry.common import POOL, Driver
+
+EVENTS = 5
+HEADERS = (("X-Signed", "by-host"),)
+FAILURES = st.sampled_from([302, 404, 500, 503])
+REPLIES = (
+    events.Begin,
+    events.Deliver,
+    events.End,
+    events.Break,
+    events.Finish,
+    events.Refuse,
+)
+
+
+def make_event(number: int) -> bytes:
+    return b"id: %d\ndata: x\n\n" % number
+
+
+WHOLE = b"".join(make_event(number + 1) for number in range(EVENTS))
+
+
+def make_work(is_idempotent: bool = True) -> Work:
+    """Make a request for a stream."""
+    return Work("r", "team", POOL, STREAM, b"", idempotent=is_idempotent)
+
+
+def make_end(attempt: int, status: int, body: bytes) -> Finished:
+    """Make the end of a run's answer."""
+    checksum = xxhash.xxh64_intdigest(body)
+    return Finished("r", attempt, len(body), checksum, status, "", 0, 0, HEADERS)
+
+
+# Events come twice: a run broke off whose events have no ids, so that no other one can
+# be told where to go on.
+def test_stream_without_ids_is_not_begun_anew() -> None:
+    driver = Driver()
+    driver.open(make_work())
+    host, _ = driver.find_offer()
+    driver.receive(host, Begun("r", 1, 200, HEADERS))
+    driver.receive(host, Chunk("r", 1, 0, b"data: x\n\n", 0))
+    driver.receive(host, Lost("r", 1, Ran.UNKNOWN, "reset", 0))
+    assert len(driver.list_offers()) == 1
+    assert driver.list_of(events.Break)
+
+
+class BegunStream(RuleBasedStateMachine):
+    """Spoil the runs of one stream in any way and order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.driver = Driver(hosts=3)
+        self.driver.open(make_work())
+        self.failures: set[tuple[int, bytes]] = set()
+        self.bodies = 0
+
+    @property
+    def request(self):
+        """Give the open request, if it has no end yet."""
+        return self.driver.core.requests.get("r")
+
+    def is_running(self) -> bool:
+        """Tell whether a host has the request."""
+        return self.request is not None and self.request.host is not None
+
+    def is_followed(self) -> bool:
+        """Tell whether the present run streams."""
+        return self.is_running() and self.request.head is not None
+
+    def _receive(self, kind, *rest: object) -> None:
+        request = self.request
+        self.driver.receive(request.host, kind("r", request.attempt, *rest))
+
+    @precondition(lambda self: self.is_running() and not self.is_followed())
+    @rule()
+    def begin(self) -> None:
+        self._receive(Accepted, 0.0)
+        self._receive(Begun, 200, HEADERS)
+
+    @precondition(is_followed)
+    @rule()
+    def give_event(self) -> None:
+        number = self.request.tokens + 1
+        if number <= EVENTS:
+            offset = len(self.request.received)
+            self._receive(Chunk, offset, make_event(number), number)
+
+    @precondition(is_followed)
+    @rule()
+    def end(self) -> None:
+        if self.request.tokens == EVENTS:
+            end = make_end(self.request.attempt, 200, WHOLE)
+            self.driver.receive(self.request.host, end)
+
+    @precondition(lambda self: self.is_running() and not self.is_followed())
+    @rule(status=FAILURES, length=st.integers(0, 200))
+    def answer_otherwise(self, status: int, length: int) -> None:
+        self.bodies += 1
+        body = (b"<%d>" % self.bodies * 100)[:length]
+        self.failures.add((status, body))
+        request = self.request
+        host, attempt = request.host, request.attempt
+        if body:
+            self.driver.receive(host, Chunk("r", attempt, 0, body, 0))
+        self.driver.receive(host, make_end(attempt, status, body))
+
+    @precondition(is_running)
+    @rule()
+    def lose(self) -> None:
+        self._receive(Lost, Ran.UNKNOWN, "reset", 0)
+
+    @precondition(lambda self: self.is_running() and not self.is_followed())
+    @rule()
+    def refuse(self) -> None:
+        self._receive(Refused, "full", 0.1)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 40.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.driver.pass_time(seconds)
+
+    @rule()
+    def leave(self) -> None:
+        self.driver.give(events.Leave())
+
+    @invariant()
+    def caller_gets_one_answer(self) -> None:
+        """Check the order of what the caller gets, and that it is what it seems."""
+        replies = self.driver.list_of(REPLIES)
+        if not replies:
+            return
+        first, *rest = replies
+        if isinstance(first, events.Refuse | events.Finish):
+            assert not rest
+            is_refused = isinstance(first, events.Refuse)
+            assert is_refused or (first.end.status, first.body) in self.failures
+            return
+        assert isinstance(first, events.Begin) and first.status == 200
+        ends = [part for part in rest if not isinstance(part, events.Deliver)]
+        assert not ends or ends == rest[-1:]
+        came = b"".join(part.data for part in rest if part not in ends)
+        assert came and WHOLE.startswith(came)
+        if ends:
+            is_whole = isinstance(ends[0], events.End)
+            assert is_whole or isinstance(ends[0], events.Break)
+            assert not is_whole or came == WHOLE
+
+    @invariant()
+    def nothing_is_open_behind_an_end(self) -> None:
+        ends = (events.Refuse, events.Finish, events.Break, events.End)
+        assert (self.request is None) == bool(self.driver.list_of(ends))
+
+
+TestBegunStream = BegunStream.TestCase
+TestBegunStream.settings = settings(
+    max_examples=200, stateful_step_count=30, deadline=None
+)
