Take no part of a service's answer for the whole at the agent either

Callers of the edge with agents would get a part of an answer as complete: the agent's exchange with its service took any end of a connection for the end of an answer without a length, a reset and the close of a killed service too. The check of the end is one class now for both (exchange.py); the agent looks besides whether the service still takes connections. The agent's reader of engines was sound: a stream without a reason for its end counts as cut there, and a refusal of the rest of a text is told as a loss.

Two tests failed before; a third holds that a regular close still ends an answer.

--- a/radishtally/agent/service.py
+++ b/radishtally/agent/service.py
@@ -9,7 +9,7 @@
 
 from radishtally.agent import events
 from radishtally.agent.const import CALL_SECONDS, UPSTREAM_CONNECT_SECONDS
-from radishtally.exchange import BROKEN, SendOnce
+from radishtally.exchange import BROKEN, CheckedResponse, SendOnce
 from radishtally.links.messages import Offer
 from radishtally.outcome import Ran
 from radishtally.tasks import AttemptTasks
@@ -33,6 +33,7 @@
         self._session = aiohttp.ClientSession(
             auto_decompress=False,
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            response_class=CheckedResponse,
         )
 
     async def close(self) -> None:
@@ -87,7 +88,7 @@
             self._report(events.Failed(*name, Ran.UNKNOWN, repr(error)))
 
     async def _read(
-        self, name: tuple[str, int], response: aiohttp.ClientResponse, started: float
+        self, name: tuple[str, int], response: CheckedResponse, started: float
     ) -> None:
         size = 0
         async for data in response.content.iter_chunked(DATA_BYTES):
@@ -97,6 +98,12 @@
                 self._report(events.Failed(*name, Ran.UNKNOWN, text))
                 return
             self._report(events.Produced(*name, data, 0))
+        response.check_end()
+        # A process that is killed closes its connections like one that is done.
+        if not response.is_framed and not await self.is_up():
+            text = "the service has ended behind an answer without a length"
+            self._report(events.Failed(*name, Ran.UNKNOWN, text))
+            return
         headers = tuple(
             (str(key), value)
             for key, value in response.headers.items()
--- a/radishtally/direct/pool.py
+++ b/radishtally/direct/pool.py
@@ -10,27 +10,20 @@
 from radishtally.connector import KeepingConnector, KeptHandler, Usage
 from radishtally.direct.const import CONNECT_SECONDS, POOL_SECONDS
 from radishtally.direct.sockets import open_socket
+from radishtally.exchange import CheckedResponse
 
 SKIPPED_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """Headers that the library would add of its own: hosts get the caller's alone."""
 
-BODILESS_STATUSES: Final = (204, 304)
 
-
-class WatchedResponse(aiohttp.ClientResponse):
-    """Know how the connection of an answer was before it, and how it ended.
-
-    An answer without a length ends with its connection. The library takes the end for
-    good even if it was a reset: a caller would be given a part of an answer as a whole
-    one.
-    """
+class WatchedResponse(CheckedResponse):
+    """Know how the connection of an answer was before it."""
 
     usage = Usage()
     _watched: KeptHandler | None = None
 
     async def start(self, connection: Connection) -> "WatchedResponse":
         """Read the head, and keep hold of the connection."""
-        self._watched = connection.protocol
         self.usage = connection.protocol.usage
         return await super().start(connection)
 
@@ -45,24 +38,6 @@
         if self._watched is not None:
             self._watched.abort()
 
-    def check_end(self) -> None:
-        """Raise if an answer without a length ended otherwise than by a close."""
-        if self.is_framed or self._watched is None:
-            return
-        error = self._watched.exception()
-        if isinstance(error, OSError) and not isinstance(
-            error, aiohttp.ServerDisconnectedError
-        ):
-            raise aiohttp.ClientPayloadError("the connection was reset") from error
-
-    @property
-    def is_framed(self) -> bool:
-        """Tell whether the answer's end is marked, by its head, length or chunks."""
-        if self.status in BODILESS_STATUSES or self.method == "HEAD":
-            return True
-        coding = self.headers.get("Transfer-Encoding", "").lower()
-        return "Content-Length" in self.headers or "chunked" in coding
-
 
 async def is_refused(address: str) -> bool:
     """Tell whether nothing listens at an IP and port that can be reached."""
--- a/radishtally/exchange.py
+++ b/radishtally/exchange.py
@@ -4,6 +4,8 @@
 from typing import Final
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from aiohttp.http import HttpProcessingError
 
 BROKEN: Final = (
@@ -17,6 +19,7 @@
 request holds its place at the upstream until its deadline."""
 
 
+BODILESS_STATUSES: Final = (204, 304)
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -46,3 +49,37 @@
             raise aiohttp.ClientError("the connection ended without an answer")
         self._sent = True
         return await handler(request)
+
+
+class CheckedResponse(aiohttp.ClientResponse):
+    """Know how the connection of an answer ended.
+
+    An answer without a length ends with its connection. The library takes the end for
+    good even if it was a reset: a caller would be given a part of an answer as a whole
+    one.
+    """
+
+    _watched: ResponseHandler | None = None
+
+    async def start(self, connection: Connection) -> "CheckedResponse":
+        """Read the head, and keep hold of the connection."""
+        self._watched = connection.protocol
+        return await super().start(connection)
+
+    def check_end(self) -> None:
+        """Raise if an answer without a length ended otherwise than by a close."""
+        if self.is_framed or self._watched is None:
+            return
+        error = self._watched.exception()
+        if isinstance(error, OSError) and not isinstance(
+            error, aiohttp.ServerDisconnectedError
+        ):
+            raise aiohttp.ClientPayloadError("the connection was reset") from error
+
+    @property
+    def is_framed(self) -> bool:
+        """Tell whether the answer's end is marked, by its head, length or chunks."""
+        if self.status in BODILESS_STATUSES or self.method == "HEAD":
+            return True
+        coding = self.headers.get("Transfer-Encoding", "").lower()
+        return "Content-Length" in self.headers or "chunked" in coding
--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -9,6 +9,7 @@
 from radishtally.agent.service import Service
 from radishtally.links.messages import CALL, Offer, Work
 from radishtally.outcome import Ran
+from standins.desk import reset
 from tests.agent.upstream import Answer, Reports, reply, serve, stream
 from tests.common import run
 
@@ -42,6 +43,43 @@
     assert isinstance(last, events.Failed) and last.ran == Ran.UNKNOWN
 
 
+# A part of an answer is taken for the whole: it has no length, and its connection is
+# reset, or closed by a service that is killed.
+@pytest.mark.parametrize("is_killed", [False, True], ids=["reset", "killed"])
+def test_unframed_answer_of_a_service_that_broke_off_is_lost(is_killed: bool) -> None:
+    async def play() -> Reports:
+        async def serve_one(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nonly a part")
+            await asyncio.sleep(0.02)
+            if is_killed:
+                server.close()
+                writer.close()
+            else:
+                reset(writer)
+
+        server = await asyncio.start_server(serve_one, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        return await run_call(f"http://127.0.0.1:{port}", make_offer())
+
+    last = run(play()).events[-1]
+    assert isinstance(last, events.Failed) and last.ran == Ran.UNKNOWN
+
+
+def test_unframed_answer_that_is_closed_is_whole() -> None:
+    async def answer(request: web.Request) -> web.StreamResponse:
+        await request.read()
+        request.transport.write(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+        request.transport.close()
+        return web.Response()
+
+    reports = ask(answer)
+    assert reports.events[-1].status == 200
+    assert b"".join(reports.parts) == b"all of it"
+
+
 def test_service_that_is_away_ran_nothing() -> None:
     async def check() -> Reports:
         async with serve(reply(200, b"")) as url:
