Part the reading of answers from the sending of offers

What reads an answer to its end (answers.py) and what looks whether hosts have ended (ends.py) stand alone now; code is moved, and behaves as it did.

--- a/radishtally/direct/const.py
+++ b/radishtally/direct/const.py
@@ -20,5 +20,6 @@
 """Longest answer that is collected before it is passed on."""
 DROP_SECONDS: Final = 1.0
 """Longest time to free a KV cache; the engine frees it by itself some seconds later."""
+OK: Final = 200
 ORDER_SECONDS: Final = 1.0
 """Longest time to ask an engine or to give it an order; it answers in milliseconds."""
--- a/radishtally/direct/doubts.py
+++ b/radishtally/direct/doubts.py
@@ -48,3 +48,11 @@
         return Doubt.FOREIGN
     # The first answer on a connection can belong to no earlier request.
     return Doubt.UNNAMED if usage.carried and not names else None
+
+
+def describe(error: BaseException) -> str:
+    """Say how an exchange failed, for logs."""
+    # Texts of the library's errors hold parts of answers.
+    if isinstance(error, ForeignAnswerError | FlawedAnswerError):
+        return str(error)
+    return type(error).__name__
--- /dev/null
+++ b/radishtally/direct/ends.py
@@ -0,0 +1,44 @@
+"""Tell whether hosts have ended."""
+
+import asyncio
+
+import aiohttp
+from eliot import log_message
+
+from radishtally.direct.core import Instance
+from radishtally.direct.doubts import ForeignAnswerError
+from radishtally.direct.pool import is_refused
+
+
+class Ends:
+    """Look whether hosts have ended, once for all that ask together."""
+
+    def __init__(self) -> None:
+        self._looks: dict[Instance, asyncio.Task[bool]] = {}
+
+    async def has_ended(self, instance: Instance, error: BaseException) -> bool:
+        """Tell whether an answer broke off because its host has ended.
+
+        A reset, a cut link and a spoiled answer look alike on the connection, and say
+        nothing of the request. Answers that break off together are looked into once.
+        """
+        is_foreign = isinstance(error, ForeignAnswerError)
+        if is_foreign or not isinstance(error, aiohttp.ClientError):
+            return False
+        return await self.look(instance)
+
+    async def look(self, instance: Instance) -> bool:
+        """Tell whether nothing listens at a host any more."""
+        look = self._looks.get(instance)
+        if look is None:
+            look = asyncio.create_task(_look(instance))
+            self._looks[instance] = look
+            look.add_done_callback(lambda _: self._looks.pop(instance))
+        return await asyncio.shield(look)
+
+
+async def _look(instance: Instance) -> bool:
+    has_ended = await is_refused(instance.address)
+    if has_ended:
+        log_message("upstream:ended", upstream_host=instance.host)
+    return has_ended
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -89,8 +89,8 @@
             prompts_run=False,
         )
         self.hosts = DirectHosts(upstreams, self.runtime.guard_call(self._receive))
-        self.hosts.on_doubt = self.metrics.doubted
-        self.hosts.on_notice = self.runtime.guard_call(self.take_notice)
+        self.hosts.answers.on_doubt = self.metrics.doubted
+        self.hosts.answers.on_notice = self.runtime.guard_call(self.take_notice)
         self.front = Front(self, callers)
         self._stop_begun: float | None = None
         self.lease = make_lease(self)
