Let all engines of the soak spoil their runs at once

The soak had engines that break off and hosts that fail, but engines never failed, and one engine at a time was at fault: no stream met two faults, and none of its seeds could show the streams that ended short. A further series has all engines draw a fault for each run: a failure, a 404 or 302 with a long or a short body, an end behind the head, within an event or between two, by reset or by close, with and without framing.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,29 +21,39 @@
     parser.add_argument("--seconds", type=float, default=60.0, help="time of faults")
     parser.add_argument("--scale", type=int, default=1, help="times as many processes")
     parser.add_argument("--kept", action="store_true", help="seeds that ever failed")
+    parser.add_argument(
+        "--sound-runs", action="store_true", help="leave out engines' spoiled runs"
+    )
     parser.add_argument("--show", action="store_true", help="print the schedule only")
     args = parser.parse_args()
     # The default would leave the fleet's processes behind.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     if args.show:
         for seed in args.seeds:
-            print(*make_schedule(seed, args.seconds), sep="\n")
+            schedule = make_schedule(seed, args.seconds, not args.sound_runs)
+            print(*schedule, sep="\n")
         return
-    runs = [(seed, args.seconds, args.scale) for seed in args.seeds]
+    more = args.seconds, args.scale, not args.sound_runs
+    runs = [(seed, *more) for seed in args.seeds]
     found = [_run(*run) for run in (runs + _read_kept() if args.kept else runs)]
     sys.exit(1 if any(found) else 0)
 
 
-def _read_kept() -> list[tuple[int, float, int]]:
+def _read_kept() -> list[tuple[int, float, int, bool]]:
     lines = KEPT.read_text().splitlines()
-    kept = [line.split()[:3] for line in lines if not line.startswith("#")]
-    return [(int(seed), float(seconds), int(scale)) for seed, seconds, scale in kept]
+    kept = [line.split()[:4] for line in lines if not line.startswith("#")]
+    return [
+        (int(seed), float(seconds), int(scale), runs == "spoiled")
+        for seed, seconds, scale, runs in kept
+    ]
 
 
-def _run(seed: int, seconds: float, scale: int) -> int:
+def _run(seed: int, seconds: float, scale: int, spoils: bool) -> int:
     command = f"script/soak {seed} --seconds {seconds:g} --scale {scale}"
+    if not spoils:
+        command += " --sound-runs"
     print(f"replay: {command}", flush=True)
-    outcome = asyncio.run(run_seed(seed, seconds, scale))
+    outcome = asyncio.run(run_seed(seed, seconds, scale, spoils))
     counts = " ".join(f"{name}={n}" for name, n in sorted(outcome.counts.items()))
     found = len(outcome.findings)
     print(f"seed {seed}: {found} findings, {outcome.faults} faults; {counts}")
--- a/soak/core.py
+++ b/soak/core.py
@@ -37,14 +37,16 @@
     folder: Path
 
 
-async def run_seed(seed: int, seconds: float, scale: int = 1) -> Outcome:
+async def run_seed(
+    seed: int, seconds: float, scale: int = 1, spoils: bool = True
+) -> Outcome:
     """Run the schedule that the seed names, and check while it runs."""
     chance = random.Random(seed)
     trouble = Trouble()
     ledger = Ledger(trouble)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     fleet = Fleet(folder, ledger, trouble, chance)
-    schedule = make_schedule(seed, seconds)
+    schedule = make_schedule(seed, seconds, spoils)
     sizes = chance.randint(*GATEWAYS), ENGINES, chance.randint(*DESKS)
     try:
         await fleet.start(*(scale * size for size in sizes))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 from soak.fleet import Fleet, Gateway, Host
 from soak.schedule import Fault
 from standins.proxy import FaultProxy
+from standins.spoiling import CLOSE
 
 DELAYS: Final = (0.03, 0.1, 0.4)
 """Seconds by which a link is late, one way."""
@@ -40,6 +41,22 @@
     {"cut_after": 7},
     {"cut_after": 12},
 )
+OTHER_BODY: Final = "of another answer " * 40
+"""Longer than all events of a stream."""
+SPOILED_RUNS: Final = (
+    {},
+    {},
+    {"status": 500, "body": OTHER_BODY},
+    {"status": 500, "body": "short"},
+    {"status": 404, "body": OTHER_BODY},
+    {"status": 302, "body": OTHER_BODY},
+    {"cut_after": 0},
+    {"cut_after": 0, "half": False, "end": CLOSE, "is_unframed": True},
+    {"cut_after": 3},
+    {"cut_after": 9, "half": False},
+    {"cut_after": 6, "end": CLOSE, "is_unframed": True},
+    {"is_unframed": True},
+)
 Carry = Callable[[Fleet, Fault, str], Awaitable[None]]
 
 
@@ -195,6 +212,17 @@
     await _tell(fleet, host, sound)
 
 
+async def _spoil_runs(fleet: Fleet, fault: Fault, name: str) -> None:
+    """Let all engines spoil each run in a way of its own."""
+    engines = [host for host in fleet.hosts if host.phase]
+    for number, engine in enumerate(engines):
+        seed = fault.variant + number
+        await _tell(fleet, engine, {"runs": SPOILED_RUNS, "seed": seed})
+    await asyncio.sleep(fault.seconds)
+    for engine in engines:
+        await _tell(fleet, engine, {})
+
+
 async def _tell(fleet: Fleet, host: Host, fault: dict) -> None:
     """Tell a host how to answer, as long as it runs."""
     try:
@@ -222,4 +250,5 @@
     "desk": _disturb_answers,
     "engine": _disturb_answers,
     "configure": _configure,
+    "spoil": _spoil_runs,
 }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -9,6 +9,9 @@
 HOST: Final = ("host_leave", "host_crash", "host_pause", "host_garble")
 ANSWER: Final = ("desk_fault", "engine_fault", "configure")
 KINDS: Final = (*LINK, *GATEWAY, *STORE, *HOST, *ANSWER)
+SPOIL: Final = "spoil_runs"
+"""Kind of the series that all engines show at once, so that one stream meets several
+faults. It is drawn apart: what a seed named before it names still."""
 FEWEST_SERIES: Final = 8
 GAPS: Final = (0.02, 0.3, 1.5)
 """Seconds between the faults of a burst."""
@@ -33,11 +36,13 @@
     """Chooses among the kind's variants."""
 
 
-def make_schedule(seed: int, seconds: float) -> list[Fault]:
+def make_schedule(seed: int, seconds: float, spoils: bool = True) -> list[Fault]:
     """Make series of bursts that overlap."""
     chance = random.Random(seed)
     kinds = chance.sample(KINDS, chance.randint(FEWEST_SERIES, len(KINDS)))
     faults = [fault for kind in kinds for fault in _make_series(kind, seconds, chance)]
+    if spoils:
+        faults += _make_series(SPOIL, seconds, random.Random(f"{SPOIL} {seed}"))
     # What comes to a host that left can be judged only once the store is left in peace.
     last = Fault(seconds, "host_leave", chance.randrange(TARGETS), 0.0, 0)
     return [*sorted(faults), last]
