Give no run that ignores where its caller goes on

Callers that go on behind the events they have would get them once more: an engine that begins anew whatever it was asked for was passed on. The first event of a run must have a higher id than the one that the caller named, on routes whose answers may be resumed; else the run is lost and another one is asked. The same check as for runs that go on with one another's answer, found by looking for it on each path that continues one. The test failed before.

--- a/radishtally/direct/answers.py
+++ b/radishtally/direct/answers.py
@@ -36,6 +36,7 @@
     Refused,
 )
 from radishtally.outcome import Ran
+from radishtally.serving.terms import Terms
 
 Receive = Callable[[str, Message], None]
 Name = tuple[str, int]
@@ -68,7 +69,7 @@
         self.on_notice: Callable[[Instance, Notice], None] = lambda host, notice: None
 
     async def read(
-        self, response: WatchedResponse, instance: Instance, offer: Offer
+        self, response: WatchedResponse, instance: Instance, offer: Offer, terms: Terms
     ) -> None:
         """Read the answer to an offer; raise if it breaks off or is not taken."""
         host = instance.host
@@ -96,7 +97,7 @@
         if offer.work.kind == CALL or head.status != OK:
             await self._collect(response, instance, offer, head)
             return
-        await self._follow(response, instance, offer, head)
+        await self._follow(response, instance, offer, terms, head)
 
     def take_notice(self, response: WatchedResponse, instance: Instance) -> None:
         """Take what the head of any answer says of its host."""
@@ -183,7 +184,12 @@
         self._receive(host, end)
 
     async def _follow(
-        self, response: WatchedResponse, instance: Instance, offer: Offer, head: Head
+        self,
+        response: WatchedResponse,
+        instance: Instance,
+        offer: Offer,
+        terms: Terms,
+        head: Head,
     ) -> None:
         """Pass on the events of a stream as they come whole."""
         host = instance.host
@@ -195,8 +201,8 @@
             found = cutter.feed(data)
             if found is None:
                 continue
-            is_rest = progress.offset == len(offer.done) > 0
-            if is_rest and not is_next(found.first, offer.done):
+            is_first = progress.offset == len(offer.done)
+            if is_first and not _begins_as_asked(found.first, offer, terms):
                 raise FlawedAnswerError(Flaw.OTHER_EVENT)
             progress.tokens = max(progress.tokens, found.last)
             self._pass_on(host, name, progress, found.data)
@@ -219,5 +225,12 @@
         self._receive(host, chunk)
 
 
+def _begins_as_asked(first: int, offer: Offer, terms: Terms) -> bool:
+    """Tell whether a run begins behind what its caller has, by its first event's id."""
+    if offer.done:
+        return is_next(first, offer.done)
+    return not first or first > terms.resumed_after
+
+
 def _begin(offer: Offer) -> _Progress:
     return _Progress(len(offer.done), offer.tokens_done, xxhash.xxh64(offer.done))
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -150,7 +150,7 @@
         repeatable = offer.work.idempotent or offer.stage == PREFILL
         try:
             async with self._send(instance.address, call, repeatable) as response:
-                await self.answers.read(response, instance, offer)
+                await self.answers.read(response, instance, offer, terms)
         except NOT_CONNECTED as error:
             self._receive(host, Lost(*name, Ran.NO, UNREACHED, 0))
             log_message("upstream:unreached", upstream_host=host, error=repr(error))
--- a/radishtally/gateway/core.py
+++ b/radishtally/gateway/core.py
@@ -23,6 +23,8 @@
     output_tokens: int
     """Tokens that the caller expects of the answer; 0 if it does not say."""
     parts: tuple[PromptPart, ...]
+    resumed_after: int
+    """Event of an earlier answer behind which this one is to begin; 0 for none."""
     headers: Headers
     """To be passed on to an upstream."""
 
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -88,6 +88,7 @@
             route.priority,
             asked.output_tokens or asked.max_tokens,
             asked.parts,
+            asked.resumed_after if route.is_idempotent else 0,
             hash_content(method, asked.authority, target, body),
         )
         timeout = min(route.timeout, asked.timeout or route.timeout)
--- a/radishtally/serving/terms.py
+++ b/radishtally/serving/terms.py
@@ -25,6 +25,8 @@
     """Tokens that the answer is expected to have."""
     parts: tuple[PromptPart, ...] = ()
     """The prompt's parts in their order; the last one is the request's own."""
+    resumed_after: int = 0
+    """Event of an earlier answer behind which this one is to begin; 0 for none."""
     content: str = ""
     """Digest of what is asked, equal in all repeats; empty where none is taken."""
 
--- a/tests/gateway/test_spoiled_streams.py
+++ b/tests/gateway/test_spoiled_streams.py
@@ -37,12 +37,13 @@
     signature: str
 
 
-async def take(made: Deployment, path: str) -> Taken:
+async def take(made: Deployment, path: str, **more: str) -> Taken:
     """Send a request and take what comes of its answer."""
     body = b""
+    headers = make_prompt("r1", **more)
     async with (
         aiohttp.ClientSession() as session,
-        session.post(made.url + path, headers=make_prompt("r1")) as response,
+        session.post(made.url + path, headers=headers) as response,
     ):
         signature = response.headers.get("X-Server-Signature", "")
         try:
@@ -53,7 +54,7 @@
         return Taken(response.status, body, True, signature)
 
 
-def play(faults: Sequence[RunFault], path: str = PATH) -> Taken:
+def play(faults: Sequence[RunFault], path: str = PATH, **more: str) -> Taken:
     """Give what a caller gets whose runs are spoiled in turn; later ones are sound."""
     taken = []
 
@@ -65,7 +66,7 @@
             for engine in engines:
                 engine.faults = script
                 await made.serve_engine(engine)
-            taken.append(await take(made, path))
+            taken.append(await take(made, path, **more))
 
     run(ask())
     return taken[0]
@@ -135,6 +136,14 @@
     assert not taken.is_whole
 
 
+# Events come twice: a caller goes on behind the events that it has, and the engine
+# begins anew.
+def test_run_that_ignores_where_its_caller_goes_on_is_not_given() -> None:
+    taken = play([RunFault(first_event=1)], **{"Last-Event-Id": "2"})
+    assert taken.is_whole
+    assert make_events(2) + taken.body == make_events(EVENTS)
+
+
 @pytest.mark.parametrize("path", [PATH, ONCE_PATH])
 def test_stream_without_framing_that_is_closed_behind_its_last_event_is_whole(
     path: str,
