Hold by a test that nothing but its end ends a stream as complete

What holds already: a whole answer or a refusal that reaches a stream's connection breaks it, and so does the end of a gateway's stop. It guards the front if a part of another kind should reach it.

--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -7,6 +7,9 @@
 import pytest
 
 from radishtally.gateway.endings import Ending, Given
+from radishtally.gateway.requests import NOT_READY
+from radishtally.links.messages import Finished
+from radishtally.serving.events import Finish, Leave, Refuse
 from standins.spoiling import RunFault
 from standins.staged import EVENTS, StagedEngine, make_event
 from tests.common import run
@@ -87,3 +90,31 @@
             assert f'ending="{Ending.CALLER_LEFT}",kind="stream"' in text
 
     run(play())
+
+
+# A stream ends as complete after a part: what is no end of it reaches its connection,
+# or its gateway stops.
+@pytest.mark.parametrize("how", ["finish", "refuse", "leave"])
+def test_nothing_but_its_end_ends_a_stream_as_complete(how: str) -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            answering = await begin(made, iter(()))
+            answering.seconds = 0.2
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(
+                    f"{made.url}/sheet/a", headers=make_prompt("r1")
+                ) as response,
+            ):
+                assert response.status == 200
+                if how == "leave":
+                    made.gateway.handle(Leave())
+                elif how == "finish":
+                    end = Finished("r1", 1, 0, 0, 500, "", 0, 0)
+                    made.gateway.replies.put(Finish("r1", end, b""))
+                else:
+                    made.gateway.replies.put(Refuse("r1", NOT_READY))
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await response.read()
+
+    run(play())
