--- a/tests/serving/test_begun_streams.py
+++ b/tests/serving/test_begun_streams.py
@@ -17,6 +17,7 @@
 )
 from radishtally.outcome import Ran
 from radishtally.serving import events
+from radishtally.serving.requests import OpenRequest
 from tests.entry.common import POOL, Driver
 
 EVENTS = 5
@@ -74,7 +75,7 @@
         self.bodies = 0
 
     @property
-    def request(self):
+    def request(self) -> OpenRequest | None:
         """Give the open request, if it has no end yet."""
         return self.driver.core.requests.get("r")
 
@@ -86,7 +87,7 @@
         """Tell whether the present run streams."""
         return self.is_running() and self.request.head is not None
 
-    def _receive(self, kind, *rest: object) -> None:
+    def _receive(self, kind: type, *rest: object) -> None:
         request = self.request
         self.driver.receive(request.host, kind("r", request.attempt, *rest))
 
