--- a/tests/soak/test_signals.py
+++ b/tests/soak/test_signals.py
@@ -4,15 +4,44 @@
 import json
 import random
 import signal
+import subprocess
+import sys
 from pathlib import Path
 
+from bench.fleet import ROOT, make_environment
 from soak.checks import Ledger, Trouble
 from soak.fleet import Fleet
 
+HANGUP_IN_BETWEEN = """
+import asyncio, os, signal, uvloop, radishtallyd
+
+set_handler = signal.signal
+
+def interrupt(number, handler):
+    os.kill(os.getpid(), signal.SIGHUP)
+    set_handler(number, handler)
+
+async def play():
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, print)
+    signal.signal = interrupt
+    radishtallyd.ignore_hangups()
+
+with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    runner.run(play())
+"""
+"""Program to which the signal comes as it gives the loop's handler back."""
 SIGNAL_SECONDS = 0.001
 """Time between two signals: far less than an interpreter takes to end."""
 
 
+# The same as below, in the moment in which the loop has given the signal back to its
+# default and it is not ignored yet.
+def test_changed_settings_do_not_kill_a_gateway_that_gives_its_signals_back() -> None:
+    command = [sys.executable, "-c", HANGUP_IN_BETWEEN]
+    environment = make_environment() | {"PYTHONPATH": f"{ROOT}:{ROOT / 'platform'}"}
+    assert subprocess.run(command, env=environment, check=False).returncode == 0
+
+
 # A process that was told to stop counts as crashed. Its settings change meanwhile: the
 # platform's SIGHUP comes once the loop has ended and given the signal back to its
 # default, which ends the process with -1 before the interpreter has. Found by the soak
