Take hangups without the loop's handler, which opens a gap as it is removed

The gap is the loop's: it sets a signal to its default as its handler is removed. Hangups are taken by a handler of our own now, which asks the loop to read the settings and is replaced by 'ignore' in one step; the signal is at its default at no time from the program's first line on.

--- a/radishtally/runtime.py
+++ b/radishtally/runtime.py
@@ -43,7 +43,10 @@
     def on_hangup(self, callback: Callable[[], None]) -> None:
         """Call back when the settings are to be read again."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self.guard_call(callback))
+        call = self.guard_call(callback)
+        # A handler of the loop is set to the signal's default as it is removed, and a
+        # hangup at that moment, on whatever thread, ends the process.
+        signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(call))
 
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a coroutine until it ends or the process unloads."""
--- a/tests/soak/test_signals.py
+++ b/tests/soak/test_signals.py
@@ -14,6 +14,7 @@
 
 HANGUP_IN_BETWEEN = """
 import asyncio, os, signal, uvloop, radishtallyd
+from radishtally.runtime import Runtime
 
 set_handler = signal.signal
 
@@ -22,20 +23,19 @@
     set_handler(number, handler)
 
 async def play():
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, print)
+    Runtime().on_hangup(print)
     signal.signal = interrupt
     radishtallyd.ignore_hangups()
 
 with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
     runner.run(play())
 """
-"""Program to which the signal comes as it gives the loop's handler back."""
+"""Program to which the signal comes as it gives its own handler back."""
 SIGNAL_SECONDS = 0.001
 """Time between two signals: far less than an interpreter takes to end."""
 
 
-# The same as below, in the moment in which the loop has given the signal back to its
-# default and it is not ignored yet.
+# The same as below, in the moment in which the gateway gives its own handler back.
 def test_changed_settings_do_not_kill_a_gateway_that_gives_its_signals_back() -> None:
     command = [sys.executable, "-c", HANGUP_IN_BETWEEN]
     environment = make_environment() | {"PYTHONPATH": f"{ROOT}:{ROOT / 'platform'}"}
