--- a/bench/capacity/claims.py
+++ b/bench/capacity/claims.py
@@ -11,6 +11,7 @@
 from bench.fleet import Fleet, get_json
 from radishtally.claims.events import Granted
 from radishtally.claims.store import ClaimStore
+from radishtally.store.ids import WriteIds
 from radishtally.store.table import HttpTable
 
 CLAIMS: Final = 600
@@ -20,7 +21,8 @@
 async def run_claims(url: str, rate: float) -> tuple[float, float]:
     """Claim and finish at an even rate; give processor time and seconds taken."""
     table = HttpTable(url, "radishtally")
-    store = ClaimStore(table, f"capacity-{rate}")
+    holder = f"capacity-{rate}"
+    store = ClaimStore(table, holder, WriteIds(holder))
     store.start()
 
     async def claim(number: int) -> None:
--- a/radishtally/agent/daemon.py
+++ b/radishtally/agent/daemon.py
@@ -70,7 +70,7 @@
 
     def _start_orders(self) -> None:
         settings, process = self.settings, self.process
-        plans = Plans(process.table, settings.host, process.incarnation)
+        plans = Plans(process.table, settings.host, process.write_ids)
         self.orders = OrderDriver(
             settings.host, settings.place, plans, self.upstream, process.audit, self
         )
--- a/radishtally/authority/holder.py
+++ b/radishtally/authority/holder.py
@@ -6,6 +6,8 @@
 from functools import singledispatchmethod
 from typing import Final
 
+from eliot import log_message
+
 from radishtally.authority.lease import (
     Command,
     Contend,
@@ -27,6 +29,7 @@
 )
 from radishtally.driver import CoreDriver
 from radishtally.store.core import Check, Table
+from radishtally.store.ids import WriteIds
 from radishtally.store.settle import transact_settled
 
 CALL_PART: Final = 0.25
@@ -44,7 +47,7 @@
         table: Table,
         place: str,
         host: str,
-        incarnation: str,
+        ids: WriteIds,
         terms: LeaseTerms | None = None,
         *,
         on_gained: Callable[[int], None],
@@ -55,7 +58,7 @@
         self._terms = terms or LeaseTerms()
         self._contenders = 1
         self._era = 0
-        core = LeaseCore(place, host, incarnation, self._terms)
+        core = LeaseCore(place, host, ids, self._terms)
         super().__init__(core, Tick(), clock)
         self._on_gained = on_gained
         self._on_lost = on_lost
@@ -171,4 +174,12 @@
             deadline=deadline,
             clock=self._clock,
         )
+        if outcome.is_error():
+            log_message(
+                "lease:write_failed",
+                place=command.put.key.sk,
+                write_id=command.write_id,
+                fencing=command.put.value["fencing"],
+                error=str(outcome.error),
+            )
         self._report(era, WriteSettled(command.write_id, outcome))
--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -23,6 +23,7 @@
     TableError,
     Unavailable,
 )
+from radishtally.store.ids import WriteIds
 
 LEASE: Final = "lease"
 RELEASED: Final = 0.0
@@ -164,11 +165,11 @@
     """Contend for one lease; at most one call to the table is under way."""
 
     def __init__(
-        self, place: str, holder: str, incarnation: str, terms: LeaseTerms
+        self, place: str, holder: str, ids: WriteIds, terms: LeaseTerms
     ) -> None:
         self.key: Final = Key(LEASE, place)
         self._holder = holder
-        self._incarnation = incarnation
+        self._ids = ids
         self.terms = terms
         self.read_every = terms.read_every
         """Seconds between two looks at a lease that another one holds."""
@@ -396,7 +397,7 @@
         if self._row is None:
             return float("-inf")
         granted = self._row.value["granted"]
-        ours = self._row.value["incarnation"] == self._incarnation
+        ours = self._row.value["incarnation"] == self._ids.incarnation
         if ours or granted == RELEASED:
             return float("-inf")
         return self._row_since + granted + self.terms.margin
@@ -428,10 +429,10 @@
 
     def _write(self, fencing: int, granted: float, now: float) -> WriteLease:
         self._counter += 1
-        write_id = f"{self._incarnation}-{self._counter}"
+        write_id = self._ids.make()
         value = LeaseValue(
             holder=self._holder,
-            incarnation=self._incarnation,
+            incarnation=self._ids.incarnation,
             fencing=fencing,
             granted=granted,
             counter=self._counter,
--- a/radishtally/authority/plans.py
+++ b/radishtally/authority/plans.py
@@ -1,6 +1,5 @@
 """Keep plans and drains in the table."""
 
-import itertools
 import time
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
@@ -32,6 +31,7 @@
     TableError,
     Write,
 )
+from radishtally.store.ids import WriteIds
 from radishtally.store.settle import transact_settled
 
 WRITE_SECONDS: Final = 2.0
@@ -75,17 +75,16 @@
         self,
         table: Table,
         host: str,
-        incarnation: str,
+        ids: WriteIds,
         *,
         clock: Callable[[], float] = time.monotonic,
         clock_ms: Callable[[], int] = _read_wall_ms,
     ) -> None:
         self._table = table
         self._host = host
-        self._incarnation = incarnation
+        self._ids = ids
         self._clock = clock
         self._clock_ms = clock_ms
-        self._numbers = itertools.count(1)
 
     async def read_plan(self, place: str) -> Result[Plan | None, ReadError]:
         """Read the plan in force."""
@@ -161,7 +160,7 @@
         return result.map(lambda _: drain)
 
     async def _transact(self, writes: list[Write]) -> Result[None, TableError]:
-        write_id = f"{self._incarnation}-plans-{next(self._numbers)}"
+        write_id = self._ids.make()
         deadline = self._clock() + WRITE_SECONDS
         return await transact_settled(
             self._table, writes, write_id, deadline=deadline, clock=self._clock
@@ -170,7 +169,6 @@
     def _audit_plan(self, previous: Plan | None, plan: Plan) -> Put:
         before = _list_changes(plan, previous)
         after = _list_changes(previous, plan)
-        number = f"{self._incarnation}-{plan.number}"
         return make_audit_put(
             self._clock_ms(),
             self._host,
@@ -179,12 +177,11 @@
             plan.cause,
             before,
             {**after, "number": plan.number, "fencing": plan.fencing},
-            number,
+            self._ids.make(),
         )
 
     def _audit_drain(self, row: Row | None, drain: Drain) -> Put:
         before = {} if row is None else dict(row.value)
-        number = f"{self._incarnation}-{next(self._numbers)}"
         return make_audit_put(
             self._clock_ms(),
             drain.who,
@@ -193,7 +190,7 @@
             drain.cause,
             before,
             encode_record(drain),
-            number,
+            self._ids.make(),
         )
 
 
--- a/radishtally/claims/core.py
+++ b/radishtally/claims/core.py
@@ -58,6 +58,7 @@
     Unavailable,
     Unclear,
 )
+from radishtally.store.ids import WriteIds
 
 GROUP_BYTES: Final = 2 * 1024 * 1024
 """Half of what DynamoDB takes in one transaction."""
@@ -120,8 +121,9 @@
 class ClaimCore:
     """Claim keys and keep outcomes for one process."""
 
-    def __init__(self, holder: str, terms: ClaimTerms) -> None:
+    def __init__(self, holder: str, ids: WriteIds, terms: ClaimTerms) -> None:
         self._holder = holder
+        self._ids = ids
         self._terms = terms
         self._jobs: dict[Key, _Job] = {}
         self._deadlines: list[tuple[float, int, _Job]] = []
@@ -133,7 +135,6 @@
         self._finished: OrderedDict[Key, _Known] = OrderedDict()
         self._finished_bytes = 0
         self._waiting_bytes = 0
-        self._sequence = 0
         self._size = terms.group_size
         self._flush_at = float("inf")
         self._pause_until = float("-inf")
@@ -418,8 +419,7 @@
         return bool(self._claims or self._outcomes)
 
     def _form_group(self) -> SendGroup:
-        self._sequence += 1
-        write_id = f"{self._holder}-{self._sequence}"
+        write_id = self._ids.make()
         jobs = self._pick_jobs()
         for job in jobs:
             job.sent = True
--- a/radishtally/claims/store.py
+++ b/radishtally/claims/store.py
@@ -29,6 +29,7 @@
 from radishtally.claims.record import Claim, StoredAnswer
 from radishtally.driver import CoreDriver
 from radishtally.store.core import Table
+from radishtally.store.ids import WriteIds
 
 CLAIM_SECONDS: Final = 2.0
 """Time after which a claim that is not clearly ours is refused."""
@@ -47,6 +48,7 @@
         self,
         table: Table,
         holder: str,
+        ids: WriteIds,
         terms: ClaimTerms | None = None,
         *,
         seconds: float = CLAIM_SECONDS,
@@ -54,7 +56,7 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         self._table = table
-        super().__init__(ClaimCore(holder, terms or ClaimTerms()), Tick(), clock)
+        super().__init__(ClaimCore(holder, ids, terms or ClaimTerms()), Tick(), clock)
         self._seconds = seconds
         self._wall = wall
         self._asked: dict[int, _Asked] = {}
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -68,12 +68,12 @@
             self.process.table, self.process.objects, merge=self.process.keeper.merge
         )
         holder = f"{settings.host}:{self.process.incarnation}"
-        self.claims = ClaimStore(self.process.table, holder)
-        self.plans = Plans(self.process.table, settings.host, self.process.incarnation)
+        self.claims = ClaimStore(self.process.table, holder, self.process.write_ids)
+        self.plans = Plans(self.process.table, settings.host, self.process.write_ids)
         self.planning = PlanningBoard(
             Parts(
                 settings.host,
-                self.process.incarnation,
+                self.process.write_ids,
                 self.process.table,
                 self.plans,
                 self.process.audit,
--- a/radishtally/entry/planning.py
+++ b/radishtally/entry/planning.py
@@ -17,6 +17,7 @@
 from radishtally.planner import core as planner
 from radishtally.planner.core import Planner, Pool, handle
 from radishtally.store.core import Table
+from radishtally.store.ids import WriteIds
 
 StartTask = Callable[[Coroutine[Any, Any, Any]], asyncio.Task]
 
@@ -28,7 +29,7 @@
     """Hold what planning for a place needs of its entry."""
 
     host: str
-    incarnation: str
+    write_ids: WriteIds
     table: Table
     plans: Plans
     audit: AuditLog
@@ -48,7 +49,7 @@
             parts.table,
             place,
             parts.host,
-            parts.incarnation,
+            parts.write_ids,
             on_gained=self._gained,
             on_lost=self._lost,
         )
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -49,6 +49,7 @@
 from radishtally.serving.replies import Replies, Reply
 from radishtally.stages.keeper import StageKeeper
 from radishtally.store.core import Table
+from radishtally.store.ids import WriteIds
 
 
 class Gateway:
@@ -63,7 +64,7 @@
         table: Table,
     ) -> None:
         self.settings = settings
-        self.incarnation = secrets.token_hex(8)
+        self.write_ids = WriteIds(secrets.token_hex(8))
         self.table = table
         self.runtime = Runtime()
         self.router = Router()
@@ -400,7 +401,7 @@
         gateway.table,
         STAGES,
         gateway.settings.host,
-        gateway.incarnation,
+        gateway.write_ids,
         make_lease_terms(gateway.settings.bounds),
         on_gained=lambda fencing: log_message("lease:gained", fencing=fencing),
         on_lost=lambda cause: log_message("lease:lost", cause=cause),
--- a/radishtally/process.py
+++ b/radishtally/process.py
@@ -21,6 +21,7 @@
 from radishtally.runtime import Runtime
 from radishtally.settings.config import Settings
 from radishtally.store.hostlist import HttpHostList
+from radishtally.store.ids import WriteIds
 from radishtally.store.objects import HttpObjects
 from radishtally.store.table import HttpTable
 
@@ -32,6 +33,7 @@
         super().__init__()
         self.settings = settings
         self.incarnation = secrets.token_hex(8)
+        self.write_ids = WriteIds(self.incarnation)
         self.keeper = Keeper()
         self.table = HttpTable(settings.table.url, settings.table.name)
         self.objects = HttpObjects(settings.objects.url, settings.objects.bucket)
--- a/standins/common.py
+++ b/standins/common.py
@@ -4,6 +4,7 @@
 import asyncio
 import ipaddress
 import signal
+from collections.abc import Callable
 from typing import Any, Final, NotRequired, TypedDict, TypeVar
 
 import msgspec
@@ -15,6 +16,7 @@
 SHUTDOWN_SECONDS: Final = 0.5
 T = TypeVar("T")
 STORE_MODES: Final = frozenset({"up", "down", "slow", "lose_reply"})
+TABLE_MODES: Final = STORE_MODES | {"lose_write"}
 SERVICE_MODES: Final = frozenset({"up", "error", "slow", "lose_reply"})
 
 
@@ -29,8 +31,13 @@
 class FaultGate:
     """Put a fault mode before the handlers of an application."""
 
-    def __init__(self, modes: frozenset[str]) -> None:
+    def __init__(
+        self,
+        modes: frozenset[str],
+        is_write: Callable[[web.Request], bool] = lambda _: False,
+    ) -> None:
         self._modes = modes
+        self._is_write = is_write
         self._fault: Fault = {"mode": "up"}
 
     def install(self, app: web.Application) -> None:
@@ -51,8 +58,10 @@
     ) -> web.StreamResponse:
         if request.path.startswith("/_"):
             return await handler(request)
+        if self._fault["mode"] == "lose_write" and not self._is_write(request):
+            return await handler(request)
         fault = self._take()
-        if fault["mode"] == "down":
+        if fault["mode"] in ("down", "lose_write"):
             return _close(request)
         if fault["mode"] == "error":
             return reply_json({"error": "fault"}, status=500)
--- a/standins/table.py
+++ b/standins/table.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from standins.common import (
-    STORE_MODES,
+    TABLE_MODES,
     FaultGate,
     build_app,
     build_parser,
@@ -318,6 +318,10 @@
     return reversed(keys[:end])
 
 
+def _is_write(request: web.Request) -> bool:
+    return request.headers.get("X-Amz-Target") == f"{TARGET_PREFIX}TransactWriteItems"
+
+
 class Server:
     """Answer the table service's HTTP calls."""
 
@@ -334,7 +338,7 @@
         app = build_app()
         app.router.add_post("/", self._call)
         app.router.add_get("/_counts", self._report_counts)
-        FaultGate(STORE_MODES).install(app)
+        FaultGate(TABLE_MODES, _is_write).install(app)
         return app
 
     async def _call(self, request: web.Request) -> web.Response:
--- a/tests/authority/test_holder.py
+++ b/tests/authority/test_holder.py
@@ -8,6 +8,7 @@
 from radishtally.authority.lease import LeaseTerms
 from radishtally.outcome import Error, Ok, Result
 from radishtally.store.core import Key, Row, TableError, Unavailable, Unclear, Write
+from radishtally.store.ids import WriteIds
 from tests.common import run
 
 TERMS = LeaseTerms(granted=6.0, margin=0.5, renew_every=2.0, read_every=2.0)
@@ -22,7 +23,7 @@
     contenders: int, seconds: float
 ) -> None:
     holder = LeaseHolder(
-        None, "stages", "a", "a-1", TERMS, on_gained=print, on_lost=print
+        None, "stages", "a", WriteIds("a-1"), TERMS, on_gained=print, on_lost=print
     )
     holder.share_reads(contenders)
     assert holder._core.read_every == seconds
@@ -60,7 +61,7 @@
     async def play_on() -> None:
         table = RestoredTable()
         holder = LeaseHolder(
-            table, "stages", "a", "a-1", TERMS, on_gained=print, on_lost=print
+            table, "stages", "a", WriteIds("a-1"), TERMS, on_gained=print, on_lost=print
         )
         holder.start()
         while not table.written:
@@ -84,7 +85,7 @@
     async def play_on() -> None:
         table = RestoredTable()
         holder = LeaseHolder(
-            table, "stages", "a", "a-1", TERMS, on_gained=print, on_lost=print
+            table, "stages", "a", WriteIds("a-1"), TERMS, on_gained=print, on_lost=print
         )
         table.holder, table.era = holder, 2
         holder.start()
--- a/tests/authority/test_lease.py
+++ b/tests/authority/test_lease.py
@@ -35,6 +35,7 @@
 from radishtally.authority.plan import follow_plan, make_plan_writes, name_plan
 from radishtally.outcome import Error
 from radishtally.store.core import ABSENT, Check, Unavailable, Unclear
+from radishtally.store.ids import WriteIds
 from tests.common import Rows
 
 PLACE = "salt-lake"
@@ -54,7 +55,7 @@
     """Run one lease core on a clock of its own against shared rows."""
 
     def __init__(self, name: str, rows: Rows, gained: list[int]) -> None:
-        self.core = LeaseCore(PLACE, name, f"{name}-1", TERMS)
+        self.core = LeaseCore(PLACE, name, WriteIds(f"{name}-1"), TERMS)
         self.rate = RATES[name]
         self.offset = OFFSETS[name]
         self.rows = rows
@@ -162,7 +163,7 @@
             call = self.contenders[name].call
             if isinstance(call, WriteLease):
                 restarted.late.append(call)
-            core = LeaseCore(PLACE, name, f"{name}-{self.time}", TERMS)
+            core = LeaseCore(PLACE, name, WriteIds(f"{name}-{self.time}"), TERMS)
             restarted.core = core
             self.contenders[name] = restarted
 
--- a/tests/authority/test_lease_eras.py
+++ b/tests/authority/test_lease_eras.py
@@ -22,6 +22,7 @@
     WriteLease,
 )
 from radishtally.store.core import Key, Put, Row
+from radishtally.store.ids import WriteIds
 from tests.authority.test_lease import (
     LATE,
     NAMES,
@@ -107,7 +108,7 @@
         self.drop_call()
         self.era = 0
         incarnation = f"{self.core.key.sk}-{time}"
-        self.core = LeaseCore(PLACE, "host", incarnation, TERMS)
+        self.core = LeaseCore(PLACE, "host", WriteIds(incarnation), TERMS)
 
 
 @settings(max_examples=400, stateful_step_count=60)
--- a/tests/authority/test_plans.py
+++ b/tests/authority/test_plans.py
@@ -11,6 +11,7 @@
 from radishtally.authority.plan import Drain, Wanted
 from radishtally.authority.plans import NotHeld, Plans, Superseded
 from radishtally.store.core import Check, Key, Put, Unavailable
+from radishtally.store.ids import WriteIds
 from tests.common import MemoryTable, run
 
 PLACE = "salt-lake"
@@ -45,7 +46,7 @@
 
 @pytest.fixture
 def plans(table: MemoryTable) -> Plans:
-    return Plans(table, "e1", "e1-0", clock_ms=lambda: 1000)
+    return Plans(table, "e1", WriteIds("e1-0"), clock_ms=lambda: 1000)
 
 
 @pytest.fixture
@@ -66,7 +67,7 @@
         table,
         PLACE,
         name,
-        f"{name}-0",
+        WriteIds(f"{name}-0"),
         terms,
         on_gained=lambda fencing: seen.append(f"{name} gained {fencing}"),
         on_lost=lambda cause: seen.append(f"{name} lost: {cause}"),
@@ -213,3 +214,17 @@
         assert entries[1].before["cause"] == "disk"
 
     run(play())
+
+
+# The audit trail misses a plan: one process plans for two places in one millisecond,
+# and both plans have the same number.
+def test_plans_of_two_places_in_one_millisecond_are_both_recorded(
+    table: MemoryTable, plans: Plans, lease: FixedLease
+) -> None:
+    async def play() -> None:
+        assert (await plans.write_plan(PLACE, None, WANTED, "mix", lease)).is_ok()
+        assert (await plans.write_plan("howrah", None, OTHER, "mix", lease)).is_ok()
+        entries = [read_entry(row) for row in (await table.query(AUDIT)).ok]
+        assert {entry.subject for entry in entries} == {PLACE, "howrah"}
+
+    run(play())
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -35,6 +35,7 @@
 from radishtally.claims.store import ClaimStore
 from radishtally.outcome import Error, Ok
 from radishtally.store.core import Invalid, Put, Unavailable, Unclear
+from radishtally.store.ids import WriteIds
 from tests.common import MemoryTable, Rows, run
 
 TERMS = ClaimTerms()
@@ -63,7 +64,7 @@
     """Run one claim core against shared rows."""
 
     def __init__(self, holder: str, rows: Rows) -> None:
-        self.core = ClaimCore(holder, TERMS)
+        self.core = ClaimCore(holder, WriteIds(holder), TERMS)
         self.rows = rows
         self.calls: list[SendGroup | ReadRow] = []
         self.late: list[SendGroup] = []
@@ -424,7 +425,7 @@
 
 def test_waiting_claims_are_bounded() -> None:
     entry = Entry("e1-0", Rows())
-    entry.core = ClaimCore("e1-0", ClaimTerms(waiting=3))
+    entry.core = ClaimCore("e1-0", WriteIds("e1-0"), ClaimTerms(waiting=3))
     for number in range(4):
         ask(entry, number, make_claim(f"r{number}", f"k{number}"))
     assert entry.answers == {3: StoreAway()}
@@ -469,7 +470,10 @@
 
 def test_store_claims_keeps_and_repeats(table: MemoryTable) -> None:
     async def play() -> None:
-        first, second = ClaimStore(table, "e1-0"), ClaimStore(table, "e2-0")
+        first, second = (
+            ClaimStore(table, "e1-0", WriteIds("e1-0")),
+            ClaimStore(table, "e2-0", WriteIds("e2-0")),
+        )
         first.start()
         second.start()
         assert await claim_at(first, "r1") == Granted()
@@ -485,7 +489,7 @@
 @pytest.mark.parametrize("fault", ["lose_replies", "drop_writes"])
 def test_store_settles_an_unclear_claim(table: MemoryTable, fault: str) -> None:
     async def play() -> None:
-        store = ClaimStore(table, "e1-0")
+        store = ClaimStore(table, "e1-0", WriteIds("e1-0"))
         store.start()
         setattr(table, fault, 1)
         assert await claim_at(store, "r1") == Granted()
@@ -498,7 +502,7 @@
 
 def test_store_away_refuses_and_another_request_may_run(table: MemoryTable) -> None:
     async def play() -> None:
-        store = ClaimStore(table, "e1-0", seconds=0.05)
+        store = ClaimStore(table, "e1-0", WriteIds("e1-0"), seconds=0.05)
         store.start()
         table.down = True
         assert await claim_at(store, "r1") == StoreAway()
@@ -519,7 +523,7 @@
     # The caller's connection closes while its claim is on its way. The claim is then
     # granted to nobody; it is taken back, so that the caller's repeat may run.
     async def play() -> None:
-        store = ClaimStore(table, "e1-0")
+        store = ClaimStore(table, "e1-0", WriteIds("e1-0"))
         store.start()
         asking = asyncio.create_task(claim_at(store, "r1"))
         await asyncio.sleep(0)
--- a/tests/entry/test_planning.py
+++ b/tests/entry/test_planning.py
@@ -5,6 +5,7 @@
 from radishtally.authority.plan import Plan
 from radishtally.entry.planning import Parts, PlacePlanning
 from radishtally.outcome import Ok, Result
+from radishtally.store.ids import WriteIds
 from tests.common import run
 
 PLACE = "howrah"
@@ -48,7 +49,15 @@
         plans = SlowPlans()
         planning = PlacePlanning(
             PLACE,
-            Parts("e", "e-1", None, plans, FakeAudit(), None, asyncio.create_task),
+            Parts(
+                "e",
+                WriteIds("e-1"),
+                None,
+                plans,
+                FakeAudit(),
+                None,
+                asyncio.create_task,
+            ),
         )
         planning._lease = lease = FakeLease()
         planning._gained(1)
--- a/tests/integration/test_lease.py
+++ b/tests/integration/test_lease.py
@@ -14,6 +14,7 @@
 from radishtally.authority.plan import Plan, Wanted, follow_plan, make_plan_writes
 from radishtally.authority.plans import NotHeld, Plans
 from radishtally.store.core import ABSENT, Key, Put
+from radishtally.store.ids import WriteIds
 from radishtally.store.table import HttpTable
 from tests.common import StandIn, StartStandIn
 from tests.integration.common import PLACE, run
@@ -33,12 +34,12 @@
     def __init__(self, name: str, network: Network, address: str) -> None:
         url = f"http://{network.add(name, 'table', address)}"
         self.table = HttpTable(url, TABLE)
-        self.plans = Plans(self.table, name, name)
+        self.plans = Plans(self.table, name, WriteIds(name))
         self.lease = LeaseHolder(
             self.table,
             PLACE,
             name,
-            name,
+            WriteIds(f"{name}-lease"),
             TERMS,
             on_gained=lambda _: None,
             on_lost=lambda _: None,
--- a/tests/stages/test_keeper.py
+++ b/tests/stages/test_keeper.py
@@ -19,6 +19,7 @@
 )
 from radishtally.stages.core import Change
 from radishtally.stages.keeper import StageKeeper
+from radishtally.store.ids import WriteIds
 from tests.common import MemoryTable, run
 
 
@@ -231,7 +232,12 @@
         engines = [make_instance(0, PREFILL), *map(make_instance, range(1, 4))]
         orders, clock = FencedOrders("e3", seen=9), Clock()
         lease = LeaseHolder(
-            MemoryTable(), "stages", "g", "g-1", on_gained=print, on_lost=print
+            MemoryTable(),
+            "stages",
+            "g",
+            WriteIds("g-1"),
+            on_gained=print,
+            on_lost=print,
         )
         lease.start()
         keeper = StageKeeper("g", orders, lambda: engines, lease, give_rate, clock)
@@ -253,7 +259,13 @@
     async def play_on() -> list[int]:
         orders, clock, table = FakeOrders(OrderOutcome.TAKEN), Clock(), MemoryTable()
         lease = LeaseHolder(
-            table, "stages", "g", "g-1", on_gained=print, on_lost=print, clock=clock
+            table,
+            "stages",
+            "g",
+            WriteIds("g-1"),
+            on_gained=print,
+            on_lost=print,
+            clock=clock,
         )
         keeper = StageKeeper("g", orders, lambda: [ENGINE], lease, give_rate, clock)
         lease.start()
