--- a/radishtally/authority/holder.py
+++ b/radishtally/authority/holder.py
@@ -4,19 +4,20 @@
 import time
 from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import Final
+from typing import Final, TypedDict
 
 from eliot import log_message
 
-from radishtally.authority.lease import (
+from radishtally.authority.lease import LeaseCore
+from radishtally.authority.lease_events import (
     Command,
     Contend,
     EraEntered,
     Event,
     Gained,
-    LeaseCore,
     LeaseTerms,
     LostLease,
+    Misread,
     Outdated,
     ReadFailed,
     ReadLease,
@@ -39,6 +40,17 @@
 RESIGN_SECONDS: Final = 1.0
 
 
+class LeaseState(TypedDict):
+    """Describe a lease as one process knows it."""
+
+    holds_lease: bool
+    fencing: int | None
+    holder: str | None
+    """Holder that the row named at the last look, whether or not it still holds."""
+    seconds_since_look: float | None
+    """Age of that look, or of this process's own last write."""
+
+
 class LeaseHolder(CoreDriver):
     """Drive the lease of one place for this process."""
 
@@ -84,6 +96,19 @@
         wanted = least * contenders / READERS
         self._core.read_every = min(max(least, wanted), longest)
 
+    def describe(self) -> LeaseState:
+        """Tell what this process believes of the lease, and how old that is."""
+        now, row = self._clock(), self._core.row
+        holds = self._core.holds(now)
+        return LeaseState(
+            holds_lease=holds,
+            fencing=self._core.fencing if holds else None,
+            holder=None if row.value is None else row.value["holder"],
+            seconds_since_look=(
+                None if row.looked_at is None else round(now - row.looked_at, 3)
+            ),
+        )
+
     def contend(self, contends: bool) -> None:
         """Take whether to look at the lease while another one holds it."""
         self._handle(Contend(contends))
@@ -147,6 +172,10 @@
     def _(self, command: LostLease) -> None:
         self._on_lost(command.cause)
 
+    @_execute.register
+    def _(self, command: Misread) -> None:
+        log_message("lease:misread", place=self._core.key.sk, fault=command.fault)
+
     @_execute.register
     def _(self, command: WakeAt) -> None:
         self._wake_at(command.time)
--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -10,143 +10,34 @@
 """
 
 from functools import singledispatchmethod
-from typing import Final, NamedTuple, NotRequired, TypedDict
-
-from radishtally.outcome import Result
-from radishtally.store.core import (
-    ABSENT,
-    Check,
-    Conflict,
-    Key,
-    Put,
-    Row,
-    TableError,
-    Unavailable,
+from typing import Final, NamedTuple
+
+from radishtally.authority.lease_events import (
+    LEASE,
+    RELEASED,
+    Command,
+    Contend,
+    EraEntered,
+    Event,
+    Gained,
+    LeaseTerms,
+    LeaseValue,
+    LostLease,
+    Misread,
+    Outdated,
+    ReadFailed,
+    ReadLease,
+    Resign,
+    RowRead,
+    Tick,
+    WakeAt,
+    WriteLease,
+    WriteSettled,
 )
+from radishtally.authority.lease_row import LeaseRow
+from radishtally.store.core import Check, Conflict, Key, Put, Unavailable
 from radishtally.store.ids import WriteIds
 
-LEASE: Final = "lease"
-RELEASED: Final = 0.0
-"""Seconds granted by a row whose holder has given the lease up."""
-ERA_SHIFT: Final = 32
-"""Bits of a fencing number below its era: with it, the numbers that an era may need and
-the eras that there may be are two million and more, and both fit in a JSON number."""
-
-
-class LeaseTerms(NamedTuple):
-    """Set the times of a lease, in seconds."""
-
-    granted: float = 10.0
-    margin: float = 1.0
-    """Covers clocks that run at different rates, on either side."""
-    renew_every: float = 3.0
-    read_every: float = 1.0
-
-
-class LeaseValue(TypedDict):
-    """Hold what the lease row says."""
-
-    holder: str
-    incarnation: str
-    fencing: int
-    granted: float
-    counter: int
-    era: NotRequired[int]
-    """Newest era that the writer knew of; absent counts as 0."""
-
-
-class Tick(NamedTuple):
-    """Let time pass."""
-
-
-class RowRead(NamedTuple):
-    """Give the lease row as it stands."""
-
-    row: Row | None
-    asked_at: float
-
-
-class ReadFailed(NamedTuple):
-    """Say that the lease row could not be read."""
-
-
-class WriteSettled(NamedTuple):
-    """Give the outcome of a lease write."""
-
-    write_id: str
-    outcome: Result[None, TableError]
-
-
-class Resign(NamedTuple):
-    """Ask to give the lease up for good."""
-
-
-class Contend(NamedTuple):
-    """Say whether to look at the lease while another one holds it."""
-
-    contends: bool
-
-
-class Outdated(NamedTuple):
-    """Say that an order was refused, as a higher fencing number has been used."""
-
-    fencing: int
-
-
-class EraEntered(NamedTuple):
-    """Say that the store answers from a new era, or that its era was seen first.
-
-    Calls that are under way are over with it: their outcomes are not to be given.
-    """
-
-    era: int
-
-
-Event = (
-    Tick
-    | RowRead
-    | ReadFailed
-    | WriteSettled
-    | Resign
-    | Contend
-    | Outdated
-    | EraEntered
-)
-
-
-class ReadLease(NamedTuple):
-    """Read the lease row."""
-
-    key: Key
-
-
-class WriteLease(NamedTuple):
-    """Write the lease row."""
-
-    put: Put
-    write_id: str
-
-
-class Gained(NamedTuple):
-    """Say that the lease is held from now on."""
-
-    fencing: int
-
-
-class LostLease(NamedTuple):
-    """Say that the lease is no longer held."""
-
-    cause: str
-
-
-class WakeAt(NamedTuple):
-    """Ask for a Tick."""
-
-    time: float
-
-
-Command = ReadLease | WriteLease | Gained | LostLease | WakeAt
-
 
 class _Sent(NamedTuple):
     """Remember a write that may stand."""
@@ -168,15 +59,12 @@
         self, place: str, holder: str, ids: WriteIds, terms: LeaseTerms
     ) -> None:
         self.key: Final = Key(LEASE, place)
-        self._holder = holder
-        self._ids = ids
         self.terms = terms
         self.read_every = terms.read_every
         """Seconds between two looks at a lease that another one holds."""
-        self._row: Row | None = None
-        self._row_since = 0.0
-        self._seen = False
-        self._known = False
+        self.row = LeaseRow(self.key, terms.granted)
+        self._holder = holder
+        self._ids = ids
         self._held: _Held | None = None
         self._sent: dict[str, _Sent] = {}
         self._counter = 0
@@ -184,10 +72,7 @@
         self._read_at = float("-inf")
         self._retry_at = float("-inf")
         self._highest = 0
-        self._era = 0
         self._entered_at = float("-inf")
-        self._longest = terms.granted
-        self._top = 0
         self._resigned = False
         self._contends = True
 
@@ -206,13 +91,13 @@
 
     def make_check(self, now: float) -> Check | None:
         """Form the check that binds a transaction to the lease as held now."""
-        if not self.holds(now) or self._row is None:
+        if not self.holds(now) or self.row.row is None:
             return None
-        return Check(self.key, self._row.rev)
+        return Check(self.key, self.row.rev)
 
     def handle(self, event: Event, now: float) -> list[Command]:
         """Take one event and give the commands that follow."""
-        self._longest = max(self._longest, self.terms.granted)
+        self.row.allow(self.terms.granted)
         commands = self._expire(now)
         commands += self._take(event, now)
         return commands + self._proceed(now)
@@ -242,9 +127,9 @@
         if event.asked_at < self._entered_at:
             return []
         self._busy = False
-        if event.row is not None and event.row.era < self._era:
+        if event.row is not None and event.row.era < self.row.era:
             return []
-        return self._see(event.row, now)
+        return self._see(event, now)
 
     @_take.register
     def _(self, event: WriteSettled, now: float) -> list[Command]:
@@ -263,8 +148,7 @@
             # The conflict may be with an earlier write of our own whose reply was
             # lost; only the row tells.
             del self._sent[event.write_id]
-        self._known = False
-        self._read_at = float("-inf")
+        self._look_again()
         return []
 
     @_take.register
@@ -276,7 +160,7 @@
         fencing = self._held.fencing
         self._held = None
         lost: list[Command] = [LostLease("resigned")]
-        if self._busy or not self._known:
+        if self._busy or not self.row.is_current:
             return lost
         return [*lost, self._write(fencing, RELEASED, now)]
 
@@ -284,8 +168,7 @@
     def _(self, event: Contend, now: float) -> list[Command]:
         if event.contends and not self._contends:
             # The row may have been renewed meanwhile: only a new look tells.
-            self._known = False
-            self._read_at = float("-inf")
+            self._look_again()
         self._contends = event.contends
         return []
 
@@ -301,7 +184,7 @@
 
     @_take.register
     def _(self, event: EraEntered, now: float) -> list[Command]:
-        if event.era <= self._era:
+        if event.era <= self.row.era:
             return []
         # Failure: the row of the last holder is lost, and an older one stands that is
         # released, one's own or none. Symptom: a second holder gives orders. What is
@@ -309,45 +192,42 @@
         # whoever held it has written before, so that one's time ends first. A process
         # that has just started can't tell its first sight of an era from a restore,
         # so the first holder of all also waits that long where the store tells eras.
-        self._era = event.era
+        self.row.enter_era(event.era)
         self._entered_at = now
         self._sent.clear()
-        self._seen = self._known = self._busy = False
-        self._read_at = float("-inf")
+        self._busy = False
+        self._look_again()
         if self._held is None:
             return []
         self._held = None
         return [LostLease("store restored")]
 
-    def _see(self, row: Row | None, now: float) -> list[Command]:
+    def _look_again(self) -> None:
+        """Read the row before anything is written."""
+        self.row.is_current = False
+        self._read_at = float("-inf")
+
+    def _see(self, event: RowRead, now: float) -> list[Command]:
         """Take over what the table shows."""
+        row = event.row
         if row is not None and row.write_id in self._sent:
             return self._adopt(row.write_id, now)
-        unchanged = self._seen and _identify(row) == _identify(self._row)
-        if not unchanged:
-            # Counted from when the row was seen, not from when it was asked for: its
-            # writer sent it before that, so its writer's time ends first.
-            self._row_since = now
-            self._row = row
-            self._sent.clear()
-            if row is not None:
-                self._longest = max(self._longest, row.value["granted"])
-                self._top = max(self._top, row.value["fencing"])
-        self._seen = True
-        self._known = True
-        if unchanged or self._held is None:
+        gap = self.read_every + self.terms.margin
+        if not self.row.see(row, event.asked_at, now, gap):
             return []
-        self._held = None
-        return [LostLease("taken over")]
+        self._sent.clear()
+        commands: list[Command] = []
+        if self.row.fault is not None:
+            commands.append(Misread(self.row.fault))
+        if self._held is not None:
+            self._held = None
+            commands.append(LostLease("taken over"))
+        return commands
 
     def _adopt(self, write_id: str, now: float) -> list[Command]:
         """Count a write of our own as done."""
         sent = self._sent[write_id]
-        rev = _get_rev(self._row) + 1
-        self._row = Row(self.key, rev, write_id, dict(sent.value), self._era)
-        self._row_since = now
-        self._top = max(self._top, sent.value["fencing"])
-        self._known = True
+        self.row.write(self.row.rev + 1, write_id, sent.value, now)
         self._sent.clear()
         return self._hold(sent, now)
 
@@ -375,8 +255,8 @@
             return lapsed if self._held is None else [WakeAt(self._held.until)]
         if self._held is None and not self._contends:
             return lapsed
-        if self._known and self._may_write(now):
-            write = self._write(self._next_fencing(), self.terms.granted, now)
+        if self.row.is_current and self._may_write(now):
+            write = self._write(self._find_number(), self.terms.granted, now)
             return [*lapsed, write]
         if now >= self._next_read():
             self._busy = True
@@ -389,35 +269,15 @@
             return False
         if self._held is not None:
             return now >= self._held.renew_at
-        return now >= self._take_over_at()
-
-    def _take_over_at(self) -> float:
-        if self._get_row_era() != self._era:
-            return self._row_since + self._longest + self.terms.margin
-        if self._row is None:
-            return float("-inf")
-        granted = self._row.value["granted"]
-        ours = self._row.value["incarnation"] == self._ids.incarnation
-        if ours or granted == RELEASED:
-            return float("-inf")
-        return self._row_since + granted + self.terms.margin
-
-    def _get_row_era(self) -> int:
-        return 0 if self._row is None else self._row.value.get("era", 0)
-
-    def _next_fencing(self) -> int:
+        return self.row.may_take_over(self._ids.incarnation, self.terms.margin)
+
+    def _find_number(self) -> int:
         if self._held is not None:
             return self._held.fencing
-        # The row that counts the numbers goes back with the store: hosts would be given
-        # one that they have seen from another holder. An era is never given out again,
-        # and in it the row's count of writes rises, also where a late write of an
-        # earlier era has replaced the row by which its holder's number was known.
-        if not self._era:
-            return self._top + 1
-        return max(self._top, (self._era << ERA_SHIFT) + _get_rev(self._row)) + 1
+        return self.row.find_number()
 
     def _next_read(self) -> float:
-        if self._known and self._held is not None:
+        if self.row.is_current and self._held is not None:
             return float("inf")
         return self._read_at + self.read_every
 
@@ -436,18 +296,8 @@
             fencing=fencing,
             granted=granted,
             counter=self._counter,
-            era=self._era,
+            era=self.row.era,
         )
         self._sent[write_id] = _Sent(now, value)
         self._busy = True
-        return WriteLease(Put(self.key, dict(value), _get_rev(self._row)), write_id)
-
-
-def _get_rev(row: Row | None) -> int:
-    return ABSENT if row is None else row.rev
-
-
-def _identify(row: Row | None) -> tuple[int, str]:
-    # The count of writes alone goes back with a restored store and is given again to
-    # another content: a lease that is renewed would seem to stand. No write id is.
-    return (ABSENT, "") if row is None else (row.rev, row.write_id)
+        return WriteLease(Put(self.key, dict(value), self.row.rev), write_id)
--- a/radishtally/entry/planning.py
+++ b/radishtally/entry/planning.py
@@ -95,7 +95,7 @@
 
     def describe(self) -> dict[str, Any]:
         """Tell whether this entry plans for its place."""
-        return {"holds_lease": self._lease.holds(), "fencing": self._lease.fencing}
+        return dict(self._lease.describe())
 
     def describe_host(self, host: str) -> dict[str, Any] | None:
         """Tell what the last plan known here wants of a host."""
--- a/radishtally/gateway/bounds.py
+++ b/radishtally/gateway/bounds.py
@@ -3,7 +3,9 @@
 import msgspec
 from xxhash import xxh32_intdigest
 
-from radishtally.authority.lease import LeaseTerms
+from radishtally.authority.lease_events import (
+    LeaseTerms,
+)
 from radishtally.gateway.config import Bounds
 from radishtally.gateway.const import (
     GATHER_MARGIN,
--- a/tests/authority/test_lease_retaken.py
+++ b/tests/authority/test_lease_retaken.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from radishtally.authority.lease import Contend, LeaseCore, Resign, Tick
+from radishtally.authority.lease import LeaseCore
+from radishtally.authority.lease_events import (
+    Contend,
+    Resign,
+    Tick,
+)
 from radishtally.store.ids import WriteIds
 from tests.authority.test_lease import (
     LATE,
--- a/tests/gateway/test_restore.py
+++ b/tests/gateway/test_restore.py
@@ -1,6 +1,9 @@
 """A gateway whose store comes back from an older copy, whole."""
 
-from radishtally.authority.lease import LEASE, LeaseTerms
+from radishtally.authority.lease_events import (
+    LEASE,
+    LeaseTerms,
+)
 from radishtally.gateway.const import STAGES
 from radishtally.gateway.register import GATEWAYS
 from radishtally.store.core import Key
--- a/tests/integration/test_planner_changes.py
+++ b/tests/integration/test_planner_changes.py
@@ -1,18 +1,29 @@
 """Test which entry plans for a place where entries stall, leave and come back."""
 
+import time
 from typing import Any, Final
 
+import pytest
+
 from bench.fleet import Fleet
 from radishtally.entry.places import find_contenders
 from tests.integration.common import (
     PLACE,
+    ROLES_FILE,
+    configure,
     find_planner,
+    has_role,
     make_fleet,
+    make_roles,
+    read_engine,
     read_log,
+    read_plan,
     set_fault,
 )
 
 ENTRIES: Final = 4
+STALL_SECONDS: Final = 14.0
+"""Longer than a lease and its margin together."""
 
 
 def find_lines(fleet: Fleet, entry: str, kind: str) -> list[dict[str, Any]]:
@@ -80,3 +91,61 @@
         fleet.wait_until(lambda: find_planner(fleet) is not None, "a planner")
         numbers = list_gained(fleet)
         assert len(numbers) == len(set(numbers)) == len(gained) + 1
+
+
+def stall(fleet: Fleet, *entries: str) -> None:
+    """Pause entries for longer than a lease lasts; they go on in the given order."""
+    for entry in entries:
+        fleet.pause(entry)
+    until = time.monotonic() + STALL_SECONDS
+    fleet.wait_until(lambda: time.monotonic() > until, "the stall to end")
+    for entry in entries:
+        fleet.resume(entry)
+        assert fleet.status(entry), "an answer shows that it goes on"
+
+
+# Roles stand still and planners change for nothing: a contender that stalled together
+# with the holder takes over as it wakes, from one that lives and is as quick to renew.
+def test_planner_stays_where_it_is_when_all_entries_stall() -> None:
+    with make_fleet() as fleet:
+        fleet.wait_until(lambda: find_planner(fleet) is not None, "a planner")
+        old = find_planner(fleet)
+        [other] = fleet.entries.keys() - {old}
+        fleet.wait_until(lambda: is_planning(fleet, other), "the other to contend")
+        stall(fleet, other, old)
+        fleet.wait_until(lambda: find_planner(fleet) is not None, "a planner")
+        assert find_planner(fleet) == old
+        assert find_lines(fleet, other, "lease:gained") == []
+
+
+# Engines get one order twice, or the old role again: a planner that was paused takes
+# the lease back by right while its successor stalls, and still has its plan of before.
+@pytest.mark.parametrize("checks_fencing", [True, False])
+def test_planner_that_is_back_by_right_orders_nothing_of_its_old_plan(
+    checks_fencing: bool,
+) -> None:
+    servers = {"upstreams": {"gown-llm": {"checks_fencing": checks_fencing}}}
+    with make_fleet(files={"62-fencing.json": servers}) as fleet:
+        fleet.wait_until(lambda: find_planner(fleet) is not None, "a planner")
+        old = find_planner(fleet)
+        [other] = fleet.entries.keys() - {old}
+        fleet.pause(old)
+        configure(fleet, {ROLES_FILE: make_roles(gown_1="decode")}, other)
+        fleet.wait_until(lambda: has_role(fleet, "gown-1", "decode"), "the change")
+        plan = read_plan(fleet)
+        fleet.resume(old)
+        fleet.pause(other)
+        gained = len(find_lines(fleet, old, "lease:gained"))
+        fleet.wait_until(
+            lambda: len(find_lines(fleet, old, "lease:gained")) > gained,
+            "the old planner to take over",
+        )
+        fleet.resume(other)
+        assert find_planner(fleet) == old
+        assert not fleet.status(other)["planner"][PLACE]["holds_lease"]
+        numbers = list_gained(fleet)
+        assert len(numbers) == len(set(numbers))
+        assert read_plan(fleet) == plan
+        orders = read_engine(fleet, "gown-1")["orders"]
+        assert [order["role"] for order in orders] == ["decode"]
+        assert orders[0]["fencing"] == plan.fencing
