--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -81,6 +81,7 @@
                 self.process.spawn,
             )
         )
+        self.process.describe_beliefs = lambda: {"leases": self.planning.describe()}
         self.watcher = Watcher(self)
         self._started: dict[str, float] = {}
         self._closed = False
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import time
+from typing import Any
 
 import msgspec
 from eliot import log_message
@@ -72,6 +73,8 @@
         self.placement = placement
         self.replies = Replies()
         self.metrics = GatewayMetrics()
+        self.runtime.on_stall = self.metrics.note_stall
+        self.runtime.describe_beliefs = self._describe_beliefs
         self._gateways: int | None = None
         """Gateways that share the retries, once they are listed."""
         self.core = EntryCore(
@@ -145,6 +148,13 @@
         log_message("gateway:stopped", open=len(self.replies))
         self.runtime.exit()
 
+    def _describe_beliefs(self) -> dict[str, Any]:
+        configuration = self.router.configuration
+        return {
+            "lease": self.lease.describe(),
+            "version": None if configuration is None else configuration.version,
+        }
+
     async def _leave(self) -> None:
         """Leave in good order: red to the balancer, then out when nothing is open."""
         log_message("gateway:leaving", open=len(self.replies))
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -15,6 +15,7 @@
 from radishtally.direct.doubts import Doubt
 from radishtally.gateway.endings import Ending
 from radishtally.gateway.requests import Routed
+from radishtally.stalls import Stall
 
 CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 LATENCY_BUCKETS: Final = (
@@ -108,6 +109,16 @@
             "Version of the configuration in force, 0 before the first one",
             registry=self._registry,
         )
+        self._stalls = Counter(
+            "radishtally_stalls",
+            "Times in which the process was not run, or kept its loop busy",
+            registry=self._registry,
+        )
+        self._stalled = Counter(
+            "radishtally_stalled_seconds",
+            "Seconds of these times",
+            registry=self._registry,
+        )
         self._restores = Counter(
             "radishtally_store_restores",
             "Times that the store came back from an older copy",
@@ -151,6 +162,11 @@
         """Take how many entries of the list can't be read."""
         self._unreadable.set(count)
 
+    def note_stall(self, stall: Stall) -> None:
+        """Count a time in which the loop did not run."""
+        self._stalls.inc()
+        self._stalled.inc(stall.seconds)
+
     def note_restore(self) -> None:
         """Count that the store came back from an older copy."""
         self._restores.inc()
--- a/radishtally/process.py
+++ b/radishtally/process.py
@@ -20,6 +20,7 @@
 from radishtally.metrics import make_metrics
 from radishtally.runtime import Runtime
 from radishtally.settings.config import Settings
+from radishtally.stalls import Stall
 from radishtally.store.hostlist import HttpHostList
 from radishtally.store.ids import WriteIds
 from radishtally.store.objects import HttpObjects
@@ -40,6 +41,7 @@
         self.host_list = HttpHostList(settings.host_list.url)
         self.audit = AuditLog(self.table)
         self.metrics = make_metrics(settings.statsd, settings.host)
+        self.on_stall = self._count_stall
         self.on_configuration: Callable[[], None] = lambda: None
 
     def make_hub(self, callbacks: Callbacks) -> LinkHub:
@@ -59,6 +61,10 @@
             await client.close()
         self.exit()
 
+    def _count_stall(self, stall: Stall) -> None:
+        self.metrics.incr("stalls")
+        self.metrics.timing("stalled", stall.seconds * 1000)
+
     def handle_shared(self, host: str, message: Message) -> bool:
         """Take a message that means the same in every role; tell whether it was one."""
         if isinstance(message, Hello | Ping | Pong):
--- a/radishtally/runtime.py
+++ b/radishtally/runtime.py
@@ -11,6 +11,8 @@
 
 from eliot import log_message
 
+from radishtally.stalls import Stall, watch_stalls
+
 EXIT_BROKEN: Final = 4
 """Exit code after a broken invariant."""
 PACKAGE: Final = str(Path(__file__).parent)
@@ -31,6 +33,9 @@
     def __init__(self) -> None:
         self.stopping = asyncio.Event()
         self.broken = False
+        self.on_stall: Callable[[Stall], None] = lambda _: None
+        self.describe_beliefs: Callable[[], dict[str, Any]] = dict
+        """Tell what this process believes that a stall may have made untrue."""
         self._tasks: set[asyncio.Task] = set()
 
     def watch_loop(self) -> None:
@@ -39,6 +44,7 @@
         loop.set_exception_handler(self._take_loop_error)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
+        self.spawn(watch_stalls(self._take_stall, read_boot_clock))
 
     def on_hangup(self, callback: Callable[[], None]) -> None:
         """Call back when the settings are to be read again."""
@@ -55,6 +61,10 @@
         task.add_done_callback(self._finish)
         return task
 
+    def _take_stall(self, stall: Stall) -> None:
+        log_message("process:stalled", **stall._asdict(), **self.describe_beliefs())
+        self.on_stall(stall)
+
     def _finish(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
--- a/tests/integration/test_planner_changes.py
+++ b/tests/integration/test_planner_changes.py
@@ -104,6 +104,15 @@
         assert fleet.status(entry), "an answer shows that it goes on"
 
 
+def has_told_stall(fleet: Fleet, entry: str) -> bool:
+    """Tell whether an entry has logged that it was not run for as long as it was."""
+    return any(
+        line["seconds"] > STALL_SECONDS - 1 and PLACE in line["leases"]
+        for line in read_log(fleet, entry)
+        if line.get("message_type") == "process:stalled"
+    )
+
+
 # Roles stand still and planners change for nothing: a contender that stalled together
 # with the holder takes over as it wakes, from one that lives and is as quick to renew.
 def test_planner_stays_where_it_is_when_all_entries_stall() -> None:
@@ -116,6 +125,8 @@
         fleet.wait_until(lambda: find_planner(fleet) is not None, "a planner")
         assert find_planner(fleet) == old
         assert find_lines(fleet, other, "lease:gained") == []
+        for entry in fleet.entries:
+            fleet.wait_until(lambda e=entry: has_told_stall(fleet, e), "it to be told")
 
 
 # Engines get one order twice, or the old role again: a planner that was paused takes
