--- a/soak/faults.py
+++ b/soak/faults.py
@@ -113,6 +113,16 @@
         await fleet.restart_gateway(gateway, number)
 
 
+async def _stall_gateways(fleet: Fleet, fault: Fault, name: str) -> None:
+    """Pause all gateways at once: holder and contenders of the lease wake together."""
+
+    async def stall(gateway: Gateway) -> None:
+        with fleet.trouble.mark(gateway.name):
+            await _pause(fleet, gateway, fault.seconds)
+
+    await asyncio.gather(*map(stall, fleet.gateways))
+
+
 async def _pause(fleet: Fleet, gateway: Gateway, seconds: float) -> None:
     fleet.signal_gateway(gateway, signal.SIGSTOP)
     await asyncio.sleep(seconds)
@@ -251,4 +261,5 @@
     "engine": _disturb_answers,
     "configure": _configure,
     "spoil": _spoil_runs,
+    "stall": _stall_gateways,
 }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -12,6 +12,12 @@
 SPOIL: Final = "spoil_runs"
 """Kind of the series that all engines show at once, so that one stream meets several
 faults. It is drawn apart: what a seed named before it names still."""
+STALL: Final = "stall_gateways"
+"""Kind of the pauses of all gateways at once, drawn apart as well."""
+STALL_EVERY: Final = 30.0
+"""Seconds of a schedule for each such pause; a shorter one has none."""
+STALL_LASTING: Final = (7.0, 10.0)
+"""Shortest and longest pause in seconds: longer than their lease and its margin."""
 FEWEST_SERIES: Final = 8
 GAPS: Final = (0.02, 0.3, 1.5)
 """Seconds between the faults of a burst."""
@@ -43,11 +49,21 @@
     faults = [fault for kind in kinds for fault in _make_series(kind, seconds, chance)]
     if spoils:
         faults += _make_series(SPOIL, seconds, random.Random(f"{SPOIL} {seed}"))
+    faults += _make_stalls(seconds, random.Random(f"{STALL} {seed}"))
     # What comes to a host that left can be judged only once the store is left in peace.
     last = Fault(seconds, "host_leave", chance.randrange(TARGETS), 0.0, 0)
     return [*sorted(faults), last]
 
 
+def _make_stalls(seconds: float, chance: random.Random) -> list[Fault]:
+    count = int(seconds // STALL_EVERY)
+    starts = sorted(chance.uniform(0.0, seconds) for _ in range(count))
+    return [
+        Fault(round(at, 3), STALL, 0, round(chance.uniform(*STALL_LASTING), 3), 0)
+        for at in starts
+    ]
+
+
 def _make_series(kind: str, seconds: float, chance: random.Random) -> list[Fault]:
     pause = chance.uniform(*PAUSES)
     at = chance.uniform(0.0, pause)
--- a/tests/authority/test_lease_model.py
+++ b/tests/authority/test_lease_model.py
@@ -34,6 +34,7 @@
 QUIET_SECONDS: Final = 2 * (LONG_TERMS.granted + LONG_TERMS.margin) + 4.0
 """Time in which a place has a planner again: a lease that stands is waited out, once
 more where what was watched does not count, and a few looks are made."""
+CALLS_A_SECOND: Final = 3
 
 names = st.sampled_from(NAMES)
 places = st.sampled_from(PLACES)
@@ -216,6 +217,55 @@
     )
     def run_some(self, awake: list[str], seconds: int) -> None:
         """Let some processes run undisturbed while the others stall."""
+        self.run_seconds(awake, seconds)
+
+    @rule(place=places, name=names, other=names, seconds=st.sampled_from([1, 3, 9]))
+    def come_back_to_lost_writes(
+        self, place: str, name: str, other: str, seconds: int
+    ) -> None:
+        """Drop a contender whose lease has lapsed, and take it back too soon.
+
+        The table shows it the lease, and loses what it writes.
+        """
+        slot = self.processes[name].slots.get(place)
+        if slot is None:
+            return
+        if slot.holds(self.time):
+            self.time += TERMS.granted
+        if slot.holds(self.time):
+            return
+        self.end(slot)
+        self.take_up(name, place)
+        for _ in range(seconds):
+            self.time += 1.0
+            self.lose_writes(self.processes[name].slots[place])
+            self.run_second([] if other == name else [other])
+
+    def lose_writes(self, slot: Slot) -> None:
+        slot.handle(Tick(), self.time)
+        for _ in range(CALLS_A_SECOND):
+            if slot.call is None:
+                return
+            fate = LATE if isinstance(slot.call, WriteLease) else SERVED
+            slot.serve(fate, self.time)
+            slot.deliver(self.time)
+
+    @rule(place=places, name=names, other=names, seconds=st.sampled_from([3, 9, 12]))
+    def stall_in_call(self, place: str, name: str, other: str, seconds: int) -> None:
+        """Stall a process between a call and its reply, while another one runs."""
+        slot = self.processes[name].slots.get(place)
+        if slot is None or other == name:
+            return
+        if slot.holds(self.time):
+            self.time += TERMS.renew_every
+        slot.handle(Tick(), self.time)
+        if slot.call is not None:
+            slot.serve(SERVED, self.time)
+        self.run_seconds([other], seconds)
+        slot.deliver(self.time)
+        self.run_seconds([other], round(TERMS.renew_every))
+
+    def run_seconds(self, awake: list[str], seconds: int) -> None:
         for _ in range(seconds):
             self.run_second(awake)
 
@@ -228,8 +278,7 @@
                 if place not in slots:
                     self.take_up(name, place)
                 slots[place].handle(Contend(True), self.time)
-        for _ in range(round(QUIET_SECONDS)):
-            self.run_second(awake)
+        self.run_seconds(awake, round(QUIET_SECONDS))
         for place in PLACES:
             held = [slot for slot in self.list_slots(place) if slot.holds(self.time)]
             assert held, f"nobody plans for {place}"
