--- a/radishtally/entry/planning.py
+++ b/radishtally/entry/planning.py
@@ -16,6 +16,7 @@
 from radishtally.links.messages import Hint, Load
 from radishtally.planner import core as planner
 from radishtally.planner.core import Planner, Pool, handle
+from radishtally.runtime import read_boot_clock
 from radishtally.store.core import Table
 from radishtally.store.ids import WriteIds
 
@@ -52,6 +53,7 @@
             parts.write_ids,
             on_gained=self._gained,
             on_lost=self._lost,
+            clock=read_boot_clock,
         )
 
     @property
--- a/tests/entry/test_planning.py
+++ b/tests/entry/test_planning.py
@@ -1,12 +1,13 @@
 """Tests of planning for a place while its lease comes and goes."""
 
 import asyncio
+import time
 
 from radishtally.authority.plan import Plan
 from radishtally.entry.planning import Parts, PlacePlanning
 from radishtally.outcome import Ok, Result
 from radishtally.store.ids import WriteIds
-from tests.common import run
+from tests.common import MemoryTable, run
 
 PLACE = "howrah"
 
@@ -75,3 +76,32 @@
         assert planning._planner.fencing == 2
 
     run(play())
+
+
+# Two planners order roles: the machine of one was suspended past the end of its lease,
+# and the usual steady clock stood still meanwhile.
+def test_lease_does_not_outlast_a_suspended_machine(monkeypatch) -> None:
+    async def play() -> None:
+        now = 100.0
+        monkeypatch.setattr(time, "clock_gettime", lambda _: now)
+        plans = SlowPlans()
+        planning = PlacePlanning(
+            PLACE,
+            Parts(
+                "e",
+                WriteIds("e-1"),
+                MemoryTable(),
+                plans,
+                FakeAudit(),
+                None,
+                asyncio.create_task,
+            ),
+        )
+        planning.start()
+        while not planning.holds_lease:
+            await asyncio.sleep(0)
+        now += 3600.0
+        assert not planning.holds_lease
+        await planning.stop()
+
+    run(play())
