--- a/tests/authority/test_lease_eras.py
+++ b/tests/authority/test_lease_eras.py
@@ -304,6 +304,24 @@
     assert not second.holds(start + 9.0)
 
 
+# Two processes give orders: the row was taken over and came back between two looks of
+# another contender, which has watched it all the while as far as it can tell.
+def test_row_that_came_back_between_two_looks_has_not_stood(rows, contend) -> None:
+    first, second = contend("a"), contend("b")
+    rows.apply([make_put("c", 1, 0)], "c-1-1")
+    rows.copy()
+    for half in range(22):
+        first.step(half / 2)
+        second.step(half / 2)
+    first.step(11.0)
+    assert first.holds(11.0)
+    rows.restore()
+    second.step(11.5)
+    run_until(second, 12.0, 16.0)
+    assert first.holds(16.0)
+    assert not second.holds(16.0)
+
+
 # Two processes give orders: a contender has watched a row for long enough and is paused
 # before it takes the lease over. The store is restored meanwhile, and the row renewed.
 def test_watch_of_an_earlier_era_is_not_gone_by(rows, contend) -> None:
--- a/tests/authority/test_lease_model.py
+++ b/tests/authority/test_lease_model.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -329,3 +330,66 @@
 TestLeaseModel.settings = BOUNDS
 TestRestoredLeaseModel = RestoredLeaseModel.TestCase
 TestRestoredLeaseModel.settings = BOUNDS
+
+
+@pytest.fixture(params=[LeaseModel, RestoredLeaseModel])
+def model(request: pytest.FixtureRequest) -> LeaseModel:
+    """Give a model in which one process plans for both places, watched by another."""
+    model = request.param()
+    while not all(model.gained.values()):
+        model.run_seconds(["a"], 1)
+    model.run_second(["b"])
+    return model
+
+
+# Two planners under one number: the one that came back took its old row for a write
+# that was lost, and whoever takes over by right is given the same number.
+@pytest.mark.parametrize("seconds", [1, 3])
+def test_numbers_rise_past_one_that_came_back_to_lost_writes(model, seconds) -> None:
+    model.come_back_to_lost_writes("salt-lake", "a", "b", seconds)
+    model.run_seconds(["b"], round(QUIET_SECONDS))
+    [held] = [slot for slot in model.list_slots("salt-lake") if slot.holds(model.time)]
+    assert held is model.processes["b"].slots["salt-lake"]
+
+
+# Two planners: the one whose renewal was answered late counts its time from the answer.
+@pytest.mark.parametrize("seconds", [3, 9, 12])
+def test_one_that_stalled_in_its_renewal_holds_for_no_longer(model, seconds) -> None:
+    model.stall_in_call("salt-lake", "a", "b", seconds)
+    model.run_seconds(["b"], round(QUIET_SECONDS))
+    model.check_one_holder()
+    assert any(slot.holds(model.time) for slot in model.list_slots("salt-lake"))
+
+
+# Two planners: the reply to the first write of a lease came late, and the lease was
+# counted from the reply.
+def test_one_that_stalled_as_it_took_over_holds_for_no_longer() -> None:
+    model = LeaseModel()
+    slot = model.processes["a"].slots["salt-lake"]
+    slot.handle(Tick(), model.time)
+    slot.serve(SERVED, model.time)
+    slot.deliver(model.time)
+    assert isinstance(slot.call, WriteLease)
+    model.stall_in_call("salt-lake", "a", "b", 12)
+    assert model.processes["b"].slots["salt-lake"].holds(model.time)
+
+
+# Two planners: the row of the holder is lost with the store's newest writes, and one
+# that sees an older row, or its own late write, plans as well.
+def test_one_holder_over_a_restore_and_a_late_write() -> None:
+    model = RestoredLeaseModel()
+    model.copy()
+    model.run_seconds(["a", "b"], 13)
+    model.restore()
+    for seconds in (1, 3, 9):
+        model.run_seconds(["b"], seconds)
+        model.run_seconds(["a"], 1)
+    model.run_seconds(["a", "b", "c"], round(QUIET_SECONDS))
+    assert any(slot.holds(model.time) for slot in model.list_slots("salt-lake"))
+
+
+# A place has no planner though all is quiet after its holder was killed.
+def test_place_has_a_planner_after_its_holder_was_killed(model) -> None:
+    model.kill("a")
+    model.run_seconds(["b"], round(QUIET_SECONDS))
+    assert any(slot.holds(model.time) for slot in model.list_slots("salt-lake"))
