--- a/radishtally/gateway/bounds.py
+++ b/radishtally/gateway/bounds.py
@@ -3,9 +3,7 @@
 import msgspec
 from xxhash import xxh32_intdigest
 
-from radishtally.authority.lease_events import (
-    LeaseTerms,
-)
+from radishtally.authority.lease_events import LeaseTerms
 from radishtally.gateway.config import Bounds
 from radishtally.gateway.const import (
     GATHER_MARGIN,
--- a/tests/authority/test_holder.py
+++ b/tests/authority/test_holder.py
@@ -5,9 +5,7 @@
 import pytest
 
 from radishtally.authority.holder import READERS, LeaseHolder
-from radishtally.authority.lease_events import (
-    LeaseTerms,
-)
+from radishtally.authority.lease_events import LeaseTerms
 from radishtally.outcome import Error, Ok, Result
 from radishtally.store.core import Key, Row, TableError, Unavailable, Unclear, Write
 from radishtally.store.ids import WriteIds
--- a/tests/authority/test_plans.py
+++ b/tests/authority/test_plans.py
@@ -7,9 +7,7 @@
 
 from radishtally.audit.core import AUDIT, read_entry
 from radishtally.authority.holder import LeaseHolder
-from radishtally.authority.lease_events import (
-    LeaseTerms,
-)
+from radishtally.authority.lease_events import LeaseTerms
 from radishtally.authority.plan import Drain, Wanted
 from radishtally.authority.plans import NotHeld, Plans, Superseded
 from radishtally.store.core import Check, Key, Put, Unavailable
--- a/tests/gateway/test_unframed_ends.py
+++ b/tests/gateway/test_unframed_ends.py
@@ -2,18 +2,20 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import pytest
 from aiohttp import web
 
 from tests.common import run
-from tests.gateway.common import deployment, wait_until
+from tests.gateway.common import LOOPBACK, deployment, wait_until
 from tests.gateway.ending import Ending
 from tests.gateway.test_calls import answer_whole, ask
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Signature: by-desk\r\nX-Request-Id: "
 PART = b"only a part"
 DELIVERY_SECONDS = 0.02
+PIECE_BYTES = 65_536
 
 
 class EndingDesk(Ending):
@@ -96,3 +98,50 @@
             assert (status, body) == (200, PART)
 
     run(play())
+
+
+class Relay:
+    """Listen for a host, also once it has ended, as a balancer in front of it does."""
+
+    def __init__(self, target: str) -> None:
+        self._ip, port = target.rsplit(":", 1)
+        self._port = int(port)
+
+    async def listen(self) -> str:
+        """Listen until the loop ends; give the address."""
+        server = await asyncio.start_server(self._carry, LOOPBACK, 0)
+        ip, port = server.sockets[0].getsockname()
+        return f"{ip}:{port}"
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            far = await asyncio.open_connection(self._ip, self._port)
+        except ConnectionRefusedError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(_copy(reader, far[1]), _copy(far[0], writer))
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with suppress(ConnectionError):
+        while part := await reader.read(PIECE_BYTES):
+            writer.write(part)
+    writer.close()
+
+
+# The caller gets a part of an answer as complete: its host is killed behind a relay,
+# which goes on listening and closes each connection as soon as it has taken it.
+def test_part_of_an_answer_is_not_given_where_a_relay_listens_for_its_host() -> None:
+    async def play() -> None:
+        async with deployment() as made:
+            desk = EndingDesk()
+            relay = Relay(await desk.listen(desk.build_app()))
+            made.announce("d-1", await relay.listen(), "desk")
+            await made.wait_for("d-1")
+            status, _, body = await ask(made, "/book/a", "r1", "POST")
+            assert (status, desk.answers) == (502, 1)
+            assert PART not in body
+
+    run(play())
--- a/tests/integration/test_lease.py
+++ b/tests/integration/test_lease.py
@@ -10,9 +10,7 @@
 
 from bench.network import Network
 from radishtally.authority.holder import LeaseHolder
-from radishtally.authority.lease_events import (
-    LeaseTerms,
-)
+from radishtally.authority.lease_events import LeaseTerms
 from radishtally.authority.plan import Plan, Wanted, follow_plan, make_plan_writes
 from radishtally.authority.plans import NotHeld, Plans
 from radishtally.store.core import ABSENT, Key, Put
