Recognize teams by their keys at the gateway

Cause: a configuration may hold teams with keys. The gateway passed the caller's key on to hosts, named no team there, and served keys that no configuration ever held.

Change: keys are kept as digests only, by the functions that the entry uses (teams/core.py). Hosts get the team's name on every path, never the key and never a name that a caller has sent; a team's priority goes before its route's. Unknown, missing, several or malformed keys get 401 with WWW-Authenticate; an invalid team, or a key of two teams, is left out and logged while the rest of the configuration is in force.

--- a/radishtally/entry/callers.py
+++ b/radishtally/entry/callers.py
@@ -1,7 +1,6 @@
 """Authenticate callers, check their requests and build work from them."""
 
 import fnmatch
-import hashlib
 import secrets
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -20,6 +19,7 @@
 from radishtally.links.messages import CALL, Work
 from radishtally.outcome import Error, Ok, Refusal, Result
 from radishtally.routing.core import hash_prefix
+from radishtally.teams.core import extract_bearer, hash_key
 
 HEADER_KEY: Final = "idempotency-key"
 HEADER_TIMEOUT: Final = "x-request-timeout"
@@ -121,11 +121,9 @@
 
 def hash_bearer(headers: Mapping[str, str]) -> str:
     """Hash the key of the Authorization header; the configuration stores hashes."""
-    scheme, _, key = headers.get("authorization", "").partition(" ")
-    if scheme.lower() != "bearer":
-        return ""
+    key = extract_bearer(headers.get("authorization", ""))
     # Bytes that are not UTF-8 arrive as lone surrogates; they make a wrong key.
-    return hashlib.sha256(key.strip().encode(errors="surrogateescape")).hexdigest()
+    return hash_key(key.encode(errors="surrogateescape")) if key else ""
 
 
 def read_options(
--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -35,6 +35,7 @@
 counts only its own retries, and requests are spread unevenly over gateways."""
 DEFAULT_GATEWAY_COUNT: Final = 16
 """Number of gateways assumed to share the retry budget until they are counted."""
+UNAUTHORIZED: Final = 401
 BAD_GATEWAY: Final = 502
 GATEWAY_TIMEOUT: Final = 504
 STAGES_LEASE: Final = "stages"
--- a/radishtally/gateway/core.py
+++ b/radishtally/gateway/core.py
@@ -27,7 +27,9 @@
     """Number of the last event that the caller has received of an earlier answer; the
     answer resumes after it. 0 to start from the beginning."""
     headers: Headers
-    """Headers to forward to the upstream."""
+    """Headers to forward to the upstream, without the caller's credentials."""
+    credentials: tuple[str, ...] = ()
+    """Values of the Authorization headers, decoded byte by byte; never logged."""
 
 
 class CallerDialect(Protocol):
--- a/radishtally/gateway/http_frontend.py
+++ b/radishtally/gateway/http_frontend.py
@@ -22,6 +22,7 @@
     LISTEN_BACKLOG,
     MAX_HEADER_BYTES,
     NOT_RUN_STATUSES,
+    UNAUTHORIZED,
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.endings import Delivery, Ending
@@ -246,6 +247,8 @@
         if status in NOT_RUN_STATUSES:
             wait = refusal.retry_after or DEFAULT_RETRY_AFTER
             headers["Retry-After"] = f"{math.ceil(wait * 1000) / 1000:g}"
+        if status == UNAUTHORIZED:
+            headers["WWW-Authenticate"] = "Bearer"
         body = msgspec.json.encode(
             {"error": {"code": refusal.code, "message": refusal.message}}
         )
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -1,16 +1,19 @@
 """Route callers' requests and turn them into work for upstream hosts."""
 
+from collections.abc import Callable
 from hashlib import sha256
 from typing import Final, NamedTuple
 
 from xxhash import xxh3_64_intdigest
 
+from radishtally.exchange import Headers
 from radishtally.gateway.core import CallerRequest
 from radishtally.links.messages import CALL, STREAM, Work
 from radishtally.outcome import Error, Ok, Ran, Refusal, Result
 from radishtally.routes.config import FleetConfiguration
-from radishtally.routes.core import RouteKind, RouteTable, choose_upstream
+from radishtally.routes.core import Route, RouteKind, RouteTable, choose_upstream
 from radishtally.serving.terms import Terms
+from radishtally.teams.core import Team, extract_bearer, hash_key
 
 NOT_READY: Final = Refusal(
     503, "not_ready", "no configuration is in force yet", Ran.NO, retry_after=1.0
@@ -26,6 +29,24 @@
 CONTENT_HASH_DIGITS: Final = 32
 """Length of the content hash in hex digits."""
 NO_ROUTE: Final = Refusal(404, "no_route", "no route leads from this path")
+UNCONFIRMED: Final = Refusal(
+    503,
+    "keys_unconfirmed",
+    "the store has not confirmed lately which API keys are valid",
+    Ran.NO,
+    retry_after=0.3,
+)
+NO_KEY: Final = Refusal(401, "no_api_key", "expected `Authorization: Bearer KEY`")
+SEVERAL_KEYS: Final = Refusal(
+    401, "several_api_keys", "more than one Authorization header was sent"
+)
+INVALID_KEY: Final = Refusal(401, "invalid_api_key", "the API key is unknown")
+AUTHORIZATION: Final = "Authorization"
+MAX_KEY_LENGTH: Final = 1024
+"""Characters of the longest key that is looked up."""
+
+
+NO_TEAM: Final = Team("")
 
 
 class RoutedRequest(NamedTuple):
@@ -40,9 +61,11 @@
 class Router:
     """Route requests by the current configuration."""
 
-    def __init__(self) -> None:
+    def __init__(self, are_keys_confirmed: Callable[[], bool] = lambda: True) -> None:
         self.configuration: FleetConfiguration | None = None
         self._routes = RouteTable()
+        self._are_keys_confirmed = are_keys_confirmed
+        """Returns whether keys may be accepted by the current configuration."""
 
     def configure(self, configuration: FleetConfiguration) -> None:
         """Replace the current configuration."""
@@ -68,19 +91,24 @@
         route = self._routes.find(caller_request.authority, caller_request.path)
         if route is None:
             return Error(NO_ROUTE)
+        found = self._find_team(route, caller_request.credentials)
+        if found.is_error():
+            return found
+        team = found.ok
+        priority = route.priority if team.priority is None else team.priority
         is_streamed = route.kind == RouteKind.STREAM
         work = Work(
             caller_request.request,
-            "",
+            team.name,
             choose_upstream(route, caller_request.request),
             STREAM if is_streamed else CALL,
             body,
             caller_request.model,
             method=method,
             path=target,
-            headers=caller_request.headers,
+            headers=caller_request.headers + self._list_credentials(caller_request),
             idempotent=route.is_idempotent,
-            priority=route.priority,
+            priority=priority,
             prompt_tokens=caller_request.prompt_tokens,
             max_tokens=caller_request.max_tokens,
             prefix=hash_shared_parts(caller_request),
@@ -88,7 +116,7 @@
         terms = Terms(
             route.max_attempts,
             route.objective,
-            route.priority,
+            priority,
             caller_request.output_tokens or caller_request.max_tokens,
             caller_request.parts,
             caller_request.resumed_after if route.is_idempotent else 0,
@@ -97,6 +125,33 @@
         timeout = min(route.timeout, caller_request.timeout or route.timeout)
         return Ok(RoutedRequest(work, terms, timeout, is_streamed))
 
+    def _find_team(
+        self, route: Route, credentials: tuple[str, ...]
+    ) -> Result[Team, Refusal]:
+        """Return the caller's team, or why its request is refused."""
+        teams = self.configuration.teams
+        if teams is None or route.is_anonymous:
+            return Ok(NO_TEAM)
+        # An outdated configuration neither shows that a key is still valid, nor that it
+        # has never become so.
+        if not self._are_keys_confirmed():
+            return Error(UNCONFIRMED)
+        if len(credentials) > 1:
+            return Error(SEVERAL_KEYS)
+        key = extract_bearer(credentials[0]) if credentials else ""
+        if not key:
+            return Error(NO_KEY)
+        if len(key) > MAX_KEY_LENGTH:
+            return Error(INVALID_KEY)
+        team = teams.get(hash_key(key.encode("latin-1")))
+        return Error(INVALID_KEY) if team is None else Ok(team)
+
+    def _list_credentials(self, caller_request: CallerRequest) -> Headers:
+        """Return the headers with the caller's credentials if they are not the keys."""
+        if self.configuration.teams is not None:
+            return ()
+        return tuple((AUTHORIZATION, value) for value in caller_request.credentials)
+
 
 def hash_content(method: str, authority: str, target: str, body: bytes) -> str:
     """Return a digest of a request's content, independent of its caller and its id.
@@ -119,6 +174,8 @@
 
 
 def _count_head_bytes(target: str, caller_request: CallerRequest) -> int:
-    return len(target) + sum(
-        len(name) + len(value) for name, value in caller_request.headers
+    return (
+        len(target)
+        + sum(len(name) + len(value) for name, value in caller_request.headers)
+        + sum(map(len, caller_request.credentials))
     )
--- a/radishtally/routes/core.py
+++ b/radishtally/routes/core.py
@@ -45,6 +45,8 @@
     max_attempts: int
     """Maximum number of upstream hosts that may run one request."""
     is_resumable: bool
+    is_anonymous: bool = False
+    """Whether its requests need no key."""
 
     @property
     def is_idempotent(self) -> bool:
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -12,6 +12,7 @@
 from radishtally.links.messages import PREFILL, STREAM, KvRef, Offer, Work
 from radishtally.routes.core import RouteKind, Split
 from radishtally.serving.terms import PromptPart, Terms
+from radishtally.teams.core import Team, hash_key
 from tests.gateway.common import ENTRY
 
 ROUTE = {
@@ -217,3 +218,49 @@
     status: int, headers: tuple[tuple[str, str], ...], notice: Notice
 ) -> None:
     assert PlatformUpstreams().read_notice(status, headers) == notice
+
+
+def decode_teams(*tenants: object) -> dict[str, Team]:
+    """Decode a configuration with these teams, and return them by their keys."""
+    data = json.dumps({**CONFIGURATION, "tenants": tenants}).encode()
+    return decode_configuration(data).ok.teams
+
+
+def test_teams_are_decoded_by_the_digests_of_their_keys() -> None:
+    silk = {"name": "silk", "apiKeys": ["a", "b"], "priority": 3}
+    teams = decode_teams(silk, {"name": "satin", "apiKeys": ["c", ""]})
+    assert teams == {
+        hash_key(b"a"): Team("silk", 3),
+        hash_key(b"b"): Team("silk", 3),
+        hash_key(b"c"): Team("satin", None),
+    }
+    assert decode_configuration(json.dumps(CONFIGURATION).encode()).ok.teams is None
+
+
+# Guards against one invalid team that voids the whole configuration, and against a name
+# that would add a header to requests.
+@pytest.mark.parametrize(
+    "tenant",
+    [
+        {"name": "bad\r\nX-Tenant: other", "apiKeys": ["b"]},
+        {"name": "", "apiKeys": ["b"]},
+        {"name": "bad", "apiKeys": [7]},
+        {"name": "bad", "apiKeys": "b"},
+        {"apiKeys": ["b"]},
+        "bad",
+        None,
+    ],
+)
+def test_invalid_team_is_left_out(tenant: object) -> None:
+    teams = decode_teams({"name": "silk", "apiKeys": ["a"]}, tenant)
+    assert list(teams) == [hash_key(b"a")]
+
+
+# Guards against requests that are attributed to one of two teams by chance.
+def test_key_of_two_teams_is_left_out() -> None:
+    teams = decode_teams(
+        {"name": "silk", "apiKeys": ["a", "both"]},
+        {"name": "satin", "apiKeys": ["both", "c"]},
+    )
+    assert {team.name for team in teams.values()} == {"silk", "satin"}
+    assert list(teams) == [hash_key(b"a"), hash_key(b"c")]
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -87,7 +87,7 @@
     addresses: dict[str, str] = field(default_factory=dict)
     """Addresses of engines and service hosts."""
 
-    def configure(self, *routes: dict[str, Any]) -> None:
+    def configure(self, *routes: dict[str, Any], **more: Any) -> None:
         """Write a new configuration version as the operator does."""
         self.version += 3
         value = {
@@ -95,6 +95,7 @@
             "routes": routes or ROUTES,
             "services": [{"name": "llm", "engine": ENGINE}, {"name": "desk"}],
             "limits": LIMITS,
+            **more,
         }
         self.rows.write(RowId("op", "", "config"), _encode(value))
 
@@ -128,6 +129,11 @@
         self.announce(host, self.addresses[host], "desk", **more)
         await self.wait_for(host)
 
+    async def wait_for_configuration(self) -> None:
+        """Wait until the gateway has loaded the newest configuration."""
+        router = self.gateway.router
+        await wait_until(lambda: router.configuration.version == self.version)
+
     async def wait_for(self, host: str) -> None:
         """Wait until the gateway has discovered a host."""
         await wait_until(lambda: host in self.gateway.core.links)
@@ -155,6 +161,7 @@
     await client.start()
     gateway = make_gateway(client, store, host)
     watcher = StoreWatcher(client, gateway)
+    gateway.confirmer.confirm = watcher.confirm_configuration
     watcher.start()
     running = asyncio.create_task(gateway.run())
     try:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,6 +11,7 @@
 
 ROOT: Final = Path(radishtally.__file__).parent
 LAYERS: Final = (
+    {"teams"},
     {"limits", "links", "routes", "store"},
     {"routing"},
     {"serving"},
