Accept keys only with a recent confirmation of the configuration

Cause: a gateway that is cut off, suspended or not told of a change would go on accepting a key that was taken away; some deployments limit that time for every gateway.

Change: a read confirms the configuration as of its start, on a clock that counts the time of a suspend. Past the limit keyed requests are refused at once as not run; routes without keys go on. The gateway asks for changes without waiting when a confirmation is due, and at once when a caller was refused for want of one. A configuration that can't be decoded confirms nothing.

--- a/radishtally/gateway/config.py
+++ b/radishtally/gateway/config.py
@@ -26,6 +26,9 @@
     """Retries that all gateways together may make in each window, independent of the
     number of requests."""
     retry_window_seconds: PositiveSeconds
+    revocation_ms: Milliseconds | None = None
+    """Time after which a key that was taken away must be refused even without a
+    connection to the store; None if only gateways with one must refuse it."""
 
 
 class GatewaySettings(SettingsSection):
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -34,6 +34,7 @@
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.endings import Delivery
+from radishtally.gateway.freshness import ConfigurationView, ViewConfirmer
 from radishtally.gateway.http_frontend import HttpFrontend
 from radishtally.gateway.members import HostChange, Members
 from radishtally.gateway.metrics import GatewayMetrics
@@ -68,7 +69,10 @@
         self.write_ids = WriteIds(secrets.token_hex(8))
         self.table = table
         self.runtime = Runtime()
-        self.router = Router()
+        self.view = ConfigurationView()
+        self.view.limit_age(settings.bounds.revocation_ms)
+        self.confirmer = ViewConfirmer(self.view, self._has_teams, self.runtime.spawn)
+        self.router = Router(self._are_keys_confirmed)
         self.members = Members()
         self.placement = placement
         self.replies = Replies()
@@ -139,6 +143,7 @@
         self.lease.start()
         self.runtime.spawn(self.stages.run())
         self.runtime.spawn(self.peers.run())
+        self.runtime.spawn(self.confirmer.run())
         log_message(
             "gateway:started",
             address=self.settings.address,
@@ -198,6 +203,7 @@
             bounds = msgspec.structs.replace(bounds, grace_seconds=grace)
         self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
         log_message("settings:in_force", mark=self._publish_settings_hash())
+        self.view.limit_age(bounds.revocation_ms)
         self.lease.set_terms(make_lease_terms(bounds))
         self._update_retry_budget()
 
@@ -231,6 +237,18 @@
         self.metrics.set_denied(self.core.suspects.count_denied(time.monotonic()))
         return self.metrics.render()
 
+    def _has_teams(self) -> bool:
+        """Return whether the current configuration has keys that may be taken away."""
+        configuration = self.router.configuration
+        return configuration is not None and configuration.teams is not None
+
+    def _are_keys_confirmed(self) -> bool:
+        """Return whether keys may be accepted; if not, request a confirmation."""
+        if self.view.is_fresh():
+            return True
+        self.confirmer.request()
+        return False
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send requests here."""
         return self.router.configuration is not None and not self.is_stopping()
--- a/tests/adapter/test_outages.py
+++ b/tests/adapter/test_outages.py
@@ -16,6 +16,7 @@
 
 from radishtally.gateway.bounds import find_gather_seconds
 from radishtally.gateway.config import Bounds
+from radishtally.gateway.freshness import ConfigurationView
 from radishtally.gateway.members import MASS_REMOVAL_SHARE, HostChange, Members
 from radishtally.outcome import Error, Ok, Result
 from radishtally.runtime import Runtime
@@ -147,6 +148,7 @@
 
     def __init__(self, gateways: int | None) -> None:
         self.members = Members()
+        self.view = ConfigurationView()
         self.runtime = Runtime()
         self.gateways = gateways
 
--- a/tests/adapter/test_restored.py
+++ b/tests/adapter/test_restored.py
@@ -16,6 +16,7 @@
 from adapter.watch import StoreWatcher, TableWatch
 
 from radishtally.gateway.bounds import find_gather_seconds
+from radishtally.gateway.freshness import ConfigurationView
 from radishtally.gateway.members import HostChange, Members
 from radishtally.outcome import Error, Ok, Result
 from radishtally.routes.config import FleetConfiguration
@@ -167,6 +168,7 @@
     def __init__(self, store: EraStore, gateways: int | None) -> None:
         self.loop = asyncio.get_running_loop()
         self.members = Members()
+        self.view = ConfigurationView()
         self.runtime = Runtime()
         self.gateways = gateways
         self.configured: list[tuple[int, bool]] = []
--- a/tests/adapter/test_settings_file.py
+++ b/tests/adapter/test_settings_file.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from pathlib import Path
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -23,6 +24,7 @@
 
     def __init__(self, settings: GatewaySettings, *_: object) -> None:
         self.runtime = Runtime()
+        self.confirmer = SimpleNamespace()
         self.applied = asyncio.Event()
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -38,6 +40,9 @@
     def __init__(self, *_: object) -> None:
         pass
 
+    async def confirm_configuration(self) -> None:
+        pass
+
     def start(self) -> None:
         pass
 
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -15,6 +15,7 @@
     TableWatch,
 )
 
+from radishtally.gateway.freshness import ConfigurationView
 from radishtally.gateway.members import (
     HostChange,
     HostMissing,
@@ -93,6 +94,40 @@
     assert [kind for kind, *_ in seen] == ["all", "all"]
 
 
+# Guards against keys that are accepted for too long: an answer that the store held back
+# confirms the table only as of the time of the call.
+def test_answer_confirms_the_table_as_of_its_call() -> None:
+    now, confirmed = 0.0, []
+
+    class SlowStore(ScriptedStore):
+        async def _give(self, what: str, wait: float) -> Result:
+            nonlocal now
+            now += 5.0
+            return await super()._give(what, wait)
+
+    async def play() -> None:
+        store = SlowStore(
+            Ok(Page((ROW,), 4)), Ok(Page((), 4)), UNAVAILABLE, Ok(Compacted())
+        )
+        watch = TableWatch(
+            store,
+            "op",
+            lambda rows, after: None,
+            lambda rows, after: None,
+            clock=lambda: now,
+            on_confirmed=confirmed.append,
+        )
+        with suppress(asyncio.CancelledError):
+            await watch.run()
+        store.answers = [Ok(Page((), 4)), UNAVAILABLE, Ok(Compacted())]
+        watch._version = 4
+        for _ in range(3):
+            await watch.confirm()
+
+    run(play())
+    assert confirmed == [0.0, 5.0, 25.0]
+
+
 # Guards against routing to a host for two seconds after its removal. The store had been
 # available for long, but its first answer after the outage came with the removal, which
 # was taken for an entry that lapsed in the outage. A call without a wait shows the
@@ -209,6 +244,7 @@
 
     def __init__(self) -> None:
         self.members = Members()
+        self.view = ConfigurationView()
         self.runtime = Runtime()
         self.changes: list[HostChange] = []
         self.unreadable = 0
