Report the requests of each team to the platform

Cause: the platform expects, for each window of true time, the requests of each team that began to run.

Change: each gateway counts in cumulative counts that may be sent again and in any order; they reach the candidates for the lease over the links.

--- a/radishtally/gateway/config.py
+++ b/radishtally/gateway/config.py
@@ -31,6 +31,17 @@
     connection to the store; None if only gateways with one must refuse it."""
 
 
+class UsageSettings(SettingsSection):
+    """Configure the reports of the teams' requests to the platform."""
+
+    api_address: Text
+    """IP and port of the platform's API."""
+    window_seconds: PositiveSeconds
+    """Length of the windows of time that are reported one by one."""
+    late_seconds: PositiveSeconds
+    """Time after the end of a window until which its report is accepted."""
+
+
 class GatewaySettings(SettingsSection):
     """Hold the settings of one gateway."""
 
@@ -51,3 +62,5 @@
     store_address: Text
     """IP and port of the platform's store."""
     bounds: Bounds
+    usage: UsageSettings | None = None
+    """None if no usage is to be reported."""
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -132,6 +132,12 @@
             "Times that the store came back from an older copy",
             registry=self._registry,
         )
+        self._usage_reports = Counter(
+            "radishtally_usage_reports",
+            "Windows of usage by what became of their report",
+            ["outcome"],
+            registry=self._registry,
+        )
         self._settings = Gauge(
             "radishtally_settings",
             "Mark of the settings in force, equal where gateways go by the same ones",
@@ -179,6 +185,10 @@
         """Count a restore of the store from an older backup."""
         self._restores.inc()
 
+    def count_usage_report(self, outcome: str) -> None:
+        """Count a window of usage by what became of its report."""
+        self._usage_reports.labels(outcome).inc()
+
     def set_configuration(self, version: int) -> None:
         """Set the version of the current configuration."""
         self._configuration.set(version)
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -29,8 +29,9 @@
     list_gateways_in,
 )
 from radishtally.gateway.unreachable import UnreachablePeers
+from radishtally.gateway.usage import UsageExchange
 from radishtally.links.hub import LinkCallbacks, LinkHub
-from radishtally.links.messages import Hello, Message
+from radishtally.links.messages import Hello, Message, UsageCounts
 from radishtally.runtime import Runtime
 from radishtally.serving.state import DispatchCore
 from radishtally.stages.role_controller import RoleController
@@ -51,6 +52,7 @@
     lease: LeaseDriver
     core: DispatchCore
     table: Table
+    usage_exchange: UsageExchange | None
 
     def set_gateway_count(self, count: int) -> None:
         """Set the number of gateways."""
@@ -100,6 +102,8 @@
             gateway.lease.contend,
             gateway.core.suspects,
         )
+        if gateway.usage_exchange is not None:
+            gateway.usage_exchange.attach(self._hub)
         await self._hub.start(self._address)
         gateway.runtime.spawn(self._loads.run())
         had_row = await self._registry.write_own_row()
@@ -174,6 +178,8 @@
         sites = {name: read_site(row) for name, row in rows.items()}
         sites[self._host] = self._site
         self._loads.set_sites(sites)
+        if self._gateway.usage_exchange is not None:
+            self._gateway.usage_exchange.set_sites(sites)
         unresponsive = self._dialled - set(self._hub.hosts)
         dialled = set(choose_dialled(sites, self._host, unresponsive))
         for name in self._dialled - dialled:
@@ -216,9 +222,14 @@
 
     def _link_down(self, host: str, reason: str) -> None:
         self._loads.forget_peer(host)
+        if self._gateway.usage_exchange is not None:
+            self._gateway.usage_exchange.handle_link_down(host)
 
     def _receive(self, host: str, message: Message) -> None:
-        self._loads.handle_message(host, message)
+        if not isinstance(message, UsageCounts):
+            self._loads.handle_message(host, message)
+        elif self._gateway.usage_exchange is not None:
+            self._gateway.usage_exchange.handle_message(host, message)
 
 
 def _is_always_busy(host: str) -> bool:
--- a/radishtally/gateway/topology.py
+++ b/radishtally/gateway/topology.py
@@ -102,6 +102,20 @@
     return sum(name in linked for name in before) < COLLECTOR_CANDIDATES
 
 
+def list_collector_candidates(
+    sites: Sites, own_name: str, linked: Collection[str]
+) -> set[str]:
+    """List the collectors and standbys of all data centres that can be reached."""
+    reachable = {own_name, *linked}
+    candidates = set()
+    for data_centre in list_data_centres(sites):
+        order = list_gateways_in(sites, data_centre)
+        candidates |= set(
+            [name for name in order if name in reachable][:COLLECTOR_CANDIDATES]
+        )
+    return candidates
+
+
 class ExchangeGroup(NamedTuple):
     """Hold the peers that a gateway exchanges loads with, by what it sends to them."""
 
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -414,6 +414,28 @@
     ended_tokens: float
 
 
+class TeamCount(NamedTuple):
+    """Count the requests of a team."""
+
+    team: str
+    requests: int
+
+
+class UsageCounts(NamedTuple):
+    """Report how many requests of each team began at a gateway in one window of time.
+
+    The counts of one process only grow; those that have not changed may be missing.
+    """
+
+    gateway: str
+    incarnation: str
+    """Unique to each start of the gateway's process."""
+    window: int
+    is_closed: bool
+    """Whether the gateway adds no more to this window."""
+    counts: tuple[TeamCount, ...]
+
+
 Message = (
     Hello
     | Ping
@@ -443,6 +465,7 @@
     | DemandReport
     | PartsRead
     | Suspicions
+    | UsageCounts
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -473,6 +496,7 @@
     PartsRead,
     Backlog,
     Suspicions,
+    UsageCounts,
 )
 """A kind's number is its index here: append new kinds and never reorder them. A message
 whose fields change needs a new kind, since older releases reject any other number of
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,7 +13,7 @@
 LAYERS: Final = (
     {"teams"},
     {"limits", "links", "routes", "store"},
-    {"routing"},
+    {"routing", "usage"},
     {"serving"},
     {"direct"},
     {"engines"},
