Confirm the configuration by one gateway of each data centre

The asker counts a confirmation from its own request, less the age: a slow link or a suspended peer can't make it seem newer. It says nothing about another configuration, and a gateway whose peer can't confirm asks the store itself.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -34,7 +34,12 @@
 )
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.endings import Delivery
-from radishtally.gateway.freshness import ConfigurationView, ViewConfirmer
+from radishtally.gateway.freshness import (
+    ConfigurationState,
+    ConfigurationView,
+    ViewConfirmer,
+    ViewExchange,
+)
 from radishtally.gateway.http_frontend import HttpFrontend
 from radishtally.gateway.members import HostChange, Members
 from radishtally.gateway.metrics import GatewayMetrics
@@ -76,7 +81,12 @@
         self.runtime = Runtime()
         self.view = ConfigurationView()
         self.view.limit_age(settings.bounds.revocation_ms)
-        self.confirmer = ViewConfirmer(self.view, self._has_teams, self.runtime.spawn)
+        self.view_exchange = ViewExchange(
+            settings.host, self.view, self._find_configuration_state
+        )
+        self.confirmer = ViewConfirmer(
+            self.view, self.view_exchange, self._has_teams, self.runtime.spawn
+        )
         self.router = Router(self._are_keys_confirmed)
         self.members = Members()
         self.placement = placement
@@ -84,6 +94,8 @@
         self.metrics = GatewayMetrics()
         self.runtime.on_stall = self.metrics.count_stall
         self.runtime.describe_state = self._describe_state
+        self._era = 0
+        """Newest era of the store that was seen; 0 if it reports none."""
         self._gateway_count: int | None = None
         """Number of gateways that share the retry budget; None until listed."""
         self.core = DispatchCore(
@@ -276,6 +288,12 @@
         configuration = self.router.configuration
         return configuration is not None and configuration.teams is not None
 
+    def _find_configuration_state(self) -> ConfigurationState | None:
+        configuration = self.router.configuration
+        if configuration is None:
+            return None
+        return ConfigurationState(self._era, configuration.version)
+
     def _are_keys_confirmed(self) -> bool:
         """Return whether keys may be accepted; if not, request a confirmation."""
         if self.view.is_fresh():
@@ -319,6 +337,7 @@
 
         Silence is the staleness, in seconds, of the known hosts and configuration.
         """
+        self._era = after
         held_lease = self.lease.fencing is not None
         self.lease.enter_era(after)
         if not before:
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -18,6 +18,7 @@
     PEER_READ_SECONDS,
     STARTUP_PEER_READS,
 )
+from radishtally.gateway.freshness import ViewExchange
 from radishtally.gateway.loads import LoadExchange
 from radishtally.gateway.registry import GATEWAYS_PARTITION, GatewayRegistry, read_site
 from radishtally.gateway.roster import Roster
@@ -31,7 +32,13 @@
 from radishtally.gateway.unreachable import UnreachablePeers
 from radishtally.gateway.usage import UsageExchange
 from radishtally.links.hub import LinkCallbacks, LinkHub
-from radishtally.links.messages import Hello, Message, UsageCounts
+from radishtally.links.messages import (
+    Hello,
+    Message,
+    UsageCounts,
+    ViewConfirmation,
+    ViewRequest,
+)
 from radishtally.runtime import Runtime
 from radishtally.serving.state import DispatchCore
 from radishtally.stages.role_controller import RoleController
@@ -53,6 +60,7 @@
     core: DispatchCore
     table: Table
     usage_exchange: UsageExchange | None
+    view_exchange: ViewExchange
 
     def set_gateway_count(self, count: int) -> None:
         """Set the number of gateways."""
@@ -102,6 +110,7 @@
             gateway.lease.contend,
             gateway.core.suspects,
         )
+        gateway.view_exchange.attach(self._hub)
         if gateway.usage_exchange is not None:
             gateway.usage_exchange.attach(self._hub)
         await self._hub.start(self._address)
@@ -178,6 +187,7 @@
         sites = {name: read_site(row) for name, row in rows.items()}
         sites[self._host] = self._site
         self._loads.set_sites(sites)
+        self._gateway.view_exchange.set_sites(sites)
         if self._gateway.usage_exchange is not None:
             self._gateway.usage_exchange.set_sites(sites)
         unresponsive = self._dialled - set(self._hub.hosts)
@@ -226,7 +236,9 @@
             self._gateway.usage_exchange.handle_link_down(host)
 
     def _receive(self, host: str, message: Message) -> None:
-        if not isinstance(message, UsageCounts):
+        if isinstance(message, ViewRequest | ViewConfirmation):
+            self._gateway.view_exchange.handle_message(host, message)
+        elif not isinstance(message, UsageCounts):
             self._loads.handle_message(host, message)
         elif self._gateway.usage_exchange is not None:
             self._gateway.usage_exchange.handle_message(host, message)
--- a/radishtally/gateway/topology.py
+++ b/radishtally/gateway/topology.py
@@ -84,6 +84,13 @@
     )
 
 
+def list_confirming_order(sites: Sites, own_name: str) -> list[str]:
+    """List the gateways of which the first one asks the store for all of them."""
+    if is_mesh(sites):
+        return sorted(sites, key=lambda name: (-sites[name].cores, name))
+    return list_gateways_in(sites, sites[own_name].data_centre)
+
+
 def find_first_reachable(
     order: Iterable[str], own_name: str, linked: Collection[str]
 ) -> str | None:
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -372,6 +372,15 @@
     """Ordered by use, the least recently used first."""
 
 
+class RoleOrdered(NamedTuple):
+    """Report to the other entries that an engine was ordered to change its role."""
+
+    host: str
+    start: int
+    """Marker of the engine's start."""
+    role: str
+
+
 class Suspicion(NamedTuple):
     """Report how many hosts in a row ended while they ran a request."""
 
@@ -436,6 +445,26 @@
     counts: tuple[TeamCount, ...]
 
 
+class ViewRequest(NamedTuple):
+    """Request a confirmation that the configuration in force is the newest one."""
+
+    number: int
+    """Number of the request, unique to the sender's process."""
+
+
+class ViewConfirmation(NamedTuple):
+    """Confirm that a configuration was the newest one in the store."""
+
+    number: int
+    """Number of the request."""
+    era: int
+    """Newest era of the store that the sender knows."""
+    version: int
+    """Version of the configuration in force at the sender."""
+    age: float
+    """Seconds since the sender has requested its own confirmation."""
+
+
 Message = (
     Hello
     | Ping
@@ -466,6 +495,9 @@
     | PartsRead
     | Suspicions
     | UsageCounts
+    | ViewRequest
+    | ViewConfirmation
+    | RoleOrdered
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -497,6 +529,9 @@
     Backlog,
     Suspicions,
     UsageCounts,
+    ViewRequest,
+    ViewConfirmation,
+    RoleOrdered,
 )
 """A kind's number is its index here: append new kinds and never reorder them. A message
 whose fields change needs a new kind, since older releases reject any other number of
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -7,116 +7,86 @@
 import pytest
 from aiohttp import web
 
-from radishtally.gateway.topology import MAX_MESH_GATEWAYS, Site, choose_dialled
+from radishtally.gateway.topology import MAX_MESH_GATEWAYS
 from radishtally.gateway.usage import UsageExchange, UsageRecorder
-from radishtally.links.messages import CALL, STREAM, UsageCounts, Work
+from radishtally.links.messages import CALL, STREAM, Work
 from radishtally.usage.const import SEND_SECONDS
 from radishtally.usage.core import Source, UsageLedger
 from standins.staged import StagedEngine
 from tests.common import run
 from tests.gateway.common import Deployment, make_headers, make_prompt, wait_until
+from tests.gateway.network import Hub, Network
 from tests.gateway.test_teams import keyed_deployment
 
 WINDOW_SECONDS = 5.0
 START = 1_000 * WINDOW_SECONDS
 
 
-class Node:
-    """Hold the exchange of one gateway, and act as its link hub."""
-
-    def __init__(self, name: str, net: "Network") -> None:
-        self.net = net
-        self.name = name
-        self.ledger = UsageLedger(Source(name, "1"), WINDOW_SECONDS)
-        self.exchange = UsageExchange(name, self.ledger)
-        self.exchange.attach(self)
-
-    @property
-    def hosts(self) -> list[str]:
-        return self.net.find_linked(self.name)
-
-    def send(self, peer: str, message: UsageCounts) -> bool:
-        if peer not in self.hosts:
-            return False
-        self.net.nodes[peer].exchange.handle_message(self.name, message)
-        return True
-
-
-class Network:
-    """Connect gateways as they dial each other."""
-
-    def __init__(self, count: int, data_centres: int = 3) -> None:
-        self.sites = {
-            f"g-{number:02d}": Site(f"z-{number % data_centres}", 1.0)
-            for number in range(count)
-        }
-        self.nodes = {name: Node(name, self) for name in self.sites}
-        self.cut: set[str] = set()
-        for node in self.nodes.values():
-            node.exchange.set_sites(self.sites)
-
-    def find_linked(self, name: str) -> list[str]:
-        if name in self.cut:
-            return []
-        up = [other for other in self.nodes if other not in self.cut]
-        gone = set(self.sites) - set(up)
-        dials = {one: choose_dialled(self.sites, one, gone) for one in up}
-        return [other for other in up if other in dials[name] or name in dials[other]]
-
-    def list_candidates(self) -> list[Node]:
+class UsageNetwork(Network):
+    """Connect gateways that count requests."""
+
+    def __init__(self, count: int) -> None:
+        self.ledgers: dict[str, UsageLedger] = {}
+        super().__init__(count, self._make_exchange)
+
+    def _make_exchange(self, name: str, hub: Hub) -> UsageExchange:
+        self.ledgers[name] = UsageLedger(Source(name, "1"), WINDOW_SECONDS)
+        exchange = UsageExchange(name, self.ledgers[name])
+        exchange.attach(hub)
+        return exchange
+
+    def list_candidates(self) -> set[str]:
         """List the gateways that receive all counts."""
-        alive = {name for name in self.nodes if name not in self.cut}
-        found = set()
-        for name in alive:
-            found |= set(self.nodes[name].exchange._find_recipients())
-        return [self.nodes[name] for name in sorted(found)]
+        up = self.sites.keys() - self.cut
+        return {peer for name in up for peer in self.exchanges[name]._find_recipients()}
+
+    def sum_counts(self) -> list[dict[str, int]]:
+        """Return the counts that each candidate for the lease knows."""
+        candidates = sorted(self.list_candidates())
+        return [self.ledgers[name].sum_counts(1_000) for name in candidates]
 
     def run_rounds(self, now: float) -> None:
+        """Let each gateway that is not cut off send three times."""
         for number in range(3):
-            for name, node in self.nodes.items():
-                if name not in self.cut:
-                    node.exchange.send(now + number * SEND_SECONDS)
+            for name in self.sites.keys() - self.cut:
+                self.exchanges[name].send(now + number * SEND_SECONDS)
 
 
 @pytest.mark.parametrize("count", [1, 4, MAX_MESH_GATEWAYS, 28])
 def test_every_candidate_for_the_lease_has_all_counts(count: int) -> None:
-    net = Network(count)
-    for node in net.nodes.values():
-        node.ledger.count("silk", START)
+    net = UsageNetwork(count)
+    for ledger in net.ledgers.values():
+        ledger.count("silk", START)
     net.run_rounds(START)
-    for node in net.list_candidates():
-        assert node.ledger.sum_counts(1_000) == {"silk": count}
+    assert all(counts == {"silk": count} for counts in net.sum_counts())
 
 
 # Guards against counts that are lost with the gateway that had collected them.
 def test_counts_survive_the_end_of_a_collector() -> None:
-    net = Network(28)
-    for node in net.nodes.values():
-        node.ledger.count("silk", START)
+    net = UsageNetwork(28)
+    for ledger in net.ledgers.values():
+        ledger.count("silk", START)
     net.run_rounds(START)
-    collector = net.list_candidates()[0]
-    net.cut.add(collector.name)
+    collector = min(net.list_candidates())
+    net.cut.add(collector)
     net.run_rounds(START + 1.0)
-    candidates = net.list_candidates()
-    assert collector not in candidates
-    for node in candidates:
-        assert node.ledger.sum_counts(1_000) == {"silk": 28}
+    assert collector not in net.list_candidates()
+    assert len(net.sum_counts()) == 6
+    assert all(counts == {"silk": 28} for counts in net.sum_counts())
 
 
 # Guards against counts that are missing because a gateway was cut off from its peers
 # while it went on serving.
 def test_counts_arrive_after_a_cut() -> None:
-    net = Network(28)
+    net = UsageNetwork(28)
     net.run_rounds(START)
-    cut_off = net.nodes["g-27"]
-    net.cut.add(cut_off.name)
-    cut_off.ledger.count("silk", START)
-    cut_off.exchange.send(START)
+    net.cut.add("g-27")
+    net.ledgers["g-27"].count("silk", START)
+    net.exchanges["g-27"].send(START)
     net.run_rounds(START + 0.5)
     net.cut.clear()
     net.run_rounds(START + 1.0)
-    for node in net.list_candidates():
-        assert node.ledger.sum_counts(1_000) == {"silk": 1}
+    assert all(counts == {"silk": 1} for counts in net.sum_counts())
 
 
 def make_work(name: str, kind: str, team: str = "silk") -> Work:
