Offer nothing to an engine that was ordered to change its role

Only the gateway that gave the order knew, and not even its own placement.

Change: the controller reports the order to the placement and to all gateways, over the way that prompt parts take; placement leaves the engine out until it is listed with its new role, was restarted, or the time for its answers and the change has passed.

--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -33,6 +33,7 @@
     Backlog,
     EngineShare,
     PartsRead,
+    RoleOrdered,
 )
 from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.serving.hosts import KnownHost
@@ -41,6 +42,8 @@
 
 DEFAULT_ENGINE_TERMS: Final = EngineTerms(400_000)
 """Engine terms assumed until the configuration specifies them."""
+MAX_ANSWER_SECONDS: Final = 6.0
+"""Time for which an engine may finish its open answers before it changes its role."""
 ROLE_ORDER_SECONDS: Final = 1.0
 """Time until an engine is ordered to decode if none does: two controller ticks."""
 MIN_SECONDS_TO_DECODE: Final = 0.5
@@ -67,6 +70,9 @@
         reported only once."""
         self._sent_parts: list[PartsRead] = []
         """Parts newly sent to an engine by this entry, to be reported to peers."""
+        self._role_changes: dict[str, tuple[str, float]] = {}
+        """Ordered role of engines that refuse all work until they have it, and the time
+        until which that is assumed."""
         self._no_decode_since: dict[str, float] = {}
         """Time since when an upstream has had no decode engine."""
         self._queue_orders: dict[str, QueueOrderEstimator] = {}
@@ -86,6 +92,9 @@
         """Add or update the engine of a host."""
         if not instance.role:
             return
+        ordered_role, _ = self._role_changes.get(instance.host, ("", 0.0))
+        if ordered_role == instance.role:
+            del self._role_changes[instance.host]
         known = self._engines.get(instance.host)
         if known is not None:
             known.role = instance.role
@@ -112,10 +121,12 @@
     def reset_engine(self, host: str) -> None:
         """Drop the state of an engine's earlier start; set_instance follows."""
         self._engines.pop(host, None)
+        self._role_changes.pop(host, None)
 
     def forget(self, host: str) -> None:
         """Drop a host that was removed."""
         self._engines.pop(host, None)
+        self._role_changes.pop(host, None)
         self._shares_of_unknown_starts.pop(host, None)
 
     def forget_peer(self, peer: str) -> None:
@@ -164,6 +175,26 @@
         ]
         return Backlog(tuple(shares))
 
+    def record_role_order(self, ordered: RoleOrdered, now: float) -> None:
+        """Record that an engine changes its role, and so refuses work."""
+        engine = self._engines.get(ordered.host)
+        if engine is None or engine.role == ordered.role:
+            return
+        if not is_same_start(ordered.start, engine.start_mark):
+            return
+        terms = self._engine_terms.get(engine.upstream, DEFAULT_ENGINE_TERMS)
+        until = now + terms.role_seconds + MAX_ANSWER_SECONDS
+        self._role_changes[ordered.host] = ordered.role, until
+
+    def describe_role_order(self, host: str, role: str) -> RoleOrdered:
+        """Return the report that an engine was ordered to take a role."""
+        engine = self._engines.get(host)
+        return RoleOrdered(host, 0 if engine is None else engine.start_mark, role)
+
+    def _is_changing_role(self, host: str, now: float) -> bool:
+        _, until = self._role_changes.get(host, ("", float("-inf")))
+        return now < until
+
     def record_parts(self, sent: PartsRead) -> None:
         """Record the parts that another entry has sent to an engine."""
         engine = self._engines.get(sent.host)
@@ -219,8 +250,9 @@
         engines = [
             self._engines[host.host] for host in untried if host.host in self._engines
         ]
-        prefill = [engine for engine in engines if engine.role == PREFILL]
-        decode = [engine for engine in engines if engine.role != PREFILL]
+        serving = [e for e in engines if not self._is_changing_role(e.host, now)]
+        prefill = [engine for engine in serving if engine.role == PREFILL]
+        decode = [engine for engine in serving if engine.role != PREFILL]
         seconds_to_decode = self._estimate_seconds_to_decode(
             request.work.upstream, bool(decode), now
         )
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -26,6 +26,7 @@
     DemandReport,
     Message,
     PartsRead,
+    RoleOrdered,
     Suspicion,
     Suspicions,
 )
@@ -88,8 +89,10 @@
         """Seconds between two rounds of messages."""
         self._reported_engines: set[str] = set()
         """Engines that peers have sent loads of since the last round."""
-        self._parts_to_relay: list[tuple[str, PartsRead]] = []
-        """Parts to relay as a collector in the next round, with their sender."""
+        self._to_relay: list[tuple[str, PartsRead | RoleOrdered]] = []
+        """Messages to relay as a collector in the next round, with their sender."""
+        self._role_orders: list[RoleOrdered] = []
+        """Role changes that were ordered here since the last round."""
         self._suspicions_to_relay: list[tuple[str, Suspicion]] = []
         """Suspicions to relay as a collector in the next round, with their sender."""
         self._refreshed_at = float("-inf")
@@ -112,7 +115,7 @@
             self._update_group()
             self._update_contention(now)
             self._send_backlog(now)
-            self._send_parts()
+            self._send_engine_news()
             self._send_changed_suspicions(now)
             if now >= demand_sent_at + REPORT_INTERVAL_SECONDS:
                 demand_sent_at = now
@@ -153,7 +156,11 @@
         elif isinstance(message, PartsRead):
             self._placement.record_parts(message)
             if self._is_collector:
-                self._parts_to_relay.append((peer, message))
+                self._to_relay.append((peer, message))
+        elif isinstance(message, RoleOrdered):
+            self._placement.record_role_order(message, now)
+            if self._is_collector:
+                self._to_relay.append((peer, message))
         elif isinstance(message, Suspicions):
             self._handle_suspicions(peer, message, now)
 
@@ -260,18 +267,23 @@
         for peer in self._group.recipients:
             self._hub.send(peer, self._make_backlog(hosts, peer))
 
-    def _send_parts(self) -> None:
-        """Send the parts that engines were newly given, not those they still hold."""
-        outgoing = [
-            (self._own_name, parts) for parts in self._placement.pop_sent_parts()
-        ]
-        outgoing += self._parts_to_relay
-        self._parts_to_relay = []
+    def record_role_order(self, host: str, role: str) -> None:
+        """Record that this gateway has ordered an engine to change its role."""
+        ordered = self._placement.describe_role_order(host, role)
+        self._placement.record_role_order(ordered, time.monotonic())
+        self._role_orders.append(ordered)
+
+    def _send_engine_news(self) -> None:
+        """Send the parts that engines were newly given, and the roles ordered."""
+        news = [*self._role_orders, *self._placement.pop_sent_parts()]
+        outgoing = [(self._own_name, message) for message in news]
+        outgoing += self._to_relay
+        self._role_orders, self._to_relay = [], []
         for peer in self._group.recipients:
             excluded = self._list_excluded(peer) or ()
-            for sender, parts in outgoing:
+            for sender, message in outgoing:
                 if sender not in excluded:
-                    self._hub.send(peer, parts)
+                    self._hub.send(peer, message)
 
     def _send_changed_suspicions(self, now: float) -> None:
         """Send suspicions about requests under which hosts failed, in few messages."""
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -113,6 +113,7 @@
         gateway.view_exchange.attach(self._hub)
         if gateway.usage_exchange is not None:
             gateway.usage_exchange.attach(self._hub)
+        gateway.stages.on_ordered = self._loads.record_role_order
         await self._hub.start(self._address)
         gateway.runtime.spawn(self._loads.run())
         had_row = await self._registry.write_own_row()
--- a/radishtally/stages/role_controller.py
+++ b/radishtally/stages/role_controller.py
@@ -80,6 +80,8 @@
         """Return whether requests fail to reach an engine."""
         self.on_report: Callable[[Instance, EngineReport], None] = lambda *_: None
         """Handle a report that was read from an engine."""
+        self.on_ordered: Callable[[str, str], None] = lambda *_: None
+        """Handle an engine that begins to change to a role."""
         self._plans: dict[str, RolePlan] = {}
         self._demands: dict[str, DemandTracker] = {}
         self._pending: dict[str, tuple[str, float]] = {}
@@ -253,6 +255,8 @@
             sequence=report.ok.sequence,
             outcome=outcome.value,
         )
+        if outcome in (OrderOutcome.TAKEN, OrderOutcome.BUSY):
+            self.on_ordered(change.host, change.role)
         if outcome == OrderOutcome.STALE:
             self._lease.give_up(fencing)
         if outcome in PENDING_SECONDS_BY_OUTCOME:
--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -310,3 +310,27 @@
     for host in (desk, engine):
         world.placement.record_completion(request, host)
     assert recorder.answered == ["llm"]
+
+
+# Guards against an engine that gets no work for long: it has its new role already, was
+# restarted, or has never carried out the order.
+@pytest.mark.parametrize("end", ["listed", "restarted", "timeout"])
+def test_engine_gets_work_again_after_its_role_change(end: str) -> None:
+    world = World()
+    placement, now = world.placement, 0.0
+    request = make_request()
+    request.next_stage = DECODE
+    placement.record_role_order(placement.describe_role_order("d0", PREFILL), now)
+    assert world.place(request).host == "d1"
+    if end == "listed":
+        placement.set_instance(make_instance("d0", PREFILL))
+        placement.set_instance(make_instance("d0", DECODE))
+    elif end == "restarted":
+        placement.reset_engine("d0")
+        placement.set_instance(make_instance("d0", DECODE))
+    else:
+        now += 20.0
+    hosts, chosen = world.hosts, set()
+    for _ in range(40):
+        chosen.add(placement.place(request, hosts, "warwick", now).host)
+    assert chosen == {"d0", "d1"}
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -20,6 +20,7 @@
 )
 from radishtally.links.messages import (
     DECODE,
+    PREFILL,
     STREAM,
     WHOLE,
     HashedPart,
@@ -35,6 +36,7 @@
 
 MANY = MAX_MESH_GATEWAYS + 8
 ENGINE = Instance("d-1", "llm", "d-1:1", "howrah", False, 64, DECODE)
+OTHER_ENGINE = Instance("d-2", "llm", "d-2:1", "howrah", False, 64, DECODE)
 
 
 def count_answers(placement: EnginePlacement, host: str) -> int:
@@ -98,6 +100,7 @@
             for gateway in self.gateways.values():
                 gateway.loads._update_group()
                 gateway.loads._send_backlog(at)
+                gateway.loads._send_engine_news()
                 gateway.loads._send_changed_suspicions(at)
                 gateway.loads._send_demand(at)
 
@@ -386,3 +389,33 @@
         net.run_rounds(0.0)
         sent[count] = net.sent / count
     assert sent[10 * MANY] <= 1.1 * sent[MANY]
+
+
+# Guards against the load of an engine that changes its role: it refuses all work, and
+# with few open requests it was chosen again and again by all gateways that had not
+# ordered the change. Their refused offers used up the retry budget.
+@pytest.mark.parametrize("data_centres", [1, 3])
+@pytest.mark.parametrize("count", [2, MAX_MESH_GATEWAYS, MANY])
+def test_all_gateways_avoid_an_engine_that_changes_its_role(
+    count: int, data_centres: int
+) -> None:
+    net = Network(count, data_centres)
+    net.run_rounds(0.0)
+    for gateway in net.gateways.values():
+        gateway.placement.set_instance(OTHER_ENGINE)
+    ordering = net.gateways[f"g-{count - 1}"]
+    ordering.loads.record_role_order(ENGINE.host, PREFILL)
+    net.run_rounds(4.0)
+    hosts = [
+        KnownHost(engine.host, "howrah", "llm", live=True)
+        for engine in (ENGINE, OTHER_ENGINE)
+    ]
+    now = time.monotonic()
+    for gateway in net.gateways.values():
+        for _ in range(10):
+            request = OpenRequest(
+                Work("r", "", "llm", STREAM, b""), now + 10.0, True, now
+            )
+            request.next_stage = DECODE
+            placed = gateway.placement.place(request, hosts, "howrah", now)
+            assert placed.host == OTHER_ENGINE.host
