Take the lease over as soon as it may lapse

Cause: a contender read the lease's row at fixed intervals, 5.5 s apart with 28 gateways although only two of each data centre contend. A takeover came up to 11 s after the holder's end.

--- a/radishtally/authority/lease.py
+++ b/radishtally/authority/lease.py
@@ -283,7 +283,10 @@
     def _next_read_at(self) -> float:
         if self.row.is_current and self._held is not None:
             return float("inf")
-        return self._last_read_at + self.read_every
+        due = self._last_read_at + self.read_every
+        lapse = self.row.find_lapse(self.terms.margin)
+        # A read at that time may end in a takeover, an earlier one can't.
+        return lapse if self._last_read_at < lapse < due else due
 
     def _next_wake_at(self) -> float:
         if self._held is None:
--- a/radishtally/authority/lease_row.py
+++ b/radishtally/authority/lease_row.py
@@ -74,7 +74,11 @@
         """Return whether a process that does not hold the lease may take it over."""
         if self._is_free(incarnation):
             return True
-        return self.read_at >= self._unchanged_since + self._find_lease_time() + margin
+        return self.read_at >= self.find_lapse(margin)
+
+    def find_lapse(self, margin: float) -> float:
+        """Return when an unchanged row may be taken over, if it is read then."""
+        return self._unchanged_since + self._find_lease_time() + margin
 
     def choose_fencing(self) -> int:
         """Choose a fencing token above every one given out before."""
--- a/tests/authority/test_lease.py
+++ b/tests/authority/test_lease.py
@@ -284,6 +284,17 @@
     assert first.gained == [1, 2]
 
 
+# Guards against a takeover that is late by up to one interval between reads.
+def test_contender_reads_the_row_when_it_may_be_taken_over(make_contender) -> None:
+    first, second = make_contender("a"), make_contender("c")
+    second.core.read_every = 8.0
+    first.step(0.0)
+    run_until(second, 0.0, 11.0 / RATES["c"])
+    assert not second.holds(11.0 / RATES["c"])
+    run_until(second, 11.0, 11.5)
+    assert second.holds(11.5)
+
+
 def test_resigned_lease_is_taken_over_at_once(make_contender) -> None:
     first, second = make_contender("a"), make_contender("c")
     first.step(0.0)
