Let contenders read the lease at different times

Cause: all contenders read the row at the same moments, so that a renewal was first seen up to one interval late by all of them, and a takeover was that late.

Change: the interval follows the number of gateways again, and each contender draws 70 to 100% of it.

--- a/radishtally/authority/lease_driver.py
+++ b/radishtally/authority/lease_driver.py
@@ -1,6 +1,7 @@
 """Drive the lease core: call the table and report gains and losses of the lease."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -37,6 +38,8 @@
 """Timeout of one call to the table, as a fraction of the lease duration."""
 FULL_RATE_CONTENDERS: Final = 4
 """Contenders that may all read at the configured rate; more of them read less often."""
+READ_SPREAD: Final = 0.3
+"""Share of the interval between reads by which it differs among contenders."""
 RESIGN_TIMEOUT_SECONDS: Final = 1.0
 
 
@@ -69,6 +72,9 @@
         self._table = table
         self._terms = terms or LeaseTerms()
         self._contenders = 1
+        self._spread = random.uniform(1.0 - READ_SPREAD, 1.0)
+        """Factor of the read interval. Contenders that read at different times see a
+        renewal soon, all together, and so also that there was no further one."""
         self._era = 0
         core = LeaseCore(place, host, ids, self._terms)
         super().__init__(core, Tick(), clock)
@@ -95,7 +101,8 @@
         shortest = self._terms.read_every
         longest = max(shortest, self._terms.granted - self._terms.margin)
         scaled = shortest * contenders / FULL_RATE_CONTENDERS
-        self._core.read_every = min(max(shortest, scaled), longest)
+        read_every = min(max(shortest, scaled), longest)
+        self._core.read_every = max(shortest, read_every * self._spread)
 
     def describe(self) -> LeaseState:
         """Return this process's view of the lease, with its age."""
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -261,10 +261,10 @@
         self.metrics.set_settings(mark)
         return mark
 
-    def set_gateway_count(self, count: int, contenders: int) -> None:
+    def set_gateway_count(self, count: int) -> None:
         """Set how many gateways share the retry budget and the reads of the lease."""
         self._gateway_count = count
-        self.lease.set_contender_count(contenders)
+        self.lease.set_contender_count(count)
         self._update_retry_budget()
 
     def find_gather_seconds(self) -> float:
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -25,7 +25,6 @@
 from radishtally.gateway.topology import (
     Site,
     choose_dialled,
-    count_candidates,
     find_first_reachable,
     is_mesh,
     list_gateways_in,
@@ -63,8 +62,8 @@
     usage_exchange: UsageExchange | None
     view_exchange: ViewExchange
 
-    def set_gateway_count(self, count: int, contenders: int) -> None:
-        """Set the number of gateways, and of those that contend for the lease."""
+    def set_gateway_count(self, count: int) -> None:
+        """Set the number of gateways."""
 
 
 class Peers:
@@ -187,7 +186,7 @@
         """Dial the chosen gateways and drop the links to others."""
         sites = {name: read_site(row) for name, row in rows.items()}
         sites[self._host] = self._site
-        self._gateway.set_gateway_count(len(sites), count_candidates(sites))
+        self._gateway.set_gateway_count(len(sites))
         self._loads.set_sites(sites)
         self._gateway.view_exchange.set_sites(sites)
         if self._gateway.usage_exchange is not None:
--- a/radishtally/gateway/topology.py
+++ b/radishtally/gateway/topology.py
@@ -109,16 +109,6 @@
     return sum(name in linked for name in before) < COLLECTOR_CANDIDATES
 
 
-def count_candidates(sites: Sites) -> int:
-    """Count the gateways that contend for the lease while all can be reached."""
-    if is_mesh(sites):
-        return len(sites)
-    return sum(
-        min(COLLECTOR_CANDIDATES, len(list_gateways_in(sites, data_centre)))
-        for data_centre in list_data_centres(sites)
-    )
-
-
 def list_collector_candidates(
     sites: Sites, own_name: str, linked: Collection[str]
 ) -> set[str]:
