Connect the parts of usage in one place

Change: a meter that does nothing stands in where no reports are wanted, as the engines' observer does.

--- a/radishtally/gateway/commands.py
+++ b/radishtally/gateway/commands.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 
 from radishtally.direct.hosts import DirectHosts
+from radishtally.gateway.meter import UsageMeter
 from radishtally.gateway.metrics import (
     ANSWERED,
     BROKEN_OFF,
@@ -13,7 +14,6 @@
     REFUSED,
     GatewayMetrics,
 )
-from radishtally.gateway.usage import UsageRecorder
 from radishtally.links.messages import Cancel, Offer
 from radishtally.outcome import Ran, Refusal
 from radishtally.serving import events
@@ -29,7 +29,7 @@
     hosts: DirectHosts
     metrics: GatewayMetrics
     replies: Replies
-    usage: UsageRecorder | None
+    meter: UsageMeter
 
     def record_refusal(self, request: str, refusal: Refusal) -> None:
         """Log and count a refusal by the gateway itself."""
@@ -47,8 +47,7 @@
     if isinstance(message, Offer):
         terms = targets.core.requests[message.work.request].terms
         targets.metrics.count_offer(message.stage)
-        if targets.usage is not None:
-            targets.usage.record_offer(message.work.request)
+        targets.meter.record_offer(message.work.request)
         targets.hosts.run(command.host, message, terms)
     elif isinstance(message, Cancel):
         targets.hosts.cancel(message)
@@ -62,7 +61,7 @@
 @execute_command.register
 def _(command: events.Begin, targets: CommandTargets) -> None:
     targets.metrics.observe_first_part(command.request)
-    _record_begin(command.request, targets)
+    targets.meter.record_begin(command.request)
     targets.replies.put(command)
 
 
@@ -75,7 +74,7 @@
 def _(command: events.SendFullAnswer, targets: CommandTargets) -> None:
     is_good = command.end.status < MIN_FAILURE_STATUS
     targets.metrics.record_outcome(command.request, ANSWERED if is_good else FAILED)
-    _record_begin(command.request, targets)
+    targets.meter.record_begin(command.request)
     targets.replies.put(command)
 
 
@@ -96,16 +95,11 @@
 def _(command: events.Refuse, targets: CommandTargets) -> None:
     targets.record_refusal(command.request, command.refusal)
     targets.metrics.record_outcome(command.request, REFUSED)
-    if targets.usage is not None and command.refusal.ran == Ran.UNKNOWN:
-        targets.usage.record_unclear_end(command.request)
+    if command.refusal.ran == Ran.UNKNOWN:
+        targets.meter.record_unclear_end(command.request)
     targets.replies.put(command)
 
 
 @execute_command.register
 def _(command: events.RecordStep, targets: CommandTargets) -> None:
     log_message("request:step", request=command.request, text=command.text)
-
-
-def _record_begin(request: str, targets: CommandTargets) -> None:
-    if targets.usage is not None:
-        targets.usage.record_begin(request)
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -22,7 +22,7 @@
 from radishtally.gateway.cache_discovery import CacheDiscovery
 from radishtally.gateway.changes import apply_change
 from radishtally.gateway.commands import execute_command
-from radishtally.gateway.config import GatewaySettings, UsageSettings
+from radishtally.gateway.config import GatewaySettings
 from radishtally.gateway.const import (
     DEFAULT_GATEWAY_COUNT,
     LEAVE_MARGIN_SECONDS,
@@ -42,11 +42,11 @@
 )
 from radishtally.gateway.http_frontend import HttpFrontend
 from radishtally.gateway.members import HostChange, Members
+from radishtally.gateway.meter import ReportingMeter, UsageMeter
 from radishtally.gateway.metrics import GatewayMetrics
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, RoutedRequest, Router
 from radishtally.gateway.topology import Site
-from radishtally.gateway.usage import UsageExchange, UsageRecorder
 from radishtally.limits.retries import RetryBudgets
 from radishtally.links.messages import Message
 from radishtally.outcome import Error, Refusal, Result
@@ -58,9 +58,7 @@
 from radishtally.stages.role_controller import RoleController
 from radishtally.store.core import Table
 from radishtally.store.ids import WriteIds
-from radishtally.usage.clock import SteadyClock
-from radishtally.usage.core import Source, UsageLedger
-from radishtally.usage.reporter import PlatformApi, UsageReporter
+from radishtally.usage.reporter import PlatformApi
 
 
 class Gateway:
@@ -132,12 +130,17 @@
         self.cache_discovery = CacheDiscovery(
             settings.host, self.hosts, placement, self.list_served_hosts
         )
-        self.usage: UsageRecorder | None = None
-        self.usage_exchange: UsageExchange | None = None
-        self.usage_reporter: UsageReporter | None = None
-        self._usage_clock = SteadyClock()
+        self.meter = UsageMeter()
         if settings.usage is not None and platform_api is not None:
-            self._prepare_usage(settings.usage, platform_api)
+            self.meter = ReportingMeter(
+                settings.host,
+                settings.usage,
+                table,
+                self.write_ids,
+                self.lease,
+                platform_api,
+                self.metrics.count_usage_report,
+            )
         self.peers = Peers(
             self,
             settings.host,
@@ -149,26 +152,6 @@
         self.stages.is_unreachable = self.core.is_out_of_reach
         self.waker = Waker(lambda: self.handle(events.Tick()))
 
-    def _prepare_usage(
-        self, settings: UsageSettings, platform_api: PlatformApi
-    ) -> None:
-        """Create what counts the teams' requests and reports them."""
-        host, ids = self.settings.host, self.write_ids
-        ledger = UsageLedger(Source(host, ids.incarnation), settings.window_seconds)
-        self.usage = UsageRecorder(ledger, self._usage_clock.read)
-        self.usage_exchange = UsageExchange(host, ledger)
-        self.usage_reporter = UsageReporter(
-            host,
-            ledger,
-            self.table,
-            ids,
-            self.lease,
-            platform_api,
-            settings.late_seconds,
-            self._usage_clock.read,
-        )
-        self.usage_reporter.on_outcome = self.metrics.count_usage_report
-
     @property
     def limits(self) -> CallerLimits | None:
         """Return the limits on callers' requests; None without a configuration."""
@@ -189,9 +172,8 @@
         self.runtime.spawn(self.stages.run())
         self.runtime.spawn(self.peers.run())
         self.runtime.spawn(self.confirmer.run())
-        if self.usage_reporter is not None:
-            self.runtime.spawn(self.usage_exchange.run(self._usage_clock.read))
-            self.runtime.spawn(self.usage_reporter.run())
+        for coroutine in self.meter.list_tasks():
+            self.runtime.spawn(coroutine)
         log_message(
             "gateway:started",
             address=self.settings.address,
@@ -361,8 +343,7 @@
         self.metrics.count_restore()
         self.members.enter_era(read_boot_clock())
         self.peers.enter_era()
-        if self.usage_reporter is not None:
-            self.usage_reporter.enter_era()
+        self.meter.enter_era()
 
     def list_served_hosts(self) -> list[Instance]:
         """List the hosts of the upstreams that are configured.
@@ -435,8 +416,7 @@
         work = routed.work
         self._has_opened = True
         queue = self.replies.open(work.request)
-        if self.usage is not None:
-            self.usage.open(work)
+        self.meter.open(work)
         self.metrics.record_opened(routed)
         log_message(
             "request:arrived",
@@ -469,8 +449,7 @@
         self.replies.close(request)
         if not delivery.is_done:
             self.handle(events.CallerGone(request))
-        if self.usage is not None:
-            self.usage.close(request)
+        self.meter.close(request)
         outcome, seconds = self.metrics.record_closed(request, delivery.ending)
         log_message(
             "request:closed",
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -20,6 +20,7 @@
 )
 from radishtally.gateway.freshness import ViewExchange
 from radishtally.gateway.loads import LoadExchange
+from radishtally.gateway.meter import UsageMeter
 from radishtally.gateway.registry import GATEWAYS_PARTITION, GatewayRegistry, read_site
 from radishtally.gateway.roster import Roster
 from radishtally.gateway.topology import (
@@ -30,7 +31,6 @@
     list_gateways_in,
 )
 from radishtally.gateway.unreachable import UnreachablePeers
-from radishtally.gateway.usage import UsageExchange
 from radishtally.links.hub import LinkCallbacks, LinkHub
 from radishtally.links.messages import (
     Hello,
@@ -59,7 +59,7 @@
     lease: LeaseDriver
     core: DispatchCore
     table: Table
-    usage_exchange: UsageExchange | None
+    meter: UsageMeter
     view_exchange: ViewExchange
 
     def set_gateway_count(self, count: int) -> None:
@@ -111,8 +111,7 @@
             gateway.core.suspects,
         )
         gateway.view_exchange.attach(self._hub)
-        if gateway.usage_exchange is not None:
-            gateway.usage_exchange.attach(self._hub)
+        gateway.meter.attach(self._hub)
         gateway.stages.on_ordered = self._loads.record_role_order
         await self._hub.start(self._address)
         gateway.runtime.spawn(self._loads.run())
@@ -189,8 +188,7 @@
         self._gateway.set_gateway_count(len(sites))
         self._loads.set_sites(sites)
         self._gateway.view_exchange.set_sites(sites)
-        if self._gateway.usage_exchange is not None:
-            self._gateway.usage_exchange.set_sites(sites)
+        self._gateway.meter.set_sites(sites)
         unresponsive = self._dialled - set(self._hub.hosts)
         dialled = set(choose_dialled(sites, self._host, unresponsive))
         for name in self._dialled - dialled:
@@ -233,16 +231,15 @@
 
     def _link_down(self, host: str, reason: str) -> None:
         self._loads.forget_peer(host)
-        if self._gateway.usage_exchange is not None:
-            self._gateway.usage_exchange.handle_link_down(host)
+        self._gateway.meter.handle_link_down(host)
 
     def _receive(self, host: str, message: Message) -> None:
         if isinstance(message, ViewRequest | ViewConfirmation):
             self._gateway.view_exchange.handle_message(host, message)
-        elif not isinstance(message, UsageCounts):
+        elif isinstance(message, UsageCounts):
+            self._gateway.meter.handle_message(host, message)
+        else:
             self._loads.handle_message(host, message)
-        elif self._gateway.usage_exchange is not None:
-            self._gateway.usage_exchange.handle_message(host, message)
 
 
 def _is_always_busy(host: str) -> bool:
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -16,9 +16,10 @@
 from aiohttp import web
 
 from radishtally.engines.placement import EnginePlacement
-from radishtally.gateway.config import Bounds, GatewaySettings
+from radishtally.gateway.config import Bounds, GatewaySettings, UsageSettings
 from radishtally.gateway.daemon import Gateway
 from radishtally.routes.config import HEALTH_PATH
+from radishtally.usage.reporter import PlatformApi
 from standins.rows import RowId, Rows
 from standins.staged import StagedEngine
 from tests.common import allocate_address
@@ -143,23 +144,27 @@
 
 
 @asynccontextmanager
-async def deployment(rows: Rows | None = None) -> AsyncIterator[Deployment]:
+async def deployment(
+    rows: Rows | None = None, platform_api: PlatformApi | None = None
+) -> AsyncIterator[Deployment]:
     """Run a store and a gateway that has loaded a configuration."""
     env = Deployment(rows or Rows())
     env.store = await serve(env.rows.build_app())
     env.configure()
-    async with run_gateway(env.store) as gateway:
+    async with run_gateway(env.store, platform_api=platform_api) as gateway:
         env.gateway = gateway
         env.url = f"http://{gateway.settings.address}"
         yield env
 
 
 @asynccontextmanager
-async def run_gateway(store: str, host: str = "gateway-1") -> AsyncIterator[Gateway]:
+async def run_gateway(
+    store: str, host: str = "gateway-1", platform_api: PlatformApi | None = None
+) -> AsyncIterator[Gateway]:
     """Run a gateway that has loaded a configuration; stop it without a drain."""
     client = StoreClient(store)
     await client.start()
-    gateway = make_gateway(client, store, host)
+    gateway = make_gateway(client, store, host, platform_api)
     watcher = StoreWatcher(client, gateway)
     gateway.confirmer.confirm = watcher.confirm_configuration
     watcher.start()
@@ -178,8 +183,14 @@
         await client.stop()
 
 
-def make_gateway(client: StoreClient, store: str, host: str) -> Gateway:
-    """Make a gateway on unused addresses."""
+def make_gateway(
+    client: StoreClient,
+    store: str,
+    host: str,
+    platform_api: PlatformApi | None = None,
+) -> Gateway:
+    """Make a gateway on unused addresses; with the platform's API it reports usage."""
+    usage = UsageSettings(api_address="-", window_seconds=0.5, late_seconds=10.0)
     ip = allocate_address()
     settings = GatewaySettings(
         host=host,
@@ -199,6 +210,7 @@
             retry_slack=54,
             retry_window_seconds=10,
         ),
+        usage=None if platform_api is None else usage,
     )
     return Gateway(
         settings,
@@ -206,6 +218,7 @@
         PlatformUpstreams(),
         EnginePlacement(),
         StoreTable(client),
+        platform_api,
     )
 
 
--- a/tests/gateway/test_teams.py
+++ b/tests/gateway/test_teams.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from radishtally.usage.reporter import PlatformApi
 from standins.staged import StagedEngine
 from tests.common import run
 from tests.gateway.common import (
@@ -42,9 +43,11 @@
 
 
 @asynccontextmanager
-async def keyed_deployment() -> AsyncIterator[tuple[Deployment, Desk]]:
+async def keyed_deployment(
+    platform_api: PlatformApi | None = None,
+) -> AsyncIterator[tuple[Deployment, Desk]]:
     """Run a deployment whose callers need keys, with one host of a plain service."""
-    async with deployment() as env:
+    async with deployment(platform_api=platform_api) as env:
         env.configure(*ROUTES, ANONYMOUS, tenants=TENANTS)
         await env.wait_for_configuration()
         desk = Desk()
@@ -171,7 +174,9 @@
 def test_anonymous_route_needs_no_key_and_passes_none() -> None:
     async def scenario() -> None:
         async with keyed_deployment() as (env, desk):
-            for number, more in enumerate(((), (bear("silk-1"),), (bear("unknown"),))):
+            forged = ("X-Tenant", "satin")
+            sent = ((), (bear("silk-1"),), (bear("unknown"),), (forged,))
+            for number, more in enumerate(sent):
                 assert (await ask(env, f"a{number}", *more, path="/open/x"))[0] == 200
             for headers in desk.seen:
                 assert "X-Tenant" not in headers
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -12,6 +12,7 @@
 from radishtally.links.messages import CALL, STREAM, Work
 from radishtally.usage.const import SEND_SECONDS
 from radishtally.usage.core import Source, UsageLedger
+from radishtally.usage.reporter import ReportOutcome
 from standins.staged import StagedEngine
 from tests.common import run
 from tests.gateway.common import Deployment, make_headers, make_prompt, wait_until
@@ -156,7 +157,7 @@
     """Run a deployment with keys whose gateway counts requests."""
     recorder, ledger, _ = make_recorder()
     async with keyed_deployment() as (env, _):
-        env.gateway.usage = recorder
+        env.gateway.meter = recorder
         yield env, ledger
 
 
@@ -196,3 +197,31 @@
             assert ledger.list_all() == []
 
     run(scenario())
+
+
+class RecordingApi:
+    """Accept all reports."""
+
+    def __init__(self) -> None:
+        self.reports: dict[int, dict[str, int]] = {}
+
+    async def report_usage(
+        self, holder: str, fencing: int, window: int, counts: dict[str, int]
+    ) -> ReportOutcome:
+        assert (holder, fencing) == ("gateway-1", 1)
+        self.reports[window] = counts
+        return ReportOutcome.ACCEPTED
+
+
+def test_gateway_reports_its_requests_once_it_has_the_lease() -> None:
+    async def scenario() -> None:
+        api = RecordingApi()
+        async with keyed_deployment(api) as (env, _):
+            await wait_until(lambda: env.gateway.lease.holds())
+            for number in range(3):
+                assert await send(env, "/book/x", make_headers(f"r{number}")) == 200
+            await wait_until(
+                lambda: sum(counts["satin"] for counts in api.reports.values()) == 3
+            )
+
+    run(scenario())
