Test that a successor sends the reports that it finds written

Cause: with the reading of those rows switched off on a scratch copy no test failed, since a holder that has counts of its own finds the row when its write conflicts.

Change: a test of a successor that has just started and knows no counts; it fails without the reading.

--- a/tests/usage/test_reporter.py
+++ b/tests/usage/test_reporter.py
@@ -109,7 +109,19 @@
     assert second.outcomes == ["accepted"]
 
 
-# Guards against the same where the successor took over while the first holder was
+# Guards against a window that is missing although it was written: the holder was killed
+# before it sent the report, and its successor has just started.
+def test_successor_without_counts_sends_what_was_written(table: MemoryTable) -> None:
+    first = Holder("g-1", table, Platform(ReportOutcome.UNCLEAR))
+    first.count(["silk"])
+    first.report(END + 1.0)
+    platform = Platform()
+    second = Holder("g-2", table, platform, fencing=2, started_at=END + 2.0)
+    second.report(END + 4.0)
+    assert platform.get_counts(FIRST) == [{"silk": 1}]
+
+
+# Guards against two counts where the successor took over while the first holder was
 # suspended between the choice of the counts and their write.
 def test_holder_that_writes_second_repeats_the_other_one(table: MemoryTable) -> None:
     platform = Platform()
