Send and close a gateway's counts when it stops

Change: it sends all its counts as closed before its links end, and an empty closed count for the next window.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -212,6 +212,7 @@
         while await self.frontend.close_idle() and time.monotonic() < until:
             await asyncio.sleep(LEAVE_POLL_SECONDS)
         self.handle(events.Shutdown())
+        self.meter.flush()
         await asyncio.sleep(LEAVE_POLL_SECONDS)
 
     async def _stop_parts(self, *more: asyncio.Task) -> None:
--- a/radishtally/gateway/meter.py
+++ b/radishtally/gateway/meter.py
@@ -49,6 +49,9 @@
     def enter_era(self) -> None:
         """Handle a restore of the store."""
 
+    def flush(self) -> None:
+        """Send all counts of this gateway, which is about to exit."""
+
     def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return what has to run for as long as the gateway does."""
         return []
@@ -91,6 +94,7 @@
         self.set_sites = self._exchange.set_sites
         self.handle_message = self._exchange.handle_message
         self.handle_link_down = self._exchange.handle_link_down
+        self.flush = self._exchange.flush
         self.enter_era = self._reporter.enter_era
 
     def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
--- a/radishtally/gateway/usage.py
+++ b/radishtally/gateway/usage.py
@@ -111,6 +111,14 @@
             self._send_to(peer, changes)
         self._recipients = recipients
 
+    def flush(self) -> None:
+        """Send all counts of this gateway, which is about to exit."""
+        if self._hub is None:
+            return
+        messages = self._ledger.close_all()
+        for peer in self._find_recipients():
+            self._send_to(peer, messages)
+
     def handle_message(self, peer: str, message: UsageCounts) -> None:
         """Merge the counts that another gateway has sent."""
         self._ledger.merge(message)
--- a/radishtally/usage/core.py
+++ b/radishtally/usage/core.py
@@ -77,6 +77,21 @@
                 messages.append(self._describe(window, self._own, teams))
         return messages
 
+    def close_all(self) -> list[UsageCounts]:
+        """Return the counts of this process, which counts no more."""
+        self._changed.clear()
+        messages = []
+        counted = [w for w, sources in self._windows.items() if self._own in sources]
+        if counted:
+            # A report of the next window must not wait for this process either.
+            self._get_count(max(counted) + 1, self._own)
+        for window, sources in self._windows.items():
+            own = sources.get(self._own)
+            if own is not None:
+                own.is_closed = True
+                messages.append(self._describe(window, self._own, own.requests))
+        return messages
+
     def list_all(self) -> list[UsageCounts]:
         """Return all counts, for a gateway that may have none of them."""
         return [
@@ -108,8 +123,8 @@
         A gateway that counted in the window before may have counts in this one that
         were not received.
         """
-        sources = self._windows.get(window, {})
-        expected = sources.keys() | self._windows.get(window - 1, {}).keys()
+        sources, before = (self._windows.get(w, {}) for w in (window, window - 1))
+        expected = sources.keys() | {s for s, count in before.items() if count.requests}
         return sorted(
             source.gateway
             for source in expected
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -90,6 +90,21 @@
     assert all(counts == {"silk": 1} for counts in net.sum_counts())
 
 
+# Guards against requests that are missing because their gateway was stopped, and
+# against reports that wait for a gateway that is gone.
+def test_stopping_gateway_sends_and_closes_its_last_counts() -> None:
+    net = UsageNetwork(28)
+    net.run_rounds(START)
+    net.ledgers["g-27"].count("silk", START)
+    net.exchanges["g-27"].flush()
+    net.cut.add("g-27")
+    net.run_rounds(START + 1.0)
+    assert all(counts == {"silk": 1} for counts in net.sum_counts())
+    for name in net.list_candidates():
+        for window in (1_000, 1_001, 1_002):
+            assert net.ledgers[name].list_unclosed(window) == []
+
+
 def make_work(name: str, kind: str, team: str = "silk") -> Work:
     return Work(name, team, "llm", kind, b"")
 
