--- a/radishtally/authority/lease_driver.py
+++ b/radishtally/authority/lease_driver.py
@@ -73,8 +73,8 @@
         self._terms = terms or LeaseTerms()
         self._contenders = 1
         self._spread = random.uniform(1.0 - READ_SPREAD, 1.0)
-        """Factor of the read interval. Contenders that read at different times see a
-        renewal soon, all together, and so also that there was no further one."""
+        """Factor of the read interval. If all contenders read at the same moments, they
+        would see the last renewal, and so take over, up to one interval late."""
         self._era = 0
         core = LeaseCore(place, host, ids, self._terms)
         super().__init__(core, Tick(), clock)
--- a/radishtally/gateway/freshness.py
+++ b/radishtally/gateway/freshness.py
@@ -85,9 +85,10 @@
 class ViewExchange:
     """Pass confirmations on between gateways, so that few of them ask the store.
 
-    One gateway of each data centre, or one of all if there are few, asks the store and
-    answers the others. A confirmation counts from the time of the request for it, so
-    that neither a slow link nor a suspended gateway makes it seem newer.
+    One gateway of each data centre asks the store and answers the others there; where
+    all gateways form a mesh, one does so for all. A confirmation counts from the time
+    of the request for it, so that neither a slow link nor a suspended gateway makes it
+    seem newer.
     """
 
     def __init__(
@@ -190,7 +191,7 @@
     async def run(self) -> None:
         """Keep the view confirmed until cancelled."""
         while True:
-            # A request that comes between two calls waits for the second one.
+            # A request for a confirmation just after a call waits for the next one.
             self._wanted.clear()
             seconds = self.step()
             try:
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -132,8 +132,8 @@
         teams = self.configuration.teams
         if teams is None or route.is_anonymous:
             return Ok(NO_TEAM)
-        # An outdated configuration neither shows that a key is still valid, nor that it
-        # has never become so.
+        # A key may have been revoked, or an unknown one added, since an outdated
+        # configuration.
         if not self._are_keys_confirmed():
             return Error(UNCONFIRMED)
         if len(credentials) > 1:
