--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -9,7 +9,6 @@
 from radishtally.direct.core import CachedPart, Instance, is_same_start
 from radishtally.engines.cache import PromptCache, hash_cached_part
 from radishtally.engines.choice import (
-    MAX_DECODE_FILL,
     PlacementContext,
     choose_decode,
     place_call,
@@ -300,13 +299,6 @@
         engine = self._engines.get(host.host)
         return host.in_flight if engine is None else engine.count_answers()
 
-    def has_room(self, host: KnownHost, now: float) -> bool:
-        """Return whether an engine certainly has room for one more answer."""
-        engine = self._engines.get(host.host)
-        if engine is None or self._is_changing_role(host.host, now):
-            return False
-        return engine.fill < MAX_DECODE_FILL
-
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Record that a request was offered to a host."""
         engine = self._engines.get(host.host)
--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -112,11 +112,8 @@
     if core.refusals_cost_retries:
         request.owes_retry = True
         _penalize_refusal(host, message.reason, core, now)
-    if request.kv is not None and (
-        request.tried or _has_lost_kv(host, message.reason, core, now)
-    ):
-        # An engine with room, or a second one, has refused: it could not fetch the KV
-        # cache, and no other engine can.
+    if request.kv is not None and request.tried:
+        # A second host has refused as well, so the KV cache itself is at fault.
         yield DropKv(request.kv)
         request.discard_kv()
     if message.reason == KEY_REUSED:
@@ -309,14 +306,6 @@
     known.ended_contents.clear()
 
 
-def _has_lost_kv(host: str, reason: str, core: DispatchCore, now: float) -> bool:
-    """Return whether an engine can only have refused for want of the KV cache."""
-    known = core.hosts.get(host)
-    if known is None or not known.live or reason in (REPLACED, LEAVING):
-        return False
-    return core.placement.has_room(known, now)
-
-
 def _penalize_refusal(host: str, reason: str, core: DispatchCore, now: float) -> None:
     """Exclude a refusing host: for good if another instance has its address.
 
--- a/radishtally/serving/placement.py
+++ b/radishtally/serving/placement.py
@@ -45,9 +45,6 @@
     def count_open(self, host: KnownHost) -> int:
         """Return the number of answers that would be lost with a host."""
 
-    def has_room(self, host: KnownHost, now: float) -> bool:
-        """Return whether a host certainly has room for one more answer."""
-
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Record that the request was offered to a host."""
 
@@ -94,10 +91,6 @@
         """Return the number of answers that would be lost with a host."""
         return host.in_flight
 
-    def has_room(self, host: KnownHost, now: float) -> bool:
-        """Return False: agents refuse for reasons that are not known here."""
-        return False
-
     def begin(self, request: OpenRequest, host: KnownHost, now: float) -> None:
         """Do nothing: KnownHost counts the work in flight."""
 
