Revert "Let changes gather for longer before the first request"

- test_handle_of_an_earlier_start_is_never_used, by the change that has reverted: an engine that is full for reasons a gateway doesn't know was taken for one that has lost the KV cache, and a good cache was given up.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -94,8 +94,6 @@
         self.runtime.describe_state = self._describe_state
         self._era = 0
         """Newest era of the store that was seen; 0 if it reports none."""
-        self._has_opened = False
-        """Whether a request was opened since the start."""
         self._gateway_count: int | None = None
         """Number of gateways that share the retry budget; None until listed."""
         self.core = DispatchCore(
@@ -253,12 +251,9 @@
     def find_gather_seconds(self) -> float:
         """Return how long changes in the store may accumulate between queries.
 
-        Until the other gateways are listed, all of them may be starting at once. Until
-        the first request, no change is urgent, and all hosts may be starting too.
+        Until the other gateways are listed, all of them may be starting at once.
         """
-        is_starting = self._gateway_count is None or not self._has_opened
-        count = None if is_starting else self._gateway_count
-        return find_gather_seconds(self.settings.bounds, count)
+        return find_gather_seconds(self.settings.bounds, self._gateway_count)
 
     def _update_retry_budget(self) -> None:
         bounds = self.settings.bounds
@@ -415,7 +410,6 @@
     def open(self, routed: RoutedRequest) -> asyncio.Queue[Reply]:
         """Open a request; return the queue on which its answer arrives."""
         work = routed.work
-        self._has_opened = True
         queue = self.replies.open(work.request)
         self.meter.open(work)
         self.metrics.record_opened(routed)
