Part the messages of gateways from those of entries and agents

Change: links/gateway_messages.py and links/kinds.py beside it; every import follows, by script. No message and no kind's number has changed (tests/links pass).

--- a/bench/capacity/links.py
+++ b/bench/capacity/links.py
@@ -16,7 +16,8 @@
 from bench.fleet import ROOT
 from radishtally.links.codec import encode_frame
 from radishtally.links.hub import LinkHub
-from radishtally.links.messages import Chunk, Message, Ping, Pong
+from radishtally.links.kinds import Message
+from radishtally.links.messages import Chunk, Ping, Pong
 
 DIRECTIONS: Final = ("send", "receive")
 MESSAGES: Final = 8_000
--- a/bench/capacity/peer.py
+++ b/bench/capacity/peer.py
@@ -11,7 +11,8 @@
 
 from bench.fleet import find_port
 from radishtally.links.hub import LinkCallbacks, LinkHub
-from radishtally.links.messages import Hello, Load, Message, Ping
+from radishtally.links.kinds import Message
+from radishtally.links.messages import Hello, Load, Ping
 
 PEER_KEY: Final = "capacity"
 NEAR: Final = "near"
--- a/radishtally/agent/core.py
+++ b/radishtally/agent/core.py
@@ -24,6 +24,7 @@
 from radishtally.agent.events import Command, Event, Send
 from radishtally.agent.retention import EndedAttempt
 from radishtally.agent.state import ActiveDrain, AgentCore
+from radishtally.links.kinds import Message
 from radishtally.links.messages import (
     CALL,
     LEAVING,
@@ -37,7 +38,6 @@
     KvRef,
     Leaving,
     Lost,
-    Message,
     Offer,
     Ping,
 )
--- a/radishtally/agent/daemon.py
+++ b/radishtally/agent/daemon.py
@@ -17,7 +17,8 @@
 from radishtally.authority.plan_store import PlanStore
 from radishtally.configuration.config import Service as ServiceConfig
 from radishtally.links.hub import LinkCallbacks
-from radishtally.links.messages import Hello, Hint, Message, Offer
+from radishtally.links.kinds import Message
+from radishtally.links.messages import Hello, Hint, Offer
 from radishtally.process import Process
 from radishtally.runtime import Waker
 from radishtally.settings.config import Settings
--- a/radishtally/agent/events.py
+++ b/radishtally/agent/events.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from radishtally.links.messages import KvRef, Message, Offer
+from radishtally.links.kinds import Message
+from radishtally.links.messages import KvRef, Offer
 
 
 class LinkUp(NamedTuple):
--- a/radishtally/direct/answers.py
+++ b/radishtally/direct/answers.py
@@ -23,6 +23,7 @@
 from radishtally.direct.probes import HostProbes
 from radishtally.direct.stream import EventSplitter, continues_stream
 from radishtally.exchange import decode_headers
+from radishtally.links.kinds import Message
 from radishtally.links.messages import (
     CALL,
     PREFILL,
@@ -33,7 +34,6 @@
     Finished,
     Handover,
     Lost,
-    Message,
     Offer,
     Refused,
 )
--- a/radishtally/engines/cache.py
+++ b/radishtally/engines/cache.py
@@ -6,7 +6,7 @@
 from xxhash import xxh3_64_intdigest
 
 from radishtally.direct.core import CachedPart
-from radishtally.links.messages import HashedPart
+from radishtally.links.gateway_messages import HashedPart
 from radishtally.serving.terms import PromptPart
 
 
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -25,16 +25,13 @@
     PeerShare,
     make_start_mark,
 )
-from radishtally.links.messages import (
-    CALL,
-    DECODE,
-    PREFILL,
-    WHOLE,
+from radishtally.links.gateway_messages import (
     Backlog,
     EngineShare,
     PartsRead,
     RoleOrdered,
 )
+from radishtally.links.messages import CALL, DECODE, PREFILL, WHOLE
 from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.placement import Declined, Placed
--- a/radishtally/engines/state.py
+++ b/radishtally/engines/state.py
@@ -9,7 +9,8 @@
 
 from radishtally.engines.cache import PromptCache
 from radishtally.engines.queue_order import QueueOrderEstimator, WaitEstimate
-from radishtally.links.messages import PREFILL, WaitingTokens
+from radishtally.links.gateway_messages import WaitingTokens
+from radishtally.links.messages import PREFILL
 
 INITIAL_PREFILL_RATE: Final = 50_000.0
 """Prompt tokens per second that an engine is assumed to prefill until an engine of its
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -33,7 +33,8 @@
 from radishtally.entry.watch import Watcher
 from radishtally.limits.retries import RetryBudgets
 from radishtally.links.hub import LinkCallbacks
-from radishtally.links.messages import Hello, Leaving, Load, Message, Work
+from radishtally.links.kinds import Message
+from radishtally.links.messages import Hello, Leaving, Load, Work
 from radishtally.outcome import Ran, Refusal
 from radishtally.process import Process
 from radishtally.routing.core import POLICIES
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -48,7 +48,7 @@
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, RoutedRequest, Router
 from radishtally.gateway.topology import Site
 from radishtally.limits.retries import RetryBudgets
-from radishtally.links.messages import Message
+from radishtally.links.kinds import Message
 from radishtally.outcome import Error, Refusal, Result
 from radishtally.routes.config import CallerLimits, FleetConfiguration
 from radishtally.runtime import Runtime, Waker, read_boot_clock
--- a/radishtally/gateway/freshness.py
+++ b/radishtally/gateway/freshness.py
@@ -15,8 +15,8 @@
     find_first_reachable,
     list_confirming_order,
 )
+from radishtally.links.gateway_messages import ViewConfirmation, ViewRequest
 from radishtally.links.hub import LinkHub
-from radishtally.links.messages import ViewConfirmation, ViewRequest
 from radishtally.runtime import read_boot_clock
 
 REVOCATION_MARGIN_SECONDS: Final = 0.25
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -20,16 +20,16 @@
     list_data_centres,
     list_gateways_in,
 )
-from radishtally.links.hub import LinkHub
-from radishtally.links.messages import (
+from radishtally.links.gateway_messages import (
     Backlog,
     DemandReport,
-    Message,
     PartsRead,
     RoleOrdered,
     Suspicion,
     Suspicions,
 )
+from radishtally.links.hub import LinkHub
+from radishtally.links.kinds import Message
 from radishtally.serving.suspects import Suspects, group_suspicions
 from radishtally.stages.const import REPORT_INTERVAL_SECONDS
 from radishtally.stages.role_controller import RoleController
--- a/radishtally/gateway/meter.py
+++ b/radishtally/gateway/meter.py
@@ -7,8 +7,9 @@
 from radishtally.gateway.config import UsageSettings
 from radishtally.gateway.topology import Sites
 from radishtally.gateway.usage import UsageExchange, UsageRecorder
+from radishtally.links.gateway_messages import UsageCounts
 from radishtally.links.hub import LinkHub
-from radishtally.links.messages import UsageCounts, Work
+from radishtally.links.messages import Work
 from radishtally.store.core import Table
 from radishtally.store.ids import WriteIds
 from radishtally.usage.clock import SteadyClock
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -31,14 +31,14 @@
     list_gateways_in,
 )
 from radishtally.gateway.unreachable import UnreachablePeers
-from radishtally.links.hub import LinkCallbacks, LinkHub
-from radishtally.links.messages import (
-    Hello,
-    Message,
+from radishtally.links.gateway_messages import (
     UsageCounts,
     ViewConfirmation,
     ViewRequest,
 )
+from radishtally.links.hub import LinkCallbacks, LinkHub
+from radishtally.links.kinds import Message
+from radishtally.links.messages import Hello
 from radishtally.runtime import Runtime
 from radishtally.serving.state import DispatchCore
 from radishtally.stages.role_controller import RoleController
--- a/radishtally/gateway/usage.py
+++ b/radishtally/gateway/usage.py
@@ -12,8 +12,9 @@
     list_collector_candidates,
     list_gateways_in,
 )
+from radishtally.links.gateway_messages import UsageCounts
 from radishtally.links.hub import LinkHub
-from radishtally.links.messages import CALL, UsageCounts, Work
+from radishtally.links.messages import CALL, Work
 from radishtally.usage.const import SEND_SECONDS
 from radishtally.usage.core import UsageLedger
 
--- a/radishtally/links/codec.py
+++ b/radishtally/links/codec.py
@@ -5,7 +5,7 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
-from radishtally.links.messages import KINDS, Message
+from radishtally.links.kinds import KINDS, Message
 from radishtally.outcome import Error, Fault, Ok, Result
 
 MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
--- /dev/null
+++ b/radishtally/links/gateway_messages.py
@@ -0,0 +1,173 @@
+"""Messages between the gateways of a deployment, also called entries here."""
+
+from typing import NamedTuple
+
+
+class WaitingTokens(NamedTuple):
+    """Count the prompt tokens of one priority that await prefill."""
+
+    priority: int
+    """Lower goes first."""
+    tokens: int
+
+
+class EngineShare(NamedTuple):
+    """Describe an entry's requests in flight at an engine that it calls itself."""
+
+    host: str
+    waiting: tuple[WaitingTokens, ...]
+    """Ordered by priority, the most urgent first."""
+    answers: int
+    start: int = 0
+    """Marker of the start of the engine that runs them; 0 if it is unknown."""
+
+
+class EngineShareV1(NamedTuple):
+    """Describe an engine share in the format of two releases ago.
+
+    It has no engine start and no priorities.
+    """
+
+    host: str
+    tokens: int
+    answers: int
+
+
+class BacklogV1(NamedTuple):
+    """Reserve the kind of the backlog of two releases ago, which is ignored."""
+
+    shares: tuple[EngineShareV1, ...]
+
+
+class EngineShareV2(NamedTuple):
+    """Describe an engine share in the previous release's format, without priorities."""
+
+    host: str
+    tokens: int
+    answers: int
+    start: int = 0
+
+
+class BacklogV2(NamedTuple):
+    """Reserve the kind of the previous release's backlog, which is ignored."""
+
+    shares: tuple[EngineShareV2, ...]
+
+
+class Backlog(NamedTuple):
+    """Report to the other entries the sender's engine shares that have changed."""
+
+    shares: tuple[EngineShare, ...]
+
+
+class HashedPart(NamedTuple):
+    """Identify a part of a prompt by a hash of its name and the model's."""
+
+    key: int
+    tokens: int
+
+
+class PartsRead(NamedTuple):
+    """Report to the other entries the prompt parts that an engine has newly received.
+
+    An entry that has just started reports the parts that the engine lists as cached.
+    """
+
+    host: str
+    start: int
+    """Marker of the engine's start."""
+    parts: tuple[HashedPart, ...]
+    """Ordered by use, the least recently used first."""
+
+
+class RoleOrdered(NamedTuple):
+    """Report to the other entries that an engine was ordered to change its role."""
+
+    host: str
+    start: int
+    """Marker of the engine's start."""
+    role: str
+
+
+class Suspicion(NamedTuple):
+    """Report how many hosts in a row ended while they ran a request."""
+
+    content: str
+    """Digest of the request's content, which is the same in all retries."""
+    ends: int
+    """Zero if the request has been answered since."""
+    seconds: float
+    """Longest time for which one of these hosts had been running the request."""
+    left: float
+    """Seconds until the report expires."""
+
+
+class Suspicions(NamedTuple):
+    """Report to the other entries the requests under which hosts have ended."""
+
+    suspicions: tuple[Suspicion, ...]
+
+
+class DemandReportV1(NamedTuple):
+    """Reserve the kind of the previous release's demand report, which is ignored."""
+
+    upstream: str
+    prefill: float
+    decode: float
+
+
+class DemandReport(NamedTuple):
+    """Report to the other entries the sender's recent demand for an upstream."""
+
+    upstream: str
+    requests: float
+    prompt_tokens: float
+    """Only tokens that no engine was known to have cached."""
+    answer_tokens: float
+    """Answer tokens by the callers' estimates."""
+    ended: float
+    """Answers that were completed; the next two fields refer to the same answers."""
+    ended_events: float
+    ended_tokens: float
+
+
+class TeamCount(NamedTuple):
+    """Count the requests of a team."""
+
+    team: str
+    requests: int
+
+
+class UsageCounts(NamedTuple):
+    """Report how many requests of each team began at a gateway in one window of time.
+
+    The counts of one process only grow; those that have not changed may be missing.
+    """
+
+    gateway: str
+    incarnation: str
+    """Unique to each start of the gateway's process."""
+    window: int
+    is_closed: bool
+    """Whether the gateway adds no more to this window."""
+    counts: tuple[TeamCount, ...]
+
+
+class ViewRequest(NamedTuple):
+    """Request a confirmation that the configuration in force is the newest one."""
+
+    number: int
+    """Number of the request, unique to the sender's process."""
+
+
+class ViewConfirmation(NamedTuple):
+    """Confirm that a configuration was the newest one in the store."""
+
+    number: int
+    """Number of the request."""
+    era: int
+    """Newest era of the store that the sender knows."""
+    version: int
+    """Version of the configuration in force at the sender."""
+    age: float
+    """Seconds since the sender has requested its own confirmation."""
--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -21,8 +21,9 @@
     METHOD_EXCHANGE,
     MIN_REDIAL_SECONDS,
 )
+from radishtally.links.kinds import Message
 from radishtally.links.link import Link
-from radishtally.links.messages import Hello, Message
+from radishtally.links.messages import Hello
 
 DIAL_ERRORS: Final = (
     OSError,
--- a/radishtally/links/link.py
+++ b/radishtally/links/link.py
@@ -15,15 +15,8 @@
     TARGET_FRAME_BYTES,
 )
 from radishtally.links.heartbeat import Heartbeat
-from radishtally.links.messages import (
-    Chunk,
-    Hello,
-    Interval,
-    Message,
-    Offer,
-    Ping,
-    Pong,
-)
+from radishtally.links.kinds import Message
+from radishtally.links.messages import Chunk, Hello, Interval, Offer, Ping, Pong
 
 CHECK_SECONDS: Final = 0.25
 """Granularity of the times at which links are checked."""
--- a/radishtally/process.py
+++ b/radishtally/process.py
@@ -9,11 +9,11 @@
 from radishtally.audit.store import AuditLog
 from radishtally.distribution.core import ConfigurationReplica
 from radishtally.links.hub import LinkCallbacks, LinkHub
+from radishtally.links.kinds import Message
 from radishtally.links.messages import (
     ConfigurationFiles,
     ConfigurationRequest,
     Hello,
-    Message,
     Ping,
     Pong,
 )
--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -3,6 +3,7 @@
 from collections.abc import Generator, Iterator
 from functools import singledispatch
 
+from radishtally.links.kinds import Message
 from radishtally.links.messages import (
     DECODE,
     ENDED,
@@ -25,7 +26,6 @@
     Handover,
     Load,
     Lost,
-    Message,
     Refused,
 )
 from radishtally.outcome import Ran
--- a/radishtally/serving/core.py
+++ b/radishtally/serving/core.py
@@ -3,13 +3,7 @@
 from collections.abc import Iterator
 from functools import singledispatch
 
-from radishtally.links.messages import (
-    PREFILL,
-    RESTARTED,
-    Attach,
-    Cancel,
-    Finished,
-)
+from radishtally.links.messages import PREFILL, RESTARTED, Attach, Cancel, Finished
 from radishtally.outcome import Ran
 from radishtally.serving import const, events
 from radishtally.serving.attempts import receive
--- a/radishtally/serving/events.py
+++ b/radishtally/serving/events.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from radishtally.links.messages import Finished, Hello, KvRef, Message, Work
+from radishtally.links.kinds import Message
+from radishtally.links.messages import Finished, Hello, KvRef, Work
 from radishtally.outcome import Refusal
 from radishtally.serving.terms import DEFAULT_TERMS, Terms
 
--- a/radishtally/serving/suspects.py
+++ b/radishtally/serving/suspects.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import Final, NamedTuple
 
-from radishtally.links.messages import Suspicion
+from radishtally.links.gateway_messages import Suspicion
 
 ENDS_TO_DENY: Final = 3
 """Number of hosts in a row that must terminate with a request open before it is denied
--- a/radishtally/stages/role_controller.py
+++ b/radishtally/stages/role_controller.py
@@ -14,7 +14,7 @@
     is_same_start,
 )
 from radishtally.engines.core import Observer
-from radishtally.links.messages import DemandReport
+from radishtally.links.gateway_messages import DemandReport
 from radishtally.outcome import Result
 from radishtally.stages import const
 from radishtally.stages.core import Engine, RoleChange, RolePlan
--- a/radishtally/usage/core.py
+++ b/radishtally/usage/core.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from radishtally.links.messages import TeamCount, UsageCounts
+from radishtally.links.gateway_messages import TeamCount, UsageCounts
 from radishtally.usage.const import (
     CLOSE_SECONDS,
     KEPT_WINDOWS,
--- a/tests/agent/common.py
+++ b/tests/agent/common.py
@@ -2,7 +2,8 @@
 
 from radishtally.agent import events
 from radishtally.agent.core import AgentCore, handle_event
-from radishtally.links.messages import CALL, CHAT, Message, Offer, Work
+from radishtally.links.kinds import Message
+from radishtally.links.messages import CALL, CHAT, Offer, Work
 
 POOL = "pool"
 
--- a/tests/engines/model.py
+++ b/tests/engines/model.py
@@ -10,17 +10,13 @@
 from radishtally.direct.core import Instance
 from radishtally.engines.placement import EnginePlacement
 from radishtally.engines.staleness import PeerStaleness
-from radishtally.links.messages import (
-    DECODE,
-    PREFILL,
-    STREAM,
+from radishtally.links.gateway_messages import (
     Backlog,
     EngineShare,
-    KvRef,
     PartsRead,
     WaitingTokens,
-    Work,
 )
+from radishtally.links.messages import DECODE, PREFILL, STREAM, KvRef, Work
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.placement import Placed
 from radishtally.serving.requests import OpenRequest
--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -16,17 +16,8 @@
     EnginePlacement,
 )
 from radishtally.engines.state import INITIAL_PREFILL_RATE, PeerShare
-from radishtally.links.messages import (
-    CALL,
-    DECODE,
-    PREFILL,
-    STREAM,
-    WHOLE,
-    KvRef,
-    PartsRead,
-    WaitingTokens,
-    Work,
-)
+from radishtally.links.gateway_messages import PartsRead, WaitingTokens
+from radishtally.links.messages import CALL, DECODE, PREFILL, STREAM, WHOLE, KvRef, Work
 from radishtally.routes.config import EngineTerms, UpstreamTerms
 from radishtally.routing.core import rank
 from radishtally.serving.hosts import KnownHost
--- a/tests/engines/test_state.py
+++ b/tests/engines/test_state.py
@@ -13,7 +13,7 @@
     PeerShare,
     make_start_mark,
 )
-from radishtally.links.messages import WaitingTokens
+from radishtally.links.gateway_messages import WaitingTokens
 from radishtally.serving.terms import PromptPart
 
 
--- a/tests/entry/common.py
+++ b/tests/entry/common.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from radishtally.links.kinds import Message
 from radishtally.links.messages import (
     CALL,
     CHAT,
@@ -12,7 +13,6 @@
     Handover,
     Hello,
     KvRef,
-    Message,
     Offer,
     Work,
 )
--- a/tests/entry/network.py
+++ b/tests/entry/network.py
@@ -8,7 +8,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from radishtally.links.messages import Message
+from radishtally.links.kinds import Message
 
 UP = "up"
 DOWN = "down"
--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -3,6 +3,7 @@
 import pytest
 
 from radishtally.limits.retries import MAX_BACKOFF_SECONDS, RetryBudgets
+from radishtally.links.kinds import Message
 from radishtally.links.messages import (
     NOT_KNOWN,
     Accepted,
@@ -11,7 +12,6 @@
     Cancel,
     Finished,
     Lost,
-    Message,
     Refused,
     Work,
 )
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -5,7 +5,8 @@
 
 from radishtally.agent import core as agent
 from radishtally.agent import events as agent_events
-from radishtally.links.messages import CALL, Hello, Message, Work
+from radishtally.links.kinds import Message
+from radishtally.links.messages import CALL, Hello, Work
 from radishtally.outcome import Ran, Refusal
 from radishtally.serving import core as entry
 from radishtally.serving import events as entry_events
--- a/tests/gateway/network.py
+++ b/tests/gateway/network.py
@@ -4,7 +4,7 @@
 from typing import Any, Protocol
 
 from radishtally.gateway.topology import Site, choose_dialled
-from radishtally.links.messages import Message
+from radishtally.links.kinds import Message
 
 
 class Exchange(Protocol):
--- a/tests/gateway/test_freshness_machine.py
+++ b/tests/gateway/test_freshness_machine.py
@@ -17,7 +17,7 @@
     ViewExchange,
 )
 from radishtally.gateway.topology import Site
-from radishtally.links.messages import Message
+from radishtally.links.kinds import Message
 
 NAMES = ("g-1", "g-2")
 REVOCATION_MS = 5000.0
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -18,17 +18,9 @@
     Site,
     choose_dialled,
 )
-from radishtally.links.messages import (
-    DECODE,
-    PREFILL,
-    STREAM,
-    WHOLE,
-    HashedPart,
-    KvRef,
-    Message,
-    PartsRead,
-    Work,
-)
+from radishtally.links.gateway_messages import HashedPart, PartsRead
+from radishtally.links.kinds import Message
+from radishtally.links.messages import DECODE, PREFILL, STREAM, WHOLE, KvRef, Work
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.requests import OpenRequest
 from radishtally.serving.suspects import ENDS_TO_DENY, HostEnd, Suspects
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -8,7 +8,7 @@
 
 from radishtally.engines.state import INITIAL_PREFILL_RATE, PeerShare
 from radishtally.limits.breaker import CircuitBreaker
-from radishtally.links.messages import WaitingTokens
+from radishtally.links.gateway_messages import WaitingTokens
 from radishtally.serving.const import UNREACHED_TO_PRESUME_GONE
 from standins.staged import EVENTS, StagedEngine, make_event
 from tests.common import run
--- a/tests/links/common.py
+++ b/tests/links/common.py
@@ -6,7 +6,8 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from radishtally.links.hub import LinkCallbacks, LinkHub
-from radishtally.links.messages import Hello, Message
+from radishtally.links.kinds import Message
+from radishtally.links.messages import Hello
 from standins.proxy import FaultProxy
 
 KEY = "shared"
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -9,19 +9,17 @@
 from hypothesis import strategies as st
 
 from radishtally.links.codec import MAX_FRAME_BYTES, decode_frame, encode_frame
-from radishtally.links.messages import (
-    KINDS,
-    Ack,
-    Attach,
+from radishtally.links.gateway_messages import (
     Backlog,
     BacklogV1,
     BacklogV2,
     DemandReport,
     DemandReportV1,
     EngineShare,
-    Message,
     WaitingTokens,
 )
+from radishtally.links.kinds import KINDS, Message
+from radishtally.links.messages import Ack, Attach
 from radishtally.outcome import Fault
 
 PACK = msgspec.msgpack.Encoder().encode
--- a/tests/links/test_hub.py
+++ b/tests/links/test_hub.py
@@ -5,17 +5,9 @@
 from radishtally.links.auth import has_valid_token, make_metadata
 from radishtally.links.codec import decode_frame, encode_frame
 from radishtally.links.const import MAX_OUTBOX_BYTES
+from radishtally.links.kinds import Message
 from radishtally.links.link import Link
-from radishtally.links.messages import (
-    CHAT,
-    Ack,
-    Chunk,
-    Hello,
-    Message,
-    Offer,
-    Pong,
-    Work,
-)
+from radishtally.links.messages import CHAT, Ack, Chunk, Hello, Offer, Pong, Work
 from tests.common import run
 from tests.links.common import KEY, Peer, connect_pair, wait_for
 
--- a/tests/serving/test_suspects.py
+++ b/tests/serving/test_suspects.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from radishtally.links.messages import Suspicion
+from radishtally.links.gateway_messages import Suspicion
 from radishtally.serving.suspects import (
     ENDS_TO_DENY,
     MAX_DENY_SECONDS,
--- a/tests/usage/test_core.py
+++ b/tests/usage/test_core.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from radishtally.links.messages import TeamCount, UsageCounts
+from radishtally.links.gateway_messages import TeamCount, UsageCounts
 from radishtally.usage.clock import SteadyClock
 from radishtally.usage.const import (
     CLOSE_SECONDS,
