Log software versions of hosts and the streams that callers take up

No line of a gateway named the version of a host, so a lost attempt and the one behind it could not be told apart by it, and request:arrived did not say that a request takes up a stream. The version of an entry was decoded and dropped.

Change: the version stands in upstream:seen and in the step of each offer, and request:arrived has the stream and the event behind which its caller goes on. No decision changes.

--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -24,6 +24,8 @@
     """PREFILL, DECODE or MIXED for an engine, empty for a plain service."""
     started_ms: int = 0
     """Start time in Unix milliseconds; 0 if the deployment does not report it."""
+    version: str = ""
+    """Version of the host's software; empty if it is not known."""
 
 
 def is_same_start(one_ms: int, other_ms: int) -> bool:
--- a/radishtally/gateway/changes.py
+++ b/radishtally/gateway/changes.py
@@ -54,12 +54,15 @@
         address=instance.address,
         data_centre=instance.data_centre,
         role=instance.role,
+        version=instance.version,
         is_draining=instance.is_draining,
     )
     targets.hosts.set_instance(instance)
     targets.placement.set_instance(instance)
     live = not instance.is_draining
-    targets.core.set_host(host, instance.data_centre, instance.upstream, live)
+    targets.core.set_host(
+        host, instance.data_centre, instance.upstream, live, instance.version
+    )
     targets.core.hosts[host].reports_start = instance.started_ms > 0
     if host not in targets.core.links:
         _start_dispatch(instance, targets)
--- a/radishtally/gateway/core.py
+++ b/radishtally/gateway/core.py
@@ -26,6 +26,9 @@
     resumed_after: int
     """Number of the last event that the caller has received of an earlier answer; the
     answer resumes after it. 0 to start from the beginning."""
+    resumed_stream: str
+    """Id of the request that brought the first event of the resumed stream; empty if
+    none is resumed."""
     headers: Headers
     """Headers to forward to the upstream, without the caller's credentials."""
     credentials: tuple[str, ...] = ()
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -420,6 +420,8 @@
             kind=work.kind,
             timeout=round(routed.timeout, 3),
             content=routed.terms.content,
+            resumed_stream=routed.terms.resumed_stream,
+            resumed_after=routed.terms.resumed_after,
             version=self.router.configuration.version,
         )
         now = time.monotonic()
--- a/radishtally/serving/hosts.py
+++ b/radishtally/serving/hosts.py
@@ -14,6 +14,8 @@
     host: str
     data_centre: str
     upstream: str
+    version: str = ""
+    """Version of the host's software; empty if it is not known."""
     live: bool = False
     """Whether the membership lists the host as live."""
     gone: bool = False
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -82,6 +82,8 @@
     core.placement.begin(request, known, now)
     known.breaker.record_offer(now)
     text = f"attempt {request.attempt} offered to {host}"
+    if known.version:
+        text += f" of version {known.version}"
     yield RecordStep(request.work.request, f"{text}: {why}" if why else text)
     yield Send(host, request.make_offer(request.deadline - now))
 
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -92,12 +92,20 @@
         """Extend a pause by a random share of its length."""
         return seconds * (1.0 + self.random.uniform(0.0, PAUSE_JITTER))
 
-    def set_host(self, host: str, data_centre: str, upstream: str, live: bool) -> None:
+    def set_host(
+        self,
+        host: str,
+        data_centre: str,
+        upstream: str,
+        live: bool,
+        version: str = "",
+    ) -> None:
         """Update a host from the membership."""
         known = self.hosts.get(host)
         if known is None or known.upstream != upstream:
             known = self._replace_host(known, KnownHost(host, data_centre, upstream))
         known.data_centre = data_centre
+        known.version = version
         known.live = live
         known.gone = False
 
--- a/radishtally/serving/terms.py
+++ b/radishtally/serving/terms.py
@@ -27,6 +27,9 @@
     """Parts of the prompt in order; the last one is specific to this request."""
     resumed_after: int = 0
     """Id of the last event that the caller already has; 0 if it resumes no stream."""
+    resumed_stream: str = ""
+    """Id of the request that brought the first event of the stream that the caller
+    resumes; empty if it resumes none."""
     content: str = ""
     """Digest of the request's content, equal in all repeats; empty if not computed."""
 
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -102,7 +102,9 @@
         "phase": "prefill",
     }
     instance = decode_instance("i-1", json.dumps(value).encode()).ok
-    assert instance == Instance("i-1", "x", "10.0.0.1:80", "howrah", True, 6, PREFILL)
+    assert instance == Instance(
+        "i-1", "x", "10.0.0.1:80", "howrah", True, 6, PREFILL, version="v1"
+    )
 
 
 # Guards against a restarted host that is not recognized as such, and against rejecting
@@ -262,3 +264,10 @@
     )
     found = [teams.find(key) for key in (b"a", b"both", b"c")]
     assert found == [Team("silk"), None, Team("satin")]
+
+
+def test_resumed_stream_is_parsed_and_forwarded() -> None:
+    head = (*HEAD, ("Last-Event-Id", "4"), ("Resumes", "r0"))
+    request = PlatformCallers().read_request("/a/b", head).ok
+    assert (request.resumed_stream, request.resumed_after) == ("r0", 4)
+    assert request.headers == head
--- a/tests/adapter/test_foreign_entries.py
+++ b/tests/adapter/test_foreign_entries.py
@@ -50,7 +50,9 @@
 
 def test_valid_entries_are_decoded() -> None:
     plain = decode_instance("i-1", json.dumps(GOOD).encode()).ok
-    assert plain == Instance("i-1", "x", "10.0.0.1:80", "howrah", False, 6, "")
+    assert plain == Instance(
+        "i-1", "x", "10.0.0.1:80", "howrah", False, 6, "", version=GOOD["version"]
+    )
     assert decode_instance("i-1", json.dumps(ENGINE).encode()).ok.role == DECODE
 
 
