--- a/standins/staged.py
+++ b/standins/staged.py
@@ -33,6 +33,8 @@
         self.events = EVENTS
         """Number of events of each answer."""
         self.phase = phase
+        self.version = ""
+        """Version of its software, which its events name; empty to name none."""
         self.extra_headers: dict[str, str] = {}
         """Headers to add to every answer."""
         self.seconds = seconds
@@ -225,7 +227,7 @@
             for number in range(fault.first_event or asked, self.events + 1):
                 await asyncio.sleep(fault.pause_seconds)
                 await self._sleep(started_ms)
-                await writer.write(make_event(request_id, number))
+                await writer.write(make_event(request_id, number, self.version))
                 if number == fault.cut_after:
                     await writer.break_off()
                     return writer.response
@@ -243,9 +245,10 @@
         response.headers[REQUEST_ID_HEADER] = request_id
 
 
-def make_event(request_id: str, number: int) -> bytes:
-    """Make one event of the answer to a request."""
-    return f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
+def make_event(request_id: str, number: int, version: str = "") -> bytes:
+    """Make one event of the answer to a request by a version of the engine."""
+    by = f"@{version}" if version else ""
+    return f"id: {number}\ndata: {request_id}.{number}{by}\n\n".encode()
 
 
 def main() -> None:
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -117,7 +117,10 @@
 
     def announce_engine(self, engine: StagedEngine, **more: Any) -> None:
         """Write an entry with an engine's current state."""
-        more = {"phase": engine.phase, "slots": 64, **engine.describe_start(), **more}
+        own = {"phase": engine.phase, "slots": 64, **engine.describe_start()}
+        if engine.version:
+            own["version"] = engine.version
+        more = {**own, **more}
         address = self.addresses[engine.instance]
         self.announce(engine.instance, address, "llm", **more)
 
