Continue a stream only at the software version that began it

Cause: a gateway knew no version of a host, so that the rest of a stream went to any engine that could run it, and a request that takes a stream up was placed like a new one. The class: what holds of one start of a host is taken to hold for the upstream.

Change: the version of the host that brings the first event is remembered for as long as the caller may return, sent to the other gateways (all of a mesh; collector and standby of a data centre otherwise, which relay to the other data centres) and asked for where it is not known. The rest of a stream goes only to hosts of that version. Where it isn't known, no host of it is left, or the route no longer leads to the upstream, the caller gets 503 and nothing has run; an answer that has begun is broken off at once. A host that begins again under its name at another version, whose entry can't be read, or that may have begun again unseen, casts doubt on the streams that may have begun at either version.

A caller that resumes behind an event names its stream now in the test of an engine that ignores where it is to go on: without a name nobody can tell the version.

--- a/radishtally/gateway/changes.py
+++ b/radishtally/gateway/changes.py
@@ -15,6 +15,7 @@
     HostRemoved,
     HostReturned,
     HostUpdated,
+    HostVersionChanged,
     Members,
 )
 from radishtally.gateway.starts import HostRestarted
@@ -68,6 +69,18 @@
         _start_dispatch(instance, targets)
 
 
+@apply_change.register
+def _(change: HostVersionChanged, targets: ChangeTargets) -> None:
+    log_message(
+        "upstream:version_changed",
+        upstream_host=change.host,
+        before=change.before,
+        after=change.after,
+    )
+    changed = events.VersionChanged(change.host, change.after, change.is_recent)
+    targets.handle(changed)
+
+
 @apply_change.register
 def _(change: HostMissing, targets: ChangeTargets) -> None:
     log_message(
@@ -104,7 +117,11 @@
     host = change.host
     log_message("upstream:gone", upstream_host=host)
     # The last answers of a host that has left are taken as whole.
-    if not change.is_unreadable:
+    if change.is_unreadable:
+        # The entry may be that of a new start at another version.
+        targets.core.forget_version(host)
+        targets.handle(events.VersionChanged(host, "", change.is_recent))
+    else:
         targets.hosts.forget(host)
     targets.placement.forget(host)
     targets.core.forget_host(host)
--- a/radishtally/gateway/commands.py
+++ b/radishtally/gateway/commands.py
@@ -14,6 +14,7 @@
     REFUSED,
     GatewayMetrics,
 )
+from radishtally.gateway.origins import OriginExchange
 from radishtally.links.messages import Cancel, Offer
 from radishtally.outcome import Ran, Refusal
 from radishtally.serving import events
@@ -30,6 +31,7 @@
     metrics: GatewayMetrics
     replies: Replies
     meter: UsageMeter
+    origin_exchange: OriginExchange
 
     def record_refusal(self, request: str, refusal: Refusal) -> None:
         """Log and count a refusal by the gateway itself."""
@@ -53,6 +55,11 @@
         targets.hosts.cancel(message)
 
 
+@execute_command.register
+def _(command: events.FindOrigin, targets: CommandTargets) -> None:
+    targets.origin_exchange.ask(command.stream)
+
+
 @execute_command.register
 def _(command: events.DropKv, targets: CommandTargets) -> None:
     targets.hosts.drop(command.kv)
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -44,6 +44,7 @@
 from radishtally.gateway.members import HostChange, Members
 from radishtally.gateway.meter import ReportingMeter, UsageMeter
 from radishtally.gateway.metrics import GatewayMetrics
+from radishtally.gateway.origins import OriginExchange
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, RoutedRequest, Router
 from radishtally.gateway.topology import Site
@@ -110,6 +111,12 @@
             offer_timeout=float("inf"),
             refusals_cost_retries=True,
             prefill_counts_as_run=False,
+            tracks_versions=True,
+        )
+        self.origin_exchange = OriginExchange(
+            settings.host,
+            self.core.origins,
+            lambda stream: self.handle(events.OriginSettled(stream)),
         )
         self.hosts = DirectHosts(host_dialect, self.runtime.guard_call(self._receive))
         self.hosts.answers.on_mismatch = self.metrics.count_mismatch
@@ -170,6 +177,7 @@
         self.runtime.spawn(self.stages.run())
         self.runtime.spawn(self.peers.run())
         self.runtime.spawn(self.confirmer.run())
+        self.runtime.spawn(self.origin_exchange.run())
         for coroutine in self.meter.list_tasks():
             self.runtime.spawn(coroutine)
         log_message(
@@ -264,6 +272,7 @@
     def render_metrics(self) -> bytes:
         """Render the metrics in the text format."""
         self.metrics.set_denied(self.core.suspects.count_denied(time.monotonic()))
+        self.metrics.set_remembered_streams(len(self.core.origins))
         return self.metrics.render()
 
     def _has_teams(self) -> bool:
@@ -359,6 +368,10 @@
             apply_change(change, self)
         self.metrics.set_missing(self.members.count_missing())
 
+    def confirm_hosts(self, age: float) -> None:
+        """Record that the host list was current so many seconds ago."""
+        self.core.confirm_hosts(time.monotonic() - age)
+
     def set_unreadable_count(self, count: int) -> None:
         """Set the number of host entries that can't be decoded."""
         self.metrics.set_unreadable(count)
--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -45,12 +45,25 @@
     instance: Instance
 
 
+class HostVersionChanged(NamedTuple):
+    """Event: a host begins again under its name at another software version."""
+
+    host: str
+    before: str
+    after: str
+    """Empty while only a report shows the new start, which names no version."""
+    is_recent: bool
+    """Whether the list would have shown an earlier change, as it was not away."""
+
+
 class HostRemoved(NamedTuple):
     """Event: a host has been removed."""
 
     host: str
     is_unreadable: bool = False
     """Whether its entry exists but can't be decoded, so it need not have left."""
+    is_recent: bool = False
+    """Whether an entry that can't be decoded would have been seen before."""
 
 
 class MissReason(StrEnum):
@@ -73,7 +86,14 @@
     host: str
 
 
-HostChange = HostUpdated | HostRemoved | HostMissing | HostReturned | HostRestarted
+HostChange = (
+    HostUpdated
+    | HostVersionChanged
+    | HostRemoved
+    | HostMissing
+    | HostReturned
+    | HostRestarted
+)
 
 
 class _Removal(NamedTuple):
@@ -157,7 +177,7 @@
             if self._entered_at is not None and self._instances.get(host) == instance:
                 # The same entry was already seen with a later write.
                 count = max(count, self._heartbeats.get(host, 0))
-            changes += self.update(instance, count)
+            changes += self.update(instance, count, after_outage)
         self._unconfirmed = unconfirmed
         self._review_at = now + REVIEW_INTERVAL_SECONDS if unconfirmed else float("inf")
         self._entered_at = None
@@ -198,7 +218,9 @@
         reported = instance._replace(started_ms=known.started_ms)
         return reported != known and heartbeats <= self._heartbeats.get(host, 0)
 
-    def update(self, instance: Instance, heartbeats: int = 0) -> list[HostChange]:
+    def update(
+        self, instance: Instance, heartbeats: int = 0, after_outage: bool = False
+    ) -> list[HostChange]:
         """Apply one entry, unless it belongs to a start that has ended."""
         host = instance.host
         if self.starts.is_ended(host, instance.started_ms):
@@ -206,12 +228,25 @@
         changes: list[HostChange] = []
         if self._missing.pop(host, None) is not None:
             changes.append(HostReturned(host))
+        changes += self._describe_version_change(instance, after_outage)
         changes += self._apply_instance(instance, StartSource.LISTED)
         self._heartbeats[host] = heartbeats
         self._unconfirmed.pop(host, None)
         self._gone_hosts.pop(host, None)
         return changes
 
+    def _describe_version_change(
+        self, instance: Instance, after_outage: bool
+    ) -> list[HostChange]:
+        """Return the change of version that an entry shows, if there is one."""
+        host, known = instance.host, self._instances.get(instance.host)
+        is_recent = known is not None and not after_outage
+        if known is None and host in self._gone_hosts:
+            known = self._gone_hosts[host][1]
+        if known is None or known.version == instance.version:
+            return []
+        return [HostVersionChanged(host, known.version, instance.version, is_recent)]
+
     def is_present(self, queried: Instance) -> bool:
         """Return whether a queried host is listed and has not restarted since."""
         known = self._instances.get(queried.host)
@@ -249,10 +284,15 @@
         if not report.started_ms or report.started_ms == known.started_ms:
             return []
         reported = known._replace(started_ms=report.started_ms)
-        if known.started_ms:
-            # The draining state belonged to the earlier start.
-            reported = reported._replace(role=report.role, is_draining=False)
-        return self._apply_instance(reported, StartSource.REPORTED)
+        if not known.started_ms:
+            return self._apply_instance(reported, StartSource.REPORTED)
+        # Draining state and version belonged to the earlier start, and the report names
+        # no version.
+        reported = reported._replace(role=report.role, is_draining=False, version="")
+        changes: list[HostChange] = []
+        if known.version:
+            changes.append(HostVersionChanged(known.host, known.version, "", False))
+        return changes + self._apply_instance(reported, StartSource.REPORTED)
 
     def _apply_instance(
         self, instance: Instance, source: StartSource
@@ -262,6 +302,10 @@
         changes: list[HostChange] = [] if restart is None else [restart]
         if restart is not None:
             self._heartbeats.pop(host, None)
+        known = self._instances.get(host)
+        if known is not None and not instance.started_ms and not known.version:
+            # The entry names no start, so it may be the one of an earlier start.
+            instance = instance._replace(version="")
         instance = instance._replace(started_ms=self.starts.get(host))
         leaving_start = self._leaving.get(host)
         if leaving_start is not None and is_same_start(
@@ -307,13 +351,15 @@
                 changes.append(self._remove_host(instance.host, now))
         return changes
 
-    def remove_unreadable(self, host: str, now: float) -> list[HostChange]:
+    def remove_unreadable(
+        self, host: str, now: float, after_outage: bool = False
+    ) -> list[HostChange]:
         """Remove a host whose entry exists but can no longer be decoded."""
         self._unconfirmed.pop(host, None)
         if host not in self._instances:
             return []
         self._remove_host(host, now)
-        return [HostRemoved(host, is_unreadable=True)]
+        return [HostRemoved(host, is_unreadable=True, is_recent=not after_outage)]
 
     def _record_removals(self, removed: Iterable[Instance], now: float) -> None:
         while self._removals and self._removals[0].at <= now - MISSING_GRACE_SECONDS:
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -102,6 +102,11 @@
             "Requests, by what they ask, that hosts have ended under in a row",
             registry=self._registry,
         )
+        self._remembered_streams = Gauge(
+            "radishtally_remembered_streams",
+            "Streams that callers may still resume, with the version that began each",
+            registry=self._registry,
+        )
         self._missing = Gauge(
             "radishtally_missing_hosts",
             "Hosts that the list lacks and that get work all the same for a while",
@@ -168,6 +173,10 @@
         """Set the number of denied requests, which are offered to no host."""
         self._denied.set(count)
 
+    def set_remembered_streams(self, count: int) -> None:
+        """Set the number of streams whose origins are remembered."""
+        self._remembered_streams.set(count)
+
     def set_missing(self, count: int) -> None:
         """Set the number of hosts that are kept although their entry is missing."""
         self._missing.set(count)
--- /dev/null
+++ b/radishtally/gateway/origins.py
@@ -0,0 +1,181 @@
+"""Exchange with the other gateways at which software version streams began.
+
+A gateway sends the streams that it begins to all peers of a mesh. Without a mesh it
+sends them to the collector of its data centre and its standby, and the collector relays
+them to those of the other data centres: so each stream is sent a few times, however
+many gateways there are. A gateway that does not know a stream asks the peers that it
+sends its own to.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Final
+
+from eliot import log_message
+
+from radishtally.gateway.topology import (
+    Site,
+    Sites,
+    find_first_reachable,
+    is_mesh,
+    list_collector_candidates,
+    list_gateways_in,
+)
+from radishtally.links.gateway_messages import OriginQuery, OriginReply, StreamsBegun
+from radishtally.links.hub import LinkHub
+from radishtally.serving.const import ORIGIN_TIMEOUT_SECONDS
+from radishtally.serving.origins import StreamOrigins
+
+BATCH_SECONDS: Final = 0.05
+"""Time over which new streams are batched: a caller whose gateway is killed within it
+is refused when it resumes its stream."""
+EXPIRY_SECONDS: Final = 1.0
+
+
+class OriginExchange:
+    """Send the origins of streams to peers, and ask them for those of others."""
+
+    def __init__(
+        self, own_name: str, origins: StreamOrigins, on_settled: Callable[[bytes], None]
+    ) -> None:
+        self._own_name = own_name
+        self._origins = origins
+        self._on_settled = on_settled
+        """Called with a stream when no more replies to a query about it are due."""
+        self._hub: LinkHub | None = None
+        self._sites: Sites = {own_name: Site()}
+        self._linked: list[str] | None = None
+        """Linked peers for which the next two were computed; None to do so again."""
+        self._peers: tuple[str, ...] = ()
+        """Peers that keep the streams of this gateway."""
+        self._remote_peers: tuple[str, ...] = ()
+        """Those of other data centres to which this gateway relays as the collector."""
+        self._to_relay: list[StreamsBegun] = []
+        self._pending: dict[bytes, set[str]] = {}
+        """Peers whose replies are due, by stream."""
+
+    def attach(self, hub: LinkHub) -> None:
+        """Use the links of a hub from now on."""
+        self._hub = hub
+
+    def set_sites(self, sites: Sites) -> None:
+        """Set the known gateways, including this one."""
+        if sites != self._sites:
+            self._sites, self._linked = sites, None
+
+    async def run(self) -> None:
+        """Send new streams to the peers, and forget old ones, until cancelled."""
+        expired_at = time.monotonic()
+        while True:
+            await asyncio.sleep(BATCH_SECONDS)
+            now = time.monotonic()
+            self.send_changes(now)
+            if now >= expired_at + EXPIRY_SECONDS:
+                expired_at = now
+                self._origins.expire(now)
+
+    def send_changes(self, now: float) -> None:
+        """Send the streams that have begun since the last call."""
+        own = self._origins.pop_changed(now)
+        relayed, self._to_relay = self._to_relay, []
+        if not own and not relayed:
+            return
+        self._update_peers()
+        for peer in self._peers:
+            for message in own:
+                self._hub.send(peer, message)
+        for peer in self._remote_peers:
+            for message in relayed:
+                self._hub.send(peer, message)
+
+    def ask(self, stream: bytes) -> None:
+        """Ask the peers where a stream began."""
+        self._update_peers()
+        if stream in self._pending:
+            return
+        loop = asyncio.get_running_loop()
+        if not self._peers:
+            loop.call_soon(self._on_settled, stream)
+            return
+        self._pending[stream] = set(self._peers)
+        # The request is refused by then, whoever has not replied.
+        loop.call_later(ORIGIN_TIMEOUT_SECONDS, self._pending.pop, stream, None)
+        for peer in self._peers:
+            self._hub.send(peer, OriginQuery(stream))
+
+    def handle_link_up(self, peer: str) -> None:
+        """Send the own streams to a peer that may have lost them, or missed some."""
+        self._update_peers()
+        if peer in self._peers:
+            for message in self._origins.list_own(time.monotonic()):
+                self._hub.send(peer, message)
+
+    def handle_link_down(self, peer: str) -> None:
+        """Expect no more replies from a peer."""
+        for stream in [key for key, due in self._pending.items() if peer in due]:
+            self._record_reply(stream, peer)
+
+    def handle_message(
+        self, peer: str, message: StreamsBegun | OriginQuery | OriginReply
+    ) -> None:
+        """Apply or answer a message of another gateway."""
+        now = time.monotonic()
+        if isinstance(message, OriginQuery):
+            origin = self._origins.describe(message.stream, now)
+            self._hub.send(peer, OriginReply(message.stream, origin))
+            return
+        if isinstance(message, OriginReply):
+            if message.origin is not None:
+                self._merge(message.origin, now)
+            self._record_reply(message.stream, peer)
+            return
+        self._merge(message, now)
+        self._update_peers()
+        if self._remote_peers and self._is_local(peer):
+            self._to_relay.append(message)
+
+    def _merge(self, message: StreamsBegun, now: float) -> None:
+        self._origins.merge(message, now)
+        for stream in message.streams:
+            if stream.stream in self._pending:
+                self._settle(stream.stream)
+
+    def _record_reply(self, stream: bytes, peer: str) -> None:
+        due = self._pending.get(stream)
+        if due is None:
+            return
+        due.discard(peer)
+        if not due:
+            self._settle(stream)
+
+    def _settle(self, stream: bytes) -> None:
+        self._pending.pop(stream, None)
+        self._on_settled(stream)
+
+    def _is_local(self, peer: str) -> bool:
+        """Return whether a peer is in this gateway's data centre."""
+        site, own_site = self._sites.get(peer), self._sites[self._own_name]
+        return site is not None and site.data_centre == own_site.data_centre
+
+    def _update_peers(self) -> None:
+        """Update the peers from the links that are up."""
+        linked = [] if self._hub is None else self._hub.hosts
+        if linked == self._linked:
+            return
+        self._linked = linked
+        before = self._peers
+        self._peers, self._remote_peers = self._find_peers(linked)
+        if self._peers != before:
+            log_message("origins:peers", peers=self._peers, relays=self._remote_peers)
+
+    def _find_peers(self, linked: list[str]) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        if is_mesh(self._sites):
+            return tuple(linked), ()
+        candidates = list_collector_candidates(self._sites, self._own_name, linked)
+        peers = tuple(name for name in linked if name in candidates)
+        data_centre = self._sites[self._own_name].data_centre
+        local = list_gateways_in(self._sites, data_centre)
+        if find_first_reachable(local, self._own_name, linked) != self._own_name:
+            return peers, ()
+        return peers, tuple(name for name in peers if not self._is_local(name))
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -21,6 +21,7 @@
 from radishtally.gateway.freshness import ViewExchange
 from radishtally.gateway.loads import LoadExchange
 from radishtally.gateway.meter import UsageMeter
+from radishtally.gateway.origins import OriginExchange
 from radishtally.gateway.registry import GATEWAYS_PARTITION, GatewayRegistry, read_site
 from radishtally.gateway.roster import Roster
 from radishtally.gateway.topology import (
@@ -32,6 +33,9 @@
 )
 from radishtally.gateway.unreachable import UnreachablePeers
 from radishtally.links.gateway_messages import (
+    OriginQuery,
+    OriginReply,
+    StreamsBegun,
     UsageCounts,
     ViewConfirmation,
     ViewRequest,
@@ -61,6 +65,7 @@
     table: Table
     meter: UsageMeter
     view_exchange: ViewExchange
+    origin_exchange: OriginExchange
 
     def set_gateway_count(self, count: int) -> None:
         """Set the number of gateways."""
@@ -111,6 +116,7 @@
             gateway.core.suspects,
         )
         gateway.view_exchange.attach(self._hub)
+        gateway.origin_exchange.attach(self._hub)
         gateway.meter.attach(self._hub)
         gateway.stages.on_ordered = self._loads.record_role_order
         await self._hub.start(self._address)
@@ -188,6 +194,7 @@
         self._gateway.set_gateway_count(len(sites))
         self._loads.set_sites(sites)
         self._gateway.view_exchange.set_sites(sites)
+        self._gateway.origin_exchange.set_sites(sites)
         self._gateway.meter.set_sites(sites)
         unresponsive = self._dialled - set(self._hub.hosts)
         dialled = set(choose_dialled(sites, self._host, unresponsive))
@@ -228,14 +235,18 @@
 
     def _link_up(self, hello: Hello) -> None:
         self._loads.handle_link_up(hello.host)
+        self._gateway.origin_exchange.handle_link_up(hello.host)
 
     def _link_down(self, host: str, reason: str) -> None:
         self._loads.forget_peer(host)
+        self._gateway.origin_exchange.handle_link_down(host)
         self._gateway.meter.handle_link_down(host)
 
     def _receive(self, host: str, message: Message) -> None:
         if isinstance(message, ViewRequest | ViewConfirmation):
             self._gateway.view_exchange.handle_message(host, message)
+        elif isinstance(message, StreamsBegun | OriginQuery | OriginReply):
+            self._gateway.origin_exchange.handle_message(host, message)
         elif isinstance(message, UsageCounts):
             self._gateway.meter.handle_message(host, message)
         else:
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -119,8 +119,9 @@
             priority,
             caller_request.output_tokens or caller_request.max_tokens,
             caller_request.parts,
-            caller_request.resumed_after if route.is_idempotent else 0,
+            caller_request.resumed_after if is_streamed else 0,
             caller_request.resumed_stream if is_streamed else "",
+            tuple(split.upstream for split in route.splits if split.weight > 0),
             hash_content(method, caller_request.authority, target, body),
         )
         timeout = min(route.timeout, caller_request.timeout or route.timeout)
--- a/radishtally/links/gateway_messages.py
+++ b/radishtally/links/gateway_messages.py
@@ -171,3 +171,38 @@
     """Version of the configuration in force at the sender."""
     age: float
     """Seconds since the sender has requested its own confirmation."""
+
+
+class RememberedStream(NamedTuple):
+    """Identify a stream that its caller may still resume."""
+
+    stream: bytes
+    """Key of the stream: a digest of the id of the request that began it."""
+    left: float
+    """Seconds until it is forgotten."""
+    age: float
+    """Seconds since it began, at least."""
+
+
+class StreamsBegun(NamedTuple):
+    """Report to the other entries where streams of the sender's callers began."""
+
+    upstream: str
+    version: str
+    """Software version of the host; empty if it can't be told."""
+    host: str
+    streams: tuple[RememberedStream, ...]
+
+
+class OriginQuery(NamedTuple):
+    """Ask where a stream began that a caller resumes."""
+
+    stream: bytes
+
+
+class OriginReply(NamedTuple):
+    """Answer where a stream began, as far as the sender knows."""
+
+    stream: bytes
+    origin: StreamsBegun | None
+    """Origin of this one stream, None if the sender does not know it."""
--- a/radishtally/links/kinds.py
+++ b/radishtally/links/kinds.py
@@ -11,8 +11,11 @@
     BacklogV2,
     DemandReport,
     DemandReportV1,
+    OriginQuery,
+    OriginReply,
     PartsRead,
     RoleOrdered,
+    StreamsBegun,
     Suspicions,
     UsageCounts,
     ViewConfirmation,
@@ -75,6 +78,9 @@
     | ViewRequest
     | ViewConfirmation
     | RoleOrdered
+    | StreamsBegun
+    | OriginQuery
+    | OriginReply
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -109,6 +115,9 @@
     ViewRequest,
     ViewConfirmation,
     RoleOrdered,
+    StreamsBegun,
+    OriginQuery,
+    OriginReply,
 )
 """A kind's number is its index here: append new kinds and never reorder them. A message
 whose fields change needs a new kind, since older releases reject any other number of
--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -57,6 +57,7 @@
 )
 from radishtally.serving.state import DispatchCore
 from radishtally.serving.suspects import HostEnd
+from radishtally.serving.versions import is_version_kept, record_begin
 
 
 @singledispatch
@@ -147,6 +148,11 @@
     request = _find(message, host, core)
     if request is None or _is_of_other_answer(request):
         return
+    if request.is_continuation and not is_version_kept(request, core):
+        yield Send(host, Cancel(*_attempt_key(message)))
+        reason = "its host may run another software version"
+        yield from handle_loss(request, Ran.UNKNOWN, reason, core, now)
+        return
     new = request.append(message.offset, message.data, message.tokens)
     if new is None:
         yield from _request_resend(request, host)
@@ -158,7 +164,7 @@
         set_phase_end(request, float("inf"), core)
     if host in core.hosts:
         core.placement.record_progress(request, core.hosts[host], now)
-    yield from _deliver(new, request)
+    yield from _deliver(new, request, core, now)
 
 
 @receive.register
@@ -226,6 +232,8 @@
     if message.reason != NOT_KNOWN and host in core.hosts:
         core.hosts[host].breaker.record_failure(now)
         core.hosts[host].unreached_offers += message.reason == UNREACHED
+    if message.reason in (ENDED, UNREACHED):
+        core.doubt_version(host, now)
     if message.reason == ENDED:
         yield from _record_host_end(request, host, core, now)
     ran = _check_not_run(message.ran, request, now)
@@ -336,7 +344,9 @@
     return request.has_part and not is_continuation
 
 
-def _deliver(new: bytes, request: OpenRequest) -> Iterator[Command]:
+def _deliver(
+    new: bytes, request: OpenRequest, core: DispatchCore, now: float
+) -> Iterator[Command]:
     """Deliver new bytes of an answer to a caller that streams it."""
     if request.answered or not request.streamed:
         return
@@ -346,6 +356,7 @@
             return
         # The head is sent with the first event only: until then another host's answer,
         # or a failure answer, can still be sent in its place.
+        record_begin(request, core, now)
         yield Begin(name, request.head.status, request.head.headers)
     request.has_part = True
     yield Deliver(name, new, request.tokens)
--- a/radishtally/serving/const.py
+++ b/radishtally/serving/const.py
@@ -15,6 +15,13 @@
 its claim, after the caller has been told that the outcome is unknown."""
 OUTCOME_POLL_DELAYS: Final = (0.02, 0.05, 0.1, 0.2, 0.4)
 """Seconds between polls for the outcome of a call that another request has started."""
+ORIGIN_TIMEOUT_SECONDS: Final = 0.3
+"""Longest wait for the peers' answers to where a stream began."""
+VERSION_LAG_SECONDS: Final = 3.0
+"""Longest time from a host's start to its entry, while the store is available: its
+first heartbeat, and the delay until the change is read."""
+DOUBT_MARGIN_SECONDS: Final = 1.5
+"""Longest time from the end of a host's process to the verdict of the probes."""
 MAX_OFFERS: Final = 4
 """Consecutive unsuccessful offers of one request before it is refused."""
 MAX_LOST_ATTEMPTS: Final = 8
@@ -56,3 +63,6 @@
 CODE_RETRY_BUDGET: Final = "retry_budget_spent"
 CODE_ENDS_HOSTS: Final = "ends_hosts"
 CODE_STOPPING: Final = "stopping"
+CODE_VERSION_UNKNOWN: Final = "version_unknown"
+CODE_VERSION_GONE: Final = "version_gone"
+CODE_ROUTE_MOVED: Final = "route_moved"
--- a/radishtally/serving/core.py
+++ b/radishtally/serving/core.py
@@ -26,12 +26,15 @@
     ACCEPTED,
     CLAIMING,
     DISCONNECTED,
+    LOCATING,
     OFFERED,
     WAITING,
     WITHDRAWING,
     OpenRequest,
 )
+from radishtally.serving.resumption import locate, resume
 from radishtally.serving.state import DispatchCore
+from radishtally.serving.versions import find_stream, resumes_stream
 
 __all__ = ["DispatchCore", "handle_event"]
 
@@ -49,16 +52,44 @@
 @_handle.register
 def _(event: events.Arrived, core: DispatchCore, now: float) -> Iterator[Command]:
     work = event.work
-    core.budgets.record_request(work.upstream, now)
     request = OpenRequest(work, event.deadline, event.streamed, now, event.terms)
+    request.stream = find_stream(request, core)
     core.requests[work.request] = request
     core.schedule(request)
+    if resumes_stream(request, core):
+        yield from locate(request, core, now)
+        return
+    core.budgets.record_request(work.upstream, now)
     if request.is_claimed:
         yield events.Claim(work)
         return
     yield from offer(request, core, now)
 
 
+@_handle.register
+def _(event: events.OriginSettled, core: DispatchCore, now: float) -> Iterator[Command]:
+    for request in list(core.requests.values()):
+        if request.phase == LOCATING and request.stream == event.stream:
+            yield from resume(request, core, now)
+
+
+@_handle.register
+def _(
+    event: events.VersionChanged, core: DispatchCore, now: float
+) -> Iterator[Command]:
+    lag = const.VERSION_LAG_SECONDS if event.is_recent else float("inf")
+    since = core.doubted_since.pop(event.host, now - lag)
+    core.origins.change_version(event.host, event.version, since, now)
+    for request in list(core.requests.values()):
+        is_affected = request.host == event.host and request.offered_at >= since
+        if not (is_affected and request.is_continuation):
+            continue
+        core.origins.doubt(request.stream)
+        yield Send(event.host, Cancel(request.work.request, request.attempt))
+        text = "its host began again at another version"
+        yield from handle_loss(request, Ran.UNKNOWN, text, core, now)
+
+
 @_handle.register
 def _(event: events.Granted, core: DispatchCore, now: float) -> Iterator[Command]:
     request = core.requests.get(event.work.request)
@@ -186,6 +217,9 @@
         request.offers = 0
         yield from offer(request, core, now)
         return
+    if request.phase == LOCATING:
+        yield from resume(request, core, now)
+        return
     if request.phase not in (OFFERED, WITHDRAWING, DISCONNECTED):
         return
     if request.host in core.hosts:
--- a/radishtally/serving/events.py
+++ b/radishtally/serving/events.py
@@ -64,6 +64,23 @@
     refusal: Refusal
 
 
+class OriginSettled(NamedTuple):
+    """Event: all peers that were asked for a stream's origin have answered, or one has
+    named it."""
+
+    stream: bytes
+
+
+class VersionChanged(NamedTuple):
+    """Event: a host has begun again under its name at another software version."""
+
+    host: str
+    version: str
+    """The new version; empty if it can't be told."""
+    is_recent: bool
+    """Whether it did so within VERSION_LAG_SECONDS before this event."""
+
+
 class Tick(NamedTuple):
     """Event: time has passed."""
 
@@ -81,6 +98,8 @@
     | Granted
     | Repeated
     | Denied
+    | OriginSettled
+    | VersionChanged
     | Tick
     | Shutdown
 )
@@ -93,6 +112,12 @@
     message: Message
 
 
+class FindOrigin(NamedTuple):
+    """Command: ask the peers where a stream began."""
+
+    stream: bytes
+
+
 class Claim(NamedTuple):
     """Command: claim the idempotency key of work that is not idempotent."""
 
@@ -180,5 +205,13 @@
 """Replies that are the only one to their caller."""
 
 Command = (
-    Send | Claim | Release | Settle | DropKv | StreamReply | FullReply | RecordStep
+    Send
+    | FindOrigin
+    | Claim
+    | Release
+    | Settle
+    | DropKv
+    | StreamReply
+    | FullReply
+    | RecordStep
 )
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -19,10 +19,12 @@
 from radishtally.serving.conclusions import reply_with_refusal
 from radishtally.serving.events import Command, DropKv, RecordStep, Release, Send
 from radishtally.serving.hosts import KnownHost
+from radishtally.serving.origins import UNKNOWN_VERSION
 from radishtally.serving.placement import Declined, Placed
 from radishtally.serving.requests import CLAIMING, OFFERED, WAITING, OpenRequest
 from radishtally.serving.state import DispatchCore
 from radishtally.serving.suspects import ENDS_TO_ISOLATE
+from radishtally.serving.versions import find_required_version, has_version
 
 
 def set_phase_end(request: OpenRequest, until: float, core: DispatchCore) -> None:
@@ -44,6 +46,10 @@
         text = "several hosts in a row have terminated with this request open"
         yield from refuse(request, 503, const.CODE_ENDS_HOSTS, text, denied, core)
         return
+    version = find_required_version(request, core)
+    if version is not None and not _list_live(request, core):
+        yield from _refuse_version(request, version, core)
+        return
     pause = _find_common_pause(request, core, now)
     if pause > const.MAX_PAUSE_WAIT_SECONDS and not request.has_resumable_part:
         text = "all hosts that could run the request have asked for a pause"
@@ -73,6 +79,8 @@
     request.offered_at = now
     request.accepted_at = None
     request.head = None
+    request.is_continuation = version is not None
+    request.offered_version = core.hosts[host].version
     if request.stage != PREFILL:
         request.known_ends = core.suspects.record_offer(request.terms.content, now)
     request.resend_offset = -1
@@ -276,8 +284,13 @@
 
 
 def _list_live(request: OpenRequest, core: DispatchCore) -> list[KnownHost]:
+    """List the hosts in service that may run the request, by its stream's version."""
     pool = core.pools.get(request.work.upstream, {})
-    return [known for known in pool.values() if known.live and known.host in core.links]
+    live = [known for known in pool.values() if known.live and known.host in core.links]
+    version = find_required_version(request, core)
+    if version is None:
+        return live
+    return [known for known in live if has_version(known, version, core)]
 
 
 def _list_usable(
@@ -306,6 +319,29 @@
     return not served_roles or not core.is_out_of_reach(known.host)
 
 
+def _refuse_version(
+    request: OpenRequest, version: str, core: DispatchCore
+) -> Iterator[Command]:
+    """Refuse to continue a stream at a host of another software version."""
+    if version == UNKNOWN_VERSION:
+        yield from refuse_unknown_origin(request, core)
+        return
+    text = f"no host of software version {version} is left, which began the stream"
+    yield from refuse_without_retry_after(
+        request, 503, const.CODE_VERSION_GONE, text, core
+    )
+
+
+def refuse_unknown_origin(
+    request: OpenRequest, core: DispatchCore
+) -> Iterator[Command]:
+    """Refuse to resume a stream of which it is not known where it began."""
+    text = "it is not known which software version began the stream"
+    # Another gateway may know it.
+    retry_after = const.MIN_RETRY_AFTER
+    yield from refuse(request, 503, const.CODE_VERSION_UNKNOWN, text, retry_after, core)
+
+
 def _handle_no_budget(
     request: OpenRequest, core: DispatchCore, now: float
 ) -> Iterator[Command]:
--- a/radishtally/serving/requests.py
+++ b/radishtally/serving/requests.py
@@ -10,6 +10,8 @@
 from radishtally.serving.terms import DEFAULT_TERMS, Terms
 
 CLAIMING: Final = "claiming"
+LOCATING: Final = "locating"
+"""Peers were asked where the stream began that the caller resumes."""
 OFFERED: Final = "offered"
 ACCEPTED: Final = "accepted"
 WITHDRAWING: Final = "withdrawing"
@@ -38,6 +40,12 @@
     hold_rounds: int = 0
     """Times the request has been held for a host; sets the backoff."""
     host: str | None = None
+    stream: bytes = b""
+    """Key of the stream that the request begins or resumes; empty if not tracked."""
+    offered_version: str = ""
+    """Software version of the host, as known when the request was offered to it."""
+    is_continuation: bool = False
+    """Whether the current attempt continues a stream that another one has begun."""
     incarnation: str = ""
     """Incarnation of the process to which the current attempt was offered."""
     offered_at: float = 0.0
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -6,11 +6,14 @@
 
 from radishtally.limits.retries import RetryBudgets
 from radishtally.serving.const import (
+    DOUBT_MARGIN_SECONDS,
     OFFER_TIMEOUT_SECONDS,
     PAUSE_JITTER,
     UNREACHED_TO_PRESUME_GONE,
+    VERSION_LAG_SECONDS,
 )
 from radishtally.serving.hosts import KnownHost
+from radishtally.serving.origins import UNKNOWN_VERSION, StreamOrigins
 from radishtally.serving.placement import Placement, RankedPlacement
 from radishtally.serving.requests import OpenRequest
 from radishtally.serving.suspects import Suspects
@@ -32,7 +35,14 @@
     prefill_counts_as_run: bool = True
     """Whether computing the prompt counts as running the work: agents generate the
     first token in the same step."""
+    tracks_versions: bool = False
+    """Whether hosts run software versions whose streams can't be combined. Agents
+    report no software version."""
+    origins: StreamOrigins = field(default_factory=StreamOrigins)
     hosts: dict[str, KnownHost] = field(default_factory=dict)
+    doubted_since: dict[str, float] = field(default_factory=dict)
+    """Hosts that keep their name and may have begun again at another version, and the
+    time since when."""
     pools: dict[str, dict[str, KnownHost]] = field(default_factory=dict)
     """The same hosts by upstream, so that placement scans a single pool."""
     links: dict[str, str] = field(default_factory=dict)
@@ -80,6 +90,24 @@
         known = self.hosts.get(host)
         return known is not None and known.unreached_offers >= UNREACHED_TO_PRESUME_GONE
 
+    def doubt_version(self, host: str, now: float) -> None:
+        """Record that a host has ended and may begin again at another version."""
+        known = self.hosts.get(host)
+        # Other hosts get a new name with each start.
+        if known is not None and known.reports_start:
+            self.doubted_since.setdefault(host, now - DOUBT_MARGIN_SECONDS)
+
+    def confirm_hosts(self, asked_at: float) -> None:
+        """Record that the host list was current at a time.
+
+        A host that had begun again long enough before would have been listed anew.
+        """
+        self.doubted_since = {
+            host: since
+            for host, since in self.doubted_since.items()
+            if asked_at < since + DOUBT_MARGIN_SECONDS + VERSION_LAG_SECONDS
+        }
+
     def pause_host(self, host: str, seconds: float, now: float) -> None:
         """Record that a host has asked for no work for a while."""
         known = self.hosts.get(host)
@@ -132,6 +160,12 @@
             if request.host == host and request.incarnation != incarnation
         ]
 
+    def forget_version(self, host: str) -> None:
+        """Forget the software version of a host that still has work in flight."""
+        known = self.hosts.get(host)
+        if known is not None:
+            known.version = UNKNOWN_VERSION
+
     def forget_host(self, host: str) -> None:
         """Remove a host that is gone once it has no work in flight."""
         known = self.hosts.get(host)
--- a/radishtally/serving/terms.py
+++ b/radishtally/serving/terms.py
@@ -30,6 +30,8 @@
     resumed_stream: str = ""
     """Id of the request that brought the first event of the stream that the caller
     resumes; empty if it resumes none."""
+    upstreams: tuple[str, ...] = ()
+    """Upstreams that the route allows; empty if only the work's own."""
     content: str = ""
     """Digest of the request's content, equal in all repeats; empty if not computed."""
 
--- a/tests/adapter/test_outages.py
+++ b/tests/adapter/test_outages.py
@@ -155,6 +155,9 @@
     def find_gather_seconds(self) -> float:
         return find_gather_seconds(BOUNDS, self.gateways)
 
+    def confirm_hosts(self, age: float) -> None:
+        assert age >= 0.0
+
     def set_unreadable_count(self, count: int) -> None:
         assert count == 0
 
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -292,6 +292,9 @@
         self.changes: list[HostChange] = []
         self.unreadable = 0
 
+    def confirm_hosts(self, age: float) -> None:
+        assert age >= 0.0
+
     def set_unreadable_count(self, count: int) -> None:
         self.unreadable = count
 
--- a/tests/gateway/test_spoiled_streams.py
+++ b/tests/gateway/test_spoiled_streams.py
@@ -37,10 +37,12 @@
     signature: str
 
 
-async def receive(env: Deployment, path: str, **more: str) -> Received:
+async def receive(
+    env: Deployment, path: str, name: str = "r1", **more: str
+) -> Received:
     """Send a request and read its answer as far as it comes."""
     body = b""
-    headers = make_prompt("r1", **more)
+    headers = make_prompt(name, **more)
     async with (
         aiohttp.ClientSession() as session,
         session.post(env.url + path, headers=headers) as response,
@@ -55,9 +57,12 @@
 
 
 def run_with_faults(
-    faults: Sequence[RunFault], path: str = PATH, **more: str
+    faults: Sequence[RunFault], path: str = PATH, begun_as: str = "", **more: str
 ) -> Received:
-    """Return what a caller receives if its runs fail in turn; later ones succeed."""
+    """Return what a caller receives if its runs fail in turn; later ones succeed.
+
+    The first runs are those of a stream that the caller resumes, if it has begun one.
+    """
     received = []
 
     async def ask() -> None:
@@ -68,6 +73,9 @@
             for engine in engines:
                 engine.faults = script
                 await env.serve_engine(engine)
+            if begun_as:
+                assert not (await receive(env, path, begun_as)).is_whole
+                more["Resumes"] = begun_as
             received.append(await receive(env, path, **more))
 
     run(ask())
@@ -141,7 +149,8 @@
 # Guards against duplicate events: a caller resumes after the events that it has, and
 # the engine starts from the beginning.
 def test_run_that_ignores_where_its_caller_resumes_is_not_returned() -> None:
-    received = run_with_faults([RunFault(first_event=1)], **{"Last-Event-Id": "2"})
+    faults = [RESET, RESET_HEAD, RunFault(first_event=1)]
+    received = run_with_faults(faults, begun_as="r0", **{"Last-Event-Id": "2"})
     assert received.is_whole
     assert make_events(2) + received.body == make_events(EVENTS)
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -27,9 +27,11 @@
     headers: dict[str, str]
 
 
-async def serve(env: Deployment, name: str, phase: str, version: str) -> StagedEngine:
+async def serve(
+    env: Deployment, name: str, phase: str, version: str, seconds: float = 0.0
+) -> StagedEngine:
     """Start an engine of a software version."""
-    engine = StagedEngine(name, phase)
+    engine = StagedEngine(name, phase, seconds)
     engine.version = version
     await env.serve_engine(engine)
     return engine
@@ -75,16 +77,18 @@
 
 
 # Guards against events of two software versions in one answer: the engine that began
-# the stream breaks off, and the only other one runs another version.
+# the stream leaves and breaks off, and the only other one runs another version.
 def test_gateway_does_not_go_on_with_a_stream_at_another_version() -> None:
     async def scenario() -> None:
         async with deployment() as env:
             await serve(env, "p-1", "prefill", "v2")
-            first = await serve(env, "d-1", "decode", "v1")
+            first = await serve(env, "d-1", "decode", "v1", 0.3)
             first.cut_after = 2
             task = asyncio.create_task(ask(env.gateway, "r1"))
             await wait_until(lambda: first.runs["r1"] == 1)
             await serve(env, "d-2", "decode", "v2")
+            env.withdraw("d-1")
+            await wait_until(lambda: "d-1" not in env.gateway.core.links)
             received = await task
             assert received.body == make_events("r1", range(1, 3), "v1")
             assert not received.is_whole
@@ -100,7 +104,8 @@
             deployment() as env,
             run_gateway(env.store, "gateway-2") as second,
         ):
-            await serve(env, "p-1", "prefill", "v1")
+            await wait_for_links(env.gateway, second)
+            await serve(env, "p-1", "prefill", "v2")
             engine = await serve(env, "d-1", "decode", "v1")
             # The route allows two attempts.
             engine.faults = iter([RunFault(cut_after=2), RunFault(cut_after=0)])
