Send a stream's origin to the other data centres once

Test of the number of messages: a standby of a collector sent its own streams to the other data centres, and the collector relayed them there once more, 17 messages a stream with five data centres. Change: only the collector sends to other data centres: at most 12, whatever the number of gateways (10, 20 and 66 a data centre).

--- a/radishtally/gateway/origins.py
+++ b/radishtally/gateway/origins.py
@@ -10,7 +10,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 from eliot import log_message
 
@@ -33,6 +33,18 @@
 EXPIRY_SECONDS: Final = 1.0
 
 
+class _Group(NamedTuple):
+    """Hold the peers that a gateway exchanges origins with."""
+
+    asked: tuple[str, ...] = ()
+    """Peers that may know the streams of other gateways."""
+    informed: tuple[str, ...] = ()
+    """Peers that are sent the streams of this gateway."""
+    relayed: tuple[str, ...] = ()
+    """Peers to which this gateway, as the collector, relays those of its data centre.
+    """
+
+
 class OriginExchange:
     """Send the origins of streams to peers, and ask them for those of others."""
 
@@ -46,11 +58,8 @@
         self._hub: LinkHub | None = None
         self._sites: Sites = {own_name: Site()}
         self._linked: list[str] | None = None
-        """Linked peers for which the next two were computed; None to do so again."""
-        self._peers: tuple[str, ...] = ()
-        """Peers that keep the streams of this gateway."""
-        self._remote_peers: tuple[str, ...] = ()
-        """Those of other data centres to which this gateway relays as the collector."""
+        """Linked peers for which the group was computed; None to compute it again."""
+        self._group = _Group()
         self._to_relay: list[StreamsBegun] = []
         self._pending: dict[bytes, set[str]] = {}
         """Peers whose replies are due, by stream."""
@@ -81,33 +90,33 @@
         relayed, self._to_relay = self._to_relay, []
         if not own and not relayed:
             return
-        self._update_peers()
-        for peer in self._peers:
+        self._update_group()
+        for peer in self._group.informed:
             for message in own:
                 self._hub.send(peer, message)
-        for peer in self._remote_peers:
+        for peer in self._group.relayed:
             for message in relayed:
                 self._hub.send(peer, message)
 
     def ask(self, stream: bytes) -> None:
         """Ask the peers where a stream began."""
-        self._update_peers()
+        self._update_group()
         if stream in self._pending:
             return
         loop = asyncio.get_running_loop()
-        if not self._peers:
+        if not self._group.asked:
             loop.call_soon(self._on_settled, stream)
             return
-        self._pending[stream] = set(self._peers)
+        self._pending[stream] = set(self._group.asked)
         # The request is refused by then, whoever has not replied.
         loop.call_later(ORIGIN_TIMEOUT_SECONDS, self._pending.pop, stream, None)
-        for peer in self._peers:
+        for peer in self._group.asked:
             self._hub.send(peer, OriginQuery(stream))
 
     def handle_link_up(self, peer: str) -> None:
         """Send the own streams to a peer that may have lost them, or missed some."""
-        self._update_peers()
-        if peer in self._peers:
+        self._update_group()
+        if peer in self._group.informed:
             for message in self._origins.list_own(time.monotonic()):
                 self._hub.send(peer, message)
 
@@ -131,8 +140,8 @@
             self._record_reply(message.stream, peer)
             return
         self._merge(message, now)
-        self._update_peers()
-        if self._remote_peers and self._is_local(peer):
+        self._update_group()
+        if self._group.relayed and self._is_local(peer):
             self._to_relay.append(message)
 
     def _merge(self, message: StreamsBegun, now: float) -> None:
@@ -158,24 +167,23 @@
         site, own_site = self._sites.get(peer), self._sites[self._own_name]
         return site is not None and site.data_centre == own_site.data_centre
 
-    def _update_peers(self) -> None:
-        """Update the peers from the links that are up."""
+    def _update_group(self) -> None:
+        """Update the group from the links that are up."""
         linked = [] if self._hub is None else self._hub.hosts
         if linked == self._linked:
             return
         self._linked = linked
-        before = self._peers
-        self._peers, self._remote_peers = self._find_peers(linked)
-        if self._peers != before:
-            log_message("origins:peers", peers=self._peers, relays=self._remote_peers)
+        before, self._group = self._group, self._find_group(linked)
+        if self._group != before:
+            log_message("origins:peers", **self._group._asdict())
 
-    def _find_peers(self, linked: list[str]) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    def _find_group(self, linked: list[str]) -> _Group:
         if is_mesh(self._sites):
-            return tuple(linked), ()
+            return _Group(tuple(linked), tuple(linked))
         candidates = list_collector_candidates(self._sites, self._own_name, linked)
-        peers = tuple(name for name in linked if name in candidates)
-        data_centre = self._sites[self._own_name].data_centre
-        local = list_gateways_in(self._sites, data_centre)
-        if find_first_reachable(local, self._own_name, linked) != self._own_name:
-            return peers, ()
-        return peers, tuple(name for name in peers if not self._is_local(name))
+        asked = tuple(name for name in linked if name in candidates)
+        order = list_gateways_in(self._sites, self._sites[self._own_name].data_centre)
+        if find_first_reachable(order, self._own_name, linked) == self._own_name:
+            remote = tuple(name for name in asked if not self._is_local(name))
+            return _Group(asked, asked, remote)
+        return _Group(asked, tuple(filter(self._is_local, asked)))
