Give the soak software versions, releases and callers that name the stream they resume

Engines of two versions serve side by side and name their version in each event; releases replace all of them one after the other (a generator of their own, so that the other faults of a seed stay as they were). Callers name the request that brought the first event. The check: all events of a stream are of one version, in one answer and over all tries.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,9 +3,9 @@
 import asyncio
 import random
 from collections.abc import Sequence
-from typing import Final
+from typing import Final, NamedTuple
 
-from soak.checks import Disturbances, Ledger, SentRequest
+from soak.checks import Disturbances, Ledger, SentRequest, find_versions
 from soak.const import (
     CALLER_TIMEOUT_SECONDS,
     DEADLINE_MS,
@@ -28,6 +28,25 @@
 EVENT_END: Final = b"\n\n"
 
 
+class Progress(NamedTuple):
+    """What a caller has of a stream after some tries."""
+
+    last_event: int = 0
+    first: str = ""
+    """Request that brought the first event."""
+    software: str = ""
+    """Software version of the events."""
+
+    def add(self, request: str, answer: Answer) -> "Progress":
+        """Add the events that a request has brought."""
+        body = bytes(answer.body)
+        count = body.count(EVENT_END)
+        if not count:
+            return self
+        software = self.software or min(find_versions(body), default="")
+        return Progress(self.last_event + count, self.first or request, software)
+
+
 class Caller:
     """Send requests to the gateways, one at a time."""
 
@@ -57,22 +76,22 @@
 
     async def _call_with_retries(self, kind: str) -> None:
         """Send a request and retry it where that is safe, each time under a new id."""
-        last_event = 0
+        progress = Progress()
         for _ in range(MAX_ATTEMPTS):
-            answer = await self._attempt(kind, last_event)
+            answer = await self._attempt(kind, progress)
             if kind in STREAMING_KINDS and answer.status == 200:
-                last_event += bytes(answer.body).count(EVENT_END)
+                progress = progress.add(f"{self._name}-{self._number}", answer)
             if not _may_retry(kind, answer):
                 return
             self._switch()
             await asyncio.sleep(self._random.uniform(0.0, MAX_PAUSE_SECONDS))
 
-    async def _attempt(self, kind: str, last_event: int) -> Answer:
+    async def _attempt(self, kind: str, progress: Progress) -> Answer:
         if self._random.random() < SWITCH_CHANCE:
             self._switch()
         if not await self._connect():
             return Answer()
-        sent, request = self._make_request(kind, last_event)
+        sent, request = self._make_request(kind, progress)
         self._ledger.record_request(sent)
         task = asyncio.create_task(self._connection.fetch(request))
         if self._random.random() < DISCONNECT_CHANCE:
@@ -128,7 +147,7 @@
         self._gateway = self._random.choice(self._gateways)
         self._connection = Connection(self._gateway.address)
 
-    def _make_request(self, kind: str, last_event: int) -> tuple[SentRequest, bytes]:
+    def _make_request(self, kind: str, progress: Progress) -> tuple[SentRequest, bytes]:
         self._number += 1
         name = f"{self._name}-{self._number}"
         method = "GET" if kind == "read" else "POST"
@@ -142,13 +161,13 @@
         ]
         if kind in STREAMING_KINDS:
             headers += self._make_prompt_headers()
-        if last_event:
-            headers.append(f"Last-Event-Id: {last_event}")
+        if progress.first:
+            headers.append(f"Last-Event-Id: {progress.last_event}")
+            headers.append(f"Resumes: {progress.first}")
         head = "\r\n".join([f"{method} {path} HTTP/1.1", *headers, "", ""])
         at, gateway = read_clock(), self._gateway.name
-        sent = SentRequest(
-            name, kind, method, path, digest(body), gateway, at, last_event
-        )
+        asked = name, kind, method, path, digest(body), gateway, at
+        sent = SentRequest(*asked, *progress)
         return sent, head.encode() + body
 
     def _make_prompt_headers(self) -> list[str]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,10 +1,11 @@
 """Check the guarantees by comparing the records of callers and hosts."""
 
+import re
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from soak.const import (
     AT_MOST_ONCE_KINDS,
@@ -19,6 +20,10 @@
 from standins.runs import RUN, UNFRAMED, Order, Run, digest, read_clock
 from standins.staged import make_event
 
+EVENT_VERSION: Final = re.compile(rb"^data: [^@\n]*@(.*)\n", re.MULTILINE)
+CUT_VERSION: Final = re.compile(rb"@(.*)$")
+"""Version in an event of which only a part was received."""
+
 
 class SentRequest(NamedTuple):
     """Represent a request as its caller sent it."""
@@ -33,6 +38,10 @@
     at: float
     last_event: int = 0
     """Number of the last stream event that the caller received before; 0 for none."""
+    first: str = ""
+    """Request that brought the stream's first event, if the caller resumes it."""
+    software: str = ""
+    """Software version of the events that the caller received before."""
 
 
 class SignedAnswer(NamedTuple):
@@ -45,6 +54,11 @@
     """Digest of the body; empty for a stream."""
 
 
+def find_versions(body: bytes) -> set[str]:
+    """Return the software versions that a stream's events name."""
+    return {version.decode() for version in EVENT_VERSION.findall(body)}
+
+
 @dataclass
 class Disturbances:
     """Record which components were disturbed, and when."""
@@ -110,6 +124,8 @@
                 f"{sent}: no answer in valid HTTP: {answer.protocol_error}"
             )
         self.counts[f"{sent.kind} {answer.status or 'broken'}"] += 1
+        if sent.first:
+            self.counts[f"resumed {answer.status or 'broken'}"] += 1
         if answer.status:
             self._check_answer(sent, answer)
 
@@ -145,10 +161,19 @@
             self.report_finding(f"{sent}: the answer names {names}")
 
     def _check_events(self, sent: SentRequest, answer: Answer) -> None:
-        """Check that events resume after the last one, without gaps or repeats."""
-        numbers = range(sent.last_event + 1, EVENTS + 1)
-        expected = b"".join(make_event(sent.id, number) for number in numbers)
+        """Check that events resume after the last one, without gaps or repeats.
+
+        All events of a stream must be of one software version, over all tries.
+        """
         received = bytes(answer.body)
+        versions = {sent.software, *find_versions(received)} - {""}
+        if len(versions) > 1:
+            self.report_finding(f"{sent}: events of versions {sorted(versions)}")
+            return
+        cut = CUT_VERSION.search(received)
+        software = "".join(versions) or (cut[1].decode() if cut else "")
+        numbers = range(sent.last_event + 1, EVENTS + 1)
+        expected = b"".join(make_event(sent.id, number, software) for number in numbers)
         if not expected.startswith(received):
             self.report_finding(f"{sent}: not its events: {received!r}")
         elif answer.is_complete and received != expected:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -65,6 +65,8 @@
 UNFRAMED_DESK: Final = {"modes": ["unframed"], "pause_seconds": 0.8}
 FULL_DESK: Final = {"modes": ["unframed"], "pause_seconds": 0.2, "max_connections": 2}
 SOUND_DESK: Final = {"modes": ["whole"]}
+KEEP_ROLE: Final = 3
+"""Variant with which a replaced engine drains and its successor has its role."""
 Injector = Callable[[Fleet, Fault, str], Awaitable[None]]
 
 
@@ -189,7 +191,20 @@
                 await fleet.announce(host)
 
 
-async def _replace_host(fleet: Fleet, host: Host, variant: int) -> None:
+async def _inject_release(fleet: Fleet, fault: Fault, name: str) -> None:
+    """Replace all engines by ones of a new software version, one after the other."""
+    fleet.releases += 1
+    software = f"v{fleet.releases}"
+    async with asyncio.TaskGroup() as group:
+        for engine in _find_hosts(fleet, is_desk=False):
+            if engine in fleet.hosts:
+                group.create_task(_replace_host(fleet, engine, KEEP_ROLE, software))
+            await asyncio.sleep(fault.seconds / 4)
+
+
+async def _replace_host(
+    fleet: Fleet, host: Host, variant: int, software: str = ""
+) -> None:
     """Replace a host; the old one goes on serving requests that still arrive.
 
     A new engine may start with the opposite role, until the gateways order another.
@@ -197,7 +212,7 @@
     fleet.hosts.remove(host)
     opposite = {"prefill": "decode", "decode": "prefill"}
     role = opposite.get(host.phase, "") if variant % 4 < 2 else host.phase
-    await fleet.add_host(role)
+    await fleet.add_host(role, software=software)
     if variant % 2:
         await fleet.announce(host, "draining")
         await asyncio.sleep(DRAIN_SECONDS)
@@ -211,7 +226,7 @@
     fleet.hosts.remove(host)
     with fleet.disturbances.mark(f"crash:{host.name}", tail=math.inf):
         host.child.process.kill()
-    await fleet.add_host(host.phase, host.proxy)
+    await fleet.add_host(host.phase, host.proxy, host.software)
     await asyncio.sleep(CRASHED_ENTRY_SECONDS)
     await fleet.withdraw(host)
 
@@ -321,4 +336,5 @@
     "stall": _inject_stall,
     "unframed": _inject_unframed,
     "full": _inject_full,
+    "release": _inject_release,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -67,6 +67,8 @@
     proxy: FaultProxy
     child: Child
     reader: RunReader
+    software: str
+    """Version of its software."""
     is_listed: bool = False
     sequence: int = 0
 
@@ -83,6 +85,9 @@
     hosts: list[Host] = field(default_factory=list)
     """Hosts in service, without those that left or crashed."""
     version: int = 0
+    """Version of the configuration."""
+    releases: int = 2
+    """Number of software versions so far; the first two serve side by side."""
     _started: list[subprocess.Popen[bytes]] = field(default_factory=list)
     _proxies: list[FaultProxy] = field(default_factory=list)
     _readers: list[RunReader] = field(default_factory=list)
@@ -129,14 +134,21 @@
         value |= {"version": self.version, "routes": routes}
         await self._write("op", "config", value)
 
-    async def add_host(self, phase: str, proxy: FaultProxy | None = None) -> Host:
-        """Start a host; with a proxy, take over the address of an earlier host."""
-        name = f"{phase[:1] or 's'}-{next(self._names)}"
+    async def add_host(
+        self, phase: str, proxy: FaultProxy | None = None, software: str = ""
+    ) -> Host:
+        """Start a host; with a proxy, take over the address of an earlier host.
+
+        Without a software version it runs one of the two newest.
+        """
+        number = next(self._names)
+        name = f"{phase[:1] or 's'}-{number}"
+        software = software or f"v{self.releases - number // 2 % 2}"
         log = self.folder / f"{name}.runs"
         args = ["--instance", name, "--log", str(log)]
         if phase:
             args += ["--phase", phase, "--seconds", str(EVENT_SECONDS)]
-            args += ["--events", str(EVENTS)]
+            args += ["--events", str(EVENTS), "--version", software]
         child = await self._launch(name, "staged" if phase else "desk", *args)
         if proxy is None:
             proxy = await self._add_proxy(child.address)
@@ -145,7 +157,7 @@
         service = "llm" if phase else "desk"
         reader = RunReader(log)
         self._readers.append(reader)
-        host = Host(name, service, phase, proxy, child, reader)
+        host = Host(name, service, phase, proxy, child, reader, software)
         await self.announce(host)
         self.hosts.append(host)
         return host
@@ -159,7 +171,7 @@
             "address": host.proxy.address,
         }
         more = {"phase": host.phase} if host.phase else {}
-        more |= {"state": state, "sequence": host.sequence}
+        more |= {"state": state, "sequence": host.sequence, "version": host.software}
         await self._write("servers", host.name, {**entry, **more})
 
     async def withdraw(self, host: Host) -> None:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -24,6 +24,9 @@
 at their limit of connections. Each has a generator of its own, too."""
 SECONDS_PER_UNFRAMED: Final = 10.0
 """Seconds of the schedule per such fault of each kind; a shorter schedule has none."""
+RELEASE: Final = "release"
+"""Kind of the releases, in which all engines are replaced by ones of a new software
+version; drawn like the faults above."""
 UNFRAMED_SECONDS: Final = (0.8, 2.0)
 """Shortest and longest time for which hosts answer so."""
 MIN_SERIES: Final = 8
@@ -57,7 +60,7 @@
     faults = [fault for kind in kinds for fault in _make_series(kind, seconds, rng)]
     if spoil_runs:
         faults += _make_series(SPOIL, seconds, random.Random(f"{SPOIL} {seed}"))
-        for kind in UNFRAMED:
+        for kind in (*UNFRAMED, RELEASE):
             faults += _make_unframed(kind, seconds, random.Random(f"{kind} {seed}"))
     faults += _make_stalls(seconds, random.Random(f"{STALL} {seed}"))
     # Requests to a removed host can be judged only while the store is undisturbed, so
--- a/standins/staged.py
+++ b/standins/staged.py
@@ -259,9 +259,10 @@
     parser.add_argument("--seconds", type=float, default=0.0)
     parser.add_argument("--events", type=int, default=EVENTS)
     parser.add_argument("--log", default="")
+    parser.add_argument("--version", default="", help="version of its software")
     args = parser.parse_args()
     engine = StagedEngine(args.instance, args.phase, args.seconds, args.log)
-    engine.events = args.events
+    engine.events, engine.version = args.events, args.version
     serve(engine.build_app(), args.address, args.port, cancel_on_disconnect=True)
 
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -141,6 +141,32 @@
     assert collect_findings(record(*ORDERS, other._replace(fence=8))) == []
 
 
+def make_versioned(*versions: str) -> bytes:
+    """Make the first events of a stream by engines of these versions."""
+    return b"".join(make_event("r1", n, v) for n, v in enumerate(versions, 1))
+
+
+@pytest.mark.parametrize(
+    ("software", "body", "is_found"),
+    [
+        ("", make_versioned("v1", "v1", "v2"), True),
+        ("v1", make_versioned("v2"), True),
+        ("v1", make_versioned("v1", "v1"), False),
+        ("", make_versioned("v1", "v1")[:-5], False),
+        ("", make_versioned("v1")[:-3], False),
+    ],
+    ids=["one_answer", "two_tries", "sound", "cut_event", "cut_first_event"],
+)
+def test_events_of_two_software_versions_are_found(
+    software: str, body: bytes, is_found: bool
+) -> None:
+    ledger = Ledger(Disturbances())
+    sent = make_sent("draft")._replace(software=software, first=software and "r0")
+    ledger.record_answer(sent, Answer(200, make_answer().headers, bytearray(body)))
+    found = ["events of versions ['v1', 'v2']" in text for text in ledger.findings]
+    assert found == [True] * is_found
+
+
 # Guards against a loss of whole answers that no finding shows, since it is allowed.
 @pytest.mark.parametrize(
     ("answer", "is_killed", "count"),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 
 from soak.core import run_seed
-from soak.schedule import SPOIL, UNFRAMED, make_schedule
+from soak.schedule import RELEASE, SPOIL, UNFRAMED, make_schedule
 
 SEED = 101
 SECONDS = 20.0
@@ -17,6 +17,7 @@
     assert outcome.findings == [], f"logs: {outcome.folder}"
     served = [outcome.counts.get(f"{kind} 200", 0) for kind in ("read", "book")]
     assert all(served) and outcome.faults
+    assert outcome.counts.get("resumed 200")
     shutil.rmtree(outcome.folder)
 
 
@@ -29,11 +30,11 @@
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_each_schedule_has_each_fault_of_unframed_answers(seed: int) -> None:
     kinds = [fault.kind for fault in make_schedule(seed, SECONDS)]
-    assert all(kind in kinds for kind in UNFRAMED)
+    assert all(kind in kinds for kind in (*UNFRAMED, RELEASE))
 
 
 # Guards against a new kind of fault that changes the schedules of older seeds.
 def test_faults_of_unframed_answers_leave_the_others_unchanged() -> None:
-    added = {SPOIL, *UNFRAMED}
+    added = {SPOIL, *UNFRAMED, RELEASE}
     others = [one for one in make_schedule(SEED, 60.0) if one.kind not in added]
     assert others == make_schedule(SEED, 60.0, spoil_runs=False)
