--- a/bench/capacity/core.py
+++ b/bench/capacity/core.py
@@ -18,6 +18,7 @@
     "claims": "bench.capacity.claims:measure_claims",
     "requests": "bench.capacity.requests:measure_requests",
     "teams": "bench.capacity.teams:measure_teams",
+    "origins": "bench.capacity.origins:measure_origins",
     "spread": "bench.capacity.spread:measure_spread",
 }
 """Functions by name. Modules are imported when run, as their imports use memory."""
--- a/tests/serving/test_versions.py
+++ b/tests/serving/test_versions.py
@@ -121,6 +121,21 @@
     assert driver.list_commands(events.AbortAnswer)
 
 
+# Guards against running streams that are cut: the last host of their version leaves.
+def test_running_stream_goes_on_at_the_last_host_of_its_version() -> None:
+    driver = make_driver(a="v1")
+    open_stream(driver, "r")
+    send_events(driver, "r")
+    add_host(driver, "b", "v2")
+    driver.core.set_host("a", "howrah", POOL, False, "v1")
+    driver.core.forget_host("a")
+    driver.core.links.pop("a")
+    driver.pass_time(5.0)
+    assert send_events(driver, "r") == "a"
+    assert len(driver.list_commands(events.Deliver)) == 2
+    assert not driver.list_refusals()
+
+
 # Guards against refused requests: only streams that have begun are bound to a version.
 def test_request_without_an_event_goes_to_any_version() -> None:
     driver = make_driver(a="v1")
