Keep a decode engine of each software version, and refuse what no engine can run

A stream goes on only at a decode engine of its version. Where changes of roles left a version none, its streams were broken off although two engines of it served; and they were held until their deadline, since engines of the version were listed that only prefill. Change: roles are changed so that each version keeps, or gets, a decode engine (a tie-break before the data centre's; no change more or less is ordered), and a stream whose version has no host that can run it ends at once.

--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -47,7 +47,7 @@
         yield from refuse(request, 503, const.CODE_ENDS_HOSTS, text, denied, core)
         return
     version = find_required_version(request, core)
-    if version is not None and not _list_live(request, core):
+    if version is not None and not _list_run_hosts(request, core):
         yield from _refuse_version(request, version, core)
         return
     pause = _find_common_pause(request, core, now)
@@ -276,11 +276,16 @@
     """Return how long all hosts that could run the request pause; 0 if any does not."""
     if now >= core.paused_until:
         return 0.0
+    run_hosts = _list_run_hosts(request, core)
+    return max(0.0, min((known.paused_until - now for known in run_hosts), default=0.0))
+
+
+def _list_run_hosts(request: OpenRequest, core: DispatchCore) -> list[KnownHost]:
+    """List the hosts in service that may run the request and not only its prompt."""
     find_role = core.placement.find_role
-    run_hosts = [
+    return [
         known for known in _list_live(request, core) if find_role(known.host) != PREFILL
     ]
-    return max(0.0, min((known.paused_until - now for known in run_hosts), default=0.0))
 
 
 def _list_live(request: OpenRequest, core: DispatchCore) -> list[KnownHost]:
@@ -326,7 +331,7 @@
     if version == UNKNOWN_VERSION:
         yield from refuse_unknown_origin(request, core)
         return
-    text = f"no host of software version {version} is left, which began the stream"
+    text = f"no host of software version {version}, which began the stream, can run it"
     yield from refuse_without_retry_after(
         request, 503, const.CODE_VERSION_GONE, text, core
     )
--- a/radishtally/stages/core.py
+++ b/radishtally/stages/core.py
@@ -19,6 +19,8 @@
     """Whether orders are expected to reach it now."""
     is_reachable: bool = True
     """Whether requests reach it; an engine that crashed stays listed for seconds."""
+    version: str = ""
+    """Version of its software."""
 
 
 class RoleChange(NamedTuple):
@@ -131,8 +133,10 @@
 def choose_changes(engines: Sequence[Engine], wanted: int) -> list[RoleChange]:
     """Choose the fewest changes that lead to the wanted number of prefill engines.
 
-    Engines are taken from the data centre where their role is most common, so that each
-    one keeps both roles if possible and KV caches need not cross data centres.
+    Streams go on only at decode engines of their software version, so each version
+    keeps one if possible, and gets one. Beyond that, engines are taken from the data
+    centre where their role is most common, so that each one keeps both roles if
+    possible and KV caches need not cross data centres.
     """
     roles = {engine.host: engine.role for engine in engines}
     wanted_roles = {PREFILL: wanted, DECODE: len(engines) - wanted}
@@ -146,7 +150,23 @@
         # moved, its role might have no live engine until the list is updated.
         if len(movable) <= min(wanted_roles[old], 1):
             break
-        chosen = max(movable, key=lambda e: (counts[e.data_centre], e.host))
+        decoding = Counter(e.version for e in engines if roles[e.host] == DECODE)
+        chosen = max(
+            movable,
+            key=lambda e: (
+                _keeps_decoding(old, decoding[e.version]),
+                counts[e.data_centre],
+                e.host,
+            ),
+        )
         roles[chosen.host] = new
         changes.append(RoleChange(chosen.host, new))
     return changes
+
+
+def _keeps_decoding(old_role: str, decoding: int) -> bool:
+    """Return whether a change of role serves the streams of an engine's version.
+
+    It does if it leaves that version a decode engine, or gives it the first one.
+    """
+    return decoding > 1 if old_role == DECODE else decoding == 0
--- a/radishtally/stages/role_controller.py
+++ b/radishtally/stages/role_controller.py
@@ -214,7 +214,12 @@
         is_orderable = instance.host not in self._skipped_until
         is_reachable = not self.is_unreachable(instance.host)
         return Engine(
-            instance.host, instance.data_centre, role, is_orderable, is_reachable
+            instance.host,
+            instance.data_centre,
+            role,
+            is_orderable,
+            is_reachable,
+            instance.version,
         )
 
     async def _carry_out(self, instance: Instance, change: RoleChange) -> None:
--- a/tests/serving/test_versions.py
+++ b/tests/serving/test_versions.py
@@ -148,6 +148,25 @@
     assert find_version(driver, "r") == "v2"
 
 
+# Guards against callers that wait in vain: of their version only a host is left that
+# prefills prompts, and the roles are not chosen for one version.
+def test_stream_ends_immediately_where_only_prefill_hosts_of_its_version_are_left() -> (
+    None
+):
+    driver = make_driver(a="v1")
+    open_stream(driver, "r")
+    send_events(driver, "r")
+    add_host(driver, "b", "v1")
+    add_host(driver, "c", "v2")
+    driver.core.placement.find_role = lambda host: PREFILL if host == "b" else ""
+    driver.core.set_host("a", "howrah", POOL, False, "v1")
+    lose(driver, "r")
+    assert driver.refusal.code == const.CODE_VERSION_GONE
+    resume(driver, "r2", "r", 1)
+    refusal = driver.list_commands(events.Refuse)[-1].refusal
+    assert (refusal.code, refusal.ran) == (const.CODE_VERSION_GONE, Ran.NO)
+
+
 # A release may replace all hosts between two tries of a caller.
 @pytest.mark.parametrize("is_left", [True, False], ids=["some_left", "all_replaced"])
 def test_caller_resumes_only_at_the_version_that_began(is_left: bool) -> None:
@@ -167,7 +186,7 @@
     assert driver.list_commands(events.Refuse)[-1].refusal == (
         503,
         const.CODE_VERSION_GONE,
-        "no host of software version v1 is left, which began the stream",
+        "no host of software version v1, which began the stream, can run it",
         Ran.NO,
         const.DEFAULT_RETRY_AFTER,
     )
--- a/tests/stages/test_core.py
+++ b/tests/stages/test_core.py
@@ -1,5 +1,6 @@
 """Tests of deciding on the engines' roles."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -178,3 +179,21 @@
     engines = make_engines(0, 3)
     engines[2] = engines[2]._replace(is_orderable=False)
     assert [change.host for change in choose_changes(engines, 1)] == ["e1"]
+
+
+# Guards against streams that can't go on although hosts of their version serve: all
+# decode engines of the version were made prefill engines, or none was made one.
+@pytest.mark.parametrize("wanted", [4, 2])
+def test_each_version_keeps_or_gets_a_decode_engine(wanted: int) -> None:
+    versions = ("v1", "v1", "v1", "v2", "v2", "v2")
+    engines = [
+        engine._replace(version=version)
+        for engine, version in zip(make_engines(3, 3), versions, strict=True)
+    ]
+    if wanted == 4:
+        roles = (PREFILL, PREFILL, DECODE, DECODE, DECODE, PREFILL)
+        engines = [e._replace(role=r) for e, r in zip(engines, roles, strict=True)]
+    changed = {engine.host: engine.role for engine in engines}
+    changed |= dict(choose_changes(engines, wanted))
+    decoding = {e.version for e in engines if changed[e.host] == DECODE}
+    assert decoding == {"v1", "v2"}
