Keep the query of a later try open, and an unknown version unknown

Two faults found by reading the change: the timer of an earlier query about a stream closed the next one, so that its replies were looked at 0.3 s late; and an entry that names no start, behind a restart that only a report had shown, set off a change of version each time although the version stays unknown (and for a host that never reports its start an empty version would have stayed for good). Change: a query owns its timer and settles when it runs out; the entry's version is dropped before it is compared.

--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -53,7 +53,7 @@
     after: str
     """Empty while only a report shows the new start, which names no version."""
     is_recent: bool
-    """Whether the list would have shown an earlier change, as it was not away."""
+    """Whether it changed just now, as the list was followed all the time before."""
 
 
 class HostRemoved(NamedTuple):
@@ -63,7 +63,7 @@
     is_unreadable: bool = False
     """Whether its entry exists but can't be decoded, so it need not have left."""
     is_recent: bool = False
-    """Whether an entry that can't be decoded would have been seen before."""
+    """Whether an unreadable entry was written just now, as for a change of version."""
 
 
 class MissReason(StrEnum):
@@ -228,6 +228,11 @@
         changes: list[HostChange] = []
         if self._missing.pop(host, None) is not None:
             changes.append(HostReturned(host))
+        known = self._instances.get(host)
+        if known is not None and known.started_ms and not known.version:
+            # An entry that names no start may be that of an earlier one.
+            version = instance.version if instance.started_ms else ""
+            instance = instance._replace(version=version)
         changes += self._describe_version_change(instance, after_outage)
         changes += self._apply_instance(instance, StartSource.LISTED)
         self._heartbeats[host] = heartbeats
@@ -302,10 +307,6 @@
         changes: list[HostChange] = [] if restart is None else [restart]
         if restart is not None:
             self._heartbeats.pop(host, None)
-        known = self._instances.get(host)
-        if known is not None and not instance.started_ms and not known.version:
-            # The entry names no start, so it may be the one of an earlier start.
-            instance = instance._replace(version="")
         instance = instance._replace(started_ms=self.starts.get(host))
         leaving_start = self._leaving.get(host)
         if leaving_start is not None and is_same_start(
--- a/radishtally/gateway/origins.py
+++ b/radishtally/gateway/origins.py
@@ -45,6 +45,14 @@
     """
 
 
+class _Query(NamedTuple):
+    """Hold a query about a stream until it is settled."""
+
+    due: set[str]
+    """Peers whose replies are due."""
+    timeout: asyncio.TimerHandle
+
+
 class OriginExchange:
     """Send the origins of streams to peers, and ask them for those of others."""
 
@@ -61,8 +69,8 @@
         """Linked peers for which the group was computed; None to compute it again."""
         self._group = _Group()
         self._to_relay: list[StreamsBegun] = []
-        self._pending: dict[bytes, set[str]] = {}
-        """Peers whose replies are due, by stream."""
+        self._queries: dict[bytes, _Query] = {}
+        """Queries with replies due, by stream."""
 
     def attach(self, hub: LinkHub) -> None:
         """Use the links of a hub from now on."""
@@ -101,15 +109,14 @@
     def ask(self, stream: bytes) -> None:
         """Ask the peers where a stream began."""
         self._update_group()
-        if stream in self._pending:
+        if stream in self._queries:
             return
         loop = asyncio.get_running_loop()
         if not self._group.asked:
             loop.call_soon(self._on_settled, stream)
             return
-        self._pending[stream] = set(self._group.asked)
-        # The request is refused by then, whoever has not replied.
-        loop.call_later(ORIGIN_TIMEOUT_SECONDS, self._pending.pop, stream, None)
+        timeout = loop.call_later(ORIGIN_TIMEOUT_SECONDS, self._settle, stream)
+        self._queries[stream] = _Query(set(self._group.asked), timeout)
         for peer in self._group.asked:
             self._hub.send(peer, OriginQuery(stream))
 
@@ -122,7 +129,7 @@
 
     def handle_link_down(self, peer: str) -> None:
         """Expect no more replies from a peer."""
-        for stream in [key for key, due in self._pending.items() if peer in due]:
+        for stream in list(self._queries):
             self._record_reply(stream, peer)
 
     def handle_message(
@@ -147,19 +154,19 @@
     def _merge(self, message: StreamsBegun, now: float) -> None:
         self._origins.merge(message, now)
         for stream in message.streams:
-            if stream.stream in self._pending:
+            if stream.stream in self._queries:
                 self._settle(stream.stream)
 
     def _record_reply(self, stream: bytes, peer: str) -> None:
-        due = self._pending.get(stream)
-        if due is None:
+        query = self._queries.get(stream)
+        if query is None:
             return
-        due.discard(peer)
-        if not due:
+        query.due.discard(peer)
+        if not query.due:
             self._settle(stream)
 
     def _settle(self, stream: bytes) -> None:
-        self._pending.pop(stream, None)
+        self._queries.pop(stream).timeout.cancel()
         self._on_settled(stream)
 
     def _is_local(self, peer: str) -> bool:
--- a/tests/gateway/test_starts.py
+++ b/tests/gateway/test_starts.py
@@ -137,3 +137,46 @@
     for host in "bac":
         known.record(host, 10_000, StartSource.LISTED)
     assert [known.get(host) for host in "abc"] == [10_000, 0, 10_000]
+
+
+def list_versions(members: Members) -> list[str]:
+    return [instance.version for instance in members]
+
+
+def test_other_version_in_the_list_is_a_change_of_version() -> None:
+    members = Members()
+    members.update(make_instance(0, version="v1"))
+    changes = members.update(make_instance(0, version="v2"))
+    assert describe(changes) == ["HostVersionChanged", "HostUpdated"]
+    assert tuple(changes[0]) == ("a", "v1", "v2", True)
+    (changed, _) = members.update(make_instance(0, version="v1"), 0, True)
+    assert not changed.is_recent
+
+
+# Guards against streams that are taken for those of the former version: a report shows
+# the new start before its entry, which alone names the version.
+def test_version_of_a_reported_start_is_unknown_until_it_is_listed() -> None:
+    members = Members()
+    queried = make_instance(EARLY, version="v1")
+    members.update(queried)
+    changes = members.apply_report(queried, make_report(LATE))
+    assert describe(changes) == ["HostVersionChanged", "HostRestarted", "HostUpdated"]
+    assert list_versions(members) == [""]
+    assert members.update(make_instance(EARLY, version="v1")) == []
+    members.update(make_instance(0, version="v1"))
+    assert list_versions(members) == [""]
+    changes = members.update(make_instance(LATE, version="v2"))
+    assert describe(changes) == ["HostVersionChanged", "HostUpdated"]
+    assert list_versions(members) == ["v2"]
+
+
+# Guards against the same where the entry had lapsed before the host began again.
+def test_host_that_is_listed_again_at_another_version_has_changed_it() -> None:
+    members = Members()
+    members.update(make_instance(0, version="v1"))
+    members.update(make_instance(0, host="b", version="v1"))
+    members.remove(["a"], 10.0, False)
+    members.expire(10.0 + MISSING_GRACE_SECONDS, False)
+    changes = members.update(make_instance(0, version="v2"))
+    assert describe(changes) == ["HostVersionChanged", "HostUpdated"]
+    assert not changes[0].is_recent
