Ask peers whose links come up; start successors before engines leave in a soak's release

Two findings. By reading: a gateway that has just begun again has no links yet, and refused a stream at once that its peers know. Change: each successor is started first.

--- a/radishtally/gateway/origins.py
+++ b/radishtally/gateway/origins.py
@@ -65,6 +65,8 @@
         """Called with a stream when no more replies to a query about it are due."""
         self._hub: LinkHub | None = None
         self._sites: Sites = {own_name: Site()}
+        self._is_alone = False
+        """Whether no other gateway is listed; False until the list was read."""
         self._linked: list[str] | None = None
         """Linked peers for which the group was computed; None to compute it again."""
         self._group = _Group()
@@ -78,6 +80,7 @@
 
     def set_sites(self, sites: Sites) -> None:
         """Set the known gateways, including this one."""
+        self._is_alone = len(sites) == 1
         if sites != self._sites:
             self._sites, self._linked = sites, None
 
@@ -112,7 +115,7 @@
         if stream in self._queries:
             return
         loop = asyncio.get_running_loop()
-        if not self._group.asked:
+        if self._is_alone:
             loop.call_soon(self._on_settled, stream)
             return
         timeout = loop.call_later(ORIGIN_TIMEOUT_SECONDS, self._settle, stream)
@@ -126,6 +129,10 @@
         if peer in self._group.informed:
             for message in self._origins.list_own(time.monotonic()):
                 self._hub.send(peer, message)
+        if peer in self._group.asked:
+            for stream, query in list(self._queries.items()):
+                query.due.add(peer)
+                self._hub.send(peer, OriginQuery(stream))
 
     def handle_link_down(self, peer: str) -> None:
         """Expect no more replies from a peer."""
@@ -159,9 +166,9 @@
 
     def _record_reply(self, stream: bytes, peer: str) -> None:
         query = self._queries.get(stream)
-        if query is None:
+        if query is None or peer not in query.due:
             return
-        query.due.discard(peer)
+        query.due.remove(peer)
         if not query.due:
             self._settle(stream)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -65,8 +65,6 @@
 UNFRAMED_DESK: Final = {"modes": ["unframed"], "pause_seconds": 0.8}
 FULL_DESK: Final = {"modes": ["unframed"], "pause_seconds": 0.2, "max_connections": 2}
 SOUND_DESK: Final = {"modes": ["whole"]}
-KEEP_ROLE: Final = 3
-"""Variant with which a replaced engine drains and its successor has its role."""
 Injector = Callable[[Fleet, Fault, str], Awaitable[None]]
 
 
@@ -197,14 +195,14 @@
     software = f"v{fleet.releases}"
     async with asyncio.TaskGroup() as group:
         for engine in _find_hosts(fleet, is_desk=False):
+            await fleet.add_host(engine.phase, software=software)
+            # It may have crashed or left meanwhile.
             if engine in fleet.hosts:
-                group.create_task(_replace_host(fleet, engine, KEEP_ROLE, software))
-            await asyncio.sleep(fault.seconds / 4)
+                fleet.hosts.remove(engine)
+                group.create_task(_retire_host(fleet, engine, is_draining=True))
 
 
-async def _replace_host(
-    fleet: Fleet, host: Host, variant: int, software: str = ""
-) -> None:
+async def _replace_host(fleet: Fleet, host: Host, variant: int) -> None:
     """Replace a host; the old one goes on serving requests that still arrive.
 
     A new engine may start with the opposite role, until the gateways order another.
@@ -212,8 +210,13 @@
     fleet.hosts.remove(host)
     opposite = {"prefill": "decode", "decode": "prefill"}
     role = opposite.get(host.phase, "") if variant % 4 < 2 else host.phase
-    await fleet.add_host(role, software=software)
-    if variant % 2:
+    await fleet.add_host(role)
+    await _retire_host(fleet, host, is_draining=bool(variant % 2))
+
+
+async def _retire_host(fleet: Fleet, host: Host, is_draining: bool) -> None:
+    """Let a host leave that is out of service, with or without an announcement."""
+    if is_draining:
         await fleet.announce(host, "draining")
         await asyncio.sleep(DRAIN_SECONDS)
     await fleet.withdraw(host)
