Set a host's changed version in one place

The event of a change sets the version that the core knows, also for an entry that can't be read, in place of a call beside it; so nothing that handles the event sees the former one. No other behaviour: 124 tests of serving, versions, starts, foreign entries and relays pass.

--- a/radishtally/gateway/changes.py
+++ b/radishtally/gateway/changes.py
@@ -119,7 +119,6 @@
     # The last answers of a host that has left are taken as whole.
     if change.is_unreadable:
         # The entry may be that of a new start at another version.
-        targets.core.forget_version(host)
         targets.handle(events.VersionChanged(host, "", change.is_recent))
     else:
         targets.hosts.forget(host)
--- a/radishtally/serving/core.py
+++ b/radishtally/serving/core.py
@@ -77,6 +77,9 @@
 def _(
     event: events.VersionChanged, core: DispatchCore, now: float
 ) -> Iterator[Command]:
+    known = core.hosts.get(event.host)
+    if known is not None:
+        known.version = event.version
     lag = const.VERSION_LAG_SECONDS if event.is_recent else float("inf")
     since = core.doubted_since.pop(event.host, now - lag)
     core.origins.change_version(event.host, event.version, since, now)
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -13,7 +13,7 @@
     VERSION_LAG_SECONDS,
 )
 from radishtally.serving.hosts import KnownHost
-from radishtally.serving.origins import UNKNOWN_VERSION, StreamOrigins
+from radishtally.serving.origins import StreamOrigins
 from radishtally.serving.placement import Placement, RankedPlacement
 from radishtally.serving.requests import OpenRequest
 from radishtally.serving.suspects import Suspects
@@ -160,12 +160,6 @@
             if request.host == host and request.incarnation != incarnation
         ]
 
-    def forget_version(self, host: str) -> None:
-        """Forget the software version of a host that still has work in flight."""
-        known = self.hosts.get(host)
-        if known is not None:
-            known.version = UNKNOWN_VERSION
-
     def forget_host(self, host: str) -> None:
         """Remove a host that is gone once it has no work in flight."""
         known = self.hosts.get(host)
