--- a/radishtally/gateway/origins.py
+++ b/radishtally/gateway/origins.py
@@ -40,7 +40,7 @@
     """Peers that may know the streams of other gateways."""
     informed: tuple[str, ...] = ()
     """Peers that are sent the streams of this gateway."""
-    relayed: tuple[str, ...] = ()
+    relay_targets: tuple[str, ...] = ()
     """Peers to which this gateway, as the collector, relays those of its data centre.
     """
 
@@ -105,7 +105,7 @@
         for peer in self._group.informed:
             for message in own:
                 self._hub.send(peer, message)
-        for peer in self._group.relayed:
+        for peer in self._group.relay_targets:
             for message in relayed:
                 self._hub.send(peer, message)
 
@@ -155,7 +155,7 @@
             return
         self._merge(message, now)
         self._update_group()
-        if self._group.relayed and self._is_local(peer):
+        if self._group.relay_targets and self._is_local(peer):
             self._to_relay.append(message)
 
     def _merge(self, message: StreamsBegun, now: float) -> None:
--- a/radishtally/serving/events.py
+++ b/radishtally/serving/events.py
@@ -65,8 +65,7 @@
 
 
 class OriginSettled(NamedTuple):
-    """Event: all peers that were asked for a stream's origin have answered, or one has
-    named it."""
+    """Event: no more replies to a query for a stream's origin are expected."""
 
     stream: bytes
 
--- a/radishtally/serving/origins.py
+++ b/radishtally/serving/origins.py
@@ -70,8 +70,9 @@
         self._expiring: dict[int, list[bytes]] = defaultdict(list)
         """Streams by the second in which they expire, or expired before an extension.
         """
-        self._changes: dict[str, _VersionChange] = {}
-        self._changed: dict[bytes, None] = {}
+        self._version_changes: dict[str, _VersionChange] = {}
+        """Last changes of hosts, by host."""
+        self._unsent: dict[bytes, None] = {}
         """Own streams whose origin must be sent to the peers."""
 
     def __len__(self) -> int:
@@ -86,7 +87,7 @@
     def record(self, stream: bytes, origin: Origin, until: float, now: float) -> None:
         """Record a stream that a request of this gateway has begun or resumed."""
         self._merge(stream, origin, until, now).is_own = True
-        self._changed[stream] = None
+        self._unsent[stream] = None
 
     def merge(self, message: StreamsBegun, now: float) -> None:
         """Merge what a peer knows about streams."""
@@ -100,7 +101,7 @@
         known = self._streams.get(stream)
         if known is not None:
             began = min(began, known.began)
-        change = self._changes.get(origin.host)
+        change = self._version_changes.get(origin.host)
         # The peer may not have seen the change.
         if (
             change is not None
@@ -128,11 +129,11 @@
             return
         known.origin = known.origin._replace(version=UNKNOWN_VERSION)
         if known.is_own:
-            self._changed[stream] = None
+            self._unsent[stream] = None
 
     def change_version(self, host: str, version: str, since: float, at: float) -> None:
         """Doubt the streams that may have begun at a host's new version."""
-        self._changes[host] = _VersionChange(at, since, version)
+        self._version_changes[host] = _VersionChange(at, since, version)
         for stream, known in self._streams.items():
             if known.origin.host == host and known.began >= since:
                 self.doubt(stream)
@@ -145,8 +146,10 @@
                 if known is not None and known.until <= now:
                     del self._streams[stream]
         oldest = now - CHANGE_RETENTION_SECONDS
-        self._changes = {
-            host: change for host, change in self._changes.items() if change.at > oldest
+        self._version_changes = {
+            host: change
+            for host, change in self._version_changes.items()
+            if change.at > oldest
         }
 
     def _evict(self) -> None:
@@ -159,7 +162,7 @@
 
     def pop_changed(self, now: float) -> list[StreamsBegun]:
         """Return the own streams that changed since the last call, for the peers."""
-        changed, self._changed = self._changed, {}
+        changed, self._unsent = self._unsent, {}
         return self._make_messages(changed, now)
 
     def list_own(self, now: float) -> list[StreamsBegun]:
