Name the shared parts of a request's prompt in its log line

Cause: request:arrived has a digest of all that is asked, so logs of requests that differ as a whole don't show what those under which hosts ended have in common. Change: shared_parts, eight names at most. No decision changed.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -433,6 +433,7 @@
             kind=work.kind,
             timeout=round(routed.timeout, 3),
             content=routed.terms.content,
+            shared_parts=routed.terms.describe_shared_parts(),
             resumed_stream=routed.terms.resumed_stream,
             resumed_after=routed.terms.resumed_after,
             version=self.router.configuration.version,
--- a/radishtally/serving/terms.py
+++ b/radishtally/serving/terms.py
@@ -4,6 +4,9 @@
 
 from radishtally.serving.const import MAX_LOST_ATTEMPTS
 
+MAX_LOGGED_PARTS: Final = 8
+"""Prompt parts of a request that its log line names."""
+
 
 class PromptPart(NamedTuple):
     """Describe a part of a prompt that other requests may have in common."""
@@ -40,5 +43,9 @@
         """Number of tokens in the parts that other requests may share."""
         return sum(part.tokens for part in self.parts[:-1])
 
+    def describe_shared_parts(self) -> str:
+        """Name the first parts that other requests may share, for logs."""
+        return ",".join(part.name for part in self.parts[:-1][:MAX_LOGGED_PARTS])
+
 
 DEFAULT_TERMS: Final = Terms()
