--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -1,6 +1,7 @@
 """Stand-in hosts that crash when they start a poison request, and restart."""
 
-from collections.abc import AsyncIterator, Callable
+import asyncio
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
@@ -8,7 +9,7 @@
 
 from radishtally.gateway.daemon import Gateway
 from standins.spoiling import RunFault
-from standins.staged import StagedEngine
+from standins.staged import StagedEngine, make_event
 from tests.gateway.common import (
     LOOPBACK,
     Deployment,
@@ -20,6 +21,8 @@
 from tests.gateway.test_calls import answer_whole
 
 POISON = b"poison"
+CRASH_SECONDS = 0.02
+"""Time from the last event of an engine to its crash, so that the event is received."""
 
 
 class CrashingServer:
@@ -83,6 +86,10 @@
         """Number of poison prompts that arrived for decoding."""
         self.survives_poison = False
         """Whether it serves the poison prompt, as a fixed release does."""
+        self.poison_parts: frozenset[str] = frozenset()
+        """Prompt parts that crash it, whatever else the prompt holds."""
+        self.events_before_crash = 0
+        """Events of the answer that it sends before a poison part crashes it."""
         self._made = env
         self._name = name
 
@@ -105,17 +112,28 @@
     async def _stream(
         self, request: web.Request, request_id: str, signature: str, fault: RunFault
     ) -> web.StreamResponse:
-        if await request.read() != POISON:
+        has_poison_part = not self.poison_parts.isdisjoint(list_parts(request))
+        if await request.read() != POISON and not has_poison_part:
             return await super()._stream(request, request_id, signature, fault)
         self.arrivals += 1
         if self.survives_poison:
             return await super()._stream(request, request_id, signature, fault)
         response = web.StreamResponse(headers={"X-Server-Signature": signature})
         await response.prepare(request)
+        asked = int(request.headers.get("Last-Event-Id", 0)) + 1
+        for number in range(asked, asked + self.events_before_crash):
+            await response.write(make_event(request_id, number, self.version))
+        await asyncio.sleep(CRASH_SECONDS if self.events_before_crash else 0.0)
         await self.crash()
         return response
 
 
+def list_parts(request: web.Request) -> list[str]:
+    """List the names of the parts of a request's prompt."""
+    entries = request.headers.get("X-Prompt-Prefix", "").split(",")
+    return [entry.partition(":")[0] for entry in entries]
+
+
 EngineFactory = Callable[[str, str, Deployment], CrashingEngine]
 
 
@@ -168,6 +186,36 @@
             except aiohttp.ClientError:
                 return 0, b""
 
+    async def send_prompt(
+        self,
+        number: int,
+        name: str,
+        parts: Sequence[str],
+        path: str = "/sheet/a",
+        **more: str,
+    ) -> tuple[int, bytes]:
+        """Send a prompt of these parts and one of its own; return status 0 if aborted.
+
+        The body is unique to the request as well.
+        """
+        prefix = ",".join(f"{part}:100" for part in (*parts, f"own-{name}"))
+        headers = make_prompt(name) | {"X-Prompt-Prefix": prefix} | more
+        url = self.urls[number % len(self.urls)] + path
+        async with aiohttp.ClientSession() as session:
+            try:
+                async with session.post(
+                    url, headers=headers, data=name.encode()
+                ) as response:
+                    return response.status, await response.read()
+            except aiohttp.ClientError:
+                return 0, b""
+
+    def poison(self, *parts: str, events_before_crash: int = 0) -> None:
+        """Let all decode engines crash on prompts with one of these parts."""
+        for engine in self.decode_engines:
+            engine.poison_parts = frozenset(parts)
+            engine.events_before_crash = events_before_crash
+
     async def ask(self, name: str) -> aiohttp.ClientResponse:
         """Send the poison prompt to the first gateway; return its complete answer."""
         async with (
