Deny prompts with a part under which hosts terminate one after another

What callers saw: answers cut off and 502 for all that was open at an engine, engine after engine, as long as requests with one part in common came. Cause: requests under which hosts end are known by a digest of the whole of them, and no two of these were alike. The class: a fault that work carries is known only by the whole of a request.

Change: each host's end is recorded with the runs that were open there and the parts of their prompts, the last one left out; gateways send each other these records. A part is cleared by a complete answer or by an answer that goes on for long, and denied after three ends in a row under different requests, five if it has been served before. The parts that account for most ends are denied first; the others need that many ends of their own. Parts that account for the same ends are denied together only; a request with some of them is tried alone. From two ends on one run at a time, at the host with the fewest answers. The test of a new gateway sends sound prompts between the bad ones now, as the others do: without any, no gateway can tell the two parts apart, and its sound request would be the trial that does.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -271,7 +271,9 @@
 
     def render_metrics(self) -> bytes:
         """Render the metrics in the text format."""
-        self.metrics.set_denied(self.core.suspects.count_denied(time.monotonic()))
+        now = time.monotonic()
+        self.metrics.set_denied(self.core.suspects.count_denied(now))
+        self.metrics.set_denied_parts(self.core.part_suspects.count_denied(now))
         self.metrics.set_remembered_streams(len(self.core.origins))
         return self.metrics.render()
 
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -23,6 +23,9 @@
 from radishtally.links.gateway_messages import (
     Backlog,
     DemandReport,
+    HostTerminated,
+    PartsCleared,
+    PartsDenied,
     PartsRead,
     RoleOrdered,
     Suspicion,
@@ -30,6 +33,7 @@
 )
 from radishtally.links.hub import LinkHub
 from radishtally.links.kinds import Message
+from radishtally.serving.prompt_suspects import PromptSuspects
 from radishtally.serving.suspects import Suspects, group_suspicions
 from radishtally.stages.const import REPORT_INTERVAL_SECONDS
 from radishtally.stages.role_controller import RoleController
@@ -70,6 +74,7 @@
         stages: RoleController,
         contend: Callable[[bool], None] = lambda _: None,
         suspects: Suspects | None = None,
+        part_suspects: PromptSuspects | None = None,
     ) -> None:
         self._own_name = own_name
         self._contend = contend
@@ -80,6 +85,7 @@
         self._placement = placement
         self._stages = stages
         self._suspects = Suspects() if suspects is None else suspects
+        self._part_suspects = part_suspects or PromptSuspects()
         self._sites: Sites = {own_name: Site()}
         self._linked: list[str] | None = None
         """Linked peers for which the group was computed; None to recompute it."""
@@ -95,6 +101,8 @@
         """Role changes that were ordered here since the last round."""
         self._suspicions_to_relay: list[tuple[str, Suspicion]] = []
         """Suspicions to relay as a collector in the next round, with their sender."""
+        self._parts_to_relay: list[tuple[str, Message]] = []
+        """Messages about prompt parts to relay in the same way."""
         self._refreshed_at = float("-inf")
 
     def set_sites(self, sites: Sites) -> None:
@@ -131,7 +139,10 @@
         # again, at other engines.
         for parts in self._placement.list_parts():
             self._hub.send(peer, parts)
-        self._send_suspicions(peer, self._suspects.list_all(time.monotonic()))
+        now = time.monotonic()
+        self._send_suspicions(peer, self._suspects.list_all(now))
+        for message in self._part_suspects.list_all(now):
+            self._hub.send(peer, message)
 
     def forget_peer(self, peer: str) -> None:
         """Drop the state received from a gateway whose updates no longer apply."""
@@ -163,6 +174,8 @@
                 self._to_relay.append((peer, message))
         elif isinstance(message, Suspicions):
             self._handle_suspicions(peer, message, now)
+        elif isinstance(message, HostTerminated | PartsCleared | PartsDenied):
+            self._handle_parts(peer, message, now)
 
     def _handle_suspicions(self, peer: str, message: Suspicions, now: float) -> None:
         for suspicion in message.suspicions:
@@ -181,6 +194,28 @@
                 (peer, suspicion) for suspicion in message.suspicions
             ]
 
+    def _handle_parts(
+        self,
+        peer: str,
+        message: HostTerminated | PartsCleared | PartsDenied,
+        now: float,
+    ) -> None:
+        suspects = self._part_suspects
+        if isinstance(message, PartsCleared):
+            is_new = suspects.merge_cleared(message, now)
+        elif isinstance(message, HostTerminated):
+            is_new = suspects.merge_end(message, now)
+        else:
+            is_new = suspects.merge_denied(message, now)
+        if is_new and not isinstance(message, PartsCleared):
+            log_message(
+                "suspects:parts_denied",
+                count=suspects.count_denied(now),
+                told_by=peer,
+            )
+        if self._is_collector:
+            self._parts_to_relay.append((peer, message))
+
     @property
     def _is_collector(self) -> bool:
         return self._group.collector == self._own_name
@@ -279,14 +314,18 @@
         outgoing = [(self._own_name, message) for message in news]
         outgoing += self._to_relay
         self._role_orders, self._to_relay = [], []
-        for peer in self._group.recipients:
+        self._send_outgoing(outgoing)
+
+    def _send_outgoing(self, outgoing: list[tuple[str, Message]]) -> None:
+        """Send messages to all recipients but those that had them from their sender."""
+        for peer in self._group.recipients if outgoing else ():
             excluded = self._list_excluded(peer) or ()
             for sender, message in outgoing:
                 if sender not in excluded:
                     self._hub.send(peer, message)
 
     def _send_changed_suspicions(self, now: float) -> None:
-        """Send suspicions about requests under which hosts failed, in few messages."""
+        """Send what is known of requests under which hosts failed, in few messages."""
         changed = self._suspects.pop_changed(now)
         outgoing = [(self._own_name, suspicion) for suspicion in changed]
         outgoing += self._suspicions_to_relay
@@ -297,6 +336,11 @@
                 suspicion for sender, suspicion in outgoing if sender not in excluded
             )
             self._send_suspicions(peer, suspicions)
+        messages = self._part_suspects.pop_messages(now)
+        outgoing_parts = [(self._own_name, message) for message in messages]
+        outgoing_parts += self._parts_to_relay
+        self._parts_to_relay = []
+        self._send_outgoing(outgoing_parts)
 
     def _send_suspicions(self, peer: str, suspicions: Iterable[Suspicion]) -> None:
         for group in group_suspicions(suspicions):
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -102,6 +102,11 @@
             "Requests, by what they ask, that hosts have ended under in a row",
             registry=self._registry,
         )
+        self._denied_parts = Gauge(
+            "radishtally_denied_prompt_parts",
+            "Prompt parts, or sets of them, that hosts have ended under in a row",
+            registry=self._registry,
+        )
         self._remembered_streams = Gauge(
             "radishtally_remembered_streams",
             "Streams that callers may still resume, with the version that began each",
@@ -173,6 +178,10 @@
         """Set the number of denied requests, which are offered to no host."""
         self._denied.set(count)
 
+    def set_denied_parts(self, count: int) -> None:
+        """Set the number of denials of prompt parts."""
+        self._denied_parts.set(count)
+
     def set_remembered_streams(self, count: int) -> None:
         """Set the number of streams whose origins are remembered."""
         self._remembered_streams.set(count)
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -114,6 +114,7 @@
             gateway.stages,
             gateway.lease.contend,
             gateway.core.suspects,
+            gateway.core.part_suspects,
         )
         gateway.view_exchange.attach(self._hub)
         gateway.origin_exchange.attach(self._hub)
--- a/radishtally/links/gateway_messages.py
+++ b/radishtally/links/gateway_messages.py
@@ -108,6 +108,49 @@
     suspicions: tuple[Suspicion, ...]
 
 
+class CutRun(NamedTuple):
+    """Describe a run that was open at a host when it terminated."""
+
+    content: str
+    """Digest of the request's content, which is the same in all retries."""
+    parts: tuple[int, ...]
+    """Keys of the prompt parts that the request may share with others."""
+    age: float
+    """Seconds from its offer to the end of the host."""
+    seconds: float
+    """Seconds from the first data of its answer to that end; 0 if there was none."""
+
+
+class HostTerminated(NamedTuple):
+    """Report to the other entries the sender's runs that ended with their host."""
+
+    host: str
+    age: float
+    """Seconds since the end."""
+    runs: tuple[CutRun, ...]
+    """Empty if the host turned out to be alive."""
+    served: tuple[int, ...]
+    """Those of the parts of which the sender has given complete answers."""
+
+
+class PartsCleared(NamedTuple):
+    """Report to the other entries prompt parts that were suspected, and were served."""
+
+    parts: tuple[int, ...]
+
+
+class PartsDenied(NamedTuple):
+    """Report to the other entries prompt parts under which hosts have terminated."""
+
+    parts: tuple[int, ...]
+    """Keys of parts that the evidence doesn't tell apart."""
+    ends: int
+    age: float
+    """Seconds since the last of these ends: later answers clear the parts."""
+    left: float
+    """Seconds until one request may try them."""
+
+
 class DemandReportV1(NamedTuple):
     """Reserve the kind of the previous release's demand report, which is ignored."""
 
--- a/radishtally/links/kinds.py
+++ b/radishtally/links/kinds.py
@@ -11,8 +11,11 @@
     BacklogV2,
     DemandReport,
     DemandReportV1,
+    HostTerminated,
     OriginQuery,
     OriginReply,
+    PartsCleared,
+    PartsDenied,
     PartsRead,
     RoleOrdered,
     StreamsBegun,
@@ -81,6 +84,9 @@
     | StreamsBegun
     | OriginQuery
     | OriginReply
+    | HostTerminated
+    | PartsCleared
+    | PartsDenied
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -118,6 +124,9 @@
     StreamsBegun,
     OriginQuery,
     OriginReply,
+    HostTerminated,
+    PartsCleared,
+    PartsDenied,
 )
 """A kind's number is its index here: append new kinds and never reorder them. A message
 whose fields change needs a new kind, since older releases reject any other number of
--- a/radishtally/serving/attempts.py
+++ b/radishtally/serving/attempts.py
@@ -49,6 +49,7 @@
     refuse_without_retry_after,
     set_phase_end,
 )
+from radishtally.serving.prompt_suspects import OpenRun
 from radishtally.serving.requests import (
     ACCEPTED,
     OFFERED,
@@ -164,6 +165,7 @@
         set_phase_end(request, float("inf"), core)
     if host in core.hosts:
         core.placement.record_progress(request, core.hosts[host], now)
+    _record_survival(request, core, now)
     yield from _deliver(new, request, core, now)
 
 
@@ -188,6 +190,8 @@
         return
     if message.status < const.MIN_FAILURE_STATUS:
         core.suspects.clear(request.terms.content)
+    if message.status == const.OK and body:
+        core.part_suspects.record_served(request.part_keys, now)
     if host in core.hosts:
         core.hosts[host].breaker.record_success()
         core.placement.record_completion(request, core.hosts[host])
@@ -294,9 +298,23 @@
     ends = core.suspects.record_host_end(request.terms.content, end, now)
     known.ended_at = now
     known.ended_contents.add(request.terms.content)
-    yield RecordStep(
-        request.work.request, f"{host} terminated with it open, {ends} hosts in a row"
+    text = f"{host} terminated with it open, {ends} hosts in a row"
+    data_since = now if request.data_since is None else request.data_since
+    run = OpenRun(
+        request.terms.content, request.part_keys, request.offered_at, now - data_since
     )
+    if core.part_suspects.record_end(host, run, now):
+        text += ", prompt parts of such requests are denied"
+    yield RecordStep(request.work.request, text)
+
+
+def _record_survival(request: OpenRequest, core: DispatchCore, now: float) -> None:
+    """Record that an answer goes on, in favour of suspected parts of its prompt."""
+    if request.data_since is None:
+        request.data_since = now
+    elif core.part_suspects.is_active:
+        seconds = now - request.data_since
+        core.part_suspects.record_survival(request.part_keys, seconds)
 
 
 def _retract_host_end(
@@ -309,8 +327,11 @@
     """
     if known.reports_start or request.offered_at <= known.ended_at:
         return
+    if not known.ended_contents:
+        return
     for content in known.ended_contents:
         core.suspects.clear(content)
+    core.part_suspects.retract_end(known.host)
     known.ended_contents.clear()
 
 
--- a/radishtally/serving/const.py
+++ b/radishtally/serving/const.py
@@ -38,6 +38,9 @@
 host list still has it. A single one may be due to a lost packet."""
 MIN_HOSTS_TO_RISK_ONE: Final = 2
 """Hosts that must be able to run a suspected request before one of them is risked."""
+TRIAL_WAIT_SECONDS: Final = 1.0
+"""Longest time for which a request waits for the outcome of a run that has a suspected
+prompt part in common with it."""
 PAUSE_JITTER: Final = 0.1
 """Random share by which a pause is extended, so that all processes that were asked for
 it do not return at the same moment."""
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -1,6 +1,6 @@
 """Offer requests to hosts, retry lost attempts and refuse what cannot be served."""
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 
 from radishtally.limits.retries import backoff
 from radishtally.links.messages import (
@@ -21,6 +21,7 @@
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.origins import UNKNOWN_VERSION
 from radishtally.serving.placement import Declined, Placed
+from radishtally.serving.prompt_suspects import PartKeys
 from radishtally.serving.requests import CLAIMING, OFFERED, WAITING, OpenRequest
 from radishtally.serving.state import DispatchCore
 from radishtally.serving.suspects import ENDS_TO_ISOLATE
@@ -46,6 +47,10 @@
         text = "several hosts in a row have terminated with this request open"
         yield from refuse(request, 503, const.CODE_ENDS_HOSTS, text, denied, core)
         return
+    if core.part_suspects.is_active:
+        held = yield from _check_parts(request, core, now)
+        if held:
+            return
     version = find_required_version(request, core)
     if version is not None and not _list_run_hosts(request, core):
         yield from _refuse_version(request, version, core)
@@ -79,10 +84,13 @@
     request.offered_at = now
     request.accepted_at = None
     request.head = None
+    request.data_since = None
+    request.trial_wait_until = None
     request.is_continuation = version is not None
     request.offered_version = core.hosts[host].version
     if request.stage != PREFILL:
         request.known_ends = core.suspects.record_offer(request.terms.content, now)
+        core.part_suspects.record_offer(request.part_keys, now)
     request.resend_offset = -1
     set_phase_end(request, now + core.offer_timeout, core)
     known = core.hosts[host]
@@ -96,6 +104,43 @@
     yield Send(host, request.make_offer(request.deadline - now))
 
 
+def _check_parts(
+    request: OpenRequest, core: DispatchCore, now: float
+) -> Generator[Command, None, bool]:
+    """Refuse or hold a request with a suspected prompt part; return whether it was."""
+    parts = request.part_keys
+    denied = core.part_suspects.find_denial_seconds(parts, now)
+    if denied:
+        text = "several hosts in a row have terminated under a part of this prompt"
+        yield from refuse(request, 503, const.CODE_ENDS_HOSTS, text, denied, core)
+        return True
+    isolated = core.part_suspects.list_isolated(parts)
+    if not isolated or not _is_trial_running(request, isolated, core):
+        return False
+    if request.trial_wait_until is None:
+        request.trial_wait_until = now + const.TRIAL_WAIT_SECONDS
+    if now < request.trial_wait_until:
+        yield from _hold(request, "a run with a suspected part is open", core, now)
+        return True
+    text = "hosts have terminated under a part of this prompt, which is being tried"
+    retry_after = const.MIN_RETRY_AFTER
+    yield from refuse(request, 503, const.CODE_ENDS_HOSTS, text, retry_after, core)
+    return True
+
+
+def _is_trial_running(
+    request: OpenRequest, isolated: PartKeys, core: DispatchCore
+) -> bool:
+    """Return whether another request with one of these parts is open at a host."""
+    return any(
+        other.host is not None
+        and other is not request
+        and other.stage != PREFILL
+        and not isolated.isdisjoint(other.part_keys)
+        for other in core.requests.values()
+    )
+
+
 def handle_loss(
     request: OpenRequest, ran: str, reason: str, core: DispatchCore, now: float
 ) -> Iterator[Command]:
@@ -221,30 +266,45 @@
     if request.offers >= const.MAX_OFFERS:
         return Declined(None)
     usable = _list_usable(request, core, now)
-    if core.suspects.count_ends(request.terms.content, now) >= ENDS_TO_ISOLATE:
-        usable = _limit_to_one_host(usable, core, now)
+    if _is_suspected(request, core, now):
+        usable = _limit_to_one_host(request, usable, core, now)
         if not usable:
             return Declined(None, "hosts terminated with it open and too few are left")
     return core.placement.place(request, usable, core.data_centre, now)
 
 
+def _is_suspected(request: OpenRequest, core: DispatchCore, now: float) -> bool:
+    """Return whether a request is to be tried at one host only."""
+    if _is_content_suspected(request, core, now):
+        return True
+    suspects = core.part_suspects
+    return suspects.is_active and bool(suspects.list_isolated(request.part_keys))
+
+
+def _is_content_suspected(request: OpenRequest, core: DispatchCore, now: float) -> bool:
+    return core.suspects.count_ends(request.terms.content, now) >= ENDS_TO_ISOLATE
+
+
 def _limit_to_one_host(
-    usable: list[KnownHost], core: DispatchCore, now: float
+    request: OpenRequest, usable: list[KnownHost], core: DispatchCore, now: float
 ) -> list[KnownHost]:
     """Restrict a suspected request to one host, since it may make its host terminate.
 
-    Return no host that runs requests if that would risk the last one. Prefer a host
-    without another suspected request, so that each suspect is tried alone, then the
-    host with the fewest open answers. Prefill engines are not restricted.
+    Return no host that runs requests if a request under which hosts have terminated
+    would risk the last one. Prefer a host without another suspected request, so that
+    each suspect is tried alone, then the host with the fewest open answers. Prefill
+    engines are not restricted.
     """
     find_role = core.placement.find_role
     run_hosts = [known for known in usable if find_role(known.host) != PREFILL]
-    if len(run_hosts) < const.MIN_HOSTS_TO_RISK_ONE:
+    # Most requests that only have parts in common with those are sound.
+    is_at_fault = _is_content_suspected(request, core, now)
+    if len(run_hosts) < (const.MIN_HOSTS_TO_RISK_ONE if is_at_fault else 1):
         return []
     suspect_hosts = {
         other.host
         for other in core.requests.values()
-        if core.suspects.count_ends(other.terms.content, now) >= ENDS_TO_ISOLATE
+        if other.host is not None and _is_suspected(other, core, now)
     }
     risked = min(
         run_hosts,
--- a/radishtally/serving/requests.py
+++ b/radishtally/serving/requests.py
@@ -7,6 +7,7 @@
 
 from radishtally.links.messages import CALL, WHOLE, Begun, KvRef, Offer, Work
 from radishtally.serving.events import SendFullAnswer
+from radishtally.serving.prompt_suspects import PartKeys, hash_parts
 from radishtally.serving.terms import DEFAULT_TERMS, Terms
 
 CLAIMING: Final = "claiming"
@@ -54,6 +55,13 @@
     known_ends: int = 0
     """Number of hosts in a row that had terminated with this request open, as known
     when it was offered."""
+    data_since: float | None = None
+    """Time of the first data of the current attempt's answer."""
+    hashed_parts: tuple[str, PartKeys] | None = None
+    """Upstream for which the keys of the prompt's parts were computed, and these."""
+    trial_wait_until: float | None = None
+    """Time until which the request waits for the run of another one with which it has
+    suspected parts in common."""
     stage: str = WHOLE
     next_stage: str = WHOLE
     kv: KvRef | None = None
@@ -85,6 +93,14 @@
     """Whether the caller has its final answer or has disconnected; only the outcome is
     still pending."""
 
+    @property
+    def part_keys(self) -> PartKeys:
+        """Keys of the prompt parts that other requests may have in common with it."""
+        upstream = self.work.upstream
+        if self.hashed_parts is None or self.hashed_parts[0] != upstream:
+            self.hashed_parts = upstream, hash_parts(upstream, self.terms.parts)
+        return self.hashed_parts[1]
+
     @property
     def wake_at(self) -> float:
         """Time at which the request must be checked next."""
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -15,6 +15,7 @@
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.origins import StreamOrigins
 from radishtally.serving.placement import Placement, RankedPlacement
+from radishtally.serving.prompt_suspects import PromptSuspects
 from radishtally.serving.requests import OpenRequest
 from radishtally.serving.suspects import Suspects
 
@@ -49,6 +50,7 @@
     """Incarnation of each process that has a live link."""
     requests: dict[str, OpenRequest] = field(default_factory=dict)
     suspects: Suspects = field(default_factory=Suspects)
+    part_suspects: PromptSuspects = field(default_factory=PromptSuspects)
     paused_until: float = 0.0
     """Time at which the last pause of any host ends."""
     wake_heap: list[tuple[float, str]] = field(default_factory=list)
--- a/tests/gateway/test_poison_parts.py
+++ b/tests/gateway/test_poison_parts.py
@@ -183,7 +183,7 @@
     async def scenario() -> None:
         async with run_fleet(ENGINES) as fleet:
             fleet.poison(BAD)
-            await repeat_bad(fleet, ("team", BAD))
+            await repeat_bad(fleet, ("team", BAD, "subject"))
             crashes = fleet.crashes
             async with fleet.run_another("gateway-9"):
                 last = len(fleet.urls) - 1
@@ -201,7 +201,7 @@
     async def scenario() -> None:
         async with run_fleet(ENGINES, 2) as fleet:
             fleet.poison(BAD)
-            await repeat_bad(fleet, ("team", BAD))
+            await repeat_bad(fleet, ("team", BAD, "subject"))
             crashes = fleet.crashes
             fleet.poison()
             status, headers = await ask_denied(fleet)
