Refuse new connections unread that a gateway can't serve in time

What callers saw: while the balancer sends most new connections to one gateway, all of them are read there and hardly any is answered before its caller has given up; none is refused, so nobody meets another gateway. Cause: the event loop's server accepts one connection in each iteration. Under overload the others wait in the kernel, where the process doesn't see them.

Change: a listener of our own accepts all that has come. While iterations are long, or more connections wait for their requests to begin than can be served in a long iteration, it closes new ones before anything is read, so that the caller's next try meets another gateway. Idle connections are closed early beyond 1000 and new ones refused beyond 2000, since flooded gateways would run out of file descriptors.

--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -13,6 +13,12 @@
 LISTEN_BACKLOG: Final = 1_024
 """Length of the accept queue. Connection attempts beyond it are retried by the caller's
 kernel only after seconds."""
+CROWDED_CONNECTIONS: Final = 1_000
+"""Callers' connections beyond which idle ones are closed early."""
+CROWDED_IDLE_SECONDS: Final = 1.0
+MAX_CONNECTIONS: Final = 2_000
+"""Callers' connections beyond which new ones are refused: half of the 4,096 file
+descriptors of a machine. Calls to hosts and the store need the others."""
 MIN_LEAVE_SECONDS: Final = 3.0
 """Time for which a stopping gateway keeps accepting connections: the balancer checks
 readiness once a second and stops sending after two answers other than 200."""
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -445,6 +445,10 @@
         self.handle(events.Arrived(work, deadline, routed.is_streamed, routed.terms))
         return queue
 
+    def record_refused_connection(self) -> None:
+        """Count a connection that was closed unread."""
+        self.metrics.count_refused_connection()
+
     def record_refusal(self, request: str, refusal: Refusal) -> None:
         """Log and count a refusal by the gateway itself."""
         self.metrics.count_refusal(refusal.code, refusal.ran)
--- a/radishtally/gateway/http_frontend.py
+++ b/radishtally/gateway/http_frontend.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import math
+import time
 from collections.abc import Awaitable, Callable
 from typing import Final, Protocol
 
@@ -15,6 +16,8 @@
 from radishtally.gateway.connections import Connections
 from radishtally.gateway.const import (
     BAD_GATEWAY,
+    CROWDED_CONNECTIONS,
+    CROWDED_IDLE_SECONDS,
     DEFAULT_RETRY_AFTER,
     GATEWAY_TIMEOUT,
     IDLE_MARGIN_SECONDS,
@@ -27,6 +30,7 @@
 from radishtally.gateway.core import CallerDialect, CallerRequest
 from radishtally.gateway.endings import Delivery, Ending
 from radishtally.gateway.metrics import CONTENT_TYPE
+from radishtally.gateway.overload import GuardedListener, OverloadDetector
 from radishtally.gateway.requests import RoutedRequest
 from radishtally.outcome import Error, Ok, Ran, Refusal, Result
 from radishtally.routes.config import CallerLimits
@@ -51,6 +55,9 @@
     def record_refusal(self, request: str, refusal: Refusal) -> None:
         """Log and count a request that was refused before it was opened."""
 
+    def record_refused_connection(self) -> None:
+        """Count a connection that was closed unread."""
+
     def open(self, routed: RoutedRequest) -> asyncio.Queue[Reply]:
         """Open a request; return the queue on which its answer arrives."""
 
@@ -73,8 +80,8 @@
     def __init__(self, backend: FrontendBackend, dialect: CallerDialect) -> None:
         self._backend = backend
         self._dialect = dialect
-        self._sites: list[web.TCPSite] = []
-        """Listening sockets for callers."""
+        self._listener: GuardedListener | None = None
+        """Listening socket for callers."""
         self._runners: list[web.ServerRunner] = []
         self._server: web.Server | None = None
         self._connections = Connections(self._list_connections)
@@ -94,7 +101,7 @@
             auto_decompress=False,
             access_log=None,
         )
-        self._sites.append(await self._listen(self._server, address))
+        await self._listen_to_callers(address)
         await self._listen(_make_server(self._answer_ready), ready_address)
         await self._listen(_make_server(self._answer_metrics), metrics_address)
         self._sweeper = asyncio.create_task(self._sweep())
@@ -108,14 +115,14 @@
         """Close all connections and stop listening."""
         if self._sweeper is not None:
             self._sweeper.cancel()
+        await self.stop_listening()
         for runner in self._runners:
             await runner.cleanup()
 
     async def stop_listening(self) -> None:
         """Stop accepting connections; open ones are kept."""
-        for site in self._sites:
-            await site.stop()
-        self._sites.clear()
+        if self._listener is not None:
+            self._listener.stop()
 
     async def close_idle(self) -> int:
         """Close connections without a request; return how many remain in use."""
@@ -124,6 +131,20 @@
     def _list_connections(self) -> list[RequestHandler]:
         return [] if self._server is None else list(self._server.connections)
 
+    async def _listen_to_callers(self, address: str) -> None:
+        runner = web.ServerRunner(self._server, shutdown_timeout=0)
+        await runner.setup()
+        self._runners.append(runner)
+        loop = asyncio.get_running_loop()
+        self._detector = OverloadDetector(time.monotonic, loop.call_soon)
+        self._listener = GuardedListener(
+            self._server,
+            self._detector,
+            self._backend.record_refused_connection,
+        )
+        ip, port = address.rsplit(":", 1)
+        self._listener.start(ip, int(port), LISTEN_BACKLOG)
+
     async def _listen(self, server: web.Server, address: str) -> web.TCPSite:
         runner = web.ServerRunner(server, shutdown_timeout=0)
         await runner.setup()
@@ -143,6 +164,7 @@
         return web.Response(body=self._backend.render_metrics(), headers=headers)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._detector.record_begun()
         with self._connections.track_request(request.protocol):
             return await self._answer(request)
 
@@ -269,6 +291,8 @@
             limits = self._backend.limits
             if limits is not None:
                 longest = limits.idle_seconds + IDLE_MARGIN_SECONDS
+                if len(self._list_connections()) > CROWDED_CONNECTIONS:
+                    longest = CROWDED_IDLE_SECONDS
                 await self._connections.close_long_idle(longest)
 
 
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -66,6 +66,11 @@
             ["code", "ran"],
             registry=self._registry,
         )
+        self._refused_connections = Counter(
+            "radishtally_refused_connections",
+            "New connections closed unread because the gateway was overloaded",
+            registry=self._registry,
+        )
         self._offers = Counter(
             "radishtally_offers",
             "Offers to hosts by stage",
@@ -174,6 +179,10 @@
         if notice.pause:
             self._notices.labels("pause").inc()
 
+    def count_refused_connection(self) -> None:
+        """Count a new connection that was closed unread."""
+        self._refused_connections.inc()
+
     def set_denied(self, count: int) -> None:
         """Set the number of denied requests, which are offered to no host."""
         self._denied.set(count)
