Take a framed stream that ends within an event as broken off

What callers saw: the first part of an event at the end of a stream that looked complete. Cause: the end of an answer was trusted where a length or chunks frame it, and what was left of an event was passed on. Evidence: the two new tests with chunks failed (200 and half an event); those of answers without framing that end within an event passed on the code before, since a rest of an event was counted as a loss there already. Change: a rest is a loss in both cases, so the stream is resumed where that is allowed, and broken off otherwise.

--- a/radishtally/direct/answers.py
+++ b/radishtally/direct/answers.py
@@ -244,8 +244,9 @@
             await self._check_unframed_end(
                 instance, offer, len(splitter.rest), is_empty
             )
-        if splitter.rest:
-            self._pass_on(host, attempt_id, progress, splitter.rest)
+        elif splitter.rest:
+            # A regular end does not make up for the missing rest of the event.
+            raise IncompleteAnswerError(IncompleteReason.CUT_EVENT)
         length, checksum = progress.offset, progress.checksum.intdigest()
         end = Finished(
             *attempt_id,
--- a/standins/spoiling.py
+++ b/standins/spoiling.py
@@ -11,6 +11,7 @@
 
 RESET: Final = "reset"
 CLOSE: Final = "close"
+FINISH: Final = "finish"
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
 HALF_EVENT: Final = b"id: 99\ndata: half an ev"
 SIGNATURE_HEADER: Final = "X-Server-Signature"
@@ -31,7 +32,8 @@
     half: bool = True
     """Whether it breaks off in the middle of the next event."""
     end: str = RESET
-    """Whether the connection is reset (RESET) or closed (CLOSE) there."""
+    """Whether the connection is reset (RESET) or closed (CLOSE) there, or the answer
+    ends as a complete one does (FINISH)."""
     is_unframed: bool = False
     """Whether the stream has neither a length nor chunked encoding."""
     first_event: int = 0
@@ -83,6 +85,9 @@
         if self._fault.half:
             await self.write(HALF_EVENT)
         await asyncio.sleep(DELIVERY_SECONDS)
+        if self._fault.end == FINISH:
+            await self.end()
+            return
         if self._fault.end == CLOSE:
             self._request.transport.close()
             return
--- a/tests/gateway/test_spoiled_streams.py
+++ b/tests/gateway/test_spoiled_streams.py
@@ -7,7 +7,7 @@
 import aiohttp
 import pytest
 
-from standins.spoiling import CLOSE, SOUND, RunFault
+from standins.spoiling import CLOSE, FINISH, SOUND, RunFault
 from standins.staged import EVENTS, StagedEngine, make_event
 from tests.common import run
 from tests.gateway.common import Deployment, deployment, make_prompt
@@ -27,6 +27,10 @@
 """Answer without framing whose connection is closed, not reset, within an event."""
 CLOSED_HEAD = RunFault(cut_after=0, is_unframed=True, end=CLOSE, half=False)
 
+ENDED = RunFault(cut_after=2, end=FINISH)
+"""Answer that ends regularly within an event."""
+ENDED_UNFRAMED = RunFault(cut_after=2, is_unframed=True, end=FINISH)
+
 
 class Received(NamedTuple):
     """Hold what a caller received."""
@@ -180,3 +184,19 @@
     received = run_with_faults([fault], ONCE_PATH)
     assert received.status in (200, 502)
     assert not (received.status == 200 and received.is_whole)
+
+
+# Guards against a stream that looks complete although its host stopped within an event
+# and then ended the answer as a complete one, with the last chunk or by closing it.
+@pytest.mark.parametrize("fault", [ENDED, ENDED_UNFRAMED], ids=["framed", "unframed"])
+def test_stream_that_ends_within_an_event_is_broken_off(fault: RunFault) -> None:
+    once = run_with_faults([fault], ONCE_PATH)
+    assert (once.status, once.body, once.is_whole) == (200, make_events(2), False)
+    resumed = run_with_faults([fault])
+    assert (resumed.body, resumed.is_whole) == (make_events(EVENTS), True)
+
+
+@pytest.mark.parametrize("fault", [ENDED, ENDED_UNFRAMED], ids=["framed", "unframed"])
+def test_first_event_that_is_cut_off_is_not_sent(fault: RunFault) -> None:
+    received = run_with_faults([fault._replace(cut_after=0)], ONCE_PATH)
+    assert received.status == 502
