Give the soak prompts with a bad part and floods of connections

Engines of the soak exit when they begin to answer a prompt with such a part, before the first event or after it, and are started again; two callers send prompts with it, no two alike, for 10 to 15 s. Found if more than three reach engines later than 3 s after the fifth crash, through gateways that were undisturbed for 3 s, or if half of the sound streams beside are denied. A flood opens 1000 connections to one gateway at once; found if it reads all of them.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,7 @@
     DEADLINE_MS,
     DEPLOYMENT,
     DISCONNECT_CHANCE,
+    FLOOD_CONNECTIONS,
     HANG_SECONDS,
     MAX_ATTEMPTS,
     MAX_PAUSE_SECONDS,
@@ -63,6 +64,9 @@
         self._disturbances = disturbances
         self._random = random.Random(name)
         self._number = 0
+        self._kinds: Sequence[str] = REQUEST_KINDS
+        self._bad_part = ""
+        """Prompt part that crashes engines, in all prompts of this caller."""
         self._gateway = self._random.choice(gateways)
         self._connection = Connection(self._gateway.address)
         self.is_stopping = False
@@ -70,7 +74,7 @@
     async def run(self) -> None:
         """Send requests until `is_stopping` is set."""
         while not self.is_stopping:
-            await self._call_with_retries(self._random.choice(REQUEST_KINDS))
+            await self._call_with_retries(self._random.choice(self._kinds))
             await asyncio.sleep(self._random.uniform(0.0, MAX_PAUSE_SECONDS))
         self._connection.close()
 
@@ -167,7 +171,7 @@
         head = "\r\n".join([f"{method} {path} HTTP/1.1", *headers, "", ""])
         at, gateway = read_clock(), self._gateway.name
         asked = name, kind, method, path, digest(body), gateway, at
-        sent = SentRequest(*asked, *progress)
+        sent = SentRequest(*asked, *progress, self._bad_part)
         return sent, head.encode() + body
 
     def _make_prompt_headers(self) -> list[str]:
@@ -175,13 +179,57 @@
         is_long = self._number // 100 % 2 == 0
         prompt_tokens, max_tokens = (8000, 20) if is_long else (200, 400)
         prefix = self._random.randrange(8)
+        bad = f"{self._bad_part}:50," if self._bad_part else ""
         return [
             "X-Model: m",
             f"X-Token-Count: {prompt_tokens},{max_tokens}",
-            f"X-Prompt-Prefix: a{prefix}:{prompt_tokens - 100},{self._number:x}:100",
+            f"X-Prompt-Prefix: a{prefix}:{prompt_tokens - 100},{bad}"
+            f"{self._name}-{self._number:x}:100",
         ]
 
 
+class BadCaller(Caller):
+    """Send prompts with a part that crashes engines, no two of them alike."""
+
+    def __init__(
+        self,
+        part: str,
+        number: int,
+        gateways: Sequence[Gateway],
+        ledger: Ledger,
+        disturbances: Disturbances,
+    ) -> None:
+        super().__init__(f"{part}-{number}", gateways, ledger, disturbances)
+        self._kinds = tuple(STREAMING_KINDS)
+        self._bad_part = part
+
+
+async def flood(gateway: Gateway, name: str, ledger: Ledger) -> int:
+    """Open many connections to a gateway at once; return how many it closed unread."""
+
+    async def ask(number: int) -> bool:
+        connection = Connection(gateway.settings["address"])
+        path, method = f"/read/{number}?by={name}", "GET"
+        asked = f"{name}-{number}", "read", method, path, digest(b"")
+        sent = SentRequest(*asked, gateway.name, read_clock())
+        head = f"{method} {path} HTTP/1.1\r\nHost: {DEPLOYMENT['route']['host']}\r\n"
+        head += f"X-Request-Id: {sent.id}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n\r\n"
+        try:
+            async with asyncio.timeout(CALLER_TIMEOUT_SECONDS):
+                await connection.open()
+                ledger.record_request(sent)
+                await connection.fetch(head.encode())
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            connection.close()
+        ledger.record_answer(sent, connection.answer)
+        return not connection.answer.status
+
+    closed = await asyncio.gather(*(ask(n) for n in range(FLOOD_CONNECTIONS)))
+    return sum(closed)
+
+
 def _may_retry(kind: str, answer: Answer) -> bool:
     if answer.status in NOT_EXECUTED_STATUSES:
         return True
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,10 +9,14 @@
 
 from soak.const import (
     AT_MOST_ONCE_KINDS,
+    CRASHES_TO_KNOW,
     DEREGISTRATION_SECONDS,
     EVENTS,
+    MAX_LATE_RUNS,
+    MIN_JUDGED,
     NOT_EXECUTED_STATUSES,
     ORDER_SLACK_SECONDS,
+    STABLE_SECONDS,
     STREAMING_KINDS,
     UNEXPECTED_STATUSES,
 )
@@ -21,6 +25,10 @@
 from standins.staged import make_event
 
 EVENT_VERSION: Final = re.compile(rb"^data: [^@\n]*@(.*)\n", re.MULTILINE)
+DENIED_CODE: Final = b'"ends_hosts"'
+"""Contained in the answer to a request that hosts have terminated under."""
+SUSPECT_SECONDS: Final = 5.0
+"""Time after the last run with a bad part for which its companions are watched."""
 CUT_VERSION: Final = re.compile(rb"@(.*)$")
 """Version in an event of which only a part was received."""
 
@@ -42,6 +50,8 @@
     """Request that brought the stream's first event, if the caller resumes it."""
     software: str = ""
     """Software version of the events that the caller received before."""
+    bad_part: str = ""
+    """Part of its prompt that crashes engines."""
 
 
 class SignedAnswer(NamedTuple):
@@ -106,6 +116,10 @@
         """Time and signature of each complete answer."""
         self._highest_fences: dict[str, int] = {}
         self._fence_owners: dict[int, str] = {}
+        self._bad_runs: dict[str, list[Run]] = defaultdict(list)
+        """Runs of prompts with a bad part, by that part."""
+        self._streams: list[tuple[SentRequest, bool]] = []
+        """Sound streams that were asked for, and whether they were denied."""
 
     def report_finding(self, text: str) -> None:
         """Report a broken guarantee."""
@@ -128,6 +142,10 @@
             self.counts[f"resumed {answer.status or 'broken'}"] += 1
         if answer.status:
             self._check_answer(sent, answer)
+        if sent.kind in STREAMING_KINDS and not sent.bad_part:
+            is_denied = DENIED_CODE in answer.body
+            self._streams.append((sent, is_denied))
+            self.counts["denied"] += is_denied
 
     def _check_answer(self, sent: SentRequest, answer: Answer) -> None:
         signature = answer.get_header("x-server-signature")
@@ -200,6 +218,8 @@
         self._check_removed(run, sent)
         if run.kind == RUN:
             self._runs[run.id].append(run)
+            if sent.bad_part:
+                self._bad_runs[sent.bad_part].append(run)
             self._check_once(sent)
         elif run.kind == UNFRAMED:
             self._unframed.append(run)
@@ -240,6 +260,43 @@
         if not self._disturbances.overlaps(since, order.at, order.owner, order.host):
             self.report_finding(f"{order}: fencing token {highest} was seen before")
 
+    def check_bad_parts(self) -> None:
+        """Check that parts that crash engines are denied, and their companions not."""
+        for part, runs in self._bad_runs.items():
+            self._check_bad_part(part, sorted(runs, key=lambda run: run.at))
+
+    def _check_bad_part(self, part: str, runs: list[Run]) -> None:
+        crashes = sorted({run.host: run.at for run in reversed(runs)}.values())
+        self.counts["bad parts"] += 1
+        self.counts["crashes by them"] += len(crashes)
+        known_at = crashes[:CRASHES_TO_KNOW][-1] + STABLE_SECONDS
+        late = [
+            run
+            for run in runs
+            if run.at > known_at and self._is_in_touch(self._sent[run.id], run.at)
+        ]
+        if len(crashes) >= CRASHES_TO_KNOW and len(late) > MAX_LATE_RUNS:
+            self.report_finding(f"{part}: {len(late)} late runs, the first {late[0]}")
+        judged = [
+            is_denied
+            for sent, is_denied in self._streams
+            if known_at + STABLE_SECONDS < sent.at < runs[-1].at + SUSPECT_SECONDS
+            and self._is_in_touch(sent, sent.at)
+        ]
+        if len(judged) >= MIN_JUDGED and sum(judged) > len(judged) / 2:
+            self.report_finding(f"{part}: {sum(judged)} of {len(judged)} denied beside")
+
+    def _is_in_touch(self, sent: SentRequest, at: float) -> bool:
+        """Tell whether a request's gateway was undisturbed for long enough."""
+        return not self._disturbances.overlaps(at - STABLE_SECONDS, at, sent.gateway)
+
+    def check_flood(self, gateway: str, since: float, closed: int) -> None:
+        """Check that a flooded gateway turned connections away unread."""
+        self.counts["closed unread"] += closed
+        is_disturbed = self._disturbances.overlaps(since - 1.0, read_clock(), gateway)
+        if not closed and not is_disturbed:
+            self.report_finding(f"{gateway}: read all connections of a flood")
+
     def count_given_up(self) -> None:
         """Count whole answers without framing in place of which callers got others.
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -50,6 +50,17 @@
 AT_MOST_ONCE_KINDS: Final = frozenset({"book", "sheet"})
 """Kinds that may run at most once under one request id."""
 STREAMING_KINDS: Final = frozenset({"draft", "sheet"})
+BAD_PREFIX: Final = "bad"
+"""Start of the names of prompt parts that crash the engines."""
+STABLE_SECONDS: Final = 3.0
+"""Time that undisturbed gateways have after a part's fifth crash to deny it."""
+CRASHES_TO_KNOW: Final = 5
+MAX_LATE_RUNS: Final = 3
+"""Runs with a bad part that may begin after that time."""
+MIN_JUDGED: Final = 20
+"""Sound streams beside a bad part from which on their refusals are judged."""
+FLOOD_CONNECTIONS: Final = 1_000
+"""Connections that are opened to one gateway at once."""
 DEPLOYMENT: Final[dict[str, Any]] = json.loads(
     Path(__file__).with_name("deployment.json").read_bytes()
 )
--- a/soak/core.py
+++ b/soak/core.py
@@ -71,6 +71,7 @@
     monitor.cancel()
     await fleet.check_records()
     fleet.ledger.count_given_up()
+    fleet.ledger.check_bad_parts()
 
 
 async def _run_schedule(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,12 +8,14 @@
 
 import aiohttp
 
-from soak.const import LINGER_SECONDS, SILENCE_SECONDS
+from soak.callers import BadCaller, flood
+from soak.const import BAD_PREFIX, LINGER_SECONDS, SILENCE_SECONDS
 from soak.fleet import Fleet, Gateway, Host
 from soak.schedule import Fault
 from standins.proxy import FaultProxy
 from standins.runs import read_clock
 from standins.spoiling import CLOSE
+from standins.staged import LATE_CRASH
 
 LINK_DELAY_SECONDS: Final = (0.03, 0.1, 0.4)
 """One-way delays of a link."""
@@ -22,6 +24,7 @@
 CRASHED_ENTRY_SECONDS: Final = 3.0
 """Time from a host's crash to the removal of its entry."""
 SET_AGAIN_SECONDS: Final = 0.1
+BAD_CALLERS: Final = 2
 MIN_PEERS: Final = 2
 """Smallest number of hosts of a service at which one may leave or crash."""
 DESK_MODES: Final = (
@@ -313,7 +316,7 @@
     try:
         await fleet.post(host.child.address, "/_fault", fault)
     except aiohttp.ClientError:
-        if host in fleet.hosts:
+        if host in fleet.hosts and host.child.process.poll() is None:
             raise
 
 
@@ -327,6 +330,39 @@
     await fleet.configure()
 
 
+async def _inject_bad_part(fleet: Fleet, fault: Fault, name: str) -> None:
+    """Send prompts with a part on which each engine that answers them exits."""
+    when = LATE_CRASH if fault.variant % 2 else "early"
+    part = f"{BAD_PREFIX}-{when}-{fault.variant}"
+    callers = [
+        BadCaller(part, number, fleet.gateways, fleet.ledger, fleet.disturbances)
+        for number in range(BAD_CALLERS)
+    ]
+    until = read_clock() + fault.seconds
+    async with asyncio.TaskGroup() as group:
+        for caller in callers:
+            group.create_task(caller.run())
+        while read_clock() < until or _list_exited(fleet):
+            for engine in _list_exited(fleet):
+                group.create_task(_crash_host(fleet, engine))
+            await asyncio.sleep(SET_AGAIN_SECONDS)
+            for caller in callers:
+                caller.is_stopping = read_clock() >= until
+
+
+def _list_exited(fleet: Fleet) -> list[Host]:
+    """List the hosts in service whose processes have exited by themselves."""
+    return [host for host in fleet.hosts if host.child.process.poll() is not None]
+
+
+async def _inject_flood(fleet: Fleet, fault: Fault, name: str) -> None:
+    """Send one gateway far more new connections than it can serve."""
+    gateway = fleet.gateways[fault.target % len(fleet.gateways)]
+    since = read_clock()
+    closed = await flood(gateway, f"flood-{fault.target}-{fault.at}", fleet.ledger)
+    fleet.ledger.check_flood(gateway.name, since, closed)
+
+
 _INJECTORS: Final[dict[str, Injector]] = {
     "link": _inject_link,
     "gateway": _inject_gateway,
@@ -340,4 +376,6 @@
     "unframed": _inject_unframed,
     "full": _inject_full,
     "release": _inject_release,
+    "bad": _inject_bad_part,
+    "flood": _inject_flood,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,6 +19,7 @@
 from bench.fleet import ROOT, Child, make_environment, read_address
 from soak.checks import Disturbances, Ledger
 from soak.const import (
+    BAD_PREFIX,
     DEPLOYMENT,
     EVENT_SECONDS,
     EVENTS,
@@ -149,6 +150,7 @@
         if phase:
             args += ["--phase", phase, "--seconds", str(EVENT_SECONDS)]
             args += ["--events", str(EVENTS), "--version", software]
+            args += ["--crash-prefix", BAD_PREFIX]
         child = await self._launch(name, "staged" if phase else "desk", *args)
         if proxy is None:
             proxy = await self._add_proxy(child.address)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -27,6 +27,13 @@
 RELEASE: Final = "release"
 """Kind of the releases, in which all engines are replaced by ones of a new software
 version; drawn like the faults above."""
+BAD_PART: Final = "bad_part"
+"""Kind of the prompts with a part that crashes engines; with a generator of its own."""
+SECONDS_PER_BAD_PART: Final = 20.0
+"""Seconds of the schedule per such part; a shorter schedule has none."""
+BAD_PART_SECONDS: Final = (10.0, 15.0)
+FLOOD: Final = "flood"
+"""Kind of the floods of connections to one gateway; drawn like the faults above."""
 UNFRAMED_SECONDS: Final = (0.8, 2.0)
 """Shortest and longest time for which hosts answer so."""
 MIN_SERIES: Final = 8
@@ -60,7 +67,8 @@
     faults = [fault for kind in kinds for fault in _make_series(kind, seconds, rng)]
     if spoil_runs:
         faults += _make_series(SPOIL, seconds, random.Random(f"{SPOIL} {seed}"))
-        for kind in (*UNFRAMED, RELEASE):
+        faults += _make_bad_parts(seconds, random.Random(f"{BAD_PART} {seed}"))
+        for kind in (*UNFRAMED, RELEASE, FLOOD):
             faults += _make_unframed(kind, seconds, random.Random(f"{kind} {seed}"))
     faults += _make_stalls(seconds, random.Random(f"{STALL} {seed}"))
     # Requests to a removed host can be judged only while the store is undisturbed, so
@@ -78,6 +86,17 @@
     ]
 
 
+def _make_bad_parts(seconds: float, rng: random.Random) -> list[Fault]:
+    """Begin one part in each span, early enough for it to be denied within the span."""
+    faults = []
+    for number in range(int(seconds // SECONDS_PER_BAD_PART)):
+        at = number * SECONDS_PER_BAD_PART + rng.uniform(0.0, 5.0)
+        duration = round(rng.uniform(*BAD_PART_SECONDS), 3)
+        variant = rng.randrange(DRAW_RANGE)
+        faults.append(Fault(round(at, 3), BAD_PART, 0, duration, variant))
+    return faults
+
+
 def _make_unframed(kind: str, seconds: float, rng: random.Random) -> list[Fault]:
     """Place one fault in each part of the schedule, so that no seed goes without."""
     count = int(seconds // SECONDS_PER_UNFRAMED)
--- a/standins/staged.py
+++ b/standins/staged.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 from collections import Counter
 from collections.abc import Iterator
 from typing import Any, Final
@@ -11,6 +12,7 @@
 from standins.common import build_app, build_parser, read_json, reply_json, serve
 from standins.runs import ORDER, PROMPT, RUN, Order, Run, RunLog, digest, read_clock
 from standins.spoiling import (
+    DELIVERY_SECONDS,
     REQUEST_ID_HEADER,
     SIGNATURE_HEADER,
     SOUND,
@@ -20,6 +22,9 @@
 )
 
 EVENTS: Final = 4
+EXIT_CRASHED: Final = 70
+LATE_CRASH: Final = "late"
+"""Contained in the names of the parts on which it exits only after the first event."""
 NOT_RUN: Final = {"X-Not-Executed": "1"}
 
 
@@ -39,6 +44,9 @@
         """Headers to add to every answer."""
         self.seconds = seconds
         """Time that it takes for each event, and for a prompt."""
+        self.crash_prefix = ""
+        """Start of the names of prompt parts on which its process exits; empty for
+        none."""
         self.started_ms = 0
         """Time of its start in Unix milliseconds; not reported while 0."""
         self.runs: Counter[str] = Counter()
@@ -208,6 +216,12 @@
         self.handles.add(handle)
         return reply_json({"kvHandle": handle, "tokens": 1, "version": 1})
 
+    def _is_crashing(self, request: web.Request) -> bool:
+        """Return whether a prompt has a part on which the process exits."""
+        parts = request.headers.get("X-Prompt-Prefix", "").split(",")
+        prefix = self.crash_prefix
+        return bool(prefix) and any(part.startswith(prefix) for part in parts)
+
     async def _stream(
         self, request: web.Request, request_id: str, signature: str, fault: RunFault
     ) -> web.StreamResponse:
@@ -220,6 +234,11 @@
         writer = EventWriter(request, headers, fault)
         await writer.start()
         asked = int(request.headers.get("Last-Event-Id", 0)) + 1
+        if self._is_crashing(request):
+            if LATE_CRASH in request.headers["X-Prompt-Prefix"]:
+                await writer.write(make_event(request_id, asked, self.version))
+                await asyncio.sleep(DELIVERY_SECONDS)
+            os._exit(EXIT_CRASHED)
         if fault.cut_after == 0:
             await writer.break_off()
             return writer.response
@@ -260,8 +279,10 @@
     parser.add_argument("--events", type=int, default=EVENTS)
     parser.add_argument("--log", default="")
     parser.add_argument("--version", default="", help="version of its software")
+    parser.add_argument("--crash-prefix", default="", help="parts to exit on")
     args = parser.parse_args()
     engine = StagedEngine(args.instance, args.phase, args.seconds, args.log)
+    engine.crash_prefix = args.crash_prefix
     engine.events, engine.version = args.events, args.version
     serve(engine.build_app(), args.address, args.port, cancel_on_disconnect=True)
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,7 +6,14 @@
 import pytest
 
 from soak.checks import Disturbances, Ledger, SentRequest
-from soak.const import DEREGISTRATION_SECONDS, EVENTS
+from soak.const import (
+    CRASHES_TO_KNOW,
+    DEREGISTRATION_SECONDS,
+    EVENTS,
+    MAX_LATE_RUNS,
+    MIN_JUDGED,
+    STABLE_SECONDS,
+)
 from soak.wire import Answer
 from standins.runs import ORDER, RUN, UNFRAMED, Order, Run, digest
 from standins.staged import make_event
@@ -191,3 +198,63 @@
     ledger.record_answer(make_sent(), answer)
     ledger.count_given_up()
     assert (ledger.findings, ledger.counts["unframed given up"]) == ([], count)
+
+
+def collect_bad_part_findings(late: int, denied: int, is_killed: bool = False) -> int:
+    """Count the findings after five crashes, late runs and refusals beside them."""
+    disturbances = Disturbances()
+    ledger = Ledger(disturbances)
+    times = [100.0 + n for n in range(CRASHES_TO_KNOW)]
+    known_at = times[-1] + STABLE_SECONDS
+    times += [known_at + 0.1 * (n + 1) for n in range(late)]
+    for number, at in enumerate(times):
+        sent = make_sent("sheet", f"b{number}")._replace(bad_part="bad-1")
+        ledger.record_request(sent)
+        ledger.add_records([make_run(sent, at=at, host=f"h-{number}")])
+    for number in range(MIN_JUDGED):
+        at = known_at + STABLE_SECONDS + 0.1
+        sent = make_sent("sheet", f"s{number}")._replace(at=at)
+        code = "ends_hosts" if number < denied else "overloaded"
+        body = b'{"error":{"code":"%s"}}' % code.encode()
+        answer = Answer(503, {}, bytearray(body), True)
+        ledger.record_request(sent)
+        ledger.record_answer(sent, answer)
+    if is_killed:
+        disturbances.spans["g-1"].append([known_at, math.inf])
+    ledger.check_bad_parts()
+    return len(ledger.findings)
+
+
+# Guards against a check that misses a part which goes on crashing engines, or one that
+# blames a gateway which was killed or paused meanwhile.
+@pytest.mark.parametrize(
+    ("late", "is_killed", "findings"),
+    [(MAX_LATE_RUNS, False, 0), (MAX_LATE_RUNS + 1, False, 1), (9, True, 0)],
+)
+def test_late_runs_of_a_bad_part_are_found(
+    late: int, is_killed: bool, findings: int
+) -> None:
+    assert collect_bad_part_findings(late, 0, is_killed) == findings
+
+
+@pytest.mark.parametrize(
+    ("denied", "findings"), [(MIN_JUDGED // 2, 0), (MIN_JUDGED // 2 + 1, 1)]
+)
+def test_denied_companions_of_a_bad_part_are_found(denied: int, findings: int) -> None:
+    assert collect_bad_part_findings(1, denied) == findings
+
+
+@pytest.mark.parametrize(
+    ("closed", "span", "findings"),
+    [(0, None, 1), (5, None, 0), (0, [0.0, math.inf], 0)],
+    ids=["none_closed", "some_closed", "disturbed"],
+)
+def test_flood_that_is_read_completely_is_found(
+    closed: int, span: list[float] | None, findings: int
+) -> None:
+    disturbances = Disturbances()
+    if span is not None:
+        disturbances.spans["g-1"].append(span)
+    ledger = Ledger(disturbances)
+    ledger.check_flood("g-1", 100.0, closed)
+    assert len(ledger.findings) == findings
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,14 @@
 import pytest
 
 from soak.core import run_seed
-from soak.schedule import RELEASE, SPOIL, UNFRAMED, make_schedule
+from soak.schedule import (
+    BAD_PART,
+    FLOOD,
+    RELEASE,
+    SPOIL,
+    UNFRAMED,
+    make_schedule,
+)
 
 SEED = 101
 SECONDS = 20.0
@@ -18,6 +25,7 @@
     served = [outcome.counts.get(f"{kind} 200", 0) for kind in ("read", "book")]
     assert all(served) and outcome.faults
     assert outcome.counts.get("resumed 200")
+    assert outcome.counts.get("bad parts") and outcome.counts.get("closed unread")
     shutil.rmtree(outcome.folder)
 
 
@@ -30,11 +38,11 @@
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_each_schedule_has_each_fault_of_unframed_answers(seed: int) -> None:
     kinds = [fault.kind for fault in make_schedule(seed, SECONDS)]
-    assert all(kind in kinds for kind in (*UNFRAMED, RELEASE))
+    assert all(kind in kinds for kind in (*UNFRAMED, RELEASE, BAD_PART, FLOOD))
 
 
 # Guards against a new kind of fault that changes the schedules of older seeds.
 def test_faults_of_unframed_answers_leave_the_others_unchanged() -> None:
-    added = {SPOIL, *UNFRAMED, RELEASE}
+    added = {SPOIL, *UNFRAMED, RELEASE, BAD_PART, FLOOD}
     others = [one for one in make_schedule(SEED, 60.0) if one.kind not in added]
     assert others == make_schedule(SEED, 60.0, spoil_runs=False)
