--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -193,13 +193,15 @@
 
     def _handle_parts(self, peer: str, message: PartsMessage, now: float) -> None:
         suspects = self._part_suspects
-        if suspects.merge(message, now):
+        merged = suspects.merge(message, now)
+        if merged.denies_parts:
             log_message(
                 "suspects:parts_denied",
                 count=suspects.count_denied(now),
                 told_by=peer,
             )
-        if self._is_collector:
+        # Many gateways may have the same to say of a part.
+        if self._is_collector and merged.is_news:
             self._parts_to_relay.append((peer, message))
 
     @property
--- a/radishtally/serving/prompt_suspects.py
+++ b/radishtally/serving/prompt_suspects.py
@@ -47,6 +47,10 @@
 SAME_END_SECONDS: Final = 1.0
 """Longest time between the reports of two gateways about the end of one host."""
 
+NEWS_SECONDS: Final = 1.0
+"""Time by which a denial that is told must last longer to be news: reports of the same
+one take different ways."""
+
 PartKeys = frozenset[int]
 PartsMessage = HostTerminated | PartsCleared | PartsDenied | PartsServed
 """Messages about prompt parts between the gateways of a deployment."""
@@ -60,6 +64,15 @@
     )
 
 
+class Merged(NamedTuple):
+    """Tell what a peer's message has changed."""
+
+    is_news: bool
+    """Whether anything in it was unknown; only then is it worth relaying."""
+    denies_parts: bool = False
+    """Whether parts are denied since."""
+
+
 class OpenRun(NamedTuple):
     """Describe a run that was open at a host when it terminated."""
 
@@ -200,56 +213,61 @@
                 self._clear(part)
                 self._unsent_cleared.add(part)
 
-    def merge(self, message: PartsMessage, now: float) -> bool:
-        """Merge what a peer reports; return whether it newly denies parts here."""
+    def merge(self, message: PartsMessage, now: float) -> Merged:
+        """Merge what a peer reports."""
         return _merge(message, self, now)
 
-    def merge_end(self, message: HostTerminated, now: float) -> bool:
-        """Merge a peer's report of a terminated host; return if it denies parts."""
+    def merge_end(self, message: HostTerminated, now: float) -> Merged:
+        """Merge a peer's report of a terminated host."""
         at = now - message.age
         if not message.runs:
-            for end in [end for end in self._ends if end.host == message.host]:
+            ends = [end for end in self._ends if end.host == message.host]
+            for end in ends:
                 self._drop_end(end)
-            return False
+            return Merged(bool(ends))
         for part in message.served:
             self._served.setdefault(part, float("-inf"))
             self._limit(self._served, MAX_PARTS)
         end = self._find_end(message.host, at)
+        is_news = False
         for cut in message.runs:
             run = OpenRun(cut.content, frozenset(cut.parts), at - cut.age, cut.seconds)
-            self._add_run(end, run, now)
+            is_news |= self._add_run(end, run, now)
             self._unsent_served.update(
                 part
                 for part in run.parts.difference(message.served)
                 if part in self._served and self._is_newly_suspected(part)
             )
-        return self._evaluate(now)
+        return Merged(is_news, self._evaluate(now))
 
     def _is_newly_suspected(self, part: int) -> bool:
         suspect = self._suspects.get(part)
         return suspect is not None and len(suspect.ends) == 1
 
-    def merge_served(self, message: PartsServed) -> bool:
-        """Merge the parts that peers have served; return whether any is new here."""
+    def merge_served(self, message: PartsServed) -> Merged:
+        """Merge the parts that a peer has served."""
         unknown = [part for part in message.parts if part not in self._served]
         for part in unknown:
             self._served[part] = float("-inf")
             self._limit(self._served, MAX_PARTS)
             if part in self._suspects:
                 self._update_limit(part)
-        return bool(unknown)
+        return Merged(bool(unknown))
 
-    def merge_cleared(self, message: PartsCleared, now: float) -> None:
+    def merge_cleared(self, message: PartsCleared, now: float) -> Merged:
         """Clear parts of which a peer has given a complete answer."""
+        is_news = False
         for part in message.parts:
+            is_news |= part not in self._served
             self._set_served(part, now)
             if any(part in denial.parts for denial in self._denials):
                 # Other peers may have been told of this denial by this gateway only.
                 self._unsent_cleared.add(part)
-            self._clear(part)
+            is_news |= self._clear(part)
+        return Merged(is_news)
 
-    def merge_denied(self, message: PartsDenied, now: float) -> bool:
-        """Merge a peer's denial; return whether it is new here."""
+    def merge_denied(self, message: PartsDenied, now: float) -> Merged:
+        """Merge a peer's denial."""
         ended_at, until = now - message.age, now + message.left
         parts = frozenset(
             part
@@ -257,15 +275,15 @@
             if self._served.get(part, float("-inf")) < ended_at
         )
         if not parts:
-            return False
+            return Merged(False)
         for denial in self._denials:
             if denial.parts <= parts:
+                is_news = until > denial.until + NEWS_SECONDS
                 denial.ends = max(denial.ends, message.ends)
-                # A peer's trial run shortens an expired denial of its own.
                 denial.until = max(denial.until, until)
-                return False
+                return Merged(is_news)
         self._add_denial(_Denial(parts, message.ends, ended_at, until))
-        return True
+        return Merged(True, True)
 
     def pop_messages(self, now: float) -> list[PartsMessage]:
         """Remove and return what the peers have not been told of."""
@@ -506,29 +524,27 @@
 
 
 @singledispatch
-def _merge(message: PartsMessage, suspects: PromptSuspects, now: float) -> bool:
+def _merge(message: PartsMessage, suspects: PromptSuspects, now: float) -> Merged:
     raise TypeError(f"no handler for {type(message)}")
 
 
 @_merge.register
-def _(message: HostTerminated, suspects: PromptSuspects, now: float) -> bool:
+def _(message: HostTerminated, suspects: PromptSuspects, now: float) -> Merged:
     return suspects.merge_end(message, now)
 
 
 @_merge.register
-def _(message: PartsCleared, suspects: PromptSuspects, now: float) -> bool:
-    suspects.merge_cleared(message, now)
-    return False
+def _(message: PartsCleared, suspects: PromptSuspects, now: float) -> Merged:
+    return suspects.merge_cleared(message, now)
 
 
 @_merge.register
-def _(message: PartsServed, suspects: PromptSuspects, now: float) -> bool:
-    suspects.merge_served(message)
-    return False
+def _(message: PartsServed, suspects: PromptSuspects, now: float) -> Merged:
+    return suspects.merge_served(message)
 
 
 @_merge.register
-def _(message: PartsDenied, suspects: PromptSuspects, now: float) -> bool:
+def _(message: PartsDenied, suspects: PromptSuspects, now: float) -> Merged:
     return suspects.merge_denied(message, now)
 
 
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -22,6 +22,7 @@
 from radishtally.links.kinds import Message
 from radishtally.links.messages import DECODE, PREFILL, STREAM, WHOLE, KvRef, Work
 from radishtally.serving.hosts import KnownHost
+from radishtally.serving.prompt_suspects import OpenRun, PromptSuspects
 from radishtally.serving.requests import OpenRequest
 from radishtally.serving.suspects import ENDS_TO_DENY, HostEnd, Suspects
 from radishtally.stages.role_controller import RoleController
@@ -110,8 +111,15 @@
         )
         self.contends = False
         self.suspects = Suspects()
+        self.part_suspects = PromptSuspects()
         self.loads = LoadExchange(
-            name, self, self.placement, self.stages, self.set_contending, self.suspects
+            name,
+            self,
+            self.placement,
+            self.stages,
+            self.set_contending,
+            self.suspects,
+            self.part_suspects,
         )
 
     def set_contending(self, contends: bool) -> None:
@@ -383,6 +391,52 @@
     assert sent[10 * MANY] <= 1.1 * sent[MANY]
 
 
+def end_host(gateway: "Gateway", number: int, now: float, *parts: int) -> None:
+    """Record the end of a host under a run with these prompt parts."""
+    run = OpenRun(f"c-{gateway.name}-{number}", frozenset(parts), now - 0.5, 0.0)
+    gateway.part_suspects.record_end(f"h-{number}", run, now)
+
+
+# Guards against a part of prompts that crashes hosts through one gateway after another.
+@pytest.mark.parametrize("data_centres", [1, 2, 5])
+@pytest.mark.parametrize("count", [2, MAX_MESH_GATEWAYS, MANY, 3 * MANY])
+def test_denied_parts_reach_each_gateway(count: int, data_centres: int) -> None:
+    net = Network(count, data_centres)
+    net.run_rounds(0.0)
+    begun_at = time.monotonic() - ENDS_TO_DENY
+    gateways = list(net.gateways.values())
+    for number in range(ENDS_TO_DENY):
+        end_host(gateways[-1 - number % 2], number, begun_at + number, 7)
+        net.run_rounds(time.monotonic())
+    parts, now = frozenset((7,)), time.monotonic()
+    assert all(each.part_suspects.find_denial_seconds(parts, now) for each in gateways)
+    gateways[0].part_suspects.record_served(parts, now)
+    net.run_rounds(now)
+    assert not any(each.part_suspects.is_active for each in gateways)
+
+
+# Guards against messages that grow with the square of the gateways: all have served the
+# parts of one request that a host ended under, and serve them again.
+def test_messages_about_parts_grow_linearly() -> None:
+    sent = {}
+    for count in (MANY, 10 * MANY):
+        net = Network(count, 5)
+        net.run_rounds(0.0)
+        now = time.monotonic()
+        for gateway in net.gateways.values():
+            gateway.part_suspects.record_served(frozenset((1, 2)), now - 10.0)
+        net.sent = 0
+        first = net.gateways["g-0"]
+        first.part_suspects._served.clear()
+        end_host(first, 1, now, 1, 2)
+        net.run_rounds(now)
+        for gateway in net.gateways.values():
+            gateway.part_suspects.record_served(frozenset((1, 2)), now + 1.0)
+        net.run_rounds(now + 1.0)
+        sent[count] = net.sent / count
+    assert sent[10 * MANY] <= 1.1 * sent[MANY]
+
+
 # Guards against the load of an engine that changes its role: it refuses all work, and
 # with few open requests it was chosen again and again by all gateways that had not
 # ordered the change. Their refused offers used up the retry budget.
--- a/tests/serving/test_prompt_suspects.py
+++ b/tests/serving/test_prompt_suspects.py
@@ -285,7 +285,7 @@
 ) -> None:
     suspects.record_served(BAD, hosts.now)
     told = PartsDenied(tuple(BAD), ENDS_TO_DENY, 1.0, 300.0)
-    assert not suspects.merge(told, hosts.now)
+    assert not suspects.merge(told, hosts.now).denies_parts
     assert not is_denied(suspects, BAD, hosts.now)
 
 
