Let the soak's flood find a gateway with all its connections at once

Cause: the flood opened its connections one after another, as fast as the machine lets it, so that a gateway that served them all was a finding: the check hung on speed. Change: the gateway is paused until all are open.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -204,31 +204,45 @@
         self._bad_part = part
 
 
-async def flood(gateway: Gateway, name: str, ledger: Ledger) -> int:
-    """Open many connections to a gateway at once; return how many it closed unread."""
-
-    async def ask(number: int) -> bool:
-        connection = Connection(gateway.settings["address"])
-        path, method = f"/read/{number}?by={name}", "GET"
-        asked = f"{name}-{number}", "read", method, path, digest(b"")
-        sent = SentRequest(*asked, gateway.name, read_clock())
+class Flood:
+    """Hold many new connections to one gateway, each with one request."""
+
+    def __init__(self, gateway: Gateway, name: str, ledger: Ledger) -> None:
+        self._gateway = gateway
+        self._name = name
+        self._ledger = ledger
+        address = gateway.settings["address"]
+        self._connections = [Connection(address) for _ in range(FLOOD_CONNECTIONS)]
+
+    async def open(self) -> None:
+        """Open the connections; their gateway need not have accepted them."""
+        opening = (connection.open() for connection in self._connections)
+        await asyncio.gather(*opening, return_exceptions=True)
+
+    async def ask(self) -> int:
+        """Send the requests; return the number of connections closed unread."""
+        asking = (self._ask(*pair) for pair in enumerate(self._connections))
+        return sum(await asyncio.gather(*asking))
+
+    async def _ask(self, number: int, connection: Connection) -> bool:
+        if not connection.is_open:
+            return False
+        path, method = f"/read/{number}?by={self._name}", "GET"
+        asked = f"{self._name}-{number}", "read", method, path, digest(b"")
+        sent = SentRequest(*asked, self._gateway.name, read_clock())
         head = f"{method} {path} HTTP/1.1\r\nHost: {DEPLOYMENT['route']['host']}\r\n"
         head += f"X-Request-Id: {sent.id}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n\r\n"
+        self._ledger.record_request(sent)
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_SECONDS):
-                await connection.open()
-                ledger.record_request(sent)
                 await connection.fetch(head.encode())
-        except (OSError, TimeoutError):
+        except TimeoutError:
             return False
         finally:
             connection.close()
-        ledger.record_answer(sent, connection.answer)
+        self._ledger.record_answer(sent, connection.answer)
         return not connection.answer.status
 
-    closed = await asyncio.gather(*(ask(n) for n in range(FLOOD_CONNECTIONS)))
-    return sum(closed)
-
 
 def _may_retry(kind: str, answer: Answer) -> bool:
     if answer.status in NOT_EXECUTED_STATUSES:
--- a/soak/const.py
+++ b/soak/const.py
@@ -59,8 +59,8 @@
 """Runs with a bad part that may begin after that time."""
 MIN_JUDGED: Final = 20
 """Sound streams beside a bad part from which on their refusals are judged."""
-FLOOD_CONNECTIONS: Final = 1_000
-"""Connections that are opened to one gateway at once."""
+FLOOD_CONNECTIONS: Final = 600
+"""Connections that are opened to one gateway at once; its accept queue holds more."""
 DEPLOYMENT: Final[dict[str, Any]] = json.loads(
     Path(__file__).with_name("deployment.json").read_bytes()
 )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from soak.callers import BadCaller, flood
+from soak.callers import BadCaller, Flood
 from soak.const import BAD_PREFIX, LINGER_SECONDS, SILENCE_SECONDS
 from soak.fleet import Fleet, Gateway, Host
 from soak.schedule import Fault
@@ -356,11 +356,19 @@
 
 
 async def _inject_flood(fleet: Fleet, fault: Fault, name: str) -> None:
-    """Send one gateway far more new connections than it can serve."""
+    """Let one gateway find more new connections at once than it can serve in time.
+
+    It is paused until all are open, so that they come at once on any machine.
+    """
     gateway = fleet.gateways[fault.target % len(fleet.gateways)]
+    opened = Flood(gateway, f"flood-{fault.target}-{fault.at}", fleet.ledger)
     since = read_clock()
-    closed = await flood(gateway, f"flood-{fault.target}-{fault.at}", fleet.ledger)
-    fleet.ledger.check_flood(gateway.name, since, closed)
+    fleet.signal_gateway(gateway, signal.SIGSTOP)
+    try:
+        await opened.open()
+    finally:
+        fleet.signal_gateway(gateway, signal.SIGCONT)
+    fleet.ledger.check_flood(gateway.name, since, await opened.ask())
 
 
 _INJECTORS: Final[dict[str, Injector]] = {
