--- a/soak/faults.py
+++ b/soak/faults.py
@@ -316,6 +316,8 @@
     try:
         await fleet.post(host.child.address, "/_fault", fault)
     except aiohttp.ClientError:
+        # It may be exiting on a bad part.
+        await asyncio.sleep(SET_AGAIN_SECONDS)
         if host in fleet.hosts and host.child.process.poll() is None:
             raise
 
