Send the retraction of a host's end that was not reported yet

Cause, by reading: an end that was recorded and taken back within one round of messages was sent as a report with its runs, so that peers kept it. The new test failed: the peer suspected the part. Change: a retraction drops the runs that wait to be sent.

--- a/radishtally/serving/prompt_suspects.py
+++ b/radishtally/serving/prompt_suspects.py
@@ -46,7 +46,6 @@
 MAX_DENIALS: Final = 256
 SAME_END_SECONDS: Final = 1.0
 """Longest time between the reports of two gateways about the end of one host."""
-
 NEWS_SECONDS: Final = 1.0
 """Time by which a denial that is told must last longer to be news: reports of the same
 one take different ways."""
@@ -227,7 +226,7 @@
             return Merged(bool(ends))
         for part in message.served:
             self._served.setdefault(part, float("-inf"))
-            self._limit(self._served, MAX_PARTS)
+            _trim(self._served)
         end = self._find_end(message.host, at)
         is_news = False
         for cut in message.runs:
@@ -249,7 +248,7 @@
         unknown = [part for part in message.parts if part not in self._served]
         for part in unknown:
             self._served[part] = float("-inf")
-            self._limit(self._served, MAX_PARTS)
+            _trim(self._served)
             if part in self._suspects:
                 self._update_limit(part)
         return Merged(bool(unknown))
@@ -291,7 +290,10 @@
         runs: dict[int, tuple[_HostEnd, list[OpenRun]]] = {}
         for end, run in unsent:
             _, listed = runs.setdefault(id(end), (end, []))
-            if run is not None:
+            if run is None:
+                # A report without runs retracts what was reported before.
+                listed.clear()
+            else:
                 listed.append(run)
         messages = [self._describe_end(end, cut, now) for end, cut in runs.values()]
         denials, self._unsent_denials = self._unsent_denials, []
@@ -455,10 +457,7 @@
         Return the number of ends of each group. Those that account for the most ends
         come first, parts that were never served before others.
         """
-        left = {
-            part: [known for known in self._suspects[part].ends]
-            for part in self._at_limit
-        }
+        left = {part: list(self._suspects[part].ends) for part in self._at_limit}
         groups: dict[PartKeys, int] = {}
         while left:
             chains = {part: _find_chain(ends) for part, ends in left.items()}
@@ -500,7 +499,7 @@
     def _set_served(self, part: int, now: float) -> None:
         self._served[part] = now
         self._served.move_to_end(part)
-        self._limit(self._served, MAX_PARTS)
+        _trim(self._served)
 
     def _clear(self, part: int) -> bool:
         """Clear a part; return whether it was suspected or denied."""
@@ -517,11 +516,6 @@
         self._suspects.pop(part, None)
         self._at_limit.discard(part)
 
-    @staticmethod
-    def _limit(known: OrderedDict[int, float], most: int) -> None:
-        while len(known) > most:
-            known.popitem(last=False)
-
 
 @singledispatch
 def _merge(message: PartsMessage, suspects: PromptSuspects, now: float) -> Merged:
@@ -548,6 +542,11 @@
     return suspects.merge_denied(message, now)
 
 
+def _trim(served: OrderedDict[int, float]) -> None:
+    while len(served) > MAX_PARTS:
+        served.popitem(last=False)
+
+
 def _find_chain(ends: Iterable[_PartEnd]) -> list[_PartEnd]:
     """Return the ends in a row: each under a run offered after the end before."""
     chain: list[_PartEnd] = []
--- a/tests/serving/test_prompt_suspects.py
+++ b/tests/serving/test_prompt_suspects.py
@@ -319,6 +319,17 @@
     assert not suspects.is_active and not other.is_active
 
 
+# Guards against a retraction that is lost because it comes before the report was sent.
+def test_end_that_is_retracted_at_once_reaches_nobody(
+    suspects: PromptSuspects, hosts: Hosts
+) -> None:
+    other = PromptSuspects()
+    hosts.end(suspects, BAD)
+    suspects.retract_end("h0")
+    tell(suspects, other, hosts.now)
+    assert not other.is_active
+
+
 # Guards against memory that grows with the number of different parts.
 def test_memory_is_bounded_against_endless_parts(
     suspects: PromptSuspects, hosts: Hosts
