--- a/bench/capacity/core.py
+++ b/bench/capacity/core.py
@@ -19,6 +19,7 @@
     "requests": "bench.capacity.requests:measure_requests",
     "teams": "bench.capacity.teams:measure_teams",
     "origins": "bench.capacity.origins:measure_origins",
+    "parts": "bench.capacity.parts:measure_parts",
     "spread": "bench.capacity.spread:measure_spread",
 }
 """Functions by name. Modules are imported when run, as their imports use memory."""
--- a/radishtally/serving/prompt_suspects.py
+++ b/radishtally/serving/prompt_suspects.py
@@ -319,11 +319,6 @@
         ]
         return ends + [_describe_denial(denial, now) for denial in self._denials]
 
-    def expire_denials(self) -> None:
-        """Let all denials expire, so that each allows a trial run."""
-        for denial in self._denials:
-            denial.until = 0.0
-
     def _describe_end(
         self, end: _HostEnd, runs: Iterable[OpenRun], now: float
     ) -> HostTerminated:
--- a/tests/gateway/test_poison_parts.py
+++ b/tests/gateway/test_poison_parts.py
@@ -207,7 +207,8 @@
             status, headers = await ask_denied(fleet)
             assert (status, headers["X-Ran"]) == (503, "no")
             for gateway in fleet.gateways:
-                gateway.core.part_suspects.expire_denials()
+                for denial in gateway.core.part_suspects._denials:
+                    denial.until = 0.0
             for number in range(4):
                 # A trial run at another gateway holds back the other requests.
                 status, _ = await fleet.send_prompt(0, f"free-{number}", ("team", BAD))
