--- a/soak/faults.py
+++ b/soak/faults.py
@@ -245,6 +245,9 @@
     """Make a host give faulty answers until the fault's duration is over."""
     is_desk = fault.kind.startswith("desk")
     hosts = _find_hosts(fleet, is_desk)
+    if not hosts:
+        # All engines have exited on a bad part and are being started again.
+        return
     host = hosts[fault.target % len(hosts)]
     if is_desk:
         modes = DESK_MODES[fault.variant % len(DESK_MODES)]
