--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -393,7 +393,15 @@
         self.apply_changes(changes)
 
     def _handle_report(self, queried: Instance, report: EngineReport) -> None:
-        self.apply_changes(self.members.apply_report(queried, report))
+        changes = self.members.apply_report(queried, report, read_boot_clock())
+        if not changes and report.started_ms != queried.started_ms:
+            log_message(
+                "upstream:report_ignored",
+                upstream_host=queried.host,
+                queried=queried.started_ms,
+                reported=report.started_ms,
+            )
+        self.apply_changes(changes)
 
     def route(
         self, method: str, target: str, caller_request: CallerRequest, body: bytes
--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -177,7 +177,7 @@
             if self._entered_at is not None and self._instances.get(host) == instance:
                 # The same entry was already seen with a later write.
                 count = max(count, self._heartbeats.get(host, 0))
-            changes += self.update(instance, count, after_outage)
+            changes += self.update(instance, count, after_outage, now)
         self._unconfirmed = unconfirmed
         self._review_at = now + REVIEW_INTERVAL_SECONDS if unconfirmed else float("inf")
         self._entered_at = None
@@ -219,7 +219,11 @@
         return reported != known and heartbeats <= self._heartbeats.get(host, 0)
 
     def update(
-        self, instance: Instance, heartbeats: int = 0, after_outage: bool = False
+        self,
+        instance: Instance,
+        heartbeats: int = 0,
+        after_outage: bool = False,
+        now: float = 0.0,
     ) -> list[HostChange]:
         """Apply one entry, unless it belongs to a start that has ended."""
         host = instance.host
@@ -275,7 +279,9 @@
             self._leaving.popitem(last=False)
         return self._apply_instance(known, StartSource.ANSWERED)
 
-    def apply_report(self, queried: Instance, report: EngineReport) -> list[HostChange]:
+    def apply_report(
+        self, queried: Instance, report: EngineReport, now: float = 0.0
+    ) -> list[HostChange]:
         """Apply an engine's report, which may be newer than its entry.
 
         The report is ignored if the list has shown another start since the query, as
@@ -391,6 +397,13 @@
         """Return the number of hosts that are kept although their entry is missing."""
         return len(self._missing)
 
+    def is_ignored(self, instance: Instance, heartbeats: int) -> bool:
+        """Return whether an entry differs from the one that was last applied."""
+        known = self._instances.get(instance.host)
+        if known is None or self._heartbeats.get(instance.host, 0) != heartbeats:
+            return True
+        return not is_same_start(known.started_ms, instance.started_ms)
+
     def list_unconfirmed(self) -> list[str]:
         """List the hosts whose restored entries are ignored until confirmed."""
         return list(self._unconfirmed)
