Read what a peer has read of the host list, and read the list again in time

A host that left was sent work for up to 20.8 s by a gateway whose feed call was silent: a connection to the store that is open and dead shows nothing until its call is given up.

Cause: a gateway has one source for the word that a host leaves, and no limit to the age of what it believes but that call's.

The store decides, so a peer can't make a host leave. Above twelve gateways the collectors pass it on once.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import time
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -49,6 +50,7 @@
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, RoutedRequest, Router
 from radishtally.gateway.topology import Site
 from radishtally.limits.retries import RetryBudgets
+from radishtally.links.gateway_messages import HostsRead
 from radishtally.links.kinds import Message
 from radishtally.outcome import Error, Refusal, Result
 from radishtally.routes.config import CallerLimits, FleetConfiguration
@@ -155,6 +157,8 @@
         placement.observer = self.stages
         self.stages.on_report = self._handle_report
         self.stages.is_unreachable = self.core.is_out_of_reach
+        self.check_hosts: Callable[[HostsRead], None] = lambda read: None
+        """Reads the host list again unless a change has been read here as well."""
         self.waker = Waker(lambda: self.handle(events.Tick()))
 
     @property
@@ -374,6 +378,15 @@
         """Record that the host list was current so many seconds ago."""
         self.core.confirm_hosts(time.monotonic() - age)
 
+    def announce_hosts_read(self, version: int) -> None:
+        """Tell the other gateways of the newest change of the host list read here."""
+        self.peers.announce_hosts_read(HostsRead(self._era, version))
+
+    def handle_hosts_read(self, read: HostsRead) -> None:
+        """Check that a change of the host list that a peer has read is known here."""
+        if read.era == self._era:
+            self.check_hosts(read)
+
     def set_unreadable_count(self, count: int) -> None:
         """Set the number of host entries that can't be decoded."""
         self.metrics.set_unreadable(count)
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -23,6 +23,7 @@
 from radishtally.links.gateway_messages import (
     Backlog,
     DemandReport,
+    HostsRead,
     PartsRead,
     RoleOrdered,
     Suspicion,
@@ -100,6 +101,11 @@
         """Suspicions to relay as a collector in the next round, with their sender."""
         self._parts_to_relay: list[tuple[str, PartsMessage]] = []
         """Messages about prompt parts to relay in the same way."""
+        self._hosts_read = HostsRead(0, 0)
+        """Newest change of the host list that this gateway or a peer has read."""
+        self._has_hosts_read_news = False
+        self.on_hosts_read: Callable[[HostsRead], None] = lambda read: None
+        """Called when a peer has read a newer change of the host list."""
         self._refreshed_at = float("-inf")
 
     def set_sites(self, sites: Sites) -> None:
@@ -121,6 +127,7 @@
             self._update_contention(now)
             self._send_backlog(now)
             self._send_engine_news()
+            self._send_hosts_read()
             self._send_changed_suspicions(now)
             if now >= demand_sent_at + REPORT_INTERVAL_SECONDS:
                 demand_sent_at = now
@@ -132,6 +139,7 @@
         if peer not in self._group.recipients:
             return
         self._hub.send(peer, self._make_backlog(None, peer))
+        self._hub.send(peer, self._hosts_read)
         # A gateway that has just started would otherwise have all parts prefilled
         # again, at other engines.
         for parts in self._placement.list_parts():
@@ -169,11 +177,33 @@
             self._placement.record_role_order(message, now)
             if self._is_collector:
                 self._to_relay.append((peer, message))
+        elif isinstance(message, HostsRead):
+            self._handle_hosts_read(message)
         elif isinstance(message, Suspicions):
             self._handle_suspicions(peer, message, now)
         elif isinstance(message, PartsMessage):
             self._handle_parts(peer, message, now)
 
+    def record_hosts_read(self, read: HostsRead) -> None:
+        """Record a change of the host list that this gateway has read."""
+        if read > self._hosts_read:
+            self._hosts_read = read
+            self._has_hosts_read_news = True
+
+    def _handle_hosts_read(self, read: HostsRead) -> None:
+        if read <= self._hosts_read:
+            return
+        self._hosts_read = read
+        self._has_hosts_read_news = self._is_collector
+        self.on_hosts_read(read)
+
+    def _send_hosts_read(self) -> None:
+        if not self._has_hosts_read_news:
+            return
+        self._has_hosts_read_news = False
+        for peer in self._group.recipients:
+            self._hub.send(peer, self._hosts_read)
+
     def _handle_suspicions(self, peer: str, message: Suspicions, now: float) -> None:
         for suspicion in message.suspicions:
             if self._suspects.merge(suspicion, now):
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -33,6 +33,7 @@
 )
 from radishtally.gateway.unreachable import UnreachablePeers
 from radishtally.links.gateway_messages import (
+    HostsRead,
     OriginQuery,
     OriginReply,
     StreamsBegun,
@@ -70,6 +71,9 @@
     def set_gateway_count(self, count: int) -> None:
         """Set the number of gateways."""
 
+    def handle_hosts_read(self, read: HostsRead) -> None:
+        """Handle a change of the host list that another gateway has read."""
+
 
 class Peers:
     """Keep links to the other gateways."""
@@ -116,6 +120,7 @@
             gateway.core.suspects,
             gateway.core.part_suspects,
         )
+        self._loads.on_hosts_read = gateway.handle_hosts_read
         gateway.view_exchange.attach(self._hub)
         gateway.origin_exchange.attach(self._hub)
         gateway.meter.attach(self._hub)
@@ -135,6 +140,11 @@
                 JOIN_POLL_SECONDS if is_soon else PEER_READ_SECONDS
             )
 
+    def announce_hosts_read(self, read: HostsRead) -> None:
+        """Tell the other gateways of a change of the host list that was read here."""
+        if self._loads is not None:
+            self._loads.record_hosts_read(read)
+
     def enter_era(self) -> None:
         """Trigger a read of the rows: the latest writes may be lost from the store."""
         self._roster.enter_era()
--- a/radishtally/links/gateway_messages.py
+++ b/radishtally/links/gateway_messages.py
@@ -89,6 +89,15 @@
     role: str
 
 
+class HostsRead(NamedTuple):
+    """Report to the other entries that a change of the host list has been read."""
+
+    era: int
+    """Era of the store; 0 if it reports none."""
+    version: int
+    """Version of the newest change that was read."""
+
+
 class Suspicion(NamedTuple):
     """Report how many hosts in a row ended while they ran a request."""
 
--- a/radishtally/links/kinds.py
+++ b/radishtally/links/kinds.py
@@ -11,6 +11,7 @@
     BacklogV2,
     DemandReport,
     DemandReportV1,
+    HostsRead,
     HostTerminated,
     OriginQuery,
     OriginReply,
@@ -89,6 +90,7 @@
     | PartsCleared
     | PartsDenied
     | PartsServed
+    | HostsRead
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -130,6 +132,7 @@
     PartsCleared,
     PartsDenied,
     PartsServed,
+    HostsRead,
 )
 """A kind's number is its index here: append new kinds and never reorder them. A message
 whose fields change needs a new kind, since older releases reject any other number of
--- a/tests/adapter/test_outages.py
+++ b/tests/adapter/test_outages.py
@@ -10,7 +10,7 @@
 import pytest
 from adapter import const
 from adapter.store import FEED_GRACE_SECONDS, Page, StoredRow
-from adapter.watch import StoreWatcher
+from adapter.watch import HOSTS_REREAD_SECONDS, REREAD_SPREAD, StoreWatcher
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -158,6 +158,9 @@
     def confirm_hosts(self, age: float) -> None:
         assert age >= 0.0
 
+    def announce_hosts_read(self, version: int) -> None:
+        """Ignore the newest change, as there are no peers."""
+
     def set_unreadable_count(self, count: int) -> None:
         assert count == 0
 
@@ -273,3 +276,21 @@
 ) -> None:
     with simulated_time() as runner:
         runner.run(Simulation(outages, departures, gateways).run())
+
+
+# Guards against a host that is believed to serve until its entry changes again, if one
+# change of it was missed: the whole list is read again in time.
+def test_missed_change_is_found_in_time() -> None:
+    async def scenario() -> None:
+        simulation = Simulation([], {}, 1)
+        running = asyncio.create_task(simulation.run())
+        await asyncio.sleep(2.0)
+        simulation._removed_at["c"] = float("inf")
+        simulation._store.rows["c"] = StoredRow("c", None, 0)
+        await asyncio.sleep(HOSTS_REREAD_SECONDS * REREAD_SPREAD)
+        listed = {instance.host for instance in simulation._listener.members}
+        assert listed == set(HOSTS) - {"c"}
+        running.cancel()
+
+    with simulated_time() as runner:
+        runner.run(scenario())
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -295,6 +295,9 @@
     def confirm_hosts(self, age: float) -> None:
         assert age >= 0.0
 
+    def announce_hosts_read(self, version: int) -> None:
+        """Ignore the newest change, as there are no peers."""
+
     def set_unreadable_count(self, count: int) -> None:
         self.unreadable = count
 
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -18,7 +18,7 @@
     Site,
     choose_dialled,
 )
-from radishtally.links.gateway_messages import HashedPart, PartsRead
+from radishtally.links.gateway_messages import HashedPart, HostsRead, PartsRead
 from radishtally.links.kinds import Message
 from radishtally.links.messages import DECODE, PREFILL, STREAM, WHOLE, KvRef, Work
 from radishtally.serving.hosts import KnownHost
@@ -94,6 +94,7 @@
                 gateway.loads._update_group()
                 gateway.loads._send_backlog(at)
                 gateway.loads._send_engine_news()
+                gateway.loads._send_hosts_read()
                 gateway.loads._send_changed_suspicions(at)
                 gateway.loads._send_demand(at)
 
@@ -465,3 +466,36 @@
             request.next_stage = DECODE
             placed = gateway.placement.place(request, hosts, "howrah", now)
             assert placed.host == OTHER_ENGINE.host
+
+
+# Guards against requests to a leaving host through a gateway whose feed is silent: all
+# gateways learn of the change that one has read, with a few messages for each of them.
+@pytest.mark.parametrize(("count", "data_centres"), [(3, 1), (MANY, 1), (MANY, 3)])
+def test_change_of_the_host_list_reaches_all_gateways(
+    count: int, data_centres: int
+) -> None:
+    net = Network(count, data_centres)
+    net.run_rounds(0.0)
+    reads: dict[str, list[HostsRead]] = {name: [] for name in net.gateways}
+    for name, gateway in net.gateways.items():
+        gateway.loads.on_hosts_read = reads[name].append
+    net.gateways["g-1"].loads.record_hosts_read(HostsRead(1, 7))
+    net.sent = 0
+    for _ in range(4):
+        for gateway in net.gateways.values():
+            gateway.loads._update_group()
+            gateway.loads._send_hosts_read()
+    assert reads.pop("g-1") == []
+    assert all(read == [HostsRead(1, 7)] for read in reads.values())
+    assert net.sent <= 3 * count
+    net.gateways["g-2"].loads.record_hosts_read(HostsRead(1, 5))
+    assert not net.gateways["g-2"].loads._has_hosts_read_news
+
+
+def test_gateway_whose_link_is_new_learns_of_the_last_change() -> None:
+    net = Network(2)
+    net.gateways["g-0"].loads.record_hosts_read(HostsRead(1, 7))
+    reads: list[HostsRead] = []
+    net.gateways["g-1"].loads.on_hosts_read = reads.append
+    net.gateways["g-0"].loads.handle_link_up("g-1")
+    assert reads == [HostsRead(1, 7)]
