Drop a missing host although outages of the store go on

A host whose entry was removed just after an outage is kept for 1.6 s, in case the entry only lapsed; each further outage started that time anew, so a removed host could be sent work for as long as the store failed again and again. The time between the outages counts now: after 4 s of answers in all, a heartbeat's time three times over, a missing host is gone.

--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -15,6 +15,11 @@
 one heartbeat interval of 1.2 s, the last of several hundred after 1.54 s. A host that
 was removed must get no requests after two seconds, and its removal is detected with a
 short delay."""
+MAX_MISSING_AVAILABLE_SECONDS: Final = 4.0
+"""Time for which the store must have answered, in all, until a missing host is dropped
+although outages go on: three heartbeat intervals and a margin."""
+MAX_ANSWER_GAP_SECONDS: Final = 1.0
+"""Longest time between two answers for which the store counts as available."""
 MASS_REMOVAL_SHARE: Final = 0.25
 """Share of an upstream's hosts above which removals within MISSING_GRACE_SECONDS count
 as entries that expired during an undetected store outage: a long poll that the store
@@ -130,6 +135,11 @@
         self._instances: dict[str, Instance] = {}
         self._missing: dict[str, float] = {}
         """Missing hosts, with the time at which each counts as removed."""
+        self._missing_since: dict[str, float] = {}
+        """The same hosts, with the seconds of answers until they were missed."""
+        self._available_seconds = 0.0
+        """Time for which the store has answered while hosts were missing."""
+        self._answered_at = float("-inf")
         self._removals: deque[_Removal] = deque()
         """Removals of hosts in service during the last MISSING_GRACE_SECONDS."""
         self._heartbeats: dict[str, int] = {}
@@ -217,6 +227,7 @@
         self._revive_start(instance)
         changes: list[HostChange] = []
         if self._missing.pop(host, None) is not None:
+            del self._missing_since[host]
             changes.append(HostReturned(host))
         known = self._instances.get(host)
         if known is not None and known.started_ms and not known.version:
@@ -428,12 +439,24 @@
         """List the hosts whose restored entries are ignored until confirmed."""
         return self._unconfirmed.list_hosts()
 
+    def _count_available(self, now: float) -> None:
+        seconds = now - self._answered_at
+        if seconds <= MAX_ANSWER_GAP_SECONDS:
+            self._available_seconds += seconds
+        self._answered_at = now
+
+    def _list_long_missing(self) -> list[str]:
+        since = self._available_seconds - MAX_MISSING_AVAILABLE_SECONDS
+        return [host for host, at in self._missing_since.items() if at <= since]
+
     def _mark_missing(self, host: str, now: float, reason: MissReason) -> HostChange:
+        self._missing_since[host] = self._available_seconds
         self._missing[host] = now + MISSING_GRACE_SECONDS
         return HostMissing(host, reason)
 
     def _remove_host(self, host: str, now: float, *, is_deleted: bool) -> HostChange:
         self._missing.pop(host, None)
+        self._missing_since.pop(host, None)
         heartbeats = self._heartbeats.pop(host, 0)
         instance = self._instances.pop(host)
         self._gone_hosts[host] = _GoneHost(now, instance, heartbeats, is_deleted)
@@ -465,9 +488,13 @@
         A local timer would remove them even if the store goes away again just after an
         outage, when they can't write. Whole upstreams would then be empty until the
         store is back. Unconfirmed entries get their full time again after each outage.
+        Outages that go on don't keep a host forever: in the time between them it could
+        have written its entry.
         """
+        self._count_available(now)
         if after_outage:
             self._unconfirmed.extend(now)
-            return []
-        expired = [host for host, until in self._missing.items() if until <= now]
+            expired = self._list_long_missing()
+        else:
+            expired = [host for host, until in self._missing.items() if until <= now]
         return [self._remove_host(host, now, is_deleted=False) for host in expired]
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -6,6 +6,7 @@
 from radishtally.gateway.members import (
     GONE_RETENTION_SECONDS,
     LATE_WRITE_SECONDS,
+    MAX_MISSING_AVAILABLE_SECONDS,
     MAX_REMEMBERED_HOSTS,
     MISSING_GRACE_SECONDS,
     HostChange,
@@ -72,6 +73,24 @@
     assert describe(gone) == ["HostRemoved a"]
 
 
+# Guards against requests to a removed host for as long as the store fails again and
+# again: each outage starts the time anew in which its entry may come back.
+def test_removed_host_is_dropped_although_outages_go_on() -> None:
+    members = Members()
+    members.replace([A, B], 0.0, False)
+    members.remove(["a"], 10.0, True)
+    available, now = 0.0, 10.0
+    while available < MAX_MISSING_AVAILABLE_SECONDS:
+        assert A in list(members)
+        now += 3.0
+        members.expire(now, True)
+        for _ in range(2):
+            now += 0.5
+            available += 0.5
+            members.expire(now, True)
+    assert list(members) == [B]
+
+
 def test_single_removal_just_after_an_outage_is_delayed() -> None:
     members = Members()
     members.update(A)
