Let hosts of the soak leave after an entry of an earlier start

The soak had no host that lives and says that it leaves long enough to be sent work that it must not get, and its hosts wrote no heartbeats. After all other faults one more host leaves now: an entry of an earlier start is written in between its own, it says that it drains and serves on for 17 s with a heartbeat each 1.2 s. The check of removed hosts judges it, from 10 s on.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -104,7 +104,8 @@
         self.served: dict[tuple[str, str], float] = {}
         """Send time of the newest request served, by gateway and kind."""
         self.removed_at: dict[str, float] = {}
-        """Time at which each host's entry was removed."""
+        """Time at which each host's entry was removed, or said long before its end that
+        it leaves."""
         self._disturbances = disturbances
         self._sent: dict[str, SentRequest] = {}
         self._runs: dict[str, list[Run]] = defaultdict(list)
@@ -126,6 +127,10 @@
         self.findings.append(text)
         print(f"FINDING {text}", flush=True)
 
+    def record_leaving(self, host: str) -> None:
+        """Record that a host may get no new requests from a while later on."""
+        self.removed_at.setdefault(host, read_clock())
+
     def record_request(self, sent: SentRequest) -> None:
         """Record that a caller sends a request."""
         self._sent[sent.id] = sent
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,15 @@
 """One-way delays of a link."""
 SLOW_SECONDS: Final = (0.25, 1.0)
 DRAIN_SECONDS: Final = 1.0
+HEARTBEAT_SECONDS: Final = 1.2
+PRESENT_START_MS: Final = 2_000_000
+LATE_START: Final = (
+    ("ready", PRESENT_START_MS),
+    ("ready", PRESENT_START_MS - 5_000),
+    ("ready", PRESENT_START_MS),
+    ("ready", PRESENT_START_MS),
+)
+"""States and starts of the entries that precede a host's leaving."""
 CRASHED_ENTRY_SECONDS: Final = 3.0
 """Time from a host's crash to the removal of its entry."""
 SET_AGAIN_SECONDS: Final = 0.1
@@ -227,6 +236,23 @@
     host.child.process.terminate()
 
 
+async def _inject_late_start(fleet: Fleet, fault: Fault, name: str) -> None:
+    """Let a host leave, serving on, after an entry of its earlier start came late."""
+    host = fleet.hosts[fault.target % len(fleet.hosts)]
+    fleet.hosts.remove(host)
+    await fleet.add_host(host.phase, software=host.software)
+    for state, started_ms in LATE_START:
+        await fleet.announce(host, state, started_ms)
+        await asyncio.sleep(HEARTBEAT_SECONDS)
+    fleet.ledger.record_leaving(host.name)
+    until = read_clock() + LINGER_SECONDS
+    while read_clock() < until:
+        await fleet.announce(host, "draining", PRESENT_START_MS)
+        await asyncio.sleep(HEARTBEAT_SECONDS)
+    await fleet.withdraw(host)
+    host.child.process.terminate()
+
+
 async def _crash_host(fleet: Fleet, host: Host) -> None:
     """Kill a host and start another at its address, under a new id."""
     fleet.hosts.remove(host)
@@ -391,4 +417,5 @@
     "release": _inject_release,
     "bad": _inject_bad_part,
     "flood": _inject_flood,
+    "late": _inject_late_start,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -164,8 +164,10 @@
         self.hosts.append(host)
         return host
 
-    async def announce(self, host: Host, state: str = "ready") -> None:
-        """Write a host's entry as the host itself does."""
+    async def announce(
+        self, host: Host, state: str = "ready", started_ms: int = 0
+    ) -> None:
+        """Write a host's entry as the host itself does, and its start if it has one."""
         host.sequence += 1
         entry = {
             **DEPLOYMENT["entry"],
@@ -174,12 +176,13 @@
         }
         more = {"phase": host.phase} if host.phase else {}
         more |= {"state": state, "sequence": host.sequence, "version": host.software}
+        more |= {"born": started_ms} if started_ms else {}
         await self._write("servers", host.name, {**entry, **more})
 
     async def withdraw(self, host: Host) -> None:
         """Remove a host's entry."""
         await self._write("servers", host.name, None)
-        self.ledger.removed_at[host.name] = read_clock()
+        self.ledger.record_leaving(host.name)
 
     async def garble(self, host: Host) -> None:
         """Overwrite a host's entry with an invalid value, as a foreign writer may."""
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -34,6 +34,8 @@
 BAD_PART_SECONDS: Final = (10.0, 15.0)
 FLOOD: Final = "flood"
 """Kind of the floods of connections to one gateway; drawn like the faults above."""
+LATE: Final = "late_start"
+"""Kind of the leaving of a host of which an earlier start's entry was written late."""
 UNFRAMED_SECONDS: Final = (0.8, 2.0)
 """Shortest and longest time for which hosts answer so."""
 MIN_SERIES: Final = 8
@@ -72,9 +74,10 @@
             faults += _make_unframed(kind, seconds, random.Random(f"{kind} {seed}"))
     faults += _make_stalls(seconds, random.Random(f"{STALL} {seed}"))
     # Requests to a removed host can be judged only while the store is undisturbed, so
-    # one host leaves after all other faults.
+    # hosts leave after all other faults.
     final = Fault(seconds, "host_leave", rng.randrange(DRAW_RANGE), 0.0, 0)
-    return [*sorted(faults), final]
+    target = random.Random(f"{LATE} {seed}").randrange(DRAW_RANGE)
+    return [*sorted(faults), final, Fault(seconds, LATE, target, 0.0, 0)]
 
 
 def _make_stalls(seconds: float, rng: random.Random) -> list[Fault]:
