Keep all gateways together within the limits that hosts name

A host in need names in its answers the requests a second that it takes from all gateways.

Cause: no code read the header, and no part of a gateway could keep to a limit that holds over all of them.

Change: the limit is decoded in the adapter and passed on to all gateways. One gateway issues permits for each limited host, which expire after 0.35 s and are returned; the others ask for them by demand, few gateways directly and many through the collectors of their data centres, so that messages grow linearly. Each kind of offer takes a permit: calls, prompts to be read, repeats, resumed streams. A request goes to another host if one has room; else it waits 0.15 s at most for a permit and is refused with the time after which one is likely. A limit ends with the first answer without it to a later request, with a new start of its host, or after 60 s without a word. A gateway that is out of reach leaves its share for 10 s to the issuer that it may have.

--- a/radishtally/direct/answers.py
+++ b/radishtally/direct/answers.py
@@ -79,10 +79,18 @@
         self._is_leaving = is_leaving
         self.on_mismatch: Callable[[AnswerMismatch], None] = lambda mismatch: None
         self.on_unframed: Callable[[UnframedEnd], None] = lambda verdict: None
-        self.on_notice: Callable[[Instance, Notice], None] = lambda host, notice: None
+        self.on_notice: Callable[[Instance, Notice, float], None] = lambda *_: None
+        """Called with the time since which the host has reported its status."""
+        self.is_limited: Callable[[str], bool] = lambda host: False
+        """Returns whether a host has named a limit, which an answer may end."""
 
     async def read(
-        self, response: WatchedResponse, instance: Instance, offer: Offer, terms: Terms
+        self,
+        response: WatchedResponse,
+        instance: Instance,
+        offer: Offer,
+        terms: Terms,
+        sent_at: float,
     ) -> None:
         """Read the answer to an offer; raise if it breaks off or is rejected."""
         host = instance.host
@@ -96,7 +104,8 @@
             response.abort()
             self._report_mismatch(mismatch, head, response.usage, instance, offer)
             raise MismatchedAnswerError(mismatch)
-        self.report_notice(response, instance)
+        if not head.is_replaced:
+            self.report_notice(response, instance, sent_at)
         if head.not_run:
             reason = REPLACED if head.is_replaced else f"status {head.status}"
             self._receive(host, Refused(*attempt_id, reason, 0.0))
@@ -112,12 +121,17 @@
             return
         await self._stream(response, instance, offer, terms, head)
 
-    def report_notice(self, response: WatchedResponse, instance: Instance) -> None:
+    def report_notice(
+        self,
+        response: WatchedResponse,
+        instance: Instance,
+        sent_at: float = float("-inf"),
+    ) -> None:
         """Report the host status in the head of an answer, if there is any."""
         headers = decode_headers(response.raw_headers)
         notice = self._dialect.read_notice(response.status, headers)
-        if notice != NO_NOTICE:
-            self.on_notice(instance, notice)
+        if notice != NO_NOTICE or self.is_limited(instance.host):
+            self.on_notice(instance, notice, sent_at)
 
     def _report_mismatch(
         self,
--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -65,6 +65,8 @@
     """Whether the host is about to stop and accepts no new work."""
     pause: float = 0.0
     """Seconds for which the host asks for no work from this process."""
+    limit: float = 0.0
+    """Requests a second that the host takes from all processes; 0 if it names none."""
 
 
 NO_NOTICE: Final = Notice()
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -1,6 +1,7 @@
 """Run offers at hosts without an agent and report the results as agent messages."""
 
 import asyncio
+import time
 from collections.abc import Iterable
 from typing import Final
 
@@ -174,10 +175,11 @@
         call = self._dialect.encode_offer(offer, terms, instance)
         repeatable = offer.work.idempotent or offer.stage == PREFILL
         has_begun = False
+        sent_at = time.monotonic()
         try:
             async with self._send(instance.address, call, repeatable) as response:
                 has_begun = True
-                await self.answers.read(response, instance, offer, terms)
+                await self.answers.read(response, instance, offer, terms, sent_at)
         except NOT_CONNECTED as error:
             self._receive(host, Lost(*attempt_id, Ran.NO, UNREACHED, 0))
             log_message("upstream:unreached", upstream_host=host, error=repr(error))
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -124,6 +124,7 @@
         self.hosts.answers.on_mismatch = self.metrics.count_mismatch
         self.hosts.answers.on_unframed = self.metrics.count_unframed
         self.hosts.answers.on_notice = self.runtime.guard_call(self.handle_notice)
+        self.hosts.answers.is_limited = self.core.limits.is_limited
         self.frontend = HttpFrontend(self, caller_dialect)
         self._stopping_since: float | None = None
         self.lease = make_lease(self)
@@ -387,13 +388,26 @@
         if read.era == self._era:
             self.check_hosts(read)
 
+    def handle_permits(self, host: str) -> None:
+        """Offer the requests that wait for a host that has named a limit."""
+        self.handle(events.PermitsReceived(host))
+
     def set_unreadable_count(self, count: int) -> None:
         """Set the number of host entries that can't be decoded."""
         self.metrics.set_unreadable(count)
 
-    def handle_notice(self, queried: Instance, notice: Notice) -> None:
-        """Handle a notice about its host in the head of an answer."""
+    def handle_notice(
+        self, queried: Instance, notice: Notice, sent_at: float = float("-inf")
+    ) -> None:
+        """Handle the notices about its host in the head of an answer.
+
+        The host has answered later than the time at which it was sent the request.
+        """
         self.metrics.count_notice(notice)
+        if self.members.is_present(queried):
+            self.core.limits.record_answer(
+                queried.host, notice.limit, sent_at, time.monotonic()
+            )
         if notice.pause and self.members.is_present(queried):
             self.core.pause_host(queried.host, notice.pause, time.monotonic())
             log_message(
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -10,6 +10,7 @@
 from radishtally.engines.placement import EnginePlacement
 from radishtally.engines.staleness import PeerStaleness
 from radishtally.gateway.const import LOAD_BATCH_SECONDS
+from radishtally.gateway.limit_exchange import LIMIT_MESSAGES, LimitExchange
 from radishtally.gateway.topology import (
     ExchangeGroup,
     Site,
@@ -31,6 +32,7 @@
 )
 from radishtally.links.hub import LinkHub
 from radishtally.links.kinds import Message
+from radishtally.serving.host_limits import HostLimits
 from radishtally.serving.prompt_suspects import PartsMessage, PromptSuspects
 from radishtally.serving.suspects import Suspects, group_suspicions
 from radishtally.stages.const import REPORT_INTERVAL_SECONDS
@@ -73,6 +75,9 @@
         contend: Callable[[bool], None] = lambda _: None,
         suspects: Suspects | None = None,
         part_suspects: PromptSuspects | None = None,
+        limits: HostLimits | None = None,
+        find_start: Callable[[str], int] = lambda host: 0,
+        on_permits: Callable[[str], None] = lambda host: None,
     ) -> None:
         self._own_name = own_name
         self._contend = contend
@@ -84,6 +89,13 @@
         self._stages = stages
         self._suspects = Suspects() if suspects is None else suspects
         self._part_suspects = part_suspects or PromptSuspects()
+        self._limits = LimitExchange(
+            own_name,
+            HostLimits() if limits is None else limits,
+            hub.send,
+            find_start,
+            on_permits,
+        )
         self._sites: Sites = {own_name: Site()}
         self._linked: list[str] | None = None
         """Linked peers for which the group was computed; None to recompute it."""
@@ -110,6 +122,7 @@
 
     def set_sites(self, sites: Sites) -> None:
         """Set the known gateways, including this one."""
+        self._limits.set_sites(sites)
         if sites == self._sites:
             return
         self._sites = sites
@@ -133,6 +146,13 @@
                 demand_sent_at = now
                 self._send_demand(now)
 
+    async def run_limits(self) -> None:
+        """Exchange the permits of hosts that have named a limit until cancelled."""
+        while True:
+            await asyncio.sleep(LOAD_BATCH_SECONDS)
+            self._update_group()
+            self._limits.run_round(time.monotonic())
+
     def handle_link_up(self, peer: str) -> None:
         """Send the full state to a gateway whose link has come up."""
         self._update_group()
@@ -140,6 +160,7 @@
             return
         self._hub.send(peer, self._make_backlog(None, peer))
         self._hub.send(peer, self._hosts_read)
+        self._limits.handle_link_up(peer)
         # A gateway that has just started would otherwise have all parts prefilled
         # again, at other engines.
         for parts in self._placement.list_parts():
@@ -177,6 +198,8 @@
             self._placement.record_role_order(message, now)
             if self._is_collector:
                 self._to_relay.append((peer, message))
+        elif isinstance(message, LIMIT_MESSAGES):
+            self._limits.handle_message(peer, message, now)
         elif isinstance(message, HostsRead):
             self._handle_hosts_read(message)
         elif isinstance(message, Suspicions):
@@ -261,6 +284,7 @@
         self._linked = linked
         self._is_candidate = is_collector_candidate(self._sites, self._own_name, linked)
         group = find_exchange_group(self._sites, self._own_name, linked)
+        self._limits.update_group(group, linked)
         if group == self._group:
             return
         old, self._group = self._group, group
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -98,7 +98,7 @@
         )
         self._notices = Counter(
             "radishtally_host_notices",
-            "Answers whose hosts say that they leave, or ask for a pause",
+            "Answers whose hosts say that they leave, ask for a pause or name a limit",
             ["notice"],
             registry=self._registry,
         )
@@ -178,6 +178,8 @@
             self._notices.labels("leaving").inc()
         if notice.pause:
             self._notices.labels("pause").inc()
+        if notice.limit:
+            self._notices.labels("limit").inc()
 
     def count_refused_connection(self) -> None:
         """Count a new connection that was closed unread."""
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -20,6 +20,7 @@
 )
 from radishtally.gateway.freshness import ViewExchange
 from radishtally.gateway.loads import LoadExchange
+from radishtally.gateway.members import Members
 from radishtally.gateway.meter import UsageMeter
 from radishtally.gateway.origins import OriginExchange
 from radishtally.gateway.registry import GATEWAYS_PARTITION, GatewayRegistry, read_site
@@ -63,6 +64,7 @@
     stages: RoleController
     lease: LeaseDriver
     core: DispatchCore
+    members: Members
     table: Table
     meter: UsageMeter
     view_exchange: ViewExchange
@@ -71,6 +73,9 @@
     def set_gateway_count(self, count: int) -> None:
         """Set the number of gateways."""
 
+    def handle_permits(self, host: str) -> None:
+        """Offer the requests that wait for a host that has named a limit."""
+
     def handle_hosts_read(self, read: HostsRead) -> None:
         """Handle a change of the host list that another gateway has read."""
 
@@ -119,6 +124,9 @@
             gateway.lease.contend,
             gateway.core.suspects,
             gateway.core.part_suspects,
+            gateway.core.limits,
+            gateway.members.starts.get,
+            gateway.handle_permits,
         )
         self._loads.on_hosts_read = gateway.handle_hosts_read
         gateway.view_exchange.attach(self._hub)
@@ -127,6 +135,7 @@
         gateway.stages.on_ordered = self._loads.record_role_order
         await self._hub.start(self._address)
         gateway.runtime.spawn(self._loads.run())
+        gateway.runtime.spawn(self._loads.run_limits())
         had_row = await self._registry.write_own_row()
         reads = 0
         while True:
--- a/radishtally/links/gateway_messages.py
+++ b/radishtally/links/gateway_messages.py
@@ -98,6 +98,39 @@
     """Version of the newest change that was read."""
 
 
+class HostLimited(NamedTuple):
+    """Report to the other entries the request limit that a host has named."""
+
+    host: str
+    start: int
+    """Start time of the host in Unix milliseconds; 0 if it is unknown."""
+    limit: float
+    """Requests a second from all entries together; 0 if the limit has ended."""
+
+
+class PermitsWanted(NamedTuple):
+    """Ask for permits for requests to a limited host, and return unused ones."""
+
+    host: str
+    start: int
+    """Start time of the host in Unix milliseconds; 0 if it is unknown."""
+    count: int
+    """Permits wanted now, in place of those wanted before."""
+    demand: float
+    """Requests a second that the sender would make."""
+    unused: int
+    """Permits that have expired unused since the last message."""
+
+
+class PermitsGranted(NamedTuple):
+    """Grant permits for requests to a limited host."""
+
+    host: str
+    start: int
+    """Start time of the host in Unix milliseconds; 0 if it is unknown."""
+    count: int
+
+
 class Suspicion(NamedTuple):
     """Report how many hosts in a row ended while they ran a request."""
 
--- a/radishtally/links/kinds.py
+++ b/radishtally/links/kinds.py
@@ -11,6 +11,7 @@
     BacklogV2,
     DemandReport,
     DemandReportV1,
+    HostLimited,
     HostsRead,
     HostTerminated,
     OriginQuery,
@@ -19,6 +20,8 @@
     PartsDenied,
     PartsRead,
     PartsServed,
+    PermitsGranted,
+    PermitsWanted,
     RoleOrdered,
     StreamsBegun,
     Suspicions,
@@ -91,6 +94,9 @@
     | PartsDenied
     | PartsServed
     | HostsRead
+    | HostLimited
+    | PermitsWanted
+    | PermitsGranted
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -133,6 +139,9 @@
     PartsDenied,
     PartsServed,
     HostsRead,
+    HostLimited,
+    PermitsWanted,
+    PermitsGranted,
 )
 """A kind's number is its index here: append new kinds and never reorder them. A message
 whose fields change needs a new kind, since older releases reject any other number of
--- a/radishtally/serving/const.py
+++ b/radishtally/serving/const.py
@@ -46,6 +46,11 @@
 it do not return at the same moment."""
 MAX_PAUSE_WAIT_SECONDS: Final = 0.5
 """Longest pause that a request waits out; for a longer one the caller is refused."""
+PERMIT_WAIT_SECONDS: Final = 0.15
+"""Longest wait for a permit of a host with a limit: the round trip to the gateway that
+issues it, through two collectors."""
+PROMPT_PERMIT_WAIT_SECONDS: Final = 0.5
+"""The same for a request whose prompt has been read, which would be in vain."""
 OK: Final = 200
 MIN_FAILURE_STATUS: Final = 500
 """Lowest status with which an upstream reports a failure of its own."""
--- a/radishtally/serving/core.py
+++ b/radishtally/serving/core.py
@@ -185,6 +185,18 @@
     yield from receive(event.message, event.host, core, now)
 
 
+@_handle.register
+def _(
+    event: events.PermitsReceived, core: DispatchCore, now: float
+) -> Iterator[Command]:
+    waiting = core.limits.list_waiting(event.host)
+    for request in [core.requests[n] for n in waiting if n in core.requests]:
+        if not core.limits.allows(event.host, now):
+            return
+        if request.phase == WAITING:
+            yield from offer(request, core, now)
+
+
 @_handle.register
 def _(event: events.Tick, core: DispatchCore, now: float) -> Iterator[Command]:
     for request in core.pop_due(now):
--- a/radishtally/serving/events.py
+++ b/radishtally/serving/events.py
@@ -80,6 +80,12 @@
     """Whether it did so within VERSION_LAG_SECONDS before this event."""
 
 
+class PermitsReceived(NamedTuple):
+    """Event: this process may send more requests to a host that has named a limit."""
+
+    host: str
+
+
 class Tick(NamedTuple):
     """Event: time has passed."""
 
@@ -99,6 +105,7 @@
     | Denied
     | OriginSettled
     | VersionChanged
+    | PermitsReceived
     | Tick
     | Shutdown
 )
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -61,6 +61,10 @@
         wait_for = core.add_pause_jitter(pause)
         yield from refuse(request, 503, const.CODE_OVERLOADED, text, wait_for, core)
         return
+    if core.limits:
+        held = yield from _wait_for_permit(request, core, now)
+        if held:
+            return
     placed = _place(request, core, now)
     if isinstance(placed, Declined):
         if placed.retry_after is not None:
@@ -95,6 +99,8 @@
     set_phase_end(request, now + core.offer_timeout, core)
     known = core.hosts[host]
     known.in_flight += 1
+    core.limits.use(host, now)
+    core.limits.remove_waiter(request.work.request)
     core.placement.begin(request, known, now)
     known.breaker.record_offer(now)
     text = f"attempt {request.attempt} offered to {host}"
@@ -340,6 +346,42 @@
     return max(0.0, min((known.paused_until - now for known in run_hosts), default=0.0))
 
 
+def _wait_for_permit(
+    request: OpenRequest, core: DispatchCore, now: float
+) -> Generator[Command, None, bool]:
+    """Hold or refuse a request if all its hosts are at their limits; return whether.
+
+    The request counts as demand for all of them.
+    """
+    limits = core.limits
+    for known in _list_live(request, core):
+        limits.record_demand(known.host, now)
+    run_hosts = [known.host for known in _list_run_hosts(request, core)]
+    if not run_hosts or any(limits.allows(host, now) for host in run_hosts):
+        return False
+    name, seconds = request.work.request, const.PERMIT_WAIT_SECONDS
+    if request.kv is not None or request.has_resumable_part:
+        seconds = const.PROMPT_PERMIT_WAIT_SECONDS
+        request.hold_until = max(request.hold_until, request.offered_at + seconds)
+    elif request.permit_wait_until is None and limits.has_room_to_wait(
+        run_hosts, seconds
+    ):
+        request.permit_wait_until = now + seconds
+    until = max(request.permit_wait_until or 0.0, request.hold_until)
+    if now >= until:
+        text = "all hosts that could run the request have reached their limits"
+        wait_for = limits.estimate_wait(run_hosts, now)
+        yield from refuse(request, 429, const.CODE_OVERLOADED, text, wait_for, core)
+        return True
+    request.phase = WAITING
+    waits_until = min(until, now + const.PROMPT_PERMIT_WAIT_SECONDS)
+    set_phase_end(request, waits_until, core)
+    for host in run_hosts:
+        limits.add_waiter(host, name, waits_until)
+    yield RecordStep(name, "on hold: all hosts are at their limits")
+    return True
+
+
 def _list_run_hosts(request: OpenRequest, core: DispatchCore) -> list[KnownHost]:
     """List the hosts in service that may run the request and not only its prompt."""
     find_role = core.placement.find_role
@@ -362,6 +404,8 @@
     request: OpenRequest, core: DispatchCore, now: float
 ) -> list[KnownHost]:
     live = [known for known in _list_live(request, core) if known.paused_until <= now]
+    if core.limits:
+        live = [known for known in live if core.limits.allows(known.host, now)]
     # Failing hosts are excluded only while others have their role. With all of them
     # excluded every request would be refused although some could be served: the only
     # decode engine, which broke off one answer in five, was excluded for seconds.
--- a/radishtally/serving/requests.py
+++ b/radishtally/serving/requests.py
@@ -73,6 +73,8 @@
     """Earliest time at which the core will check the request."""
     hold_until: float = float("-inf")
     """Time until which the request is held for a host instead of refused."""
+    permit_wait_until: float | None = None
+    """Time until which the request waits for a host that is at its limit."""
     owes_retry: bool = False
     """Whether the next offer is charged to the retry budget."""
     tried: set[str] = field(default_factory=set)
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -12,6 +12,7 @@
     UNREACHED_TO_PRESUME_GONE,
     VERSION_LAG_SECONDS,
 )
+from radishtally.serving.host_limits import HostLimits
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.origins import StreamOrigins
 from radishtally.serving.placement import Placement, RankedPlacement
@@ -51,6 +52,7 @@
     requests: dict[str, OpenRequest] = field(default_factory=dict)
     suspects: Suspects = field(default_factory=Suspects)
     part_suspects: PromptSuspects = field(default_factory=PromptSuspects)
+    limits: HostLimits = field(default_factory=HostLimits)
     paused_until: float = 0.0
     """Time at which the last pause of any host ends."""
     wake_heap: list[tuple[float, str]] = field(default_factory=list)
@@ -144,6 +146,7 @@
 
         Those are lost once the link to the new incarnation is up.
         """
+        self.limits.forget(host)
         known = self.hosts.get(host)
         if known is not None:
             known.restart()
@@ -164,6 +167,7 @@
 
     def forget_host(self, host: str) -> None:
         """Remove a host that is gone once it has no work in flight."""
+        self.limits.forget(host)
         known = self.hosts.get(host)
         if known is None:
             return
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -6,7 +6,7 @@
 from adapter.callers import PlatformCallers
 from adapter.config import decode_configuration
 from adapter.instances import decode_instance
-from adapter.upstreams import MAX_PAUSE_SECONDS, PlatformUpstreams
+from adapter.upstreams import MAX_LIMIT, MAX_PAUSE_SECONDS, PlatformUpstreams
 
 from radishtally.direct.core import Instance, Notice
 from radishtally.links.messages import PREFILL, STREAM, KvRef, Offer, Work
@@ -214,6 +214,17 @@
         (429, (("Retry-After", "2.5"),), Notice()),
         # A 421 comes from another host than the one that was called.
         (421, (("Server-Leaving", "1"),), Notice()),
+        (200, (("Server-Limit", "4.4"),), Notice(limit=4.4)),
+        (503, (("server-limit", " 0.25 "),), Notice(limit=0.25)),
+        (421, (("Server-Limit", "4.4"),), Notice()),
+        (200, (("Server-Limit", ""),), Notice()),
+        (200, (("Server-Limit", "0"),), Notice()),
+        (200, (("Server-Limit", "-1"),), Notice()),
+        (200, (("Server-Limit", "1e3"),), Notice()),
+        (200, (("Server-Limit", "inf"),), Notice()),
+        (200, (("Server-Limit", "4,4"),), Notice()),
+        (200, (("Server-Limit", "9" * 15),), Notice(limit=MAX_LIMIT)),
+        (200, (("Server-Limit", "9" * 16),), Notice()),
     ],
 )
 def test_notice_of_a_host_is_extracted(
