Let hosts of the soak name limits

The soak's hosts named no limits, so nothing in it could show one that is not kept. A host of either kind names 2 requests a second in all its answers for 8 to 14 s, beside the other faults and once more after them. From 3 s after that, no more than one and a half times the limit and 5 (17) may reach it in any 4 s through gateways that were undisturbed for 3 s.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,6 @@
 """Check the guarantees by comparing the records of callers and hosts."""
 
+import functools
 import re
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
@@ -12,6 +13,8 @@
     CRASHES_TO_KNOW,
     DEREGISTRATION_SECONDS,
     EVENTS,
+    LIMIT_WINDOW_SECONDS,
+    MAX_IN_LIMIT_WINDOW,
     MAX_LATE_RUNS,
     MIN_JUDGED,
     NOT_EXECUTED_STATUSES,
@@ -64,6 +67,11 @@
     """Digest of the body; empty for a stream."""
 
 
+def _count_from(times: list[float], since: float) -> int:
+    """Count the times in the window that begins at one of them."""
+    return sum(since <= at < since + LIMIT_WINDOW_SECONDS for at in times)
+
+
 def find_versions(body: bytes) -> set[str]:
     """Return the software versions that a stream's events name."""
     return {version.decode() for version in EVENT_VERSION.findall(body)}
@@ -119,6 +127,10 @@
         self._fence_owners: dict[int, str] = {}
         self._bad_runs: dict[str, list[Run]] = defaultdict(list)
         """Runs of prompts with a bad part, by that part."""
+        self._reached: dict[str, list[tuple[float, str]]] = defaultdict(list)
+        """Times of the requests that reached each host, and their gateways."""
+        self._limits: list[tuple[str, float, float]] = []
+        """Hosts that named a limit, and the periods in which it is judged."""
         self._streams: list[tuple[SentRequest, bool]] = []
         """Sound streams that were asked for, and whether they were denied."""
 
@@ -221,6 +233,8 @@
         if (run.method, run.path, run.body) != (sent.method, sent.path, sent.body):
             self.report_finding(f"{run}: it was sent as {sent}")
         self._check_removed(run, sent)
+        if run.kind != UNFRAMED:
+            self._reached[run.host].append((run.at, sent.gateway))
         if run.kind == RUN:
             self._runs[run.id].append(run)
             if sent.bad_part:
@@ -295,6 +309,29 @@
         """Tell whether a request's gateway was undisturbed for long enough."""
         return not self._disturbances.overlaps(at - STABLE_SECONDS, at, sent.gateway)
 
+    def record_limit(self, host: str, since: float, until: float) -> None:
+        """Record that a host named its limit in all answers of a period."""
+        self._limits.append((host, since + STABLE_SECONDS, until))
+
+    def check_limits(self) -> None:
+        """Check that hosts got no more than the limits they named."""
+        for host, since, until in self._limits:
+            times = [
+                at
+                for at, gateway in self._reached.get(host, ())
+                if since <= at < until
+                and not self._disturbances.overlaps(
+                    at - STABLE_SECONDS, at, gateway, host
+                )
+            ]
+            most = max(map(functools.partial(_count_from, times), times), default=0)
+            self.counts["limits"] += 1
+            self.counts["most in a limit"] = max(most, self.counts["most in a limit"])
+            if most > MAX_IN_LIMIT_WINDOW:
+                self.report_finding(
+                    f"{host}: {most} requests within its limit's window"
+                )
+
     def check_flood(self, gateway: str, since: float, closed: int) -> None:
         """Check that a flooded gateway turned connections away unread."""
         self.counts["closed unread"] += closed
--- a/soak/const.py
+++ b/soak/const.py
@@ -59,6 +59,10 @@
 """Runs with a bad part that may begin after that time."""
 MIN_JUDGED: Final = 20
 """Sound streams beside a bad part from which on their refusals are judged."""
+HOST_LIMIT: Final = 2.0
+"""Requests a second that a host in need names."""
+LIMIT_WINDOW_SECONDS: Final = 4.0
+MAX_IN_LIMIT_WINDOW: Final = 1.5 * LIMIT_WINDOW_SECONDS * HOST_LIMIT + 5
 FLOOD_CONNECTIONS: Final = 600
 """Connections that are opened to one gateway at once; its accept queue holds more."""
 DEPLOYMENT: Final[dict[str, Any]] = json.loads(
--- a/soak/core.py
+++ b/soak/core.py
@@ -72,6 +72,7 @@
     await fleet.check_records()
     fleet.ledger.count_given_up()
     fleet.ledger.check_bad_parts()
+    fleet.ledger.check_limits()
 
 
 async def _run_schedule(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from soak.callers import BadCaller, Flood
-from soak.const import BAD_PREFIX, LINGER_SECONDS, SILENCE_SECONDS
+from soak.const import BAD_PREFIX, HOST_LIMIT, LINGER_SECONDS, SILENCE_SECONDS
 from soak.fleet import Fleet, Gateway, Host
 from soak.schedule import Fault
 from standins.proxy import FaultProxy
@@ -253,6 +253,16 @@
     host.child.process.terminate()
 
 
+async def _inject_limit(fleet: Fleet, fault: Fault, name: str) -> None:
+    """Let a host name a limit in its answers for a while."""
+    host = fleet.hosts[fault.target % len(fleet.hosts)]
+    since = read_clock()
+    await _command(fleet, host, "/_limit", {"limit": HOST_LIMIT})
+    await asyncio.sleep(fault.seconds)
+    fleet.ledger.record_limit(host.name, since, read_clock())
+    await _command(fleet, host, "/_limit", {"limit": 0.0})
+
+
 async def _crash_host(fleet: Fleet, host: Host) -> None:
     """Kill a host and start another at its address, under a new id."""
     fleet.hosts.remove(host)
@@ -341,9 +351,14 @@
 
 
 async def _set_fault(fleet: Fleet, host: Host, fault: dict) -> None:
-    """Set a host's fault; ignore connection errors of a host out of service."""
+    """Set a host's fault."""
+    await _command(fleet, host, "/_fault", fault)
+
+
+async def _command(fleet: Fleet, host: Host, path: str, body: dict) -> None:
+    """Send a command; ignore connection errors of a host out of service."""
     try:
-        await fleet.post(host.child.address, "/_fault", fault)
+        await fleet.post(host.child.address, path, body)
     except aiohttp.ClientError:
         # It may be exiting on a bad part.
         await asyncio.sleep(SET_AGAIN_SECONDS)
@@ -418,4 +433,5 @@
     "bad": _inject_bad_part,
     "flood": _inject_flood,
     "late": _inject_late_start,
+    "limit": _inject_limit,
 }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -32,6 +32,11 @@
 SECONDS_PER_BAD_PART: Final = 20.0
 """Seconds of the schedule per such part; a shorter schedule has none."""
 BAD_PART_SECONDS: Final = (10.0, 15.0)
+LIMIT: Final = "limit"
+"""Kind of the limits that hosts name; with a generator of its own."""
+SECONDS_PER_LIMIT: Final = 10.0
+"""Seconds of the schedule per such limit; a shorter schedule has none."""
+LIMIT_SECONDS: Final = (8.0, 14.0)
 FLOOD: Final = "flood"
 """Kind of the floods of connections to one gateway; drawn like the faults above."""
 LATE: Final = "late_start"
@@ -70,14 +75,17 @@
     if spoil_runs:
         faults += _make_series(SPOIL, seconds, random.Random(f"{SPOIL} {seed}"))
         faults += _make_bad_parts(seconds, random.Random(f"{BAD_PART} {seed}"))
+        faults += _make_limits(seconds, random.Random(f"{LIMIT} {seed}"))
         for kind in (*UNFRAMED, RELEASE, FLOOD):
             faults += _make_unframed(kind, seconds, random.Random(f"{kind} {seed}"))
     faults += _make_stalls(seconds, random.Random(f"{STALL} {seed}"))
-    # Requests to a removed host can be judged only while the store is undisturbed, so
-    # hosts leave after all other faults.
+    # Requests to a removed host can be judged only while the store is undisturbed, and
+    # a limit while the gateways are, so these come after all other faults.
     final = Fault(seconds, "host_leave", rng.randrange(DRAW_RANGE), 0.0, 0)
     target = random.Random(f"{LATE} {seed}").randrange(DRAW_RANGE)
-    return [*sorted(faults), final, Fault(seconds, LATE, target, 0.0, 0)]
+    late = Fault(seconds, LATE, target, 0.0, 0)
+    limit = Fault(seconds, LIMIT, target + 1, LIMIT_SECONDS[1], 0)
+    return [*sorted(faults), final, late, limit]
 
 
 def _make_stalls(seconds: float, rng: random.Random) -> list[Fault]:
@@ -100,6 +108,15 @@
     return faults
 
 
+def _make_limits(seconds: float, rng: random.Random) -> list[Fault]:
+    faults = []
+    for number in range(int(seconds // SECONDS_PER_LIMIT)):
+        at = round((number + rng.random()) * SECONDS_PER_LIMIT, 3)
+        duration = round(rng.uniform(*LIMIT_SECONDS), 3)
+        faults.append(Fault(at, LIMIT, rng.randrange(DRAW_RANGE), duration, 0))
+    return faults
+
+
 def _make_unframed(kind: str, seconds: float, rng: random.Random) -> list[Fault]:
     """Place one fault in each part of the schedule, so that no seed goes without."""
     count = int(seconds // SECONDS_PER_UNFRAMED)
--- a/standins/desk.py
+++ b/standins/desk.py
@@ -16,6 +16,7 @@
 
 BACKLOG: Final = 1024
 FAULT_PATH: Final = "/_fault"
+LIMIT_PATH: Final = "/_limit"
 HEALTH_PATH: Final = "/health"
 MAX_PADDING: Final = 4000
 """Upper bound of the random padding of answers, in bytes."""
@@ -52,6 +53,12 @@
     """Number of open connections beyond which new ones are reset."""
 
 
+class Limit(TypedDict):
+    """Set the requests a second that the host names in its answers."""
+
+    limit: float
+
+
 class Request(NamedTuple):
     """Represent a request."""
 
@@ -74,6 +81,8 @@
         self.modes: deque[Mode] = deque(["whole"])
         self.pause_seconds = DELAY_SECONDS
         self.max_connections: int | None = None
+        self.limit = 0.0
+        """Requests a second that it names in its answers; 0 to name none."""
         self._connections = 0
         self._random = random.Random(host)
         self._log = log
@@ -98,6 +107,10 @@
                     self._set_fault(request.body)
                     writer.write(make_answer("", 200, b"{}"))
                     continue
+                if request.path == LIMIT_PATH:
+                    self.limit = msgspec.json.decode(request.body, type=Limit)["limit"]
+                    writer.write(make_answer("", 200, b"{}"))
+                    continue
                 if not self._is_addressed(request):
                     writer.write(make_refusal(request.request_id, 421))
                     continue
@@ -129,7 +142,7 @@
         """Answer a request; return the bytes to send before the next answer."""
         mode = self._random.choice(self.modes)
         if mode == "refuse":
-            writer.write(make_refusal(request.request_id, 503))
+            writer.write(self._name_limit(make_refusal(request.request_id, 503)))
             return b""
         status = 500 if mode in ("fail", "fail_part") else 200
         number = next(self._numbers)
@@ -139,6 +152,7 @@
         if mode == "unframed":
             await self._send_unframed(run, body, writer)
         answer = make_answer(request.request_id, status, body, signature)
+        answer = self._name_limit(answer)
         return await self._send(
             mode, request.request_id, answer, body, signature, writer
         )
@@ -148,7 +162,8 @@
     ) -> NoReturn:
         """Send a whole answer in two parts, record its end and close."""
         half = len(body) // 2
-        writer.write(make_unframed(run.id, body[:half], run.signature))
+        head = make_unframed(run.id, body[:half], run.signature)
+        writer.write(self._name_limit(head))
         await asyncio.sleep(self.pause_seconds)
         if not writer.transport.is_closing():
             writer.write(body[half:])
@@ -202,6 +217,13 @@
                 writer.write(answer)
         return b""
 
+    def _name_limit(self, answer: bytes) -> bytes:
+        if not self.limit:
+            return answer
+        return answer.replace(
+            b"\r\n", f"\r\nServer-Limit: {self.limit}\r\n".encode(), 1
+        )
+
     def _make_body(self, request_id: str, number: int) -> bytes:
         text = f"{request_id} {self.host} {number} ".encode()
         return text + b"." * self._random.randrange(MAX_PADDING)
--- a/standins/staged.py
+++ b/standins/staged.py
@@ -78,6 +78,7 @@
         """Build the application with its routes."""
         app = build_app()
         app.router.add_post("/_fault", self._set_fault)
+        app.router.add_post("/_limit", self._set_limit)
         app.router.add_get("/api/report", self._report)
         app.router.add_get("/health", self._report_health)
         app.router.add_post("/api/order", self._receive_order)
@@ -112,6 +113,14 @@
         self.faults = draw_faults(fault.get("runs", ()), fault.get("seed", 0))
         return reply_json({})
 
+    async def _set_limit(self, request: web.Request) -> web.Response:
+        """Set the requests a second that it names in its answers; 0 to name none."""
+        limit = (await read_json(request, dict[str, float]))["limit"]
+        self.extra_headers.pop("Server-Limit", None)
+        if limit:
+            self.extra_headers["Server-Limit"] = str(limit)
+        return reply_json({})
+
     def describe_start(self) -> dict[str, int]:
         """Return the start time as its entry and its reports contain it."""
         return {"born": self.started_ms} if self.started_ms else {}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 from soak.schedule import (
     BAD_PART,
     FLOOD,
+    LIMIT,
     RELEASE,
     SPOIL,
     UNFRAMED,
@@ -43,6 +44,7 @@
 
 # Guards against a new kind of fault that changes the schedules of older seeds.
 def test_faults_of_unframed_answers_leave_the_others_unchanged() -> None:
-    added = {SPOIL, *UNFRAMED, RELEASE, BAD_PART, FLOOD}
+    added = {SPOIL, *UNFRAMED, RELEASE, BAD_PART, LIMIT, FLOOD}
     others = [one for one in make_schedule(SEED, 60.0) if one.kind not in added]
-    assert others == make_schedule(SEED, 60.0, spoil_runs=False)
+    sound = make_schedule(SEED, 60.0, spoil_runs=False)
+    assert others == [one for one in sound if one.kind not in added]
