Run rounds of permits only while a host has a limit

Rounds ran 50 times a second with no host limited; each wake-up is charged, and at 330 gateways the exchange of loads itself runs ten times a second. Without a limited host a round comes each 0.2 s now, which only delays passing on the first limit.

--- a/radishtally/gateway/limit_exchange.py
+++ b/radishtally/gateway/limit_exchange.py
@@ -130,6 +130,10 @@
         present = 1 + len(reached)
         return present / (present + absent)
 
+    def is_active(self) -> bool:
+        """Return whether any host has a limit."""
+        return bool(self._limits)
+
     def handle_link_up(self, peer: str) -> None:
         """Tell a gateway whose link has come up of all limits."""
         for host in self._limits.list_hosts():
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -45,6 +45,8 @@
 """Time for which a gateway must be a collector candidate before it contends for the
 lease. While all gateways start, none has links yet and each would count itself as a
 candidate."""
+IDLE_SECONDS: Final = 0.2
+"""Time within which a host's first limit is passed on."""
 FULL_REFRESH_SECONDS: Final = 2.0
 """Interval between full updates, which cover all engines. A peer ignores an update
 about an engine that it does not list yet, or from a gateway outside its group. Without
@@ -149,7 +151,8 @@
     async def run_limits(self) -> None:
         """Exchange the permits of hosts that have named a limit until cancelled."""
         while True:
-            await asyncio.sleep(LOAD_BATCH_SECONDS)
+            is_active = self._limits.is_active()
+            await asyncio.sleep(LOAD_BATCH_SECONDS if is_active else IDLE_SECONDS)
             self._update_group()
             self._limits.run_round(time.monotonic())
 
