Use a limit that changes with each answer

A host may name another limit in each answer. A change keeps what has been saved up and issued; only a fall below what was issued in the window starts a new window, with one permit at most.

--- a/radishtally/limits/shares.py
+++ b/radishtally/limits/shares.py
@@ -33,19 +33,23 @@
     def __init__(self, limit: float, now: float, transit: float) -> None:
         self._lifetime = HOLD_SECONDS + transit
         """Longest time from the issue of a permit to its use."""
-        self.change_limit(limit, now)
-
-    def change_limit(self, limit: float, now: float) -> None:
-        """Set the limit, in requests a second, from now on.
-
-        No permits are saved up then: another process may have issued some just before.
-        """
         self._limit = limit
+        # Another process may have issued permits just before, so none are saved up.
         self._level = 0.0
         self._filled_at = now
         self._issued: deque[float] = deque()
         """Times at which the permits of the last window were issued."""
 
+    def change_limit(self, limit: float, now: float) -> None:
+        """Set the limit, in requests a second, from now on."""
+        self._fill(now)
+        self._limit = limit
+        self._level = min(self._level, self._depth)
+        if len(self._issued) > self._capacity:
+            # Those of a higher limit would leave none for a whole window.
+            self._issued.clear()
+            self._level = min(self._level, 1.0)
+
     @property
     def _capacity(self) -> int:
         # A permit that is issued before a window may be used in it.
