Share a limit between gateways that have no links yet

They issue their part of the data centre's gateways now, and stay within the limit and one request each.

--- a/radishtally/gateway/limit_exchange.py
+++ b/radishtally/gateway/limit_exchange.py
@@ -17,6 +17,7 @@
     find_first_reachable,
     is_mesh,
     list_data_centres,
+    list_gateways_in,
 )
 from radishtally.limits.shares import PermitIssuer, Want
 from radishtally.links.gateway_messages import (
@@ -108,27 +109,36 @@
     def _find_share(self, now: float) -> float:
         """Return the share of the limits that this gateway may issue permits for.
 
-        What is out of reach may have an issuer of its own for a while.
+        What is out of reach may have an issuer of its own: for a while other gateways
+        of a mesh, or other data centres, and always gateways of the data centre, of
+        which one that is gone for good makes little difference.
         """
         if self._sites is None:
             return 1.0 / DEFAULT_GATEWAY_COUNT
         if is_mesh(self._sites):
-            expected = set(self._sites) - {self._own_name}
-            reached = expected & set(self._linked)
-        else:
-            expected = set(list_data_centres(self._sites))
-            own = self._sites[self._own_name].data_centre
-            expected.discard(own)
-            reached = {
-                self._sites[name].data_centre
-                for name in self._group.collectors
-                if name in self._sites
-            }
-        lost = {name: self._lost_since.get(name, now) for name in expected - reached}
-        self._lost_since = lost
-        absent = sum(now < since + LOST_SECONDS for since in lost.values())
+            expected = self._sites.keys() - {self._own_name}
+            return self._find_present_share(expected, expected & set(self._linked), now)
+        own = self._sites[self._own_name].data_centre
+        members = list_gateways_in(self._sites, own)
+        expected = set(list_data_centres(self._sites)) - {own}
+        reached = {
+            self._sites[name].data_centre
+            for name in self._group.collectors
+            if name in self._sites
+        }
+        present = 1 + len(self._group.members)
+        share = self._find_present_share(expected, reached, now)
+        return share * min(1.0, present / len(members))
+
+    def _find_present_share(
+        self, expected: Collection[str], reached: Collection[str], now: float
+    ) -> float:
+        """Return the share of what is within reach, and what was not lost long ago."""
+        lost = set(expected) - set(reached)
+        self._lost_since = {name: self._lost_since.get(name, now) for name in lost}
+        recent = [now < since + LOST_SECONDS for since in self._lost_since.values()]
         present = 1 + len(reached)
-        return present / (present + absent)
+        return present / (present + sum(recent))
 
     def is_active(self) -> bool:
         """Return whether any host has a limit."""
--- a/tests/gateway/test_limits_model.py
+++ b/tests/gateway/test_limits_model.py
@@ -6,7 +6,12 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from tests.gateway.limits_model import LimitsModel, count_most
+from tests.gateway.limits_model import (
+    LINK_LOSS_SECONDS,
+    STEP_SECONDS,
+    LimitsModel,
+    count_most,
+)
 
 PLAY_SECONDS = 24.0
 STABLE_SECONDS = 3.0
@@ -150,6 +155,21 @@
     assert {one.gateway for one in model.sent if one.at > 12.0} == set(model.sites)
 
 
+# Guards against a limit that each gateway uses alone: none has a link to another, as
+# when all have just started.
+@pytest.mark.parametrize("fleet", [(5, 1), (40, 1), (40, 4)])
+def test_gateways_without_links_stay_within_the_limit(fleet: tuple[int, int]) -> None:
+    model = LimitsModel(*fleet, 4.4)
+    for name in model.sites:
+        model.disturb(name, is_stalled=False)
+    model.step = int(LINK_LOSS_SECONDS / STEP_SECONDS)
+    demands = dict.fromkeys(model.sites, 4.4)
+    while model.now < LINK_LOSS_SECONDS + 9.0:
+        model.advance(demands)
+    most = count_most([one.at for one in model.sent], 0.0)
+    assert most <= WINDOW_SECONDS * 4.4 + EXTRA + fleet[0]
+
+
 # Guards against a burst after a pause: each gateway may have kept its permits.
 def test_permits_are_not_saved_up() -> None:
     model = LimitsModel(12, 3, 4.4)
