Let prompts wait for a limited host, as answers do

Where the hosts that read prompts were at their limits, prompts went to those that run answers at once: a gateway with little demand asks for permits only for requests that wait, so a limited host for prompts got none. The wait begins anew with each offer, so that a request whose prompt was read isn't refused for having waited before.

--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -101,6 +101,7 @@
     known.in_flight += 1
     core.limits.use(host, now)
     core.limits.remove_waiter(request.work.request)
+    request.permit_wait_until = None
     core.placement.begin(request, known, now)
     known.breaker.record_offer(now)
     text = f"attempt {request.attempt} offered to {host}"
@@ -349,7 +350,7 @@
 def _wait_for_permit(
     request: OpenRequest, core: DispatchCore, now: float
 ) -> Generator[Command, None, bool]:
-    """Hold or refuse a request if all its hosts are at their limits; return whether.
+    """Hold or refuse a request whose hosts are at their limits; return whether.
 
     The request counts as demand for all of them.
     """
@@ -357,29 +358,59 @@
     for known in _list_live(request, core):
         limits.record_demand(known.host, now)
     run_hosts = [known.host for known in _list_run_hosts(request, core)]
-    if not run_hosts or any(limits.allows(host, now) for host in run_hosts):
-        return False
-    name, seconds = request.work.request, const.PERMIT_WAIT_SECONDS
-    if request.kv is not None or request.has_resumable_part:
+    if not _are_at_limit(run_hosts, core, now):
+        prompt_hosts = _list_prompt_hosts(request, core)
+        if not _are_at_limit(prompt_hosts, core, now):
+            return False
+        # Hosts that run requests read prompts more slowly, but without a limit.
+        held = _hold_for_permit(request, prompt_hosts, core, now)
+        yield from held
+        return bool(held)
+    held = _hold_for_permit(request, run_hosts, core, now)
+    yield from held
+    if not held:
+        text = "all hosts that could run the request have reached their limits"
+        wait_for = limits.estimate_wait(run_hosts, now)
+        yield from refuse(request, 429, const.CODE_OVERLOADED, text, wait_for, core)
+    return True
+
+
+def _are_at_limit(hosts: list[str], core: DispatchCore, now: float) -> bool:
+    """Return whether there are hosts, and none of them may be sent a request now."""
+    return bool(hosts) and not any(core.limits.allows(host, now) for host in hosts)
+
+
+def _hold_for_permit(
+    request: OpenRequest, hosts: list[str], core: DispatchCore, now: float
+) -> list[Command]:
+    """Hold a request until it has a permit of a host, unless it has waited already."""
+    has_progress = request.kv is not None or request.has_resumable_part
+    seconds = const.PERMIT_WAIT_SECONDS
+    if has_progress:
         seconds = const.PROMPT_PERMIT_WAIT_SECONDS
-        request.hold_until = max(request.hold_until, request.offered_at + seconds)
-    elif request.permit_wait_until is None and limits.has_room_to_wait(
-        run_hosts, seconds
-    ):
+    may_wait = has_progress or core.limits.has_room_to_wait(hosts, seconds)
+    if request.permit_wait_until is None and may_wait:
         request.permit_wait_until = now + seconds
     until = max(request.permit_wait_until or 0.0, request.hold_until)
     if now >= until:
-        text = "all hosts that could run the request have reached their limits"
-        wait_for = limits.estimate_wait(run_hosts, now)
-        yield from refuse(request, 429, const.CODE_OVERLOADED, text, wait_for, core)
-        return True
+        return []
+    until = min(until, now + const.PROMPT_PERMIT_WAIT_SECONDS)
     request.phase = WAITING
-    waits_until = min(until, now + const.PROMPT_PERMIT_WAIT_SECONDS)
-    set_phase_end(request, waits_until, core)
-    for host in run_hosts:
-        limits.add_waiter(host, name, waits_until)
-    yield RecordStep(name, "on hold: all hosts are at their limits")
-    return True
+    set_phase_end(request, until, core)
+    for host in hosts:
+        core.limits.add_waiter(host, request.work.request, until)
+    return [RecordStep(request.work.request, "on hold: its hosts are at their limits")]
+
+
+def _list_prompt_hosts(request: OpenRequest, core: DispatchCore) -> list[str]:
+    """List the hosts that only read prompts, if the request's may still be read."""
+    if request.work.kind == CALL or request.kv is not None or request.kv_lost:
+        return []
+    if request.received:
+        return []
+    find_role = core.placement.find_role
+    live = _list_live(request, core)
+    return [known.host for known in live if find_role(known.host) == PREFILL]
 
 
 def _list_run_hosts(request: OpenRequest, core: DispatchCore) -> list[KnownHost]:
