Leave engines with a limit out of the split between the roles

With two decode engines, one of which named 4 requests a second, the other one was ordered to read prompts, as the demand for answers seemed covered: of 4 callers' requests through two gateways 210 to 218 were served in 9 s and 19 to 21 refused, others waited up to 4 s; without a limit 840 were served.

An engine in need counts like a draining one: it serves on in its role, and the others are split between the roles without it, if two are left. The new unit test fails without the change.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -158,6 +158,7 @@
         placement.observer = self.stages
         self.stages.on_report = self._handle_report
         self.stages.is_unreachable = self.core.is_out_of_reach
+        self.stages.is_limited = self.core.limits.is_limited
         self.check_hosts: Callable[[HostsRead], None] = lambda read: None
         """Reads the host list again unless a change has been read here as well."""
         self.waker = Waker(lambda: self.handle(events.Tick()))
--- a/radishtally/stages/role_controller.py
+++ b/radishtally/stages/role_controller.py
@@ -34,6 +34,10 @@
 any other outcome it counts with its reported role."""
 
 
+MIN_ENGINES: Final = 2
+"""Engines that are needed to serve both roles."""
+
+
 class Lease(Protocol):
     """Provide the part of the lease that the controller needs."""
 
@@ -78,6 +82,8 @@
         self._clock = clock
         self.is_unreachable: Callable[[str], bool] = lambda _: False
         """Return whether requests fail to reach an engine."""
+        self.is_limited: Callable[[str], bool] = lambda _: False
+        """Return whether an engine has named a limit on its requests."""
         self.on_report: Callable[[Instance, EngineReport], None] = lambda *_: None
         """Handle a report that was read from an engine."""
         self.on_ordered: Callable[[str, str], None] = lambda *_: None
@@ -161,7 +167,8 @@
         self._drop_expired(now)
         due = []
         for upstream in {item.upstream for item in instances}:
-            by_host = {i.host: i for i in instances if i.upstream == upstream}
+            of_upstream = [i for i in instances if i.upstream == upstream]
+            by_host = {i.host: i for i in self._list_counted(of_upstream)}
             engines = [self._describe(i, now) for i in by_host.values()]
             plan = self._plans.setdefault(upstream, RolePlan())
             needs = self._measure_needs(upstream, list(by_host.values()), now)
@@ -171,6 +178,15 @@
             due += [(by_host[change.host], change) for change in changes]
         return [] if self._lease.fencing is None else due
 
+    def _list_counted(self, instances: list[Instance]) -> list[Instance]:
+        """List the engines to share between the roles, without those with a limit.
+
+        An engine in need takes a few requests a second. If it counted for its role, the
+        others could be given the other role, and nearly all requests refused.
+        """
+        unlimited = [item for item in instances if not self.is_limited(item.host)]
+        return unlimited if len(unlimited) >= MIN_ENGINES else instances
+
     def _log_wanted(
         self, upstream: str, changes: list[RoleChange], needs: Needs | None
     ) -> None:
--- a/tests/stages/test_role_controller.py
+++ b/tests/stages/test_role_controller.py
@@ -159,6 +159,41 @@
     assert change.role == DECODE
 
 
+# Guards against refusals of nearly all requests: the other decode engine was ordered to
+# read prompts, as one that takes a few requests a second counted like any other.
+def test_engine_with_a_limit_is_replaced() -> None:
+    engines = [make_instance(n, PREFILL) for n in range(3)]
+    engines += [make_instance(n, DECODE) for n in range(3, 5)]
+    controller = RoleController(
+        "gateway-1",
+        FakeOrders(OrderOutcome.TAKEN),
+        lambda: engines,
+        FakeLease(4),
+        get_prefill_rate,
+    )
+    assert controller._decide(0.0) == []
+    limited = {"e4"}
+    controller.is_limited = limited.__contains__
+    controller._decide(10.0)
+    ((_, change),) = controller._decide(10.0 + COUNT_CHANGE_SECONDS)
+    assert change.role == DECODE
+    assert change.host not in limited
+
+
+def test_engines_with_limits_count_where_too_few_others_are_left() -> None:
+    engines = [make_instance(1, PREFILL), make_instance(2, DECODE)]
+    controller = RoleController(
+        "gateway-1",
+        FakeOrders(OrderOutcome.TAKEN),
+        lambda: engines,
+        FakeLease(4),
+        get_prefill_rate,
+    )
+    controller.is_limited = {"e2"}.__contains__
+    assert controller._decide(0.0) == []
+    assert controller._decide(10.0 + COUNT_CHANGE_SECONDS) == []
+
+
 @pytest.mark.parametrize(
     "report",
     [
