Let one permit for an answer begin one prompt

A permit of a host that runs answers is held for 0.35 s and taken when the answer is offered. Each request that arrived meanwhile had its prompt read, and then waited for a permit of its own: prompts read in vain while all hosts for answers are at their limits. Requests whose prompts are being read, or were read, count against the permits that are there now. The new test failed before.

--- a/radishtally/serving/host_limits.py
+++ b/radishtally/serving/host_limits.py
@@ -102,6 +102,14 @@
         known = self._hosts.get(host)
         return known is None or known.pool.has_permit(now)
 
+    def count_permits(self, host: str, now: float) -> float:
+        """Return how many requests may be sent to a host now."""
+        known = self._hosts.get(host)
+        if known is None:
+            return float("inf")
+        known.pool.expire(now)
+        return len(known.pool.held)
+
     def use(self, host: str, now: float) -> None:
         """Use a permit for a request that is sent to a host."""
         known = self._hosts.get(host)
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -358,7 +358,9 @@
     for known in _list_live(request, core):
         limits.record_demand(known.host, now)
     run_hosts = [known.host for known in _list_run_hosts(request, core)]
-    if not _are_at_limit(run_hosts, core, now):
+    has_progress = request.kv is not None or request.has_resumable_part
+    claimed = 0 if has_progress else _count_unanswered_prompts(request, core)
+    if not _are_at_limit(run_hosts, core, now, claimed):
         prompt_hosts = _list_prompt_hosts(request, core)
         if not _are_at_limit(prompt_hosts, core, now):
             return False
@@ -375,9 +377,29 @@
     return True
 
 
-def _are_at_limit(hosts: list[str], core: DispatchCore, now: float) -> bool:
-    """Return whether there are hosts, and none of them may be sent a request now."""
-    return bool(hosts) and not any(core.limits.allows(host, now) for host in hosts)
+def _are_at_limit(
+    hosts: list[str], core: DispatchCore, now: float, claimed: int = 0
+) -> bool:
+    """Return whether there are hosts, and none may be sent one more request now."""
+    permits = [core.limits.count_permits(host, now) for host in hosts]
+    return bool(hosts) and sum(permits) <= claimed
+
+
+def _count_unanswered_prompts(request: OpenRequest, core: DispatchCore) -> int:
+    """Count the requests of the upstream whose prompts are read before their answers.
+
+    Each will need a permit of its own. If one permit let the prompts of many requests
+    be read, most of them would be read in vain.
+    """
+    if request.work.kind == CALL:
+        return 0
+    return sum(
+        other.work.upstream == request.work.upstream
+        and (
+            other.kv is not None or (other.host is not None and other.stage == PREFILL)
+        )
+        for other in core.requests.values()
+    )
 
 
 def _hold_for_permit(
--- a/tests/serving/test_host_limits.py
+++ b/tests/serving/test_host_limits.py
@@ -167,6 +167,20 @@
     assert list_offered(commands) == ["d-1"]
 
 
+# Guards against prompts that are read in vain: one permit for an answer is there, and
+# each request that arrives meanwhile begins.
+def test_one_permit_for_an_answer_lets_one_prompt_be_read(
+    staged_core: DispatchCore,
+) -> None:
+    core = staged_core
+    core.limits.record_answer("d-1", 2.0, 0.0, 0.0)
+    grant(core, "d-1", 1, 1.0)
+    assert list_offered(arrive(core, "r1", 1.0, STREAM)) == ["p-1"]
+    assert list_offered(arrive(core, "r2", 1.0, STREAM)) == []
+    commands = handle_event(events.Tick(), core, 1.0 + PERMIT_WAIT_SECONDS)
+    assert list_refused(commands) == [429]
+
+
 # Guards against a prompt that is read in vain, as its answer is refused at once.
 def test_answer_to_a_prompt_that_was_read_waits_longer(
     staged_core: DispatchCore,
