Count prompts that await their answers only where answers are limited

The count was taken for each request while any host had a limit. It is taken only where all hosts that run requests have one now. A new test holds that a permit for a prompt is used while another prompt is read; it wasn't run on the code before. Two needless terms are gone: the extra life of limits below 0.1 a second, which don't exist, and the end of a demand that has decayed.

--- a/radishtally/limits/shares.py
+++ b/radishtally/limits/shares.py
@@ -109,10 +109,7 @@
 
     def measure(self, now: float) -> float:
         """Return the requests a second, weighted towards the latest."""
-        passed = now - self._at
-        if passed > DEMAND_EXPIRY_SECONDS * 2:
-            return 0.0
-        return self._rate * math.exp(-passed / DEMAND_SECONDS)
+        return self._rate * math.exp((self._at - now) / DEMAND_SECONDS)
 
 
 @dataclass
--- a/radishtally/serving/host_limits.py
+++ b/radishtally/serving/host_limits.py
@@ -88,7 +88,7 @@
     def expire(self, now: float) -> None:
         """Forget limits that have not been named for long."""
         for host, known in list(self._hosts.items()):
-            if now >= known.named_at + max(LIMIT_EXPIRY_SECONDS, 4.0 / known.limit):
+            if now >= known.named_at + LIMIT_EXPIRY_SECONDS:
                 del self._hosts[host]
 
     def record_demand(self, host: str, now: float) -> None:
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -358,11 +358,9 @@
     for known in _list_live(request, core):
         limits.record_demand(known.host, now)
     run_hosts = [known.host for known in _list_run_hosts(request, core)]
-    has_progress = request.kv is not None or request.has_resumable_part
-    claimed = 0 if has_progress else _count_unanswered_prompts(request, core)
-    if not _are_at_limit(run_hosts, core, now, claimed):
+    if not _is_answer_limited(request, run_hosts, core, now):
         prompt_hosts = _list_prompt_hosts(request, core)
-        if not _are_at_limit(prompt_hosts, core, now):
+        if not prompt_hosts or _count_permits(prompt_hosts, core, now):
             return False
         # Hosts that run requests read prompts more slowly, but without a limit.
         held = _hold_for_permit(request, prompt_hosts, core, now)
@@ -377,12 +375,21 @@
     return True
 
 
-def _are_at_limit(
-    hosts: list[str], core: DispatchCore, now: float, claimed: int = 0
+def _count_permits(hosts: list[str], core: DispatchCore, now: float) -> float:
+    """Return how many requests the hosts may be sent now; infinite without a limit."""
+    return sum(core.limits.count_permits(host, now) for host in hosts)
+
+
+def _is_answer_limited(
+    request: OpenRequest, run_hosts: list[str], core: DispatchCore, now: float
 ) -> bool:
-    """Return whether there are hosts, and none may be sent one more request now."""
-    permits = [core.limits.count_permits(host, now) for host in hosts]
-    return bool(hosts) and sum(permits) <= claimed
+    """Return whether there are hosts to run the request, and none has room for it."""
+    permits = _count_permits(run_hosts, core, now)
+    if not run_hosts or permits == float("inf"):
+        return False
+    has_progress = request.kv is not None or request.has_resumable_part
+    claimed = 0 if has_progress else _count_unanswered_prompts(request, core)
+    return permits <= claimed
 
 
 def _count_unanswered_prompts(request: OpenRequest, core: DispatchCore) -> int:
--- a/tests/serving/test_host_limits.py
+++ b/tests/serving/test_host_limits.py
@@ -167,6 +167,15 @@
     assert list_offered(commands) == ["d-1"]
 
 
+# Guards against a permit for a prompt that is not used: another prompt is being read.
+def test_each_permit_for_a_prompt_is_used(staged_core: DispatchCore) -> None:
+    core = staged_core
+    core.limits.record_answer("p-1", 2.0, 0.0, 0.0)
+    grant(core, "p-1", 2, 1.0)
+    assert list_offered(arrive(core, "r1", 1.0, STREAM)) == ["p-1"]
+    assert list_offered(arrive(core, "r2", 1.0, STREAM)) == ["p-1"]
+
+
 # Guards against prompts that are read in vain: one permit for an answer is there, and
 # each request that arrives meanwhile begins.
 def test_one_permit_for_an_answer_lets_one_prompt_be_read(
