Move the choice of live hosts and the wait for permits out of the offers

No decision changes: the functions were moved, and the hold was split into the time until which it lasts and the command. 183 tests of the dispatch and the layers pass.

--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -20,12 +20,19 @@
 from radishtally.serving.events import Command, DropKv, RecordStep, Release, Send
 from radishtally.serving.hosts import KnownHost
 from radishtally.serving.origins import UNKNOWN_VERSION
+from radishtally.serving.permits import (
+    count_permits,
+    find_wait_end,
+    is_answer_limited,
+    list_prompt_hosts,
+)
 from radishtally.serving.placement import Declined, Placed
 from radishtally.serving.prompt_suspects import PartKeys
 from radishtally.serving.requests import CLAIMING, OFFERED, WAITING, OpenRequest
+from radishtally.serving.selection import list_live, list_run_hosts
 from radishtally.serving.state import DispatchCore
 from radishtally.serving.suspects import ENDS_TO_ISOLATE
-from radishtally.serving.versions import find_required_version, has_version
+from radishtally.serving.versions import find_required_version
 
 
 def set_phase_end(request: OpenRequest, until: float, core: DispatchCore) -> None:
@@ -52,7 +59,7 @@
         if held:
             return
     version = find_required_version(request, core)
-    if version is not None and not _list_run_hosts(request, core):
+    if version is not None and not list_run_hosts(request, core):
         yield from _refuse_version(request, version, core)
         return
     pause = _find_common_pause(request, core, now)
@@ -343,7 +350,7 @@
     """Return how long all hosts that could run the request pause; 0 if any does not."""
     if now >= core.paused_until:
         return 0.0
-    run_hosts = _list_run_hosts(request, core)
+    run_hosts = list_run_hosts(request, core)
     return max(0.0, min((known.paused_until - now for known in run_hosts), default=0.0))
 
 
@@ -355,12 +362,12 @@
     The request counts as demand for all of them.
     """
     limits = core.limits
-    for known in _list_live(request, core):
+    for known in list_live(request, core):
         limits.record_demand(known.host, now)
-    run_hosts = [known.host for known in _list_run_hosts(request, core)]
-    if not _is_answer_limited(request, run_hosts, core, now):
-        prompt_hosts = _list_prompt_hosts(request, core)
-        if not prompt_hosts or _count_permits(prompt_hosts, core, now):
+    run_hosts = [known.host for known in list_run_hosts(request, core)]
+    if not is_answer_limited(request, run_hosts, core, now):
+        prompt_hosts = list_prompt_hosts(request, core)
+        if not prompt_hosts or count_permits(prompt_hosts, core, now):
             return False
         # Hosts that run requests read prompts more slowly, but without a limit.
         held = _hold_for_permit(request, prompt_hosts, core, now)
@@ -375,55 +382,13 @@
     return True
 
 
-def _count_permits(hosts: list[str], core: DispatchCore, now: float) -> float:
-    """Return how many requests the hosts may be sent now; infinite without a limit."""
-    return sum(core.limits.count_permits(host, now) for host in hosts)
-
-
-def _is_answer_limited(
-    request: OpenRequest, run_hosts: list[str], core: DispatchCore, now: float
-) -> bool:
-    """Return whether there are hosts to run the request, and none has room for it."""
-    permits = _count_permits(run_hosts, core, now)
-    if not run_hosts or permits == float("inf"):
-        return False
-    has_progress = request.kv is not None or request.has_resumable_part
-    claimed = 0 if has_progress else _count_unanswered_prompts(request, core)
-    return permits <= claimed
-
-
-def _count_unanswered_prompts(request: OpenRequest, core: DispatchCore) -> int:
-    """Count the requests of the upstream whose prompts are read before their answers.
-
-    Each will need a permit of its own. If one permit let the prompts of many requests
-    be read, most of them would be read in vain.
-    """
-    if request.work.kind == CALL:
-        return 0
-    return sum(
-        other.work.upstream == request.work.upstream
-        and (
-            other.kv is not None or (other.host is not None and other.stage == PREFILL)
-        )
-        for other in core.requests.values()
-    )
-
-
 def _hold_for_permit(
     request: OpenRequest, hosts: list[str], core: DispatchCore, now: float
 ) -> list[Command]:
     """Hold a request until it has a permit of a host, unless it has waited already."""
-    has_progress = request.kv is not None or request.has_resumable_part
-    seconds = const.PERMIT_WAIT_SECONDS
-    if has_progress:
-        seconds = const.PROMPT_PERMIT_WAIT_SECONDS
-    may_wait = has_progress or core.limits.has_room_to_wait(hosts, seconds)
-    if request.permit_wait_until is None and may_wait:
-        request.permit_wait_until = now + seconds
-    until = max(request.permit_wait_until or 0.0, request.hold_until)
+    until = find_wait_end(request, hosts, core, now)
     if now >= until:
         return []
-    until = min(until, now + const.PROMPT_PERMIT_WAIT_SECONDS)
     request.phase = WAITING
     set_phase_end(request, until, core)
     for host in hosts:
@@ -431,39 +396,10 @@
     return [RecordStep(request.work.request, "on hold: its hosts are at their limits")]
 
 
-def _list_prompt_hosts(request: OpenRequest, core: DispatchCore) -> list[str]:
-    """List the hosts that only read prompts, if the request's may still be read."""
-    if request.work.kind == CALL or request.kv is not None or request.kv_lost:
-        return []
-    if request.received:
-        return []
-    find_role = core.placement.find_role
-    live = _list_live(request, core)
-    return [known.host for known in live if find_role(known.host) == PREFILL]
-
-
-def _list_run_hosts(request: OpenRequest, core: DispatchCore) -> list[KnownHost]:
-    """List the hosts in service that may run the request and not only its prompt."""
-    find_role = core.placement.find_role
-    return [
-        known for known in _list_live(request, core) if find_role(known.host) != PREFILL
-    ]
-
-
-def _list_live(request: OpenRequest, core: DispatchCore) -> list[KnownHost]:
-    """List the hosts in service that may run the request, by its stream's version."""
-    pool = core.pools.get(request.work.upstream, {})
-    live = [known for known in pool.values() if known.live and known.host in core.links]
-    version = find_required_version(request, core)
-    if version is None:
-        return live
-    return [known for known in live if has_version(known, version, core)]
-
-
 def _list_usable(
     request: OpenRequest, core: DispatchCore, now: float
 ) -> list[KnownHost]:
-    live = [known for known in _list_live(request, core) if known.paused_until <= now]
+    live = [known for known in list_live(request, core) if known.paused_until <= now]
     if core.limits:
         live = [known for known in live if core.limits.allows(known.host, now)]
     # Failing hosts are excluded only while others have their role. With all of them
