Apply a held entry of a removed host where no other host is left

The first is a fault of the hold of entries of removed hosts: callers of an upstream of two hosts were refused while one was held, whose entry had only lapsed, and the other one left. An entry is held only while its upstream has another ready host now, and is applied when that one is gone.

The second: the exchange of loads is made without a hub there; the hub is looked up when a message is sent.

--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -94,7 +94,7 @@
         self._limits = LimitExchange(
             own_name,
             HostLimits() if limits is None else limits,
-            hub.send,
+            self._send,
             find_start,
             on_permits,
         )
@@ -148,6 +148,9 @@
                 demand_sent_at = now
                 self._send_demand(now)
 
+    def _send(self, peer: str, message: Message) -> None:
+        self._hub.send(peer, message)
+
     async def run_limits(self) -> None:
         """Exchange the permits of hosts that have named a limit until cancelled."""
         while True:
--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -255,13 +255,39 @@
         gone = self._gone_hosts.get(host)
         if gone is None:
             return False
-        # Entries that lapsed in an outage are written again just after it.
-        is_recent = now < gone.at + LATE_WRITE_SECONDS
-        if gone.is_deleted and is_recent and not after_outage:
-            return True
+        if self._is_removal_recent(host, now) and not after_outage:
+            # Entries that lapsed in an outage are written again just after it.
+            return self._has_ready_host(instance.upstream)
         is_same = is_same_start(gone.instance.started_ms, started_ms)
         return is_same and heartbeats < gone.heartbeats
 
+    def _is_removal_recent(self, host: str, now: float) -> bool:
+        gone = self._gone_hosts.get(host)
+        if gone is None or not gone.is_deleted:
+            return False
+        return now < gone.at + LATE_WRITE_SECONDS
+
+    def _has_ready_host(self, upstream: str) -> bool:
+        return any(
+            known.upstream == upstream and not known.is_draining
+            for known in self._instances.values()
+        )
+
+    def _admit_needed(self, now: float) -> list[HostChange]:
+        """Apply held entries of removed hosts whose upstreams have no other host.
+
+        Their entries may only have lapsed, and all callers would be refused.
+        """
+        changes: list[HostChange] = []
+        for instance, heartbeats in self._unconfirmed.list_entries():
+            is_gone = instance.host not in self._instances
+            if not is_gone or not self._is_removal_recent(instance.host, now):
+                continue
+            if not instance.is_draining and not self._has_ready_host(instance.upstream):
+                self._unconfirmed.discard(instance.host)
+                changes += self.update(instance, heartbeats, now=now)
+        return changes
+
     def _revive_start(self, instance: Instance) -> None:
         """Make a start current again that has proved not to have ended.
 
@@ -497,4 +523,7 @@
             expired = self._list_long_missing()
         else:
             expired = [host for host, until in self._missing.items() if until <= now]
-        return [self._remove_host(host, now, is_deleted=False) for host in expired]
+        changes: list[HostChange] = [
+            self._remove_host(host, now, is_deleted=False) for host in expired
+        ]
+        return changes if after_outage else changes + self._admit_needed(now)
--- a/radishtally/gateway/unconfirmed.py
+++ b/radishtally/gateway/unconfirmed.py
@@ -128,6 +128,10 @@
         review_at = self._review_at if self._entries else float("inf")
         return min(review_at, self._requested_at)
 
+    def list_entries(self) -> list[tuple[Instance, int]]:
+        """List the held entries with their heartbeat counts."""
+        return [(one.instance, one.heartbeats) for one in self._entries.values()]
+
     def list_hosts(self) -> list[str]:
         """List the hosts whose entries are held."""
         return list(self._entries)
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -320,6 +320,23 @@
     assert members.update(A, 7, now=9.0 + LATE_WRITE_SECONDS) == [HostUpdated(A)]
 
 
+# Guards against refusals by an upstream whose last host is gone: the entry of another
+# one had only lapsed, and is held as that of a removed host.
+def test_held_entry_is_applied_where_no_other_host_is_left() -> None:
+    members = Members()
+    members.replace([A, B], 0.0, False, {"a": 3, "b": 3})
+    members.remove(["a"], 2.0, False)
+    assert members.update(A, 4, now=3.0) == []
+    assert describe(members.remove(["b"], 3.5, False)) == ["HostMissing b"]
+    assert members.expire(4.0, False) == []
+    changes = members.expire(3.5 + MISSING_GRACE_SECONDS, False)
+    assert describe(changes[:1]) == ["HostRemoved b"]
+    assert changes[1:] == [HostUpdated(A)]
+    members.remove(["a"], 6.0, False)
+    members.expire(6.0 + MISSING_GRACE_SECONDS, False)
+    assert members.update(B, 9, now=8.0) == [HostUpdated(B)]
+
+
 LEAVING_A = make_instance("a", is_draining=True)
 
 
