--- a/review/server.py
+++ b/review/server.py
@@ -41,6 +41,10 @@
         self.answer_bytes: int = options.get("answer_bytes", 800)
         self.unframed: bool = options.get("unframed", False)
         self.chunked: bool = options.get("chunked", False)
+        self.spoil_every = 0
+        """Each how-manieth stream is spoiled while this is above zero."""
+        self.spoil_bytes = 0
+        self.streams = 0
         self.extra: Headers = {}
         self.draining = False
         self.fence = 0
@@ -142,17 +146,29 @@
             framing = {"Connection": "close"}
         start(writer, 200, {**headers, **framing})
         first = int(request.headers.get("last-event-id", "0")) + 1
+        self.streams += 1
+        is_spoiled = bool(self.spoil_every) and self.streams % self.spoil_every == 0
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_seconds)
             event = f"id: {number}\ndata: {name}.{number}@{self.version}\n\n".encode()
             writer.write(event if self.unframed else frame(event))
             await writer.drain()
+            if is_spoiled and number == first + 1:
+                return await self.spoil(name, writer)
         self.write("done", id=name, pieces=self.events)
         if not self.unframed:
             writer.write(b"0\r\n\r\n")
             await writer.drain()
         return not self.unframed
 
+    async def spoil(self, name: str, writer: asyncio.StreamWriter) -> bool:
+        """Go on with bytes that are no events."""
+        self.write("spoiled", id=name)
+        for _ in range(self.spoil_bytes // 50_000):
+            writer.write(frame(b"x" * 50_000))
+            await writer.drain()
+        return False
+
     async def reply_json(
         self, writer: asyncio.StreamWriter, value: Any, headers: Headers | None = None
     ) -> bool:
--- a/review/stage.py
+++ b/review/stage.py
@@ -300,6 +300,13 @@
         await asyncio.sleep(0.05)
 
 
+async def set_server(stage: Stage, name: str, **options: Any) -> None:
+    """Change the behaviour of a server."""
+    url = f"http://{stage.servers[name].address}/_set"
+    call = urllib.request.Request(url, headers={"X-Set": json.dumps(options)})
+    await asyncio.to_thread(lambda: urllib.request.urlopen(call, timeout=5).read())
+
+
 def make_route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
     """Make a route whose path prefix is its name."""
     return {
