--- a/review/server.py
+++ b/review/server.py
@@ -13,6 +13,7 @@
 
 REASONS = {200: "OK", 202: "Accepted", 404: "Not Found", 409: "Conflict"}
 SMALL_BYTES = 800
+ROLE_SECONDS = 3.0
 NOT_RUN = {"X-Not-Executed": "1"}
 Headers = dict[str, str]
 
@@ -20,11 +21,14 @@
 class Request:
     """Hold one request."""
 
-    def __init__(self, method: str, path: str, headers: Headers, body: int) -> None:
+    def __init__(
+        self, method: str, path: str, headers: Headers, length: int, body: bytes
+    ) -> None:
         self.method = method
         self.path = path
         self.headers = headers
-        self.body_bytes = body
+        self.body_bytes = length
+        self.body = body
 
 
 class Server:
@@ -49,6 +53,7 @@
         self.draining = False
         self.fence = 0
         self.orders = 0
+        self.is_changing = False
         self.numbers = itertools.count(1)
         self.log = os.open(
             options["log"], os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644
@@ -89,20 +94,45 @@
         """Answer a call about the server itself."""
         own = {"born": self.born} if self.born else {}
         if request.path == "/api/report":
-            state = {"phase": self.phase, "busy": False, "sequence": self.orders}
+            state = {
+                "phase": self.phase,
+                "busy": self.is_changing,
+                "sequence": self.orders,
+            }
             models = [{"name": "m", "version": 1, "adapters": []}]
             return await self.reply_json(writer, {**state, "models": models, **own})
         if request.path == "/api/kv-list":
             return await self.reply_json(writer, {"epoch": 1, "next": 1, "held": []})
         if request.path == "/api/order":
-            # The roles of these small deployments stay as they are.
-            self.write("order", fence=request.headers.get("fence", ""))
-            return await self.reply(writer, 409)
+            return await self.reply(writer, self.take_order(json.loads(request.body)))
         return await self.reply(writer, 200)
 
+    def take_order(self, order: dict[str, Any]) -> int:
+        """Take an order to change the role; return the status of the answer."""
+        if order["fenceToken"] < self.fence:
+            return 412
+        if self.is_changing or order.get("expected", self.orders) != self.orders:
+            return 409
+        self.fence = order["fenceToken"]
+        if order["phase"] == self.phase:
+            return 200
+        self.orders += 1
+        self.is_changing = True
+        self.write("order", owner=order["owner"], phase=order["phase"])
+        loop = asyncio.get_running_loop()
+        loop.call_later(ROLE_SECONDS, self.change_role, order["phase"])
+        return 202
+
+    def change_role(self, phase: str) -> None:
+        """Take the ordered role; running work goes on."""
+        self.phase, self.is_changing = phase, False
+        self.write("phase", phase=phase)
+
     async def run(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         """Run a request, or read its prompt."""
         name = request.headers["x-request-id"]
+        if self.is_changing:
+            return await self.reply(writer, 503, NOT_RUN)
         wants_prompt = request.headers.get("x-serving-phase") == "prefill"
         if wants_prompt != (self.phase == "prefill"):
             return await self.reply(writer, 421, NOT_RUN)
@@ -212,13 +242,13 @@
     length = int(headers.get("content-length", "0"))
     for _ in range(length // 65_536):
         await reader.readexactly(65_536)
-    await reader.readexactly(length % 65_536)
+    body = await reader.readexactly(length % 65_536)
     if "chunked" in headers.get("transfer-encoding", ""):
         while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
             await reader.readexactly(size + 2)
             length += size
         await reader.readuntil(b"\r\n")
-    return Request(method, path, headers, length)
+    return Request(method, path, headers, length, body)
 
 
 async def main() -> None:
--- a/review/stage.py
+++ b/review/stage.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import signal
 import subprocess
 import sys
 import tempfile
@@ -170,6 +171,9 @@
         """Write the entries of all servers that run, until cancelled."""
         while True:
             await asyncio.sleep(BEAT_SECONDS)
+            for change in self.read_runs():
+                if change["kind"] == "phase" and change["server"] in self.entries:
+                    self.entries[change["server"]]["phase"] = change["phase"]
             for name in list(self.entries):
                 if name in self.entries and self.servers[name].process.poll() is None:
                     await self.beat(name)
@@ -261,6 +265,8 @@
                 stage.note("the case could not run", error=repr(error))
                 return NOT_RUN
 
+    # Ends the processes of the stage also if the case itself is ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     raise SystemExit(asyncio.run(scenario()))
 
 
