--- a/review/lib2.py
+++ b/review/lib2.py
@@ -102,13 +102,18 @@
             await asyncio.sleep(0.02)
         raise RuntimeError(f"{name} does not start")
 
-    def stop(self) -> None:
-        """End all processes, and remove the temporary folder."""
+    def end_all(self) -> None:
+        """End all processes."""
         for process in self._started:
             with suppress(ProcessLookupError):
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        self._started.clear()
+
+    def stop(self) -> None:
+        """End all processes, and remove the temporary folder."""
+        self.end_all()
         for path in self.folder.iterdir():
             path.unlink()
         self.folder.rmdir()
@@ -181,8 +186,12 @@
     headers: dict[str, str],
     body: bytes = b"",
     seconds: float = 10.0,
+    patience: float = 10.0,
 ) -> Answer:
-    """Send one request on a new connection and read its answer."""
+    """Send one request on a new connection and read its answer.
+
+    `patience` limits the seconds until the answer begins.
+    """
     answer = Answer()
     writer = None
     try:
@@ -195,7 +204,7 @@
                 lines.append(f"Host: {HOST}")
             lines.append(f"Content-Length: {len(body)}")
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-            await _read_answer(reader, answer)
+            await _read_answer(reader, answer, patience)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
         answer.error = type(error).__name__
     finally:
@@ -204,8 +213,12 @@
     return answer
 
 
-async def _read_answer(reader: asyncio.StreamReader, answer: Answer) -> None:
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+async def _read_answer(
+    reader: asyncio.StreamReader, answer: Answer, patience: float
+) -> None:
+    async with asyncio.timeout(patience):
+        text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    head = text.split("\r\n")
     answer.status = int(head[0].split()[1])
     for line in head[1:]:
         name, _, value = line.partition(":")
