--- a/review/handles2.py
+++ b/review/handles2.py
@@ -16,7 +16,7 @@
 
 HEARTBEAT_SECONDS = 1.2
 SWITCH_SECONDS = 1.0
-EVENT_SECONDS = 0.05
+EVENT_SECONDS = 0.06
 FETCH_SECONDS = 1.0
 
 
@@ -48,6 +48,7 @@
         self._orders = 0
         self._fence = 0
         self._is_busy = False
+        self._version = "v1"
         self._streams = 0
         self._handles = itertools.count(1)
         self._kept: dict[str, tuple[str, str]] = {}
@@ -70,7 +71,7 @@
             "service": "gown-llm",
             "address": self._address,
             "zone": "howrah",
-            "version": "v1",
+            "version": self._version,
             "slots": self._slots,
             "state": "ready",
             "coldRemainingMs": 0,
