--- a/review/engine2.py
+++ b/review/engine2.py
@@ -3,7 +3,8 @@
 It follows PROTOCOL.md: it reads prompts or streams answers according to its phase,
 reports its state, carries out orders, and writes its entry to the store. With
 `--spoil N`, one byte of an event's id is repeated in each Nth stream, from SIGUSR1 to
-SIGUSR2.
+SIGUSR2. With `--still`, it writes its entry only where more than `sequence` changes, as
+the store reports no other change of an entry.
 """
 
 import argparse
@@ -29,11 +30,15 @@
 class Engine:
     """Serve requests."""
 
-    def __init__(self, name: str, phase: str, store: str, spoil: int) -> None:
-        self._name = name
-        self._phase = phase
-        self._store = store
-        self._spoil = spoil
+    def __init__(self, args: argparse.Namespace) -> None:
+        self._name = args.name
+        self._phase = args.phase
+        self._store = args.store
+        self._spoil = args.spoil
+        self._events = args.events
+        self._event_seconds = args.event_seconds
+        self._is_still = args.still
+        self._port = args.port
         self._address = ""
         self._born = int(time.time() * 1000)
         self._beats = 0
@@ -53,14 +58,15 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGUSR1, self.set_trouble, True)
         loop.add_signal_handler(signal.SIGUSR2, self.set_trouble, False)
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
         ip, port = server.sockets[0].getsockname()
         self._address = f"{ip}:{port}"
         await self._write_entry()
         print(json.dumps({"ready": True, "address": self._address}), flush=True)
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
-            await self._write_entry()
+            if not self._is_still:
+                await self._write_entry()
 
     async def _write_entry(self) -> None:
         self._beats += 1
@@ -190,10 +196,10 @@
         ]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         begin = int(headers.get("last-event-id", "0")) + 1
-        for number in range(begin, EVENTS + 1):
-            await asyncio.sleep(EVENT_SECONDS)
+        for number in range(begin, self._events + 1):
+            await asyncio.sleep(self._event_seconds)
             event = make_event(request, number)
-            if is_spoiled and number == EVENTS - 1:
+            if is_spoiled and number == self._events - 1:
                 digit = str(number).encode()
                 event = event.replace(b"id: " + digit, b"id: " + digit * REPEATED)
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
@@ -223,8 +229,11 @@
     parser.add_argument("--phase", required=True, choices=["prefill", "decode"])
     parser.add_argument("--store", required=True)
     parser.add_argument("--spoil", type=int, default=0)
-    args = parser.parse_args()
-    asyncio.run(Engine(args.name, args.phase, args.store, args.spoil).start())
+    parser.add_argument("--events", type=int, default=EVENTS)
+    parser.add_argument("--event-seconds", type=float, default=EVENT_SECONDS)
+    parser.add_argument("--still", action="store_true")
+    parser.add_argument("--port", type=int, default=0)
+    asyncio.run(Engine(parser.parse_args()).start())
 
 
 if __name__ == "__main__":
