--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -129,7 +129,9 @@
         if status != 200:
             raise CannotRunError(f"the store answered {status}")
 
-    async def configure(self, version: int, routes: list, services: list) -> None:
+    async def configure(
+        self, version: int, routes: list, services: list, **more: Any
+    ) -> None:
         """Write a configuration as the operator does."""
         limits = {
             "maxHeaderBytes": 16384,
@@ -142,6 +144,7 @@
             "routes": routes,
             "services": services,
             "limits": limits,
+            **more,
         }
         await self.write("op", "config", value)
 
@@ -154,7 +157,11 @@
         return process
 
     async def start_gateway(
-        self, name: str, store: str = "", zone: str = "toowoomba-hall"
+        self,
+        name: str,
+        store: str = "",
+        zone: str = "toowoomba-hall",
+        usage_api: str = "",
     ) -> subprocess.Popen:
         """Start a gateway as the deploy file does, and wait until it is ready."""
         ports = free_ports(4)
@@ -178,6 +185,12 @@
                 "retry_window_seconds": 10,
             },
         }
+        if usage_api:
+            settings["usage"] = {
+                "api_address": usage_api,
+                "window_seconds": 5,
+                "late_seconds": 10,
+            }
         self.gateways[name] = settings
         return await self.launch_gateway(name)
 
