Review: streams of two versions after a server started again behind a cut

A script with a store, six engines and one gateway: 6 of 12 streams hold events of two software versions (the rule allows 2); without the disruption none. The stream case now asks the engines which of them decode.

--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -61,6 +61,8 @@
         self.processes: list[subprocess.Popen] = []
         self.store = ""
         self.gateways: dict[str, dict[str, Any]] = {}
+        self.servers: dict[str, str] = {}
+        """Addresses of the servers."""
         self.started = time.monotonic()
         self.record_file = (folder / "record.txt").open("w")
 
@@ -112,10 +114,10 @@
         self.spawn("store", "-m", "standins.rows", "--address", IP, *args)
         self.store = await self._read_address("store")
 
-    async def _read_address(self, name: str) -> str:
+    async def _read_address(self, name: str, start: int = 0) -> str:
         path = self.work / f"{name}.log"
         async for _ in poll(START_SECONDS):
-            for line in path.read_text().splitlines():
+            for line in path.read_text()[start:].splitlines():
                 if line.startswith("{") and "address" in line:
                     return json.loads(line)["address"]
         raise CannotRunError(f"{name} has not started: {path.read_text()[-800:]}")
@@ -150,10 +152,12 @@
 
     async def start_server(self, name: str, *args: str) -> subprocess.Popen:
         """Start a server, which writes its own entry into the store."""
+        path = self.work / f"{name}.log"
+        start = len(path.read_text()) if path.exists() else 0
         process = self.spawn(
             name, "review/server3.py", "--id", name, "--store", self.store, *args
         )
-        await self._read_address(name)
+        self.servers[name] = await self._read_address(name, start)
         return process
 
     async def start_gateway(
@@ -218,6 +222,16 @@
                 return process
         raise CannotRunError(f"{name} has not become ready")
 
+    async def list_decode(self) -> list[str]:
+        """List the engines whose phase is decode, by their own reports."""
+        found = []
+        for name, address in self.servers.items():
+            _, _, body = await call(address, "GET", "/api/report")
+            report = json.loads(body)
+            if report["phase"] == "decode" and not report["busy"]:
+                found.append(name)
+        return found
+
     def read_logs(self, prefix: str = "") -> str:
         """Return what the programs have written."""
         paths = sorted(self.work.glob(f"{prefix}*.log"))
--- a/review/server3.py
+++ b/review/server3.py
@@ -11,6 +11,8 @@
 import json
 import os
 import signal
+import socket
+import struct
 import time
 
 HEARTBEAT_SECONDS = 1.2
@@ -31,6 +33,7 @@
         self.handles = 0
         self.runs = 0
         self.address = ""
+        self.writers: set = set()
 
     def describe_start(self) -> dict:
         """Return the start as the server reports it, if it does."""
@@ -42,8 +45,18 @@
             await self.write_entry()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for writer in list(self.writers):
+            end = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
     async def write_entry(self) -> None:
-        """Write the entry into the store."""
+        """Write the entry into the store, unless the server is cut off from it."""
+        if self.args.cut:
+            return
         self.beats += 1
         entry = {
             "service": self.args.service,
@@ -74,6 +87,7 @@
 
     async def serve(self, reader, writer) -> None:  # noqa: ANN001
         """Serve one connection."""
+        self.writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -89,6 +103,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, method, path, headers, body, writer) -> bool:  # noqa: ANN001
@@ -218,6 +233,7 @@
     parser.add_argument("--gap", type=float, default=0.2)
     parser.add_argument("--unframed", action="store_true")
     parser.add_argument("--born", action="store_true")
+    parser.add_argument("--cut", action="store_true")
     server = Server(parser.parse_args())
     listener = await asyncio.start_server(
         server.serve, "127.0.0.1", server.args.port, backlog=512
@@ -230,7 +246,9 @@
         server.state = "draining"
         asyncio.ensure_future(server.write_entry())
 
-    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, leave)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, leave)
+    loop.add_signal_handler(signal.SIGUSR2, server.reset_connections)
     await server.write_entry()
     print(json.dumps({"address": server.address, "pid": os.getpid()}), flush=True)
     await server.keep_entry()
