--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -322,7 +322,7 @@
     if body or method == "POST":
         lines.append(f"Content-Length: {len(body)}")
     try:
-        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        writer.write("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
         await writer.drain()
         await _read_answer(answer, reader)
     finally:
--- a/review/server3.py
+++ b/review/server3.py
@@ -185,6 +185,7 @@
         name = headers["x-request-id"]
         signature = f"{self.args.id}.{self.runs}"
         sent = {"target": path, "method": method, "bytes": len(body)}
+        sent["model"] = headers.get("x-model", "")
         after = int(headers.get("last-event-id", 0))
         self.note(what="begins", id=name, after=after, **sent)
         head = [
