--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -22,6 +22,8 @@
 IP = "127.0.0.1"
 AUTHORITY = "ficu95.example"
 START_SECONDS = 30.0
+BROKEN = 10
+"""Exit code of a case whose rule was broken: a failed program exits with 1."""
 ENGINE = {
     "slots": 64,
     "kvCapacityTokens": 560177,
@@ -364,7 +366,7 @@
 
 
 def run_case(folder: Path, play) -> None:  # noqa: ANN001
-    """Play a case and exit with 1 if the rule was broken, 0 if not, 2 on failure."""
+    """Play a case and exit with BROKEN if the rule was broken, 0 if not, else 2."""
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     fleet = Fleet(folder)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
@@ -372,7 +374,7 @@
     try:
         broken = asyncio.run(asyncio.wait_for(play(fleet, with_trouble), 110.0))
         fleet.record("the rule was broken" if broken else "the rule held")
-        code = 1 if broken else 0
+        code = BROKEN if broken else 0
     except Exception as error:
         fleet.record(f"the case could not run: {type(error).__name__}: {error}")
         print(f"{type(error).__name__}: {error}", file=sys.stderr)
