--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -1,4 +1,4 @@
-"""Small deployment on loopback for the scripts of the second review.
+"""Small deployment on loopback for scripts of the second review.
 
 The gateways are the project's own program, started with the command of the deploy file
 and with its template of settings. Everything around them is played here: the store
@@ -31,7 +31,8 @@
 from standins.rows import RowId, Rows
 
 ROOT: Final = Path(__file__).resolve().parent.parent
-BROKEN: Final = 1
+BROKEN: Final = 10
+"""Not 1, with which the interpreter ends after an error."""
 HELD: Final = 0
 NOT_RUN: Final = 2
 HEARTBEAT_SECONDS: Final = 1.2
@@ -178,6 +179,11 @@
             text = base64.b64encode(json.dumps(value).encode()).decode()
         self.rows.write(RowId(table, "", key), text)
 
+    def is_listed(self, key: str) -> bool:
+        """Return whether a server has an entry."""
+        _, known = self.rows._rows.get(RowId("servers", "", key), (0, None))
+        return known is not None
+
     def refresh(self, key: str, value: dict[str, Any]) -> None:
         """Renew a server's entry: a new `sequence` alone is no change."""
         row_id = RowId("servers", "", key)
@@ -628,6 +634,8 @@
 
     def run(self) -> int:
         """Run the case in a temporary folder; return the exit code."""
+        # Ended early, it still ends what it has started.
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
         with tempfile.TemporaryDirectory() as folder:
             self._folder = tempfile.TemporaryDirectory(dir=folder)
             try:
