Refuse event ids out of range in the decoder of streams

Callers saw all their streams at a gateway break off, and no connection until it had been started again: an engine that spoils answers sent an event id of 400 digits, and the process ended with status 4 (process:broken, OverflowError: int too large to convert to float).

Cause: direct/stream.py took any row of digits for an id. The id counts as the number of the answer's events, by which the pace estimators divide; 309 digits and more exceed a float.

Change: the decoder takes 15 digits at most. The events before an invalid one are passed on, the attempt is lost with its reason in the log, and is resumed where the route allows. Ids above a million do not count events: one such answer would distort the estimates of demand and pace for hours.

--- a/radishtally/direct/answer_checks.py
+++ b/radishtally/direct/answer_checks.py
@@ -39,6 +39,20 @@
 PROBED_REASONS: Final = (IncompleteReason.HOST_ENDED, IncompleteReason.UNCONFIRMED)
 
 
+class AnswerFault(StrEnum):
+    """Reasons why an answer can't be used, however it goes on."""
+
+    EVENT_ID = "an event's id is out of range"
+
+
+class InvalidAnswerError(aiohttp.ClientPayloadError):
+    """Raised when an answer can't be used."""
+
+    def __init__(self, fault: AnswerFault) -> None:
+        super().__init__(f"invalid answer: {fault}")
+        self.fault = fault
+
+
 class IncompleteAnswerError(aiohttp.ClientPayloadError):
     """Raised when an answer may be incomplete."""
 
@@ -59,6 +73,13 @@
         super().__init__(f"not the request's answer: {mismatch}")
 
 
+DESCRIBED_ERRORS: Final = (
+    IncompleteAnswerError,
+    InvalidAnswerError,
+    MismatchedAnswerError,
+)
+
+
 def find_mismatch(
     names: Collection[str], request: str, usage: ConnectionUsage
 ) -> AnswerMismatch | None:
@@ -74,6 +95,6 @@
 def describe_error(error: BaseException) -> str:
     """Describe how an exchange failed, for logs."""
     # The library's error texts may contain parts of answers, so only the type is shown.
-    if isinstance(error, MismatchedAnswerError | IncompleteAnswerError):
+    if isinstance(error, DESCRIBED_ERRORS):
         return str(error)
     return type(error).__name__
--- a/radishtally/direct/answers.py
+++ b/radishtally/direct/answers.py
@@ -13,6 +13,7 @@
     AnswerMismatch,
     IncompleteAnswerError,
     IncompleteReason,
+    InvalidAnswerError,
     MismatchedAnswerError,
     UnframedEnd,
     find_mismatch,
@@ -252,13 +253,14 @@
         self._receive(host, Begun(*attempt_id, head.status, head.headers))
         async for data in response.content.iter_any():
             batch = splitter.feed(data)
-            if batch is None:
-                continue
-            is_first = progress.offset == len(offer.done)
-            if is_first and not _starts_as_requested(batch.first, offer, terms):
-                raise IncompleteAnswerError(IncompleteReason.OTHER_EVENT)
-            progress.tokens = max(progress.tokens, batch.last)
-            self._pass_on(host, attempt_id, progress, batch.data)
+            if batch is not None:
+                is_first = progress.offset == len(offer.done)
+                if is_first and not _starts_as_requested(batch.first, offer, terms):
+                    raise IncompleteAnswerError(IncompleteReason.OTHER_EVENT)
+                progress.tokens = max(progress.tokens, batch.last)
+                self._pass_on(host, attempt_id, progress, batch.data)
+            if splitter.fault is not None:
+                raise InvalidAnswerError(splitter.fault)
         response.check_end()
         if not response.is_framed:
             is_empty = progress.offset == len(offer.done)
--- a/radishtally/direct/stream.py
+++ b/radishtally/direct/stream.py
@@ -4,8 +4,11 @@
 from itertools import pairwise
 from typing import Final, NamedTuple
 
+from radishtally.direct.answer_checks import AnswerFault
+
 EVENT_BOUNDARY: Final = re.compile(rb"\r?\n\r?\n")
 EVENT_ID: Final = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+MAX_ID_DIGITS: Final = 15  # every such integer is exact as a float
 
 
 class EventBatch(NamedTuple):
@@ -40,6 +43,8 @@
 
     def __init__(self) -> None:
         self._rest = b""
+        self.fault: AnswerFault | None = None
+        """Why nothing behind the events returned so far can be used."""
 
     @property
     def rest(self) -> bytes:
@@ -47,13 +52,22 @@
         return self._rest
 
     def feed(self, data: bytes) -> EventBatch | None:
-        """Add received data and return the events that it completes, or None."""
+        """Add received data and return the valid events that it completes, or None."""
         data = self._rest + data
         end = max((match.end() for match in EVENT_BOUNDARY.finditer(data)), default=0)
         self._rest = data[end:]
-        if not end:
+        complete = self._cut_invalid(data[:end])
+        if not complete:
             return None
-        complete = data[:end]
         ids = EVENT_ID.findall(complete)
         first, last = (int(ids[0]), int(ids[-1])) if ids else (0, 0)
         return EventBatch(complete, first, last)
+
+    def _cut_invalid(self, events: bytes) -> bytes:
+        """Return the events before the first one whose id is out of range."""
+        for match in EVENT_ID.finditer(events):
+            if len(match[1]) > MAX_ID_DIGITS:
+                self.fault = AnswerFault.EVENT_ID
+                before = EVENT_BOUNDARY.finditer(events, 0, match.start())
+                return events[: max((found.end() for found in before), default=0)]
+        return events
--- a/radishtally/engines/placement.py
+++ b/radishtally/engines/placement.py
@@ -43,6 +43,8 @@
 """Time for which an engine may finish its open answers before it changes its role."""
 ROLE_ORDER_SECONDS: Final = 1.0
 """Time until an engine is ordered to decode if none does: two controller ticks."""
+MAX_ANSWER_EVENTS: Final = 1_000_000
+"""More events than an answer can have: larger event ids don't number the events."""
 MIN_SECONDS_TO_DECODE: Final = 0.5
 """Retry delay if a decode engine should already be available again."""
 
@@ -338,6 +340,8 @@
         self, engine: EngineState, request: OpenRequest, now: float
     ) -> None:
         """Report how long the new events of an answer took."""
+        if request.tokens > MAX_ANSWER_EVENTS:
+            return
         name = request.work.request
         last = engine.last_events.get(name)
         engine.last_events[name] = now, request.tokens
@@ -351,7 +355,7 @@
 
     def record_completion(self, request: OpenRequest, host: KnownHost) -> None:
         """Record that the request's answer is complete."""
-        if host.host not in self._engines:
+        if host.host not in self._engines or request.tokens > MAX_ANSWER_EVENTS:
             return
         terms = request.terms
         self.observer.record_answer(
--- a/standins/spoiling.py
+++ b/standins/spoiling.py
@@ -31,6 +31,8 @@
     """Event after which the stream breaks off; 0 for right after the head."""
     half: bool = True
     """Whether it breaks off in the middle of the next event."""
+    rest: bytes = HALF_EVENT
+    """Data sent in place of the next event if it breaks off there."""
     end: str = RESET
     """Whether the connection is reset (RESET) or closed (CLOSE) there, or the answer
     ends as a complete one does (FINISH)."""
@@ -83,7 +85,7 @@
     async def break_off(self) -> None:
         """End the connection before the answer is complete."""
         if self._fault.half:
-            await self.write(HALF_EVENT)
+            await self.write(self._fault.rest)
         await asyncio.sleep(DELIVERY_SECONDS)
         if self._fault.end == FINISH:
             await self.end()
--- a/tests/direct/test_stream.py
+++ b/tests/direct/test_stream.py
@@ -4,7 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from radishtally.direct.stream import EventSplitter, continues_stream
+from radishtally.direct.answer_checks import AnswerFault
+from radishtally.direct.stream import MAX_ID_DIGITS, EventSplitter, continues_stream
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\r\ndata: d\r\n\r\n"
 
@@ -54,3 +55,18 @@
     first: int, done: bytes, is_continuation: bool
 ) -> None:
     assert continues_stream(first, done) == is_continuation
+
+
+# Guards against ids that exceed the range of a float, or the digits that `int` parses.
+@pytest.mark.parametrize("digits", [MAX_ID_DIGITS + 1, 400, 5_000])
+def test_event_id_out_of_range_is_refused(digits: int) -> None:
+    splitter = EventSplitter()
+    invalid = b"data: y\nid: %s\n\n" % (b"4" * digits)
+    batch = splitter.feed(make_events(1, 2) + invalid + make_events(3))
+    assert (batch.data, batch.last) == (make_events(1, 2), 2)
+    assert splitter.fault == AnswerFault.EVENT_ID
+
+
+def test_largest_event_id_is_accepted() -> None:
+    number = 10**MAX_ID_DIGITS - 1
+    assert EventSplitter().feed(make_events(1, number)).last == number
--- a/tests/engines/test_placement.py
+++ b/tests/engines/test_placement.py
@@ -12,6 +12,7 @@
 from radishtally.engines.core import Observer
 from radishtally.engines.placement import (
     DEFAULT_ENGINE_TERMS,
+    MAX_ANSWER_EVENTS,
     ROLE_ORDER_SECONDS,
     EnginePlacement,
 )
@@ -303,6 +304,21 @@
     assert recorder.answered == ["llm"]
 
 
+# Guards against demand and pace that one answer distorts for hours: ids that increase
+# by more than one don't count its events.
+def test_event_ids_too_large_to_count_events_are_not_measured() -> None:
+    world = World()
+    world.placement.observer = recorder = AnswerRecorder()
+    engine = next(host for host in world.hosts if host.host == "d0")
+    for tokens in (MAX_ANSWER_EVENTS + 1, MAX_ANSWER_EVENTS):
+        request = make_request()
+        request.tokens = tokens
+        world.placement.record_progress(request, engine, 0.0)
+        world.placement.record_completion(request, engine)
+    assert recorder.answered == ["llm"]
+    assert world.placement._engines["d0"].last_events == {"r": (0.0, MAX_ANSWER_EVENTS)}
+
+
 # Guards against an engine that gets no work for long: it has its new role already, was
 # restarted, or has never carried out the order.
 @pytest.mark.parametrize("end", ["listed", "restarted", "timeout"])
--- a/tests/gateway/test_spoiled_streams.py
+++ b/tests/gateway/test_spoiled_streams.py
@@ -8,6 +8,7 @@
 import pytest
 
 from standins.spoiling import CLOSE, FINISH, SOUND, RunFault
+from standins.spoiling import RESET as RESET_END
 from standins.staged import EVENTS, StagedEngine, make_event
 from tests.common import run
 from tests.gateway.common import Deployment, deployment, make_prompt
@@ -27,6 +28,9 @@
 """Answer without framing whose connection is closed, not reset, within an event."""
 CLOSED_HEAD = RunFault(cut_after=0, is_unframed=True, end=CLOSE, half=False)
 
+HUGE_ID = b"id: " + 400 * b"4" + b"\ndata: x\n\n"
+"""Event whose id exceeds the range of a float."""
+
 ENDED = RunFault(cut_after=2, end=FINISH)
 """Answer that ends regularly within an event."""
 ENDED_UNFRAMED = RunFault(cut_after=2, is_unframed=True, end=FINISH)
@@ -81,6 +85,7 @@
                 assert not (await receive(env, path, begun_as)).is_whole
                 more["Resumes"] = begun_as
             received.append(await receive(env, path, **more))
+            assert not env.gateway.runtime.broken
 
     run(ask())
     return received[0]
@@ -200,3 +205,19 @@
 def test_first_event_that_is_cut_off_is_not_sent(fault: RunFault) -> None:
     received = run_with_faults([fault._replace(cut_after=0)], ONCE_PATH)
     assert received.status == 502
+
+
+# Guards against an event id that ends the gateway: as a float it overflows.
+@pytest.mark.parametrize("cut_after", [0, 2], ids=["first", "later"])
+@pytest.mark.parametrize("end", [FINISH, RESET_END], ids=["ended", "reset"])
+def test_stream_with_an_id_out_of_range_is_resumed(cut_after: int, end: str) -> None:
+    fault = RunFault(cut_after=cut_after, rest=HUGE_ID, end=end)
+    received = run_with_faults([fault])
+    assert (received.body, received.is_whole) == (make_events(EVENTS), True)
+
+
+def test_non_resumable_stream_with_an_id_out_of_range_is_aborted() -> None:
+    fault = RunFault(cut_after=2, rest=HUGE_ID, end=FINISH)
+    received = run_with_faults([fault], ONCE_PATH)
+    assert (received.status, received.body) == (200, make_events(2))
+    assert not received.is_whole
