Refuse JSON of hosts and the store that ends a gateway later

An engine's report, list of cached parts or answer to a probe that is nested 100,000 deep raises RecursionError in the decoder, in fields that nobody reads too, and ends the gateway. Numbers had no range: a version of 400 digits ends it in the metric, a row's ver of 400 digits or the tokens of a cached part in the message to the peers.

A handle must fit in a header: it is sent on in one.

--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -1,19 +1,22 @@
 """Tests of decoding what the platform and its callers send."""
 
 import json
+from typing import Any
 
 import pytest
 from adapter.callers import PlatformCallers
 from adapter.config import decode_configuration
-from adapter.instances import decode_instance
+from adapter.instances import decode_entry, decode_instance
+from adapter.store import Answer, _parse_page
 from adapter.upstreams import MAX_LIMIT, MAX_PAUSE_SECONDS, PlatformUpstreams
 
 from radishtally.direct.core import Instance, Notice
 from radishtally.links.messages import PREFILL, STREAM, KvRef, Offer, Work
+from radishtally.outcome import Result
 from radishtally.routes.core import RouteKind, Split
 from radishtally.serving.terms import PromptPart, Terms
 from radishtally.teams.core import Team, TeamKeys
-from tests.gateway.common import ENTRY
+from tests.gateway.common import ENTRY, LIMITS
 
 ROUTE = {
     "name": "r",
@@ -282,3 +285,112 @@
     request = PlatformCallers().read_request("/a/b", head).ok
     assert (request.resumed_stream, request.resumed_after) == ("r0", 4)
     assert request.headers == head
+
+
+HUGE = 10**399
+DEEP = b"[" * 100_000
+UPSTREAMS = PlatformUpstreams()
+ANSWER = {"phase": "decode", "sequence": 1, "born": 1}
+CACHED = ["", "aa", 5, "m"]
+
+
+def encode_with(value: dict[str, Any], **more: Any) -> bytes:
+    return json.dumps({**value, **more}).encode()
+
+
+def decode_page(body: bytes) -> Result[Any, Any]:
+    return _parse_page(Answer(200, body, 0))
+
+
+def decode_handle(body: bytes) -> Result[Any, str]:
+    return UPSTREAMS.read_handle(body, ENGINE)
+
+
+def decode_host(body: bytes) -> Result[Any, str]:
+    return decode_entry("i-1", body)
+
+
+HOST = {**ENTRY, "service": "x", "address": "10.0.0.1:80"}
+ROW = {"table": "t", "key": "k", "ver": 1}
+HANDLE = {"kvHandle": "h", "tokens": 1}
+READERS = {
+    "report": (UPSTREAMS.read_report, ANSWER),
+    "cached parts": (UPSTREAMS.read_cached_parts, {"held": [CACHED]}),
+    "handle": (decode_handle, HANDLE),
+    "entry": (decode_host, HOST),
+    "page": (decode_page, {"rows": [ROW], "ver": 1}),
+    "configuration": (decode_configuration, CONFIGURATION),
+}
+
+
+# Guards against JSON nested so deeply that decoding it ends the process, also where the
+# type has no such field.
+@pytest.mark.parametrize("name", READERS)
+def test_deeply_nested_json_is_an_error(name: str) -> None:
+    decode, sound = READERS[name]
+    assert decode(encode_with(sound)).is_ok()
+    nested = encode_with(sound)[:-1] + b', "new": ' + DEEP
+    for body in (DEEP, nested, b'{"new": ' * 100_000):
+        assert decode(body).is_error()
+
+
+# Guards against a number that ends the process long after it was read: it can be
+# neither a float nor sent to another gateway.
+@pytest.mark.parametrize(
+    ("name", "field", "value"),
+    [
+        ("report", "sequence", HUGE),
+        ("report", "born", HUGE),
+        ("cached parts", "held", [["", "aa", HUGE, "m"]]),
+        ("handle", "tokens", HUGE),
+        ("entry", "sequence", HUGE),
+        ("entry", "slots", HUGE),
+        ("entry", "born", HUGE),
+        ("entry", "coldRemainingMs", HUGE),
+        ("page", "ver", HUGE),
+        ("page", "rows", [{**ROW, "ver": HUGE}]),
+        ("configuration", "version", HUGE),
+        ("configuration", "routes", [{**ROUTE, "priority": HUGE}]),
+        ("configuration", "routes", [{**ROUTE, "maxAttempts": HUGE}]),
+        ("configuration", "routes", [{**ROUTE, "targetLatencyMs": 1e300}]),
+        ("configuration", "limits", {**LIMITS, "maxHeaderBytes": HUGE}),
+        ("configuration", "limits", {**LIMITS, "maxBodyBytes": HUGE}),
+        (
+            "configuration",
+            "services",
+            [{"name": "x", "engine": {"kvCapacityTokens": HUGE}}],
+        ),
+    ],
+)
+def test_number_out_of_range_is_an_error(name: str, field: str, value: Any) -> None:
+    decode, sound = READERS[name]
+    for signed in (value, -value) if isinstance(value, int) else (value,):
+        assert decode(encode_with(sound, **{field: signed})).is_error()
+
+
+# Guards against a handle that becomes a header of its own at another engine.
+@pytest.mark.parametrize(
+    "handle", ["", "a b", "a\r\nX-Kv-Hold: 1", "x" * 201, "\u20ac"]
+)
+def test_handle_that_no_header_can_hold_is_an_error(handle: str) -> None:
+    assert decode_handle(encode_with(HANDLE, kvHandle=handle)).is_error()
+
+
+@pytest.mark.parametrize("digits", [13, 400, 5_000])
+@pytest.mark.parametrize("name", ["X-Deadline-Ms", "X-Token-Count", "Last-Event-Id"])
+def test_callers_number_out_of_range_is_refused_or_ignored(
+    name: str, digits: int
+) -> None:
+    read = PlatformCallers().read_request("/a/b", (*HEAD, (name, "9" * digits)))
+    if name == "X-Deadline-Ms":
+        assert read.error.status == 400
+        return
+    assert (read.ok.prompt_tokens, read.ok.resumed_after) == (0, 0)
+
+
+@pytest.mark.parametrize("digits", [16, 400, 5_000])
+def test_notice_out_of_range_is_ignored_or_bounded(digits: int) -> None:
+    number = "9" * digits
+    headers = (("Server-Limit", number), ("Retry-After", number))
+    notice = UPSTREAMS.read_notice(503, headers)
+    assert notice == Notice(False, MAX_PAUSE_SECONDS, 0.0)
