Refuse numbers out of range in messages of other gateways

An infinite or undefined time in StreamsBegun ended the gateway that got it (OverflowError, ValueError as it is rounded, seen with random messages to a running gateway), one in Interval ended the check of a link, and sums of counts beyond 64 bits can't be sent on.

Times may be slightly negative, as clocks of two calls differ, and rates of services without a limit stay infinite.

--- a/radishtally/links/gateway_messages.py
+++ b/radishtally/links/gateway_messages.py
@@ -2,13 +2,15 @@
 
 from typing import NamedTuple
 
+from radishtally.numbers import Amount, Count, Integer, Seconds
+
 
 class WaitingTokens(NamedTuple):
     """Count the prompt tokens of one priority that await prefill."""
 
-    priority: int
+    priority: Integer
     """Lower goes first."""
-    tokens: int
+    tokens: Count
 
 
 class EngineShare(NamedTuple):
@@ -17,7 +19,7 @@
     host: str
     waiting: tuple[WaitingTokens, ...]
     """Ordered by priority, the most urgent first."""
-    answers: int
+    answers: Count
     start: int = 0
     """Marker of the start of the engine that runs them; 0 if it is unknown."""
 
@@ -29,8 +31,8 @@
     """
 
     host: str
-    tokens: int
-    answers: int
+    tokens: Count
+    answers: Count
 
 
 class BacklogV1(NamedTuple):
@@ -43,8 +45,8 @@
     """Describe an engine share in the previous release's format, without priorities."""
 
     host: str
-    tokens: int
-    answers: int
+    tokens: Count
+    answers: Count
     start: int = 0
 
 
@@ -64,7 +66,7 @@
     """Identify a part of a prompt by a hash of its name and the model's."""
 
     key: int
-    tokens: int
+    tokens: Count
 
 
 class PartsRead(NamedTuple):
@@ -92,9 +94,9 @@
 class HostsRead(NamedTuple):
     """Report to the other entries that a change of the host list has been read."""
 
-    era: int
+    era: Count
     """Era of the store; 0 if it reports none."""
-    version: int
+    version: Count
     """Version of the newest change that was read."""
 
 
@@ -104,7 +106,7 @@
     host: str
     start: int
     """Start time of the host in Unix milliseconds; 0 if it is unknown."""
-    limit: float
+    limit: Amount
     """Requests a second from all entries together; 0 if the limit has ended."""
 
 
@@ -114,11 +116,11 @@
     host: str
     start: int
     """Start time of the host in Unix milliseconds; 0 if it is unknown."""
-    count: int
+    count: Count
     """Permits wanted now, in place of those wanted before."""
-    demand: float
+    demand: Amount
     """Requests a second that the sender would make."""
-    unused: int
+    unused: Count
     """Permits that have expired unused since the last message."""
 
 
@@ -128,7 +130,7 @@
     host: str
     start: int
     """Start time of the host in Unix milliseconds; 0 if it is unknown."""
-    count: int
+    count: Count
 
 
 class Suspicion(NamedTuple):
@@ -136,11 +138,11 @@
 
     content: str
     """Digest of the request's content, which is the same in all retries."""
-    ends: int
+    ends: Count
     """Zero if the request has been answered since."""
-    seconds: float
+    seconds: Seconds
     """Longest time for which one of these hosts had been running the request."""
-    left: float
+    left: Seconds
     """Seconds until the report expires."""
 
 
@@ -157,9 +159,9 @@
     """Digest of the request's content, which is the same in all retries."""
     parts: tuple[int, ...]
     """Keys of the prompt parts that the request may share with others."""
-    age: float
+    age: Seconds
     """Seconds from its offer to the end of the host."""
-    seconds: float
+    seconds: Seconds
     """Seconds from the first data of its answer to that end; 0 if there was none."""
 
 
@@ -167,7 +169,7 @@
     """Report to the other entries the sender's runs that ended with their host."""
 
     host: str
-    age: float
+    age: Seconds
     """Seconds since the end."""
     runs: tuple[CutRun, ...]
     """Empty if the host turned out to be alive."""
@@ -192,10 +194,10 @@
 
     parts: tuple[int, ...]
     """Keys of parts that the evidence doesn't tell apart."""
-    ends: int
-    age: float
+    ends: Count
+    age: Seconds
     """Seconds since the last of these ends: later answers clear the parts."""
-    left: float
+    left: Seconds
     """Seconds until one request may try them."""
 
 
@@ -203,30 +205,30 @@
     """Reserve the kind of the previous release's demand report, which is ignored."""
 
     upstream: str
-    prefill: float
-    decode: float
+    prefill: Amount
+    decode: Amount
 
 
 class DemandReport(NamedTuple):
     """Report to the other entries the sender's recent demand for an upstream."""
 
     upstream: str
-    requests: float
-    prompt_tokens: float
+    requests: Amount
+    prompt_tokens: Amount
     """Only tokens that no engine was known to have cached."""
-    answer_tokens: float
+    answer_tokens: Amount
     """Answer tokens by the callers' estimates."""
-    ended: float
+    ended: Amount
     """Answers that were completed; the next two fields refer to the same answers."""
-    ended_events: float
-    ended_tokens: float
+    ended_events: Amount
+    ended_tokens: Amount
 
 
 class TeamCount(NamedTuple):
     """Count the requests of a team."""
 
     team: str
-    requests: int
+    requests: Count
 
 
 class UsageCounts(NamedTuple):
@@ -238,7 +240,7 @@
     gateway: str
     incarnation: str
     """Unique to each start of the gateway's process."""
-    window: int
+    window: Count
     is_closed: bool
     """Whether the gateway adds no more to this window."""
     counts: tuple[TeamCount, ...]
@@ -247,20 +249,20 @@
 class ViewRequest(NamedTuple):
     """Request a confirmation that the configuration in force is the newest one."""
 
-    number: int
+    number: Count
     """Number of the request, unique to the sender's process."""
 
 
 class ViewConfirmation(NamedTuple):
     """Confirm that a configuration was the newest one in the store."""
 
-    number: int
+    number: Count
     """Number of the request."""
-    era: int
+    era: Count
     """Newest era of the store that the sender knows."""
-    version: int
+    version: Count
     """Version of the configuration in force at the sender."""
-    age: float
+    age: Seconds
     """Seconds since the sender has requested its own confirmation."""
 
 
@@ -269,9 +271,9 @@
 
     stream: bytes
     """Key of the stream: a digest of the id of the request that began it."""
-    left: float
+    left: Seconds
     """Seconds until it is forgotten."""
-    age: float
+    age: Seconds
     """Seconds since it began, at least."""
 
 
@@ -303,17 +305,17 @@
     """Count the sender's open calls at a plain host."""
 
     host: str
-    count: int
+    count: Count
 
 
 class ClassDemand(NamedTuple):
     """Count the sender's open and waiting calls of one rank and team."""
 
-    rank: int
+    rank: Integer
     """Lower goes first."""
     team: int
     """Hash of the team's name."""
-    count: int
+    count: Count
 
 
 class CallLoad(NamedTuple):
@@ -332,11 +334,11 @@
 
     key: str
     """Beginning of the digest of the request's content."""
-    seconds_to_due: float
+    seconds_to_due: Seconds
     """Time until it was told to return."""
-    seconds_left: float
+    seconds_left: Seconds
     """Time until it gives up."""
-    asked_seconds: float
+    asked_seconds: Seconds
     """Time that it had left when it asked."""
 
 
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -2,6 +2,8 @@
 
 from typing import Final, NamedTuple
 
+from radishtally.numbers import Amount, Count, Integer, Positive, Seconds
+
 CHAT: Final = "chat"
 COMPLETION: Final = "completion"
 CALL: Final = "call"
@@ -39,22 +41,22 @@
     role: str
     incarnation: str
     """Unique to each start of the process."""
-    revision: int
+    revision: Count
     """Revision of the configuration that is in force at the sender."""
 
 
 class Ping(NamedTuple):
     """Request a pong, as a heartbeat."""
 
-    sequence: int
-    revision: int
+    sequence: Count
+    revision: Count
 
 
 class Pong(NamedTuple):
     """Answer a ping."""
 
-    sequence: int
-    revision: int
+    sequence: Count
+    revision: Count
 
 
 class Work(NamedTuple):
@@ -75,13 +77,13 @@
     key: str = ""
     """Idempotency key, unique within the team; empty if the caller sent none."""
     idempotent: bool = True
-    priority: int = 0
+    priority: Integer = 0
     """Lower goes first."""
-    share: float = 1.0
+    share: Amount = 1.0
     """The team's weight in fair queueing."""
-    prompt_tokens: int = 0
+    prompt_tokens: Count = 0
     """Estimated number."""
-    max_tokens: int = 0
+    max_tokens: Count = 0
     prefix: int = 0
     """Hash of the beginning of the prompt."""
 
@@ -92,21 +94,21 @@
     host: str
     url: str
     handle: str
-    tokens: int
+    tokens: Count
 
 
 class Offer(NamedTuple):
     """Offer work to an agent, which accepts or refuses it."""
 
     work: Work
-    attempt: int
-    budget: float
+    attempt: Count
+    budget: Seconds
     """Seconds until the caller's deadline when the message was sent."""
     stage: str = WHOLE
     """WHOLE, or PREFILL for only the first token and its KV cache."""
     done: bytes = b""
     """Part of the answer from earlier attempts; only the rest is requested."""
-    tokens_done: int = 0
+    tokens_done: Count = 0
     kv: KvRef | None = None
 
 
@@ -114,29 +116,29 @@
     """Report an agent's load."""
 
     host: str
-    queued: int
-    running: int
-    slots: int
+    queued: Count
+    running: Count
+    slots: Count
     """Requests that the upstream runs concurrently."""
-    prefill_backlog: float
+    prefill_backlog: Positive
     """Seconds of prefill work that is accepted but not started."""
-    wait: float
+    wait: Positive
     """Seconds that new work of medium priority would wait now."""
-    prefill_rate: float
+    prefill_rate: Positive
     """Tokens per second."""
-    decode_seconds: float
+    decode_seconds: Positive
     """Seconds per token."""
     role: str
     model: str
     version: str
     adapters: tuple[str, ...]
     draining: bool
-    prompt_tokens: int = 0
+    prompt_tokens: Count = 0
     """Total of all work accepted since the agent's start, as are the next three."""
-    output_tokens: int = 0
-    requests: int = 0
-    refused: int = 0
-    token_seconds: float = 0.0
+    output_tokens: Count = 0
+    requests: Count = 0
+    refused: Count = 0
+    token_seconds: Positive = 0.0
     """Seconds per token at the upstream's current load."""
 
 
@@ -144,8 +146,8 @@
     """Confirm that the agent has accepted the work and is now responsible for it."""
 
     request: str
-    attempt: int
-    wait: float
+    attempt: Count
+    wait: Positive
     """Predicted seconds until the first token."""
     attached: bool = False
     """Whether an answer for the same idempotency key already exists."""
@@ -155,9 +157,9 @@
     """Signal that the work was not run here and will not be."""
 
     request: str
-    attempt: int
+    attempt: Count
     reason: str
-    retry_after: float
+    retry_after: Positive
     load: Load | None = None
 
 
@@ -168,8 +170,8 @@
     """
 
     request: str
-    attempt: int
-    status: int
+    attempt: Count
+    status: Count
     headers: tuple[tuple[str, str], ...]
 
 
@@ -177,11 +179,11 @@
     """Carry a part of an attempt's answer."""
 
     request: str
-    attempt: int
-    offset: int
+    attempt: Count
+    offset: Count
     """Offset of the first byte in the whole answer, including earlier attempts."""
     data: bytes
-    tokens: int
+    tokens: Count
     """Tokens of the whole answer up to the end of the chunk, so that resending a part
     after an interruption counts no token twice."""
 
@@ -190,15 +192,15 @@
     """Signal the end of an attempt's answer, which is complete only then."""
 
     request: str
-    attempt: int
-    length: int
+    attempt: Count
+    length: Count
     """Bytes of the whole answer, including earlier attempts."""
     checksum: int
     """xxh64 of the whole answer."""
-    status: int
+    status: Count
     finish_reason: str
-    prompt_tokens: int
-    output_tokens: int
+    prompt_tokens: Count
+    output_tokens: Count
     headers: tuple[tuple[str, str], ...] = ()
 
 
@@ -206,8 +208,8 @@
     """End an attempt gracefully before its answer is complete, to resume elsewhere."""
 
     request: str
-    attempt: int
-    length: int
+    attempt: Count
+    length: Count
     checksum: int
     kv: KvRef | None
 
@@ -216,11 +218,11 @@
     """Signal that an accepted attempt failed at the upstream."""
 
     request: str
-    attempt: int
+    attempt: Count
     ran: str
     """Ran.NO or Ran.UNKNOWN."""
     reason: str
-    length: int
+    length: Count
     """Bytes of the whole answer that are valid."""
 
 
@@ -228,30 +230,30 @@
     """Acknowledge the end of an answer, which the agent may then discard."""
 
     request: str
-    attempt: int
-    offset: int
+    attempt: Count
+    offset: Count
 
 
 class Attach(NamedTuple):
     """Resume an attempt's answer at an offset, over a new link."""
 
     request: str
-    attempt: int
-    offset: int
+    attempt: Count
+    offset: Count
 
 
 class Cancel(NamedTuple):
     """Cancel an attempt; a later offer of it is refused."""
 
     request: str
-    attempt: int
+    attempt: Count
 
 
 class Cancelled(NamedTuple):
     """Confirm a cancellation, for which the agent keeps a tombstone of the attempt."""
 
     request: str
-    attempt: int
+    attempt: Count
     ran: str
     """Ran.NO only if the attempt never reached the upstream."""
 
@@ -273,7 +275,7 @@
 class ConfigurationRequest(NamedTuple):
     """Request the peer's configuration if it is newer."""
 
-    revision: int
+    revision: Count
     hashes: dict[str, str]
     """SHA-256 in hexadecimal of each file that the sender has."""
 
@@ -281,7 +283,7 @@
 class ConfigurationFiles(NamedTuple):
     """Send a configuration: hashes of all files, and the files that the peer lacks."""
 
-    revision: int
+    revision: Count
     hashes: dict[str, str]
     files: dict[str, str]
 
@@ -289,4 +291,4 @@
 class Interval(NamedTuple):
     """Announce the longest interval between the sender's pings over an idle link."""
 
-    seconds: float
+    seconds: Seconds
