Leave out rows of other gateways that another writer has replaced

A row of a gateway without an address, or a shared secret without its text, ended all gateways that read it (KeyError in the task that follows the peers). A usage row whose key consists of digits of no number (superscripts) ended the holder of the lease.

Change: an invalid secret is replaced under its revision, an invalid row is left out and logged, and its own gateway writes it again as if it were missing.

--- a/radishtally/gateway/registry.py
+++ b/radishtally/gateway/registry.py
@@ -10,6 +10,7 @@
 from radishtally.gateway.const import JOIN_POLL_SECONDS
 from radishtally.gateway.topology import Site
 from radishtally.outcome import Result
+from radishtally.settings.core import is_address
 from radishtally.store.core import (
     ABSENT,
     Conflict,
@@ -30,6 +31,8 @@
 WRITE_TIMEOUT_SECONDS: Final = 2.0
 MAX_GATEWAYS: Final = 1_000
 """Maximum number of rows to read: three times the number of gateways supported."""
+MAX_CORES: Final = 100_000
+"""More processor cores than any machine has."""
 
 
 class GatewayRegistry:
@@ -41,14 +44,16 @@
         self._value = {"address": address, **site._asdict()}
 
     async def read_or_create_secret(self, known: str | None = None) -> str:
-        """Return the stored secret; if missing, store the known one or a new one."""
+        """Return the stored secret; if none is valid, store the known or a new one."""
         while True:
             read = await self._table.get(PEER_SECRET_KEY)
-            if read.is_ok() and read.ok is not None:
-                return read.ok.value["secret"]
+            stored = _read_secret(read.ok) if read.is_ok() else None
+            if stored is not None:
+                return stored
             if read.is_ok():
                 value = {"secret": known or secrets.token_hex(16)}
-                written = await self._write(Put(PEER_SECRET_KEY, value, ABSENT))
+                rev = ABSENT if read.ok is None else read.ok.rev
+                written = await self._write(Put(PEER_SECRET_KEY, value, rev))
                 # Either this secret or another gateway's is stored now.
                 if written.is_ok() or isinstance(written.error, Conflict):
                     continue
@@ -79,7 +84,9 @@
     async def read_rows(self) -> Result[dict[str, Row], ReadError]:
         """Read the rows of all gateways by their names."""
         read = await self._table.query(GATEWAYS_PARTITION, limit=MAX_GATEWAYS)
-        return read.map(lambda rows: {row.key.sk: row for row in rows})
+        return read.map(
+            lambda rows: {row.key.sk: row for row in rows if _has_address(row)}
+        )
 
     async def remove(self, row: Row) -> None:
         """Remove the row of a gateway that is permanently gone."""
@@ -106,4 +113,20 @@
     """Return a gateway's site; rows of other releases may not contain it."""
     data_centre, cores = row.value.get("data_centre"), row.value.get("cores")
     is_valid = isinstance(data_centre, str) and isinstance(cores, int | float)
-    return Site(data_centre, cores) if is_valid else Site()
+    if not is_valid or not 0 <= cores <= MAX_CORES:
+        return Site()
+    return Site(data_centre, cores)
+
+
+def _read_secret(row: Row | None) -> str | None:
+    """Return the secret of a row; None if another writer has replaced it."""
+    secret = None if row is None else row.value.get("secret")
+    return secret if isinstance(secret, str) and secret else None
+
+
+def _has_address(row: Row) -> bool:
+    address = row.value.get("address")
+    if isinstance(address, str) and is_address(address):
+        return True
+    log_message("peers:row_invalid", peer=row.key.sk)
+    return False
--- a/radishtally/settings/core.py
+++ b/radishtally/settings/core.py
@@ -57,7 +57,7 @@
         message = "expected an address for callers of an entry"
         return Error(Fault(message, f"{file}: http_address"))
     for path, address in _list_addresses(settings):
-        if not _is_address(address):
+        if not is_address(address):
             message = f"expected an IP number and a port, got {address}"
             return Error(Fault(message, f"{file}: {path}"))
     return Ok(settings)
@@ -75,10 +75,13 @@
         yield f"dial.{host}", address
 
 
-def _is_address(text: str) -> bool:
+def is_address(text: str) -> bool:
+    """Return whether a text is an IP number and a port."""
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and int(port) <= MAX_PORT
+    if not (port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))):
+        return False
+    return int(port) <= MAX_PORT
--- a/radishtally/usage/reporter.py
+++ b/radishtally/usage/reporter.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable
 from enum import StrEnum
 from random import Random
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 
 from eliot import log_message
 
 from radishtally.limits.retries import backoff
+from radishtally.numbers import MAX_INTEGER
 from radishtally.outcome import Result
 from radishtally.store.core import ABSENT, Conflict, Delete, Key, Put, Row, Table
 from radishtally.store.ids import WriteIds
@@ -21,6 +22,9 @@
 from radishtally.usage import const
 from radishtally.usage.core import UsageLedger
 
+WINDOW_DIGITS: Final = 12
+"""Digits of a window in a row's key, so that keys sort by time."""
+
 
 class ReportOutcome(StrEnum):
     """Outcomes of a report to the platform."""
@@ -153,11 +157,11 @@
 
     def _record_row(self, row: Row) -> dict[str, int] | None:
         """Take over a written report; another writer's row is of no use."""
-        counts = _parse_counts(row.value)
-        if counts is None or not row.key.sk.isdigit():
+        window, counts = _parse_window(row.key.sk), _parse_counts(row.value)
+        if window is None or counts is None:
             log_message("usage:row_invalid", key=row.key.sk)
             return None
-        self._written[int(row.key.sk)] = counts
+        self._written[window] = counts
         return counts
 
     async def _write(self, window: int) -> dict[str, int] | None:
@@ -238,8 +242,13 @@
 
 
 def _format_window(window: int) -> str:
-    """Format a window as a key, so that keys sort by time."""
-    return f"{window:012d}"
+    """Format a window as a row's key."""
+    return f"{window:0{WINDOW_DIGITS}d}"
+
+
+def _parse_window(key: str) -> int | None:
+    is_valid = key.isascii() and key.isdigit() and len(key) == WINDOW_DIGITS
+    return int(key) if is_valid else None
 
 
 def _parse_counts(value: dict[str, Any]) -> dict[str, int] | None:
@@ -247,7 +256,6 @@
     if not isinstance(counts, dict):
         return None
     is_valid = all(
-        isinstance(team, str) and type(number) is int and number >= 0
-        for team, number in counts.items()
+        type(number) is int and 0 <= number <= MAX_INTEGER for number in counts.values()
     )
     return counts if is_valid else None
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -6,13 +6,20 @@
 from eliot import add_destinations, remove_destination
 
 from radishtally.gateway import registry
-from radishtally.gateway.registry import PEER_SECRET_KEY, GatewayRegistry
+from radishtally.gateway.registry import (
+    GATEWAYS_PARTITION,
+    PEER_SECRET_KEY,
+    GatewayRegistry,
+    read_site,
+)
 from radishtally.gateway.topology import Site
 from radishtally.outcome import Error, Result
 from radishtally.store.core import (
     ABSENT,
     Conflict,
+    Key,
     Put,
+    Row,
     TableError,
     Unavailable,
     Unclear,
@@ -93,6 +100,48 @@
     run(scenario())
 
 
+# Guards against gateways that end because another writer has replaced the secret.
+@pytest.mark.parametrize("value", [{}, {"secret": 7}, {"secret": ""}, {"secret": [[]]}])
+def test_invalid_secret_is_replaced(value: dict[str, object]) -> None:
+    async def scenario() -> None:
+        table = MemoryTable()
+        table.rows.apply([Put(PEER_SECRET_KEY, value, ABSENT)], "w")
+        assert await make_registry(table).read_or_create_secret("ours") == "ours"
+        assert (await table.get(PEER_SECRET_KEY)).ok.value == OURS
+
+    run(scenario())
+
+
+# Guards against a gateway that ends on the row of another one, replaced by another
+# writer: an address can't be dialled, or a number exceeds the range of a float.
+@pytest.mark.parametrize(
+    "value",
+    [
+        {},
+        {"address": 7},
+        {"address": "127.0.0.1"},
+        {"address": "gateway:8104"},
+        {"address": f"127.0.0.1:{'9' * 5000}"},
+    ],
+    ids=["missing", "number", "no port", "name", "digits"],
+)
+def test_row_without_a_valid_address_is_left_out(value: dict[str, object]) -> None:
+    async def scenario() -> None:
+        table = MemoryTable()
+        await make_registry(table).write_own_row()
+        table.rows.apply([Put(Key(GATEWAYS_PARTITION, "g-2"), value, ABSENT)], "w")
+        rows = await make_registry(table).read_rows()
+        assert list(rows.ok) == ["gateway-1"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("cores", [10**400, float("inf"), -1, "1", None])
+def test_site_out_of_range_counts_as_unknown(cores: object) -> None:
+    value = {"data_centre": "howrah", "cores": cores}
+    assert read_site(Row(PEER_SECRET_KEY, 1, "w", value)) == Site()
+
+
 # Around a restore, writes may end with an unclear outcome. The secret must then be
 # neither abandoned nor generated again, but retried until it is stored.
 @pytest.mark.parametrize("fault", ["lose_replies", "drop_writes"])
--- a/tests/usage/test_reporter.py
+++ b/tests/usage/test_reporter.py
@@ -244,3 +244,25 @@
     assert len(table.rows.rows) == 1
     holder.report(END + (2 * const.PRUNED_WINDOWS) * WINDOW_SECONDS)
     assert len(table.rows.rows) == 0
+
+
+# Guards against a holder that ends on a row of another writer: its key is no window, or
+# its count can't be sent.
+@pytest.mark.parametrize(
+    ("key", "count"),
+    [
+        ("\u00b2" * 12, 1),
+        ("9" * 5_000, 1),
+        (f"{FIRST:012d}", 10**400),
+        (f"{FIRST:012d}", "1"),
+    ],
+    ids=["digits of no number", "too long", "huge count", "text"],
+)
+def test_invalid_row_is_left_out(table: MemoryTable, key: str, count: object) -> None:
+    row = Put(Key(const.USAGE, key), {"counts": {"silk": count}}, ABSENT)
+    table.rows.apply([row], "w")
+    platform = Platform()
+    holder = Holder("g-1", table, platform)
+    holder.count(["satin"], FIRST + 1)
+    holder.report(END + WINDOW_SECONDS + 1.0)
+    assert platform.get_counts(FIRST + 1) == [{"satin": 1}]
