Decode what engines and callers send to agents and entries within bounds

An event nested 20,000 deep, a count of 400 digits in it, or a refusal's body nested as deep left an agent's attempt without an outcome: its request waited until its deadline. A body of a caller nested 100,000 deep, or with max_tokens of 400 digits, raised in the entry.

The answers to orders and exports are decoded into types in place of any JSON.

--- a/radishtally/agent/engine.py
+++ b/radishtally/agent/engine.py
@@ -17,8 +17,10 @@
     PREFILL_TIMEOUT_FACTOR,
 )
 from radishtally.agent.sse import Done, read_parts
+from radishtally.decoding import DECODE_ERRORS, decode
 from radishtally.exchange import EXCHANGE_ERRORS
 from radishtally.links.messages import CHAT, PREFILL, KvRef, Offer
+from radishtally.numbers import Count, Positive
 from radishtally.outcome import Fault, Ran
 from radishtally.tasks import AttemptTasks
 
@@ -45,10 +47,29 @@
     adapters: tuple[str, ...]
     changing: bool
     incarnation: str
-    fencing: int
-    max_batch: int
-    prefill_tokens_per_second: float
-    decode_seconds_per_token: float
+    fencing: Count
+    max_batch: Count
+    prefill_tokens_per_second: Positive
+    decode_seconds_per_token: Positive
+
+
+class OrderReply(msgspec.Struct):
+    """Hold the body of the engine's answer to an order."""
+
+    highest: Count = 0
+    """Highest fencing token that the engine has seen, if it refuses a lower one."""
+
+
+class ExportReply(msgspec.Struct):
+    """Locate an exported KV cache."""
+
+    handle: str
+    tokens: Count
+
+
+_STATE_DECODER: Final = msgspec.json.Decoder(EngineState)
+_ORDER_DECODER: Final = msgspec.json.Decoder(OrderReply)
+_EXPORT_DECODER: Final = msgspec.json.Decoder(ExportReply)
 
 
 class Engine:
@@ -84,23 +105,30 @@
                 f"{self._url}/state", timeout=CALL_TIMEOUT
             ) as response:
                 body = await response.read()
-            state = msgspec.json.decode(body, type=EngineState)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Error(Fault(repr(error), self._url))
-        except msgspec.MsgspecError as error:
-            return Error(Fault(str(error), self._url))
+        read = decode(_STATE_DECODER, body)
+        if read.is_error():
+            return Error(Fault(read.error, self._url))
+        state = read.ok
         self._prefill_rate = state.prefill_tokens_per_second or float("inf")
         return Ok(state)
 
-    async def order(self, body: dict[str, Any]) -> Result[tuple[int, Any], Fault]:
+    async def order(
+        self, body: dict[str, Any]
+    ) -> Result[tuple[int, OrderReply], Fault]:
         """Send an order; return the status and the body of the engine's answer."""
         try:
             async with self._session.post(
                 f"{self._url}/orders", json=body, timeout=CALL_TIMEOUT
             ) as response:
-                return Ok((response.status, await response.json()))
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+                status, answer = response.status, await response.read()
+        except EXCHANGE_ERRORS as error:
             return Error(Fault(repr(error), self._url))
+        read = decode(_ORDER_DECODER, answer)
+        if read.is_error():
+            return Error(Fault(read.error, self._url))
+        return Ok((status, read.ok))
 
     def run(self, offer: Offer) -> None:
         """Start work; its results are reported as events."""
@@ -224,10 +252,11 @@
                 f"{self._url}/kv/export", json=body, timeout=CALL_TIMEOUT
             ) as response:
                 if response.status == 200:
-                    exported = await response.json()
-                    handle, tokens = str(exported["handle"]), int(exported["tokens"])
-                    kv = KvRef(self._host, self._url, handle, tokens)
-        except (aiohttp.ClientError, OSError, TimeoutError, KeyError, ValueError):
+                    read = decode(_EXPORT_DECODER, await response.read())
+                    if read.is_ok():
+                        found = read.ok.handle, read.ok.tokens
+                        kv = KvRef(self._host, self._url, *found)
+        except EXCHANGE_ERRORS:
             kv = None
         if task is not None:
             task.cancel()
@@ -302,5 +331,5 @@
 def _read_message(body: bytes) -> str:
     try:
         return str(msgspec.json.decode(body)["error"]["message"])
-    except (msgspec.MsgspecError, KeyError, TypeError):
+    except (*DECODE_ERRORS, KeyError, TypeError):
         return "the engine refused the request"
--- a/radishtally/agent/orders.py
+++ b/radishtally/agent/orders.py
@@ -199,7 +199,7 @@
         if status in ORDER_ACCEPTED_STATUSES:
             return orders.ACCEPTED, 0
         if status == ORDER_STALE_STATUS:
-            return orders.STALE, int(reply.get("highest", 0))
+            return orders.STALE, reply.highest
         if status == ORDER_BUSY_STATUS:
             return orders.BUSY, 0
         return orders.REJECTED, 0
--- a/radishtally/agent/sse.py
+++ b/radishtally/agent/sse.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from radishtally.decoding import decode
+from radishtally.numbers import Count
+
 DATA_PREFIX: Final = b"data:"
 DONE_DATA: Final = b"[DONE]"
 
@@ -26,8 +29,8 @@
 class Usage(msgspec.Struct):
     """Hold the token counts that the engine reports."""
 
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
+    prompt_tokens: Count = 0
+    completion_tokens: Count = 0
 
 
 class EngineEvent(msgspec.Struct):
@@ -62,7 +65,10 @@
         if data == DONE_DATA:
             yield Done()
             return
-        event = _DECODER.decode(data)
+        read = decode(_DECODER, data)
+        if read.is_error():
+            raise msgspec.ValidationError(read.error)
+        event = read.ok
         if event.error is not None:
             raise msgspec.ValidationError(f"engine error: {event.error}")
         yield _read_part(event)
--- a/radishtally/entry/openai.py
+++ b/radishtally/entry/openai.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
+from radishtally.decoding import DECODE_ERRORS
 from radishtally.links.messages import CHAT, COMPLETION, Finished
+from radishtally.numbers import Count
 from radishtally.outcome import Error, Ok, Refusal, Result
 
 DEFAULT_MAX_TOKENS: Final = 256
@@ -46,11 +48,11 @@
     model: str
     messages: list[ChatMessage] | None = None
     prompt: str | None = None
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: Count | None = None
+    max_completion_tokens: Count | None = None
     stream: bool = False
     stream_options: StreamOptions | None = None
-    n: int | None = None
+    n: Count | None = None
 
 
 class Generation(NamedTuple):
@@ -82,7 +84,7 @@
     try:
         read = _DECODER.decode(body)
         raw_fields = msgspec.json.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Error(Refusal(400, CODE_BAD_REQUEST, f"body: {error}"))
     fault = _find_body_error(read, raw_fields, kind)
     if fault:
--- a/radishtally/entry/operators.py
+++ b/radishtally/entry/operators.py
@@ -11,6 +11,7 @@
 
 from radishtally.configuration.head import Head
 from radishtally.configuration.store import ApplyError
+from radishtally.decoding import DECODE_ERRORS
 from radishtally.entry.core import Entry
 from radishtally.entry.error_responses import respond_error, respond_fault
 from radishtally.entry.host_descriptions import (
@@ -234,7 +235,7 @@
 def _read_body(request: Request, kind: type[B]) -> Result[B, str]:
     try:
         body = msgspec.json.decode(request.body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Error(f"body: {error}")
     if not body.cause.strip():
         return Error("cause: expected a reason for the change")
--- a/radishtally/store/hostlist.py
+++ b/radishtally/store/hostlist.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from radishtally.decoding import DECODE_ERRORS
 from radishtally.outcome import Error, Ok, Result
 from radishtally.store.client import HttpClient, Reply
 from radishtally.store.core import LEAVING, LIVE, ListedHost, Unavailable
@@ -43,7 +44,7 @@
     try:
         data = msgspec.json.decode(reply.body, type=list[dict[str, object]])
         groups = [_parse_group(entry) for entry in data]
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Error(Unavailable(f"malformed reply: {error}"))
     return Ok([host for group in groups for host in _list_hosts(group)])
 
--- a/radishtally/store/table.py
+++ b/radishtally/store/table.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from radishtally.decoding import DECODE_ERRORS
 from radishtally.outcome import Error, Ok, Result
 from radishtally.store.client import CallError, HttpClient, NoReply, NotSent, Reply
 from radishtally.store.core import (
@@ -193,7 +194,7 @@
 def _decode_object(body: bytes) -> dict[str, Any] | None:
     try:
         return msgspec.json.decode(body, type=dict[str, Any])
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
@@ -269,7 +270,7 @@
         return Ok(None)
     try:
         return Ok(_decode_row(data["Item"]))
-    except (LookupError, TypeError, ValueError) as error:
+    except (*DECODE_ERRORS, LookupError, TypeError, ValueError) as error:
         return Error(Unavailable(f"malformed item: {error!r}"))
 
 
@@ -278,7 +279,7 @@
 ) -> Result[tuple[list[Row], Attributes | None], ReadError]:
     try:
         rows = [_decode_row(item) for item in data["Items"]]
-    except (LookupError, TypeError, ValueError) as error:
+    except (*DECODE_ERRORS, LookupError, TypeError, ValueError) as error:
         return Error(Unavailable(f"malformed items: {error!r}"))
     return Ok((rows, data.get("LastEvaluatedKey")))
 
--- a/tests/agent/test_engine.py
+++ b/tests/agent/test_engine.py
@@ -1,6 +1,7 @@
 """Tests of the engine client: the events that it reports to the core."""
 
 import asyncio
+import json
 
 import aiohttp
 import msgspec
@@ -20,6 +21,21 @@
 BODY = msgspec.json.encode({"messages": [{"role": "user", "content": "?"}]})
 FINISH = b'data: {"choices": [{"text": "", "finish_reason": "stop"}]}\n\n'
 DONE = b"data: [DONE]\n\n"
+DEEP = b"[" * 20_000
+HUGE = b"4" * 400
+HUGE_USAGE = b'data: {"usage": {"prompt_tokens": %s}}\n\n' % HUGE
+STATE = {
+    "role": "decode",
+    "model": "m",
+    "version": "1",
+    "adapters": [],
+    "changing": False,
+    "incarnation": "1",
+    "fencing": 1,
+    "max_batch": 8,
+    "prefill_tokens_per_second": 1.0,
+    "decode_seconds_per_token": 1.0,
+}
 
 
 def make_offer(**more: object) -> Offer:
@@ -89,6 +105,8 @@
         (stream(b"data: {rubbish\n\n"), Ran.UNKNOWN),
         (stream(b'data: {"choices": 3}\n\n'), Ran.UNKNOWN),
         (stream(b"data: " + b"x" * 3_000_000), Ran.UNKNOWN),
+        (stream(make_event("a"), b'data: {"new": ' + DEEP + b"\n\n"), Ran.UNKNOWN),
+        (stream(make_event("a"), HUGE_USAGE, FINISH, DONE), Ran.UNKNOWN),
         (reply(503, b'{"error": {"code": "not_started"}}'), Ran.NO),
         (reply(503, b"away"), Ran.UNKNOWN),
         (reply(500, b""), Ran.UNKNOWN),
@@ -104,6 +122,8 @@
         "rubbish",
         "wrong type",
         "endless line",
+        "deep",
+        "huge count",
         "not started",
         "away",
         "broken",
@@ -125,6 +145,7 @@
         (b'{"error": {"message": "prompt too long"}}', "prompt too long"),
         (b"rubbish", "the engine refused the request"),
         (b'{"error": "text"}', "the engine refused the request"),
+        (b'{"error": ' + DEEP, "the engine refused the request"),
     ],
 )
 def test_refusal_of_the_request_is_reported_as_its_answer(
@@ -232,3 +253,39 @@
     recorder = run(asyncio.wait_for(check(), 20.0))
     assert len(recorder.parts) == len(pieces)
     assert recorder.events[-1].ran == Ran.UNKNOWN
+
+
+# Guards against an agent that ends, or never reports an outcome: its engine answers
+# with JSON that can't be decoded, or with a number that no message can carry.
+@pytest.mark.parametrize(
+    "body",
+    [DEEP, b'{"new": ' + DEEP, b"[]", b"\xff", b'{"highest": %s}' % HUGE],
+    ids=["deep", "deep field", "no object", "no text", "huge"],
+)
+def test_invalid_answers_of_the_engine_are_faults(body: bytes) -> None:
+    async def check() -> None:
+        recorder = EventRecorder()
+        async with serve(reply(200, body)) as url:
+            client = Engine("agent-0", url, recorder.record)
+            assert (await client.read_state()).is_error()
+            assert (await client.order({})).is_error()
+            client.export("r", 1)
+            end = await recorder.wait_end()
+            await client.close()
+        assert end == events.Exported("r", 1, None)
+
+    run(check())
+
+
+@pytest.mark.parametrize("field", ["fencing", "max_batch"])
+def test_state_out_of_range_is_a_fault(field: str) -> None:
+    async def read(state: dict[str, object]) -> bool:
+        body = json.dumps(state).encode()
+        async with serve(reply(200, body)) as url:
+            client = Engine("agent-0", url, EventRecorder().record)
+            read = await client.read_state()
+            await client.close()
+            return read.is_ok()
+
+    assert run(read(STATE))
+    assert not run(read({**STATE, field: 10**399}))
--- a/tests/entry/test_openai.py
+++ b/tests/entry/test_openai.py
@@ -1,5 +1,6 @@
 """Tests of the answers with OpenAI's client library, on a real fleet."""
 
+import json
 from collections.abc import Iterator
 from urllib.error import HTTPError
 
@@ -177,3 +178,15 @@
         "ran": "unknown",
         "retry_after": 2.0,
     }
+
+
+# Guards against a caller's body that ends the entry: nested deeply, or with a number
+# that no message to an agent can carry.
+@pytest.mark.parametrize("field", ["max_tokens", "max_completion_tokens"])
+def test_body_out_of_range_is_refused(field: str) -> None:
+    sound = {"model": "m", "prompt": "p", field: 9}
+    assert parse_generation(json.dumps(sound).encode(), COMPLETION).is_ok()
+    huge = json.dumps({**sound, field: 10**399}).encode()
+    deep = json.dumps(sound).encode()[:-1] + b', "x": ' + b"[" * 100_000
+    for body in (huge, deep, b"[" * 100_000):
+        assert parse_generation(body, COMPLETION).error.status == 400
