Refuse frames of peers by their length, and close ended links' connections

A peer could fill a process's memory with one frame: the gRPC library reads the length, up to 4 GB, and collects that much. After the end of a link the library went on reading and dropping what came on its connection, and so it did for a peer without the shared key. A token with other characters than ASCII raised TypeError.

--- a/radishtally/links/auth.py
+++ b/radishtally/links/auth.py
@@ -27,4 +27,6 @@
     host = str(metadata.get(ATTR_HOST, ""))
     incarnation = str(metadata.get(ATTR_INCARNATION, ""))
     token = str(metadata.get(ATTR_TOKEN, ""))
-    return hmac.compare_digest(token, make_token(peer_key, host, incarnation))
+    expected = make_token(peer_key, host, incarnation)
+    # Texts with other characters than ASCII can't be compared.
+    return hmac.compare_digest(token.encode(), expected.encode())
--- /dev/null
+++ b/radishtally/links/frames.py
@@ -0,0 +1,29 @@
+"""Bounds on what a stream of the gRPC library receives."""
+
+from typing import Any
+
+from grpclib.exceptions import ProtocolError
+
+from radishtally.links.codec import MAX_FRAME_BYTES
+
+
+def limit_frames(stream: Any) -> None:
+    """Make a stream fail on a frame that is too large, before its data is received.
+
+    The request of a client's stream must have been sent.
+    """
+    # The library collects frames of up to 4 GB, and has no public way to limit them.
+    transport_stream = stream._stream
+    receive = transport_stream.recv_data
+
+    async def receive_limited(size: int) -> bytes:
+        if size > MAX_FRAME_BYTES:
+            raise ProtocolError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
+        return await receive(size)
+
+    transport_stream.recv_data = receive_limited
+
+
+def close_connection(stream: Any) -> None:
+    """Close the connection of an accepted stream."""
+    stream._stream.connection.close()
--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -21,6 +21,7 @@
     METHOD_EXCHANGE,
     MIN_REDIAL_SECONDS,
 )
+from radishtally.links.frames import close_connection, limit_frames
 from radishtally.links.kinds import Message
 from radishtally.links.link import Link
 from radishtally.links.messages import Hello
@@ -216,6 +217,8 @@
             async with asyncio.timeout(DIAL_TIMEOUT_SECONDS):
                 await channel.__connect__()
             async with method.open(metadata=metadata) as stream:
+                await stream.send_request()
+                limit_frames(stream)
                 link = await self.run_link(stream, leads=True)
                 # Ending a stream properly waits for the peer, or at least for room to
                 # send. On a dead connection this may block forever, and the host would
@@ -246,9 +249,16 @@
 
     async def serve(self, stream: object) -> None:
         """Run a link that a peer has dialled, if it has the shared key."""
+        # A connection carries one link. Left open, it would take data for ever.
         if not has_valid_token(self._hub._peer_key, stream.metadata):
+            loop = asyncio.get_running_loop()
+            loop.call_later(DIAL_TIMEOUT_SECONDS, close_connection, stream)
             raise GRPCError(Status.UNAUTHENTICATED, "the shared key is wrong")
-        await self._hub.run_link(stream, leads=False)
+        limit_frames(stream)
+        try:
+            await self._hub.run_link(stream, leads=False)
+        finally:
+            close_connection(stream)
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
