Close connections whose heads, framing or events go on without end

The HTTP library bounds lines and fields of a head, but neither interim answers nor chunk sizes and extensions.

Change: a connection counts what it receives for a request, 64 KiB until a head is complete and then 512 KiB more than twice the body. Interim answers are skipped as they are parsed. An event has 1 MiB, and what was searched isn't searched again.

--- a/radishtally/connector.py
+++ b/radishtally/connector.py
@@ -10,10 +10,18 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
-from aiohttp.http import HttpProcessingError
+from aiohttp.http import HttpProcessingError, RawResponseMessage
+from aiohttp.streams import StreamReader
 from eliot import log_message
 
+INTERIM: Final = 100
+SWITCHING_PROTOCOLS: Final = 101
+OK: Final = 200
 HEAD_END: Final = b"\r\n\r\n"
+MAX_HEAD_BYTES: Final = 64 * 1024
+"""Largest head of an answer, with any interim answers before it."""
+MAX_FRAMING_BYTES: Final = 512 * 1024  # data that is not parsed yet counts as framing
+"""Most bytes that may have come beyond twice those of the body."""
 
 
 class ConnectionUsage(NamedTuple):
@@ -50,6 +58,10 @@
         self._requests = 0
         self._is_idle = False
         self._head_seen = False
+        self._received_bytes = 0
+        """Bytes received since the request began."""
+        self._body: StreamReader | None = None
+        """Body of the answer; None before its head has been parsed."""
 
     @property
     def is_reused(self) -> bool:
@@ -90,6 +102,8 @@
         self._requests += 1
         self._is_idle = False
         self._head_seen = False
+        self._received_bytes = 0
+        self._body = None
 
     def end_request(self) -> None:
         """Record that the request has been answered."""
@@ -100,14 +114,42 @@
         # The library passes no data when it resumes parsing what it has buffered.
         self._received_at = time.monotonic()
         is_unsolicited = self._is_idle and data
+        self._received_bytes += len(data)
         for part in self._split_head(data):
             super().data_received(part)
+        self._check_overhead()
         # The library releases the connection as soon as it has found an answer's end,
         # and then continues with the rest of the same bytes.
         if is_unsolicited or (self._is_idle and len(self)):
             self._on_unsolicited()
             self.drop()
 
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Take a parsed head and its body; skip interim answers."""
+        message, body = data
+        if INTERIM <= message.code < OK and message.code != SWITCHING_PROTOCOLS:
+            return
+        self._body = body
+        super().feed_data(data, size)
+
+    def _check_overhead(self) -> None:
+        """Fail an answer whose head or framing goes on without end."""
+        if self._body is None:
+            max_bytes = MAX_HEAD_BYTES
+        else:
+            max_bytes = MAX_FRAMING_BYTES + 2 * self._body.total_bytes
+        if self._received_bytes <= max_bytes:
+            return
+        error = aiohttp.ClientPayloadError("the head or the framing is too large")
+        if self._body is not None:
+            self._body.set_exception(error)
+        transport = self.transport
+        self.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
     def _split_head(self, data: bytes) -> tuple[bytes, ...]:
         """Split off the head of an answer from the data behind it.
 
--- a/radishtally/direct/stream.py
+++ b/radishtally/direct/stream.py
@@ -8,6 +8,9 @@
 
 EVENT_BOUNDARY: Final = re.compile(rb"\r?\n\r?\n")
 EVENT_ID: Final = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+MAX_EVENT_BYTES: Final = 1024 * 1024
+BOUNDARY_BYTES: Final = 4
+"""Bytes of the longest boundary."""
 MAX_ID_DIGITS: Final = 15  # every such integer is exact as a float
 
 
@@ -42,32 +45,51 @@
     """
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
         self.fault: AnswerFault | None = None
         """Why nothing behind the events returned so far can be used."""
 
     @property
     def rest(self) -> bytes:
         """Data of an event that is not complete yet."""
-        return self._rest
+        return bytes(self._rest)
 
     def feed(self, data: bytes) -> EventBatch | None:
         """Add received data and return the valid events that it completes, or None."""
-        data = self._rest + data
-        end = max((match.end() for match in EVENT_BOUNDARY.finditer(data)), default=0)
-        self._rest = data[end:]
-        complete = self._cut_invalid(data[:end])
+        searched = max(0, len(self._rest) + 1 - BOUNDARY_BYTES)
+        self._rest += data
+        complete = self._pop_complete(searched)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            self.fault = AnswerFault.EVENT_BYTES
+        ids = EVENT_ID.findall(complete)
+        if any(len(text) > MAX_ID_DIGITS for text in ids):
+            self.fault = AnswerFault.EVENT_ID
+            complete = _cut_invalid(complete)
+            ids = EVENT_ID.findall(complete)
         if not complete:
             return None
-        ids = EVENT_ID.findall(complete)
         first, last = (int(ids[0]), int(ids[-1])) if ids else (0, 0)
         return EventBatch(complete, first, last)
 
-    def _cut_invalid(self, events: bytes) -> bytes:
-        """Return the events before the first one whose id is out of range."""
-        for match in EVENT_ID.finditer(events):
-            if len(match[1]) > MAX_ID_DIGITS:
-                self.fault = AnswerFault.EVENT_ID
-                before = EVENT_BOUNDARY.finditer(events, 0, match.start())
-                return events[: max((found.end() for found in before), default=0)]
-        return events
+    def _pop_complete(self, searched: int) -> bytes:
+        """Remove and return the complete events; no boundary begins before `searched`.
+
+        An event may arrive in many pieces, and is not searched again for each of them.
+        """
+        # A match would keep the buffer from being resized.
+        ends = [found.end() for found in EVENT_BOUNDARY.finditer(self._rest, searched)]
+        end = max(ends, default=0)
+        complete = bytes(self._rest[:end])
+        del self._rest[:end]
+        return complete
+
+
+def _cut_invalid(events: bytes) -> bytes:
+    """Return the events before the first one whose id is out of range."""
+    invalid = next(
+        match.start()
+        for match in EVENT_ID.finditer(events)
+        if len(match[1]) > MAX_ID_DIGITS
+    )
+    before = EVENT_BOUNDARY.finditer(events, 0, invalid)
+    return events[: max((found.end() for found in before), default=0)]
--- a/tests/direct/test_stream.py
+++ b/tests/direct/test_stream.py
@@ -5,7 +5,12 @@
 from hypothesis import strategies as st
 
 from radishtally.direct.answer_checks import AnswerFault
-from radishtally.direct.stream import MAX_ID_DIGITS, EventSplitter, continues_stream
+from radishtally.direct.stream import (
+    MAX_EVENT_BYTES,
+    MAX_ID_DIGITS,
+    EventSplitter,
+    continues_stream,
+)
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\r\ndata: d\r\n\r\n"
 
@@ -70,3 +75,17 @@
 def test_largest_event_id_is_accepted() -> None:
     number = 10**MAX_ID_DIGITS - 1
     assert EventSplitter().feed(make_events(1, number)).last == number
+
+
+# Guards against an event without end that fills the memory, and is searched again with
+# each piece until its gateway does nothing else.
+def test_event_without_end_is_refused_after_a_bounded_number_of_bytes() -> None:
+    splitter = EventSplitter()
+    batch = splitter.feed(make_events(1) + b"id: 2\ndata: ")
+    assert batch.last == 1
+    piece = b"x" * 1_000
+    for _ in range(MAX_EVENT_BYTES // len(piece) - 1):
+        assert splitter.feed(piece) is None
+        assert splitter.fault is None
+    assert splitter.feed(piece * 2) is None
+    assert splitter.fault == AnswerFault.EVENT_BYTES
