Read bodies of hosts, the store and engines within a bound in bytes

An error's body was read up to 16 MiB, and a stream as long as its events came.

Change: read_body takes the limit from its caller. What nobody reads (the answer to the release of a KV cache) isn't read. An error's body has 1 MiB, a stream 4 MiB. A body that is too large counts as broken off: the attempt is retried or resumed where the route allows.

--- a/radishtally/agent/engine.py
+++ b/radishtally/agent/engine.py
@@ -17,8 +17,9 @@
     PREFILL_TIMEOUT_FACTOR,
 )
 from radishtally.agent.sse import Done, read_parts
+from radishtally.connector import CheckedConnector
 from radishtally.decoding import DECODE_ERRORS, decode
-from radishtally.exchange import EXCHANGE_ERRORS
+from radishtally.exchange import EXCHANGE_ERRORS, BodyTooLargeError, read_body
 from radishtally.links.messages import CHAT, PREFILL, KvRef, Offer
 from radishtally.numbers import Count, Positive
 from radishtally.outcome import Fault, Ran
@@ -34,6 +35,12 @@
 RETRYABLE_STATUSES: Final = frozenset({408, 425, 429})
 """Client error statuses that do not mean that the request itself is at fault."""
 MAX_LINE_BYTES: Final = 1024 * 1024
+MAX_REPLY_BYTES: Final = 1024 * 1024
+"""Largest answer of the engine other than a stream or a KV cache."""
+MAX_KV_BYTES: Final = 256 * 1024 * 1024
+"""Largest KV cache that is copied; with a larger one the prompt is prefilled again."""
+MAX_STREAM_BYTES: Final = 16 * 1024 * 1024
+"""Largest text of one answer."""
 COMPLETION_PATHS: Final = {True: "/v1/chat/completions", False: "/v1/completions"}
 """Paths for chats (true) and for plain completions (false)."""
 
@@ -86,7 +93,7 @@
         # same host costs little.
         self._session = aiohttp.ClientSession(
             read_bufsize=MAX_LINE_BYTES,
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=CheckedConnector("engine", limit=0, force_close=True),
         )
         self._tasks = AttemptTasks()
         self._token_deadlines: dict[tuple[str, int], float] = {}
@@ -104,8 +111,8 @@
             async with self._session.get(
                 f"{self._url}/state", timeout=CALL_TIMEOUT
             ) as response:
-                body = await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+                body = await read_body(response, MAX_REPLY_BYTES)
+        except EXCHANGE_ERRORS as error:
             return Error(Fault(repr(error), self._url))
         read = decode(_STATE_DECODER, body)
         if read.is_error():
@@ -122,7 +129,8 @@
             async with self._session.post(
                 f"{self._url}/orders", json=body, timeout=CALL_TIMEOUT
             ) as response:
-                status, answer = response.status, await response.read()
+                status = response.status
+                answer = await read_body(response, MAX_REPLY_BYTES)
         except EXCHANGE_ERRORS as error:
             return Error(Fault(repr(error), self._url))
         read = decode(_ORDER_DECODER, answer)
@@ -199,6 +207,7 @@
         started: float,
     ) -> None:
         reason, prompt_tokens, output_tokens = None, 0, 0
+        size = 0
         async for part in read_parts(response.content):
             if isinstance(part, Done):
                 break
@@ -206,7 +215,11 @@
                 self._token_deadlines[attempt_id] = (
                     time.monotonic() + NEXT_TOKEN_TIMEOUT_SECONDS
                 )
-                self._report(events.Produced(*attempt_id, part.text.encode(), 1))
+                text = part.text.encode()
+                size += len(text)
+                if size > MAX_STREAM_BYTES:
+                    raise BodyTooLargeError(MAX_STREAM_BYTES)
+                self._report(events.Produced(*attempt_id, text, 1))
             reason = part.finish_reason or reason
             if part.usage is not None:
                 prompt_tokens = part.usage.prompt_tokens
@@ -231,7 +244,7 @@
             ) as response:
                 if response.status != 200:
                     return None
-                blob = await response.read()
+                blob = await read_body(response, MAX_KV_BYTES)
             async with self._session.post(
                 f"{self._url}/kv/import",
                 params={"handle": kv.handle},
@@ -239,7 +252,7 @@
                 timeout=KV_TIMEOUT,
             ) as response:
                 return kv.handle if response.status == 200 else None
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except EXCHANGE_ERRORS:
             return None
 
     async def _export(
@@ -252,7 +265,8 @@
                 f"{self._url}/kv/export", json=body, timeout=CALL_TIMEOUT
             ) as response:
                 if response.status == 200:
-                    read = decode(_EXPORT_DECODER, await response.read())
+                    body = await read_body(response, MAX_REPLY_BYTES)
+                    read = decode(_EXPORT_DECODER, body)
                     if read.is_ok():
                         found = read.ok.handle, read.ok.tokens
                         kv = KvRef(self._host, self._url, *found)
@@ -270,7 +284,7 @@
                 f"{self._url}/v1/requests/{engine_id}/cancel", timeout=CALL_TIMEOUT
             ):
                 pass
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except EXCHANGE_ERRORS:
             return
 
 
@@ -316,7 +330,7 @@
 async def _explain_refusal(
     attempt_id: tuple[str, int], response: aiohttp.ClientResponse
 ) -> list[events.Event]:
-    body = await response.read()
+    body = await read_body(response, MAX_REPLY_BYTES)
     status = response.status
     if status >= 500 or status in RETRYABLE_STATUSES:
         # Only an explicit "not_started" means that the work did not run.
--- a/radishtally/direct/answer_checks.py
+++ b/radishtally/direct/answer_checks.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from radishtally.connector import ConnectionUsage
+from radishtally.exchange import BodyTooLargeError
 
 
 class AnswerMismatch(StrEnum):
@@ -43,6 +44,7 @@
     """Reasons why an answer can't be used, however it goes on."""
 
     EVENT_ID = "an event's id is out of range"
+    EVENT_BYTES = "an event is too large"
 
 
 class InvalidAnswerError(aiohttp.ClientPayloadError):
@@ -74,6 +76,7 @@
 
 
 DESCRIBED_ERRORS: Final = (
+    BodyTooLargeError,
     IncompleteAnswerError,
     InvalidAnswerError,
     MismatchedAnswerError,
--- a/radishtally/direct/answers.py
+++ b/radishtally/direct/answers.py
@@ -18,12 +18,19 @@
     UnframedEnd,
     find_mismatch,
 )
-from radishtally.direct.const import MAX_ANSWER_BYTES, OK, READ_BYTES
+from radishtally.direct.const import (
+    MAX_ANSWER_BYTES,
+    MAX_ERROR_BYTES,
+    MAX_HANDLE_BYTES,
+    MAX_STREAM_BYTES,
+    OK,
+    READ_BYTES,
+)
 from radishtally.direct.core import NO_NOTICE, Dialect, Head, Instance, Notice
 from radishtally.direct.pool import WatchedResponse
 from radishtally.direct.probes import HostProbes
 from radishtally.direct.stream import EventSplitter, continues_stream
-from radishtally.exchange import decode_headers
+from radishtally.exchange import BodyTooLargeError, decode_headers, read_body
 from radishtally.links.kinds import Message
 from radishtally.links.messages import (
     CALL,
@@ -199,7 +206,8 @@
         self, response: WatchedResponse, instance: Instance, offer: Offer
     ) -> None:
         attempt_id = offer.work.request, offer.attempt
-        read = self._dialect.read_handle(await response.read(), instance)
+        body = await read_body(response, MAX_HANDLE_BYTES)
+        read = self._dialect.read_handle(body, instance)
         if response.status != OK or read.is_error():
             reason = f"no KV cache, status {response.status}"
             self._receive(instance.host, Lost(*attempt_id, Ran.NO, reason, 0))
@@ -216,16 +224,18 @@
         host = instance.host
         attempt_id = offer.work.request, offer.attempt
         body = bytearray()
-        # While there is no room the host can't send: nothing is read from it.
+        max_bytes = MAX_ANSWER_BYTES if head.status < 300 else MAX_ERROR_BYTES
         length = response.content_length
+        if (length or 0) > max_bytes:
+            raise BodyTooLargeError(max_bytes)
+        # While there is no room the host can't send: nothing is read from it.
         await self.reserve(offer.work.request, length or 0)
         async for data in response.content.iter_chunked(READ_BYTES):
             body += data
             if length is None:
                 await self.reserve(offer.work.request, len(data))
-            if len(body) > MAX_ANSWER_BYTES:
-                text = f"the answer is larger than {MAX_ANSWER_BYTES} bytes"
-                raise aiohttp.ClientPayloadError(text)
+            if len(body) > max_bytes:
+                raise BodyTooLargeError(max_bytes)
         response.check_end()
         if not response.is_framed:
             await self._check_unframed_end(instance, offer)
@@ -261,6 +271,8 @@
                 self._pass_on(host, attempt_id, progress, batch.data)
             if splitter.fault is not None:
                 raise InvalidAnswerError(splitter.fault)
+            if progress.offset > MAX_STREAM_BYTES:
+                raise BodyTooLargeError(MAX_STREAM_BYTES)
         response.check_end()
         if not response.is_framed:
             is_empty = progress.offset == len(offer.done)
--- a/radishtally/direct/const.py
+++ b/radishtally/direct/const.py
@@ -19,6 +19,14 @@
 READ_BYTES: Final = 65_536
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 """Largest answer that is buffered before it is passed on."""
+MAX_ERROR_BYTES: Final = 1024 * 1024
+"""Largest body of an answer that reports an error."""
+MAX_STREAM_BYTES: Final = 4 * 1024 * 1024
+"""Largest stream; its events are kept so that another host can continue it."""
+MAX_HANDLE_BYTES: Final = 16 * 1024
+"""Largest answer to a prompt that was only prefilled."""
+MAX_REPORT_BYTES: Final = 1024 * 1024
+"""Largest answer that a host gives about itself, such as its list of cached parts."""
 FREE_KV_TIMEOUT_SECONDS: Final = 1.0
 """Timeout for freeing a KV cache; the engine frees it by itself some seconds later."""
 OK: Final = 200
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -14,6 +14,7 @@
 from radishtally.direct.const import (
     ENGINE_CALL_TIMEOUT_SECONDS,
     FREE_KV_TIMEOUT_SECONDS,
+    MAX_REPORT_BYTES,
     OK,
 )
 from radishtally.direct.core import (
@@ -27,7 +28,12 @@
 )
 from radishtally.direct.pool import open_session
 from radishtally.direct.probes import HostProbes
-from radishtally.exchange import EXCHANGE_ERRORS, SendOnce, decode_headers
+from radishtally.exchange import (
+    EXCHANGE_ERRORS,
+    SendOnce,
+    decode_headers,
+    read_body,
+)
 from radishtally.links.messages import (
     ENDED,
     LEAVING,
@@ -143,7 +149,7 @@
                 self.answers.report_notice(response, instance)
                 if response.status != OK:
                     return Error(f"status {response.status}")
-                return Ok(await response.read())
+                return Ok(await read_body(response, MAX_REPORT_BYTES))
         except EXCHANGE_ERRORS as error:
             return Error(describe_error(error))
 
@@ -201,7 +207,7 @@
                 # A host above its limit of connections answers on those it has.
                 self._send(instance.address, call, True) as response,
             ):
-                body = await response.read()
+                body = await read_body(response, MAX_REPORT_BYTES)
         except aiohttp.ConnectionTimeoutError:
             return Sign.UNREACHED
         except aiohttp.ClientConnectorError as error:
@@ -260,7 +266,6 @@
                 instance = self._instances.get(kv.host)
                 if instance is not None and instance.address == kv.url:
                     self.answers.report_notice(response, instance)
-                await response.read()
         except EXCHANGE_ERRORS as error:
             log_message(
                 "upstream:kv_not_freed", upstream_host=kv.host, error=repr(error)
--- a/radishtally/exchange.py
+++ b/radishtally/exchange.py
@@ -30,6 +30,25 @@
     )
 
 
+class BodyTooLargeError(aiohttp.ClientPayloadError):
+    """Raised when a body exceeds its limit."""
+
+    def __init__(self, max_bytes: int) -> None:
+        super().__init__(f"the body is larger than {max_bytes} bytes")
+
+
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Read a whole body; raise BodyTooLargeError if it exceeds a limit."""
+    body = bytearray()
+    if (response.content_length or 0) > max_bytes:
+        raise BodyTooLargeError(max_bytes)
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > max_bytes:
+            raise BodyTooLargeError(max_bytes)
+    return bytes(body)
+
+
 class SendOnce:
     """Send a request at most once.
 
--- a/radishtally/store/client.py
+++ b/radishtally/store/client.py
@@ -6,10 +6,13 @@
 import aiohttp
 
 from radishtally.connector import CheckedConnector
+from radishtally.exchange import EXCHANGE_ERRORS, read_body
 from radishtally.outcome import Error, Ok, Result
 
 CONNECT_TIMEOUT_FRACTION: Final = 0.5
 """Connect timeout, as a fraction of a call's total timeout."""
+MAX_REPLY_BYTES: Final = 64 * 1024 * 1024
+"""Largest reply, such as an object with a set of configuration files."""
 
 
 class Reply(NamedTuple):
@@ -69,13 +72,14 @@
             async with pool.session.request(
                 method, url, headers=headers, data=body, allow_redirects=False
             ) as response:
-                return Ok(Reply(response.status, await response.read()))
+                body = await read_body(response, MAX_REPLY_BYTES)
+                return Ok(Reply(response.status, body))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Error(NotSent(_describe(error)))
         except TimeoutError as error:
             self._retire_pool(pool)
             return Error(NoReply(_describe(error)))
-        except (aiohttp.ClientError, OSError) as error:
+        except EXCHANGE_ERRORS as error:
             return Error(NoReply(_describe(error)))
         finally:
             await self._release_pool(pool)
--- a/tests/agent/test_engine.py
+++ b/tests/agent/test_engine.py
@@ -17,6 +17,8 @@
 from radishtally.outcome import Ran
 from tests.agent.upstream import Answer, EventRecorder, reply, serve, stream
 from tests.common import run
+from tests.gateway.common import wait_until
+from tests.gateway.endless import MAX_SENT_BYTES, OK, REPORTS, EndlessServer
 
 BODY = msgspec.json.encode({"messages": [{"role": "user", "content": "?"}]})
 FINISH = b'data: {"choices": [{"text": "", "finish_reason": "stop"}]}\n\n'
@@ -289,3 +291,34 @@
 
     assert run(read(STATE))
     assert not run(read({**STATE, field: 10**399}))
+
+
+# Guards against an agent whose memory its engine's answer fills.
+@pytest.mark.parametrize("name", REPORTS)
+def test_endless_answers_of_the_engine_are_closed(name: str) -> None:
+    async def check() -> None:
+        server = EndlessServer(*REPORTS[name])
+        recorder = EventRecorder()
+        client = Engine("agent-0", f"http://{await server.listen()}", recorder.record)
+        assert (await client.read_state()).is_error()
+        assert (await client.order({})).is_error()
+        client.export("r", 1)
+        assert await recorder.wait_end() == events.Exported("r", 1, None)
+        await client.close()
+        await wait_until(lambda: server.closed == server.asked == 3)
+        assert server.sent < MAX_SENT_BYTES
+
+    run(check())
+
+
+@pytest.mark.parametrize("name", ["header", "interim answers", "chunk size", "events"])
+def test_endless_stream_of_the_engine_is_closed(name: str) -> None:
+    async def check() -> None:
+        answers = {**REPORTS, "events": (OK + b"\r\n", make_event("x" * 1_000))}
+        server = EndlessServer(*answers[name])
+        recorder = await run_work(f"http://{await server.listen()}", make_offer())
+        assert isinstance(recorder.events[-1], events.Failed)
+        await wait_until(lambda: server.closed == server.asked == 1)
+        assert server.sent < MAX_SENT_BYTES
+
+    run(check())
