Take room for bodies of unknown length, and read refused ones within bounds

Room was reserved by a body's length: a caller's body in chunks reserved none, and an answer's pieces are never larger than what doesn't wait. The rest of a refused request's body was read for ten seconds, whatever came.

Change: such bodies reserve room in growing steps with a time limit each, and streams do from 256 KiB on. A body that declares more than the configuration allows is refused unread. The rest of a refused body is read for 2 s and 8 MiB at most.

--- a/radishtally/direct/answers.py
+++ b/radishtally/direct/answers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 import aiohttp
@@ -19,18 +20,21 @@
     find_mismatch,
 )
 from radishtally.direct.const import (
+    FREE_STREAM_BYTES,
     MAX_ANSWER_BYTES,
     MAX_ERROR_BYTES,
     MAX_HANDLE_BYTES,
     MAX_STREAM_BYTES,
     OK,
     READ_BYTES,
+    ROOM_SECONDS,
 )
 from radishtally.direct.core import NO_NOTICE, Dialect, Head, Instance, Notice
 from radishtally.direct.pool import WatchedResponse
 from radishtally.direct.probes import HostProbes
 from radishtally.direct.stream import EventSplitter, continues_stream
 from radishtally.exchange import BodyTooLargeError, decode_headers, read_body
+from radishtally.growth import GrowingRoom
 from radishtally.links.kinds import Message
 from radishtally.links.messages import (
     CALL,
@@ -93,6 +97,8 @@
         """Returns whether a host has named a limit, which an answer may end."""
         self.reserve: Callable[[str, int], Awaitable[None]] = _reserve_nothing
         """Waits for room for an answer's bytes."""
+        self.release: Callable[[str, int], None] = lambda request, size: None
+        """Gives back room that an answer did not need."""
 
     async def read(
         self,
@@ -223,30 +229,54 @@
         """Read a complete answer before passing any of it on."""
         host = instance.host
         attempt_id = offer.work.request, offer.attempt
-        body = bytearray()
         max_bytes = MAX_ANSWER_BYTES if head.status < 300 else MAX_ERROR_BYTES
         length = response.content_length
         if (length or 0) > max_bytes:
             raise BodyTooLargeError(max_bytes)
         # While there is no room the host can't send: nothing is read from it.
-        await self.reserve(offer.work.request, length or 0)
-        async for data in response.content.iter_chunked(READ_BYTES):
-            body += data
-            if length is None:
-                await self.reserve(offer.work.request, len(data))
-            if len(body) > max_bytes:
-                raise BodyTooLargeError(max_bytes)
+        if length is not None:
+            await self.reserve(offer.work.request, length)
+            body = await read_body(response, max_bytes)
+        else:
+            body = await self._read_growing(response, offer, max_bytes)
         response.check_end()
         if not response.is_framed:
             await self._check_unframed_end(instance, offer)
-        checksum = xxhash.xxh64_intdigest(bytes(body))
+        checksum = xxhash.xxh64_intdigest(body)
         if body:
-            self._receive(host, Chunk(*attempt_id, 0, bytes(body), 0))
+            self._receive(host, Chunk(*attempt_id, 0, body, 0))
         end = Finished(
             *attempt_id, len(body), checksum, head.status, "", 0, 0, head.headers
         )
         self._receive(host, end)
 
+    async def _read_growing(
+        self, response: WatchedResponse, offer: Offer, max_bytes: int
+    ) -> bytes:
+        """Read a body whose length is not known as far as there is room for it."""
+        room = self._open_room(offer, max_bytes)
+        body = bytearray()
+        try:
+            async for data in response.content.iter_chunked(READ_BYTES):
+                body += data
+                if len(body) > max_bytes:
+                    raise BodyTooLargeError(max_bytes)
+                await room.fit(len(body))
+        except BaseException:
+            room.shrink(0)
+            raise
+        room.shrink(len(body))
+        return bytes(body)
+
+    def _open_room(self, offer: Offer, max_bytes: int) -> GrowingRoom:
+        request = offer.work.request
+        return GrowingRoom(
+            partial(self.reserve, request),
+            partial(self.release, request),
+            max_bytes,
+            ROOM_SECONDS,
+        )
+
     async def _stream(
         self,
         response: WatchedResponse,
@@ -260,6 +290,7 @@
         attempt_id = offer.work.request, offer.attempt
         progress = _start_progress(offer)
         splitter = EventSplitter()
+        room = self._open_room(offer, MAX_STREAM_BYTES)
         self._receive(host, Begun(*attempt_id, head.status, head.headers))
         async for data in response.content.iter_any():
             batch = splitter.feed(data)
@@ -273,6 +304,8 @@
                 raise InvalidAnswerError(splitter.fault)
             if progress.offset > MAX_STREAM_BYTES:
                 raise BodyTooLargeError(MAX_STREAM_BYTES)
+            if progress.offset > FREE_STREAM_BYTES:
+                await room.fit(progress.offset)
         response.check_end()
         if not response.is_framed:
             is_empty = progress.offset == len(offer.done)
--- a/radishtally/direct/const.py
+++ b/radishtally/direct/const.py
@@ -19,10 +19,15 @@
 READ_BYTES: Final = 65_536
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 """Largest answer that is buffered before it is passed on."""
+ROOM_SECONDS: Final = 5.0
+"""Longest time for which an answer of unknown length waits for more room: longer than
+callers who read nothing are kept while others wait."""
 MAX_ERROR_BYTES: Final = 1024 * 1024
 """Largest body of an answer that reports an error."""
 MAX_STREAM_BYTES: Final = 4 * 1024 * 1024
 """Largest stream; its events are kept so that another host can continue it."""
+FREE_STREAM_BYTES: Final = 256 * 1024
+"""Size up to which a stream takes no room from large bodies."""
 MAX_HANDLE_BYTES: Final = 16 * 1024
 """Largest answer to a prompt that was only prefilled."""
 MAX_REPORT_BYTES: Final = 1024 * 1024
--- a/radishtally/gateway/buffers.py
+++ b/radishtally/gateway/buffers.py
@@ -64,8 +64,22 @@
         if hold is not None:
             await self.reserve(hold, size)
 
+    def release_answer(self, request: str, size: int) -> None:
+        """Give back room for an answer that was not needed."""
+        hold = self._named.get(request)
+        if hold is not None:
+            self.release(hold, size)
+
+    def release(self, hold: Hold, size: int) -> None:
+        """Give back room for a body that was not needed."""
+        size = min(size, hold.bytes)
+        self._used -= size
+        hold.bytes -= size
+        self._wake()
+
     async def reserve(self, hold: Hold, size: int) -> None:
-        """Wait for room for a body."""
+        """Wait for room for a body; one above the limit gets all the room there is."""
+        size = min(size, self._limit)
         if size <= FREE_BYTES or (not self._waiting and self._fits(size)):
             self._take(hold, size)
             return
--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -34,6 +34,9 @@
 LEAVE_POLL_SECONDS: Final = 0.05
 BODY_ROOM_SECONDS: Final = 1.0
 """Longest time for which a request waits for room for its body."""
+DRAIN_SECONDS: Final = 2.0
+"""Longest time for which the rest of a refused request's body is read."""
+MAX_DRAINED_BYTES: Final = 8 * 1024 * 1024
 SLOW_READER_SECONDS: Final = 3.0
 """Time after which a caller that reads nothing is cut off, if others wait for room."""
 PIECE_BYTES: Final = 65_536
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -128,6 +128,7 @@
         self.hosts.answers.is_limited = self.core.limits.is_limited
         self.buffers = Buffers(settings.memory_mb)
         self.hosts.answers.reserve = self.buffers.reserve_answer
+        self.hosts.answers.release = self.buffers.release_answer
         self.frontend = HttpFrontend(self, caller_dialect, self.buffers)
         self.core.admission.is_lagging = self.frontend.is_lagging
         self._stopping_since: float | None = None
--- a/radishtally/gateway/http_frontend.py
+++ b/radishtally/gateway/http_frontend.py
@@ -5,6 +5,8 @@
 import math
 import time
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from functools import partial
 from typing import Final, Protocol
 
 import msgspec
@@ -21,10 +23,12 @@
     CROWDED_CONNECTIONS,
     CROWDED_IDLE_SECONDS,
     DEFAULT_RETRY_AFTER,
+    DRAIN_SECONDS,
     GATEWAY_TIMEOUT,
     IDLE_MARGIN_SECONDS,
     IDLE_SWEEP_SECONDS,
     LISTEN_BACKLOG,
+    MAX_DRAINED_BYTES,
     MAX_HEADER_BYTES,
     NOT_RUN_STATUSES,
     PIECE_BYTES,
@@ -36,6 +40,7 @@
 from radishtally.gateway.metrics import CONTENT_TYPE
 from radishtally.gateway.overload import GuardedListener, OverloadDetector
 from radishtally.gateway.requests import RoutedRequest
+from radishtally.growth import GrowingRoom
 from radishtally.outcome import Error, Ok, Ran, Refusal, Result
 from radishtally.routes.config import CallerLimits
 from radishtally.serving.events import Begin, Deliver, EndStream, Refuse, SendFullAnswer
@@ -114,6 +119,7 @@
             max_field_size=MAX_HEADER_BYTES,
             auto_decompress=False,
             access_log=None,
+            lingering_time=0,
         )
         await self._listen_to_callers(address)
         await self._listen(_make_server(self._answer_ready), ready_address)
@@ -200,7 +206,9 @@
         if admitted.is_error():
             name = self._dialect.read_name(decode_headers(request.raw_headers))
             self._backend.record_refusal(name, admitted.error)
-            return self._respond_refusal(admitted.error)
+            # While the rest of a body is read, nothing of it is held.
+            self._buffers.close(hold)
+            return await self._refuse(request, admitted.error)
         routed = admitted.ok
         name = routed.work.request
         self._buffers.name(hold, name)
@@ -214,9 +222,12 @@
     async def _admit(
         self, request: web.BaseRequest, hold: Hold
     ) -> Result[RoutedRequest, Refusal]:
+        limits = self._backend.limits
+        if limits is not None and (request.content_length or 0) > limits.body_bytes:
+            return Error(_describe_excess(limits.body_bytes))
         if not await self._reserve_body(request, hold):
             return Error(NO_ROOM)
-        body = await self._read_body(request)
+        body = await self._read_body(request, hold)
         if body.is_error():
             return body
         target = request.raw_path
@@ -229,7 +240,7 @@
         """Wait for room for a body before it is read; return whether there is."""
         limits = self._backend.limits
         size = request.content_length or 0
-        if limits is None or size > limits.body_bytes:
+        if limits is None:
             return True
         try:
             async with asyncio.timeout(BODY_ROOM_SECONDS):
@@ -238,22 +249,26 @@
             return False
         return True
 
-    async def _read_body(self, request: web.BaseRequest) -> Result[bytes, Refusal]:
+    async def _read_body(
+        self, request: web.BaseRequest, hold: Hold
+    ) -> Result[bytes, Refusal]:
         limits = self._backend.limits
         if limits is None or not request.can_read_body:
             return Ok(b"")
-        body = bytearray()
+        room = None
+        if request.content_length is None:
+            room = GrowingRoom(
+                partial(self._buffers.reserve, hold),
+                partial(self._buffers.release, hold),
+                limits.body_bytes,
+                BODY_ROOM_SECONDS,
+            )
         try:
             async with asyncio.timeout(limits.idle_seconds):
-                async for data in request.content.iter_any():
-                    body += data
-                    if len(body) > limits.body_bytes:
-                        text = f"the body is over {limits.body_bytes} bytes"
-                        return Error(Refusal(413, "body_too_large", text))
+                return await _read_within(request, room, limits.body_bytes)
         except TimeoutError:
             text = "the request's body did not arrive in time"
             return Error(Refusal(408, "body_too_slow", text))
-        return Ok(bytes(body))
 
     async def _deliver(
         self, request: web.BaseRequest, parts: asyncio.Queue[Reply], delivery: Delivery
@@ -340,6 +355,28 @@
                 log_message("caller:cut_off", request=name, sent=delivery.sent)
                 transport.abort()
 
+    async def _refuse(
+        self, request: web.BaseRequest, refusal: Refusal
+    ) -> web.StreamResponse:
+        """Send a refusal, and read a bounded part of the body that is still to come.
+
+        Closing the connection at once would reset it, and the refusal could be lost.
+        The HTTP library closes it if the body has not ended then.
+        """
+        response = self._respond_refusal(refusal)
+        if request.content.is_eof():
+            return response
+        await response.prepare(request)
+        await response.write_eof()
+        drained = 0
+        with suppress(TimeoutError):
+            async with asyncio.timeout(DRAIN_SECONDS):
+                async for data in request.content.iter_any():
+                    drained += len(data)
+                    if drained > MAX_DRAINED_BYTES:
+                        break
+        return response
+
     def _respond_refusal(self, refusal: Refusal) -> web.Response:
         status = _find_status(refusal)
         headers = {"X-Ran": refusal.ran}
@@ -374,8 +411,36 @@
                 await self._connections.close_long_idle(longest)
 
 
+async def _read_within(
+    request: web.BaseRequest, room: GrowingRoom | None, max_bytes: int
+) -> Result[bytes, Refusal]:
+    """Read a body; one whose length is not known waits for room as it grows."""
+    body = bytearray()
+    async for data in request.content.iter_any():
+        body += data
+        if len(body) > max_bytes:
+            return Error(_describe_excess(max_bytes))
+        if room is not None and not await _has_room(room, len(body)):
+            return Error(NO_ROOM)
+    if room is not None:
+        room.shrink(len(body))
+    return Ok(bytes(body))
+
+
+def _describe_excess(max_bytes: int) -> Refusal:
+    return Refusal(413, "body_too_large", f"the body is over {max_bytes} bytes")
+
+
+async def _has_room(room: GrowingRoom, size: int) -> bool:
+    try:
+        await room.fit(size)
+    except TimeoutError:
+        return False
+    return True
+
+
 def _make_server(handler: Callable[..., Awaitable[web.Response]]) -> web.Server:
-    return web.Server(handler, access_log=None)
+    return web.Server(handler, access_log=None, lingering_time=0)
 
 
 def _find_status(refusal: Refusal) -> int:
