--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -99,3 +99,27 @@
             await client.stop()
 
     run(play())
+
+
+# Guards against requests to a host of another upstream, and a configuration in force
+# that nobody wrote: a feed returns the rows of all parts of a table.
+def test_rows_of_other_parts_are_left_out() -> None:
+    async def play() -> None:
+        rows = Rows()
+        rows.write(RowId("servers", "", "h-1"), "e30=")
+        client = StoreClient(await serve(rows.build_app()))
+        await client.start()
+        version = (await client.read_table("servers")).ok.version
+        rows.write(RowId("servers", "plan", "h-1"), "eA==")
+        foreign = (await client.follow_table("servers", version, 0.0)).ok
+        assert not foreign.rows
+        assert foreign.version > version
+        rows.write(RowId("servers", "", "h-2"), "e30=")
+        rows.write(RowId("servers", "plan", "h-1"), None)
+        own = (await client.follow_table("servers", foreign.version, 0.0)).ok
+        assert [row.key for row in own.rows] == ["h-2"]
+        page = (await client.read_table("servers")).ok
+        assert [row.key for row in page.rows] == ["h-1", "h-2"]
+        await client.stop()
+
+    run(play())
