Confirm the ends of unframed answers of leaving hosts, too

The end of an answer without framing counts only if the same process lives afterwards, but leaving hosts were exempt.

Change: no exemption. A host that exits in the same instant as its last answer without framing loses it, since nothing tells its end from a kill.

--- a/radishtally/direct/answers.py
+++ b/radishtally/direct/answers.py
@@ -83,12 +83,10 @@
         dialect: Dialect,
         receive: Receive,
         probes: HostProbes,
-        is_leaving: Callable[[str], bool],
     ) -> None:
         self._dialect = dialect
         self._receive = receive
         self._probes = probes
-        self._is_leaving = is_leaving
         self.on_mismatch: Callable[[AnswerMismatch], None] = lambda mismatch: None
         self.on_unframed: Callable[[UnframedEnd], None] = lambda verdict: None
         self.on_notice: Callable[[Instance, Notice, float], None] = lambda *_: None
@@ -202,9 +200,7 @@
             return IncompleteReason.CUT_EVENT, None
         if is_empty:
             return IncompleteReason.NO_EVENT, None
-        # A draining host terminates soon after its last answer.
-        if self._is_leaving(instance.host):
-            return None, None
+        # A leaving host may be killed before its last answers have ended.
         evidence = await self._probes.probe(instance, UNFRAMED_END)
         return LIVENESS_LOSSES[evidence.liveness], evidence
 
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -74,7 +74,7 @@
         self._instances: dict[str, Instance] = {}
         self._health_paths: dict[str, str] = {}
         self._probes = HostProbes(self._query_sign, self._count_open)
-        self.answers = AnswerReader(dialect, receive, self._probes, self._is_leaving)
+        self.answers = AnswerReader(dialect, receive, self._probes)
 
     async def start(self) -> None:
         """Open the connection pools."""
@@ -251,11 +251,6 @@
     def _report_unrequested(self) -> None:
         self.answers.on_mismatch(AnswerMismatch.UNASKED)
 
-    def _is_leaving(self, host: str) -> bool:
-        """Return whether a host is draining or no longer listed."""
-        known = self._instances.get(host)
-        return known is None or known.is_draining
-
     async def _free_kv(self, kv: KvRef) -> None:
         call = self._dialect.encode_drop(kv)
         try:
