Pass on that a host's version is known again after an unreadable entry

The change to an unknown version is remembered, and when the host came back at the version it had before, no change back was passed on: each new stream contradicted the remembered one.

Change: such a host comes back with a change from the unknown version. The expectation of test_host_whose_entry_becomes_invalid_gets_no_more_work has this change in its list.

--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -112,6 +112,8 @@
     heartbeats: int
     is_deleted: bool
     """Whether its entry was deleted, and is not just overwritten or lapsed."""
+    is_unreadable: bool = False
+    """Whether its entry was overwritten by one that can't be decoded."""
 
 
 class Members:
@@ -305,11 +307,18 @@
         """Return the change of version that an entry shows, if there is one."""
         host, known = instance.host, self._instances.get(instance.host)
         is_recent = known is not None and not after_outage
-        if known is None and host in self._gone_hosts:
-            known = self._gone_hosts[host].instance
-        if known is None or known.version == instance.version:
+        gone = self._gone_hosts.get(host) if known is None else None
+        known = known if gone is None else gone.instance
+        if known is None:
+            return []
+        if known.version != instance.version:
+            change = known.version, instance.version, is_recent
+        elif gone is not None and gone.is_unreadable:
+            # Its version has been unknown since, and no start of another one was seen.
+            change = "", instance.version, not after_outage
+        else:
             return []
-        return [HostVersionChanged(host, known.version, instance.version, is_recent)]
+        return [HostVersionChanged(host, *change)]
 
     def is_present(self, queried: Instance) -> bool:
         """Return whether a queried host is listed and has not restarted since."""
@@ -423,6 +432,8 @@
         if host not in self._instances:
             return []
         self._remove_host(host, now, is_deleted=False)
+        gone = self._gone_hosts[host]
+        self._gone_hosts[host] = gone._replace(is_unreadable=True)
         return [HostRemoved(host, is_unreadable=True, is_recent=not after_outage)]
 
     def _record_removals(self, removed: Iterable[Instance], now: float) -> None:
--- a/tests/adapter/test_watch.py
+++ b/tests/adapter/test_watch.py
@@ -23,6 +23,7 @@
     HostRemoved,
     HostReturned,
     HostUpdated,
+    HostVersionChanged,
     Members,
 )
 from radishtally.outcome import Error, Ok, Result
@@ -295,6 +296,9 @@
     def confirm_hosts(self, age: float) -> None:
         assert age >= 0.0
 
+    def announce_configuration_read(self, version: int) -> None:
+        """Ignore it."""
+
     def announce_hosts_read(self, version: int) -> None:
         """Ignore the newest change, as there are no peers."""
 
@@ -412,7 +416,7 @@
     async def play() -> list[HostChange]:
         listener = Listener()
         StoreWatcher(HostsStore(*first, *then), listener).start()
-        await wait_until(lambda: len(listener.changes) >= 7)
+        await wait_until(lambda: len(listener.changes) >= 8)
         listener.runtime.cancel_tasks()
         assert listener.unreadable == 0
         return listener.changes
@@ -421,9 +425,12 @@
     assert [type(change) for change in changes] == [
         *[HostUpdated] * 5,
         HostRemoved,
+        HostVersionChanged,
         HostUpdated,
     ]
-    assert changes[5].host == changes[6].instance.host == "a"
+    assert changes[5].host == changes[6].host == changes[7].instance.host == "a"
+    # The version was unknown while the entry could not be decoded.
+    assert (changes[6].before, changes[6].after) == ("", changes[7].instance.version)
 
 
 def test_watch_survives_a_list_of_only_invalid_entries() -> None:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -317,6 +317,31 @@
     run(scenario())
 
 
+# Guards against streams that can't be taken up for minutes: before they began, another
+# writer's bytes stood in the entry of their host until its next heartbeat.
+def test_stream_that_begins_after_an_unreadable_entry_goes_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(const, "VERSION_LAG_SECONDS", 0.1)
+
+    async def scenario() -> None:
+        async with two_gateways("v1", "v1") as scene:
+            gateways = scene.env.gateway, scene.second
+            for name, engine in scene.engines.items():
+                scene.env.rows.write(RowId("servers", "", name), "eA==")
+                for gateway in gateways:
+                    await wait_until(lambda n=name, g=gateway: n not in g.core.links)
+                scene.env.announce_engine(engine)
+                for gateway in gateways:
+                    await wait_until(lambda n=name, g=gateway: n in g.core.links)
+            await asyncio.sleep(0.3)
+            await begin(scene)
+            await wait_for_stream(scene.second)
+            check_rest(await resume(scene.second, "r2", "r1", 2), "v1")
+
+    run(scenario())
+
+
 # Guards against a stream that goes on at another upstream: its route was moved, or
 # split, between two tries.
 @pytest.mark.parametrize("is_split", [True, False], ids=["split", "moved"])
