--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -51,7 +51,11 @@
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, RoutedRequest, Router
 from radishtally.gateway.topology import Site
 from radishtally.limits.retries import RetryBudgets
-from radishtally.links.gateway_messages import HostsRead
+from radishtally.links.gateway_messages import (
+    ConfigurationRead,
+    HostsRead,
+    TableRead,
+)
 from radishtally.links.kinds import Message
 from radishtally.outcome import Error, Refusal, Result
 from radishtally.routes.config import CallerLimits, FleetConfiguration
@@ -164,8 +168,8 @@
         self.stages.on_report = self._handle_report
         self.stages.is_unreachable = self.core.is_out_of_reach
         self.stages.is_limited = self.core.limits.is_limited
-        self.check_hosts: Callable[[HostsRead], None] = lambda read: None
-        """Reads the host list again unless a change has been read here as well."""
+        self.check_table: Callable[[TableRead], None] = lambda read: None
+        """Reads a table again unless a change has been read here as well."""
         self.waker = Waker(lambda: self.handle(events.Tick()))
 
     @property
@@ -391,12 +395,16 @@
 
     def announce_hosts_read(self, version: int) -> None:
         """Tell the other gateways of the newest change of the host list read here."""
-        self.peers.announce_hosts_read(HostsRead(self._era, version))
+        self.peers.announce_table_read(HostsRead(self._era, version))
+
+    def announce_configuration_read(self, version: int) -> None:
+        """Tell the other gateways of the newest configuration read here."""
+        self.peers.announce_table_read(ConfigurationRead(self._era, version))
 
-    def handle_hosts_read(self, read: HostsRead) -> None:
-        """Check that a change of the host list that a peer has read is known here."""
+    def handle_table_read(self, read: TableRead) -> None:
+        """Check that a change of a table that a peer has read is known here."""
         if read.era == self._era:
-            self.check_hosts(read)
+            self.check_table(read)
 
     def handle_permits(self, host: str) -> None:
         """Offer the requests that wait for a host that has named a limit."""
--- a/radishtally/gateway/loads.py
+++ b/radishtally/gateway/loads.py
@@ -24,12 +24,14 @@
 )
 from radishtally.links.gateway_messages import (
     Backlog,
+    ConfigurationRead,
     DemandReport,
     HostsRead,
     PartsRead,
     RoleOrdered,
     Suspicion,
     Suspicions,
+    TableRead,
 )
 from radishtally.links.hub import LinkHub
 from radishtally.links.kinds import Message
@@ -118,11 +120,14 @@
         """Suspicions to relay as a collector in the next round, with their sender."""
         self._parts_to_relay: list[tuple[str, PartsMessage]] = []
         """Messages about prompt parts to relay in the same way."""
-        self._hosts_read = HostsRead(0, 0)
-        """Newest change of the host list that this gateway or a peer has read."""
-        self._has_hosts_read_news = False
-        self.on_hosts_read: Callable[[HostsRead], None] = lambda read: None
-        """Called when a peer has read a newer change of the host list."""
+        self._reads: dict[type[TableRead], TableRead] = {
+            HostsRead: HostsRead(0, 0),
+            ConfigurationRead: ConfigurationRead(0, 0),
+        }
+        """Newest change of each table that this gateway or a peer has read."""
+        self._unsent_reads: set[type[TableRead]] = set()
+        self.on_table_read: Callable[[TableRead], None] = lambda read: None
+        """Called when a peer has read a newer change of a table."""
         self._refreshed_at = float("-inf")
 
     def set_sites(self, sites: Sites) -> None:
@@ -148,7 +153,7 @@
             self._update_contention(now)
             self._send_backlog(now)
             self._send_engine_news()
-            self._send_hosts_read()
+            self._send_table_reads()
             self._send_calls(now)
             self._send_changed_suspicions(now)
             if now >= demand_sent_at + REPORT_INTERVAL_SECONDS:
@@ -172,7 +177,8 @@
         if peer not in self._group.recipients:
             return
         self._hub.send(peer, self._make_backlog(None, peer))
-        self._hub.send(peer, self._hosts_read)
+        for read in self._reads.values():
+            self._hub.send(peer, read)
         self._limits.handle_link_up(peer)
         # A gateway that has just started would otherwise have all parts prefilled
         # again, at other engines.
@@ -218,32 +224,34 @@
         elif isinstance(message, CALL_MESSAGES):
             if self._calls is not None:
                 self._calls.handle_message(peer, message, self._is_collector, now)
-        elif isinstance(message, HostsRead):
-            self._handle_hosts_read(message)
+        elif isinstance(message, TableRead):
+            self._handle_table_read(message)
         elif isinstance(message, Suspicions):
             self._handle_suspicions(peer, message, now)
         elif isinstance(message, PartsMessage):
             self._handle_parts(peer, message, now)
 
-    def record_hosts_read(self, read: HostsRead) -> None:
-        """Record a change of the host list that this gateway has read."""
-        if read > self._hosts_read:
-            self._hosts_read = read
-            self._has_hosts_read_news = True
+    def record_table_read(self, read: TableRead) -> None:
+        """Record a change of a table that this gateway has read."""
+        if read > self._reads[type(read)]:
+            self._reads[type(read)] = read
+            self._unsent_reads.add(type(read))
 
-    def _handle_hosts_read(self, read: HostsRead) -> None:
-        if read <= self._hosts_read:
+    def _handle_table_read(self, read: TableRead) -> None:
+        if read <= self._reads[type(read)]:
             return
-        self._hosts_read = read
-        self._has_hosts_read_news = self._is_collector
-        self.on_hosts_read(read)
+        self._reads[type(read)] = read
+        if self._is_collector:
+            self._unsent_reads.add(type(read))
+        else:
+            self._unsent_reads.discard(type(read))
+        self.on_table_read(read)
 
-    def _send_hosts_read(self) -> None:
-        if not self._has_hosts_read_news:
-            return
-        self._has_hosts_read_news = False
+    def _send_table_reads(self) -> None:
+        kinds, self._unsent_reads = self._unsent_reads, set()
         for peer in self._group.recipients:
-            self._hub.send(peer, self._hosts_read)
+            for kind in kinds:
+                self._hub.send(peer, self._reads[kind])
 
     def _send_calls(self, now: float) -> None:
         if self._calls is None:
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -35,10 +35,10 @@
 )
 from radishtally.gateway.unreachable import UnreachablePeers
 from radishtally.links.gateway_messages import (
-    HostsRead,
     OriginQuery,
     OriginReply,
     StreamsBegun,
+    TableRead,
     UsageCounts,
     ViewConfirmation,
     ViewRequest,
@@ -80,8 +80,8 @@
     def handle_places(self) -> None:
         """Begin waiting calls for which peers have left places."""
 
-    def handle_hosts_read(self, read: HostsRead) -> None:
-        """Handle a change of the host list that another gateway has read."""
+    def handle_table_read(self, read: TableRead) -> None:
+        """Handle a change of a table that another gateway has read."""
 
 
 class Peers:
@@ -133,7 +133,7 @@
             gateway.handle_permits,
             CallExchange(gateway.core, self._hub.send, gateway.handle_places),
         )
-        self._loads.on_hosts_read = gateway.handle_hosts_read
+        self._loads.on_table_read = gateway.handle_table_read
         gateway.view_exchange.attach(self._hub)
         gateway.origin_exchange.attach(self._hub)
         gateway.meter.attach(self._hub)
@@ -154,10 +154,10 @@
                 JOIN_POLL_SECONDS if is_soon else PEER_READ_SECONDS
             )
 
-    def announce_hosts_read(self, read: HostsRead) -> None:
-        """Tell the other gateways of a change of the host list that was read here."""
+    def announce_table_read(self, read: TableRead) -> None:
+        """Tell the other gateways of a change of a table that was read here."""
         if self._loads is not None:
-            self._loads.record_hosts_read(read)
+            self._loads.record_table_read(read)
 
     def enter_era(self) -> None:
         """Trigger a read of the rows: the latest writes may be lost from the store."""
--- a/radishtally/links/gateway_messages.py
+++ b/radishtally/links/gateway_messages.py
@@ -100,6 +100,18 @@
     """Version of the newest change that was read."""
 
 
+class ConfigurationRead(NamedTuple):
+    """Report to the other entries that a configuration has been read."""
+
+    era: Count
+    """Era of the store; 0 if it reports none."""
+    version: Count
+    """Version of the store at which it was read."""
+
+
+TableRead = HostsRead | ConfigurationRead
+
+
 class HostLimited(NamedTuple):
     """Report to the other entries the request limit that a host has named."""
 
--- a/radishtally/links/kinds.py
+++ b/radishtally/links/kinds.py
@@ -11,6 +11,7 @@
     BacklogV2,
     CallersRefused,
     CallLoad,
+    ConfigurationRead,
     DemandReport,
     DemandReportV1,
     HostLimited,
@@ -101,6 +102,7 @@
     | PermitsGranted
     | CallLoad
     | CallersRefused
+    | ConfigurationRead
 )
 
 KINDS: Final[tuple[type, ...]] = (
@@ -148,6 +150,7 @@
     PermitsGranted,
     CallLoad,
     CallersRefused,
+    ConfigurationRead,
 )
 """A kind's number is its index here: append new kinds and never reorder them. A message
 whose fields change needs a new kind, since older releases reject any other number of
--- a/tests/adapter/test_outages.py
+++ b/tests/adapter/test_outages.py
@@ -158,6 +158,9 @@
     def confirm_hosts(self, age: float) -> None:
         assert age >= 0.0
 
+    def announce_configuration_read(self, version: int) -> None:
+        """Ignore it."""
+
     def announce_hosts_read(self, version: int) -> None:
         """Ignore the newest change, as there are no peers."""
 
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -94,7 +94,7 @@
                 gateway.loads._update_group()
                 gateway.loads._send_backlog(at)
                 gateway.loads._send_engine_news()
-                gateway.loads._send_hosts_read()
+                gateway.loads._send_table_reads()
                 gateway.loads._send_changed_suspicions(at)
                 gateway.loads._send_demand(at)
 
@@ -478,24 +478,24 @@
     net.run_rounds(0.0)
     reads: dict[str, list[HostsRead]] = {name: [] for name in net.gateways}
     for name, gateway in net.gateways.items():
-        gateway.loads.on_hosts_read = reads[name].append
-    net.gateways["g-1"].loads.record_hosts_read(HostsRead(1, 7))
+        gateway.loads.on_table_read = reads[name].append
+    net.gateways["g-1"].loads.record_table_read(HostsRead(1, 7))
     net.sent = 0
     for _ in range(4):
         for gateway in net.gateways.values():
             gateway.loads._update_group()
-            gateway.loads._send_hosts_read()
+            gateway.loads._send_table_reads()
     assert reads.pop("g-1") == []
     assert all(read == [HostsRead(1, 7)] for read in reads.values())
     assert net.sent <= 3 * count
-    net.gateways["g-2"].loads.record_hosts_read(HostsRead(1, 5))
-    assert not net.gateways["g-2"].loads._has_hosts_read_news
+    net.gateways["g-2"].loads.record_table_read(HostsRead(1, 5))
+    assert not net.gateways["g-2"].loads._unsent_reads
 
 
 def test_gateway_whose_link_is_new_learns_of_the_last_change() -> None:
     net = Network(2)
-    net.gateways["g-0"].loads.record_hosts_read(HostsRead(1, 7))
+    net.gateways["g-0"].loads.record_table_read(HostsRead(1, 7))
     reads: list[HostsRead] = []
-    net.gateways["g-1"].loads.on_hosts_read = reads.append
+    net.gateways["g-1"].loads.on_table_read = reads.append
     net.gateways["g-0"].loads.handle_link_up("g-1")
     assert reads == [HostsRead(1, 7)]
--- a/tests/gateway/test_silent_feed.py
+++ b/tests/gateway/test_silent_feed.py
@@ -64,3 +64,23 @@
                 await wait_until(lambda: "d-1" not in hosts or not hosts["d-1"].live)
 
     run(scenario())
+
+
+# Guards against requests by an outdated configuration for as long as a feed call on a
+# dead connection lasts: the other gateway has read the new one.
+def test_configuration_is_read_although_the_feed_is_silent(
+    silenced: set[StoreClient],
+) -> None:
+    async def scenario() -> None:
+        async with deployment() as env, two_gateways(env) as gateway:
+            silenced.add(gateway.table._client)
+            # The call that waits now is answered once more.
+            env.configure()
+            version = env.version
+            await wait_until(lambda: gateway.router.configuration.version == version)
+            await asyncio.sleep(0.5)
+            env.configure()
+            newest = env.version
+            await wait_until(lambda: gateway.router.configuration.version == newest)
+
+    run(scenario())
