--- a/radishtally/usage/reporter.py
+++ b/radishtally/usage/reporter.py
@@ -124,6 +124,9 @@
             if counts is None:
                 self._schedule_retry(window)
                 continue
+            # The lease may have been given up while the window was written.
+            if self._lease.fencing != fencing:
+                return
             await self._send(window, counts, fencing)
         await self._prune(now)
 
--- a/tests/usage/test_reporter.py
+++ b/tests/usage/test_reporter.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from radishtally.outcome import Result
 from radishtally.store.core import ABSENT, Key, Put
 from radishtally.store.ids import WriteIds
 from radishtally.usage import const
@@ -266,3 +267,31 @@
     holder.count(["satin"], FIRST + 1)
     holder.report(END + WINDOW_SECONDS + 1.0)
     assert platform.get_counts(FIRST + 1) == [{"satin": 1}]
+
+
+# Guards against a report under a fencing token that was given up: the process stops
+# while the store takes the window's counts, and its successor reports before.
+@pytest.mark.parametrize("is_conflict", [False, True], ids=["written", "conflict"])
+def test_lease_given_up_during_the_write_ends_the_report(
+    table: MemoryTable, is_conflict: bool
+) -> None:
+    platform = Platform()
+    first = Holder("g-1", table, platform)
+    second = Holder("g-2", table, platform, fencing=None)
+    write = table.transact
+
+    async def stop_within(writes: list[Put], write_id: str) -> Result:
+        table.transact = write
+        first.fencing, second.fencing, second.now = None, 2, first.now
+        if is_conflict:
+            second.ledger.pop_changes(second.now)
+            await second.reporter._report_due(second.now)
+        return await write(writes, write_id)
+
+    table.transact = stop_within
+    for holder in (first, second):
+        holder.count(["silk"])
+    first.report(END + 1.0)
+    second.report(END + 2.0)
+    assert platform.calls
+    assert all(fencing == 2 for _, fencing, _, _ in platform.calls)
