--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -313,7 +313,7 @@
             return []
         if known.version != instance.version:
             change = known.version, instance.version, is_recent
-        elif gone is not None and gone.is_unreadable:
+        elif gone is not None and gone.is_unreadable and instance.version:
             # Its version has been unknown since, and no start of another one was seen.
             change = "", instance.version, not after_outage
         else:
