Use no restored entry of a removed host for want of others

A removed host's entry is held until it is written again, unless its upstream has no other host, as it may only have lapsed. Entries that a restore of the store had brought were used then, too, though they come from an older copy: requests could go to a host that has left.

--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -185,7 +185,7 @@
         for host, instance in listed.items():
             count = heartbeats.get(host, 0)
             if self._entered_at is not None and self._is_behind(instance, count):
-                self._unconfirmed.hold(instance, count, now)
+                self._unconfirmed.hold(instance, count, now, is_restored=True)
                 continue
             if self._entered_at is not None and self._instances.get(host) == instance:
                 # The same entry was already seen with a later write.
@@ -278,10 +278,11 @@
     def _admit_needed(self, now: float) -> list[HostChange]:
         """Apply held entries of removed hosts whose upstreams have no other host.
 
-        Their entries may only have lapsed, and all callers would be refused.
+        Their entries may only have lapsed, and all callers would be refused. Entries of
+        an older copy of the store don't show that their hosts still live.
         """
         changes: list[HostChange] = []
-        for instance, heartbeats in self._unconfirmed.list_entries():
+        for instance, heartbeats in self._unconfirmed.list_written():
             is_gone = instance.host not in self._instances
             if not is_gone or not self._is_removal_recent(instance.host, now):
                 continue
--- a/radishtally/gateway/unconfirmed.py
+++ b/radishtally/gateway/unconfirmed.py
@@ -26,6 +26,8 @@
     until: float
     """Time from which an entry that still exists must have been written again; infinite
     if an entry of another start has replaced it."""
+    is_restored: bool = False
+    """Whether it comes from an older copy of the store."""
 
     def is_current(self, now: float) -> bool:
         """Return whether the entry may still be confirmed."""
@@ -43,7 +45,13 @@
         self._requested_at = float("inf")
         """Time of a review that was requested without an entry."""
 
-    def hold(self, instance: Instance, heartbeats: int, now: float) -> None:
+    def hold(
+        self,
+        instance: Instance,
+        heartbeats: int,
+        now: float,
+        is_restored: bool = False,
+    ) -> None:
         """Hold an entry, unless one of the same start is held already."""
         held = self._entries.get(instance.host)
         if held is not None and held.instance.started_ms == instance.started_ms:
@@ -51,7 +59,8 @@
         if not self._entries:
             self._review_at = float("inf")
         until = now + MAX_UNCONFIRMED_SECONDS
-        self._entries[instance.host] = _Entry(instance, heartbeats, now, until)
+        entry = _Entry(instance, heartbeats, now, until, is_restored)
+        self._entries[instance.host] = entry
         self._review_at = min(self._review_at, now + REVIEW_INTERVAL_SECONDS)
 
     def is_unchanged(self, instance: Instance, heartbeats: int, now: float) -> bool:
@@ -128,9 +137,13 @@
         review_at = self._review_at if self._entries else float("inf")
         return min(review_at, self._requested_at)
 
-    def list_entries(self) -> list[tuple[Instance, int]]:
-        """List the held entries with their heartbeat counts."""
-        return [(one.instance, one.heartbeats) for one in self._entries.values()]
+    def list_written(self) -> list[tuple[Instance, int]]:
+        """List the entries that no restore has brought, with their counts."""
+        return [
+            (held.instance, held.heartbeats)
+            for held in self._entries.values()
+            if not held.is_restored
+        ]
 
     def list_hosts(self) -> list[str]:
         """List the hosts whose entries are held."""
--- a/tests/gateway/test_members_machine.py
+++ b/tests/gateway/test_members_machine.py
@@ -321,3 +321,20 @@
 
 MembersMachine.TestCase.settings = settings(max_examples=200, deadline=None)
 TestMembers = MembersMachine.TestCase
+
+
+# Guards against requests to a host that has left: a second restore of the store lists
+# it again, and no other host of its upstream is known.
+def test_restored_entry_is_not_used_for_want_of_others() -> None:
+    machine = MembersMachine()
+    machine.start(hosts=frozenset("bcfgh"))
+    machine.take_backup()
+    machine.remove(hosts=frozenset("abcdefgh"))
+    written = {host: host in "be" for host in "abcdefgh"}
+    machine.restore(seconds=0.8, written=written)
+    machine.review()
+    machine.take_backup()
+    machine.remove(hosts=frozenset("acdefgh"))
+    machine.restore(seconds=0.0, written={})
+    machine.expire_early(early=0.0)
+    machine.unconfirmed_entries_change_nothing()
