Name ranges and steps of the new tests more plainly

NonNegative in place of Positive, which allowed zero; the ranges say what they are for. The tests of streams taken up share their steps.

--- a/radishtally/agent/engine.py
+++ b/radishtally/agent/engine.py
@@ -21,7 +21,7 @@
 from radishtally.decoding import DECODE_ERRORS, decode
 from radishtally.exchange import EXCHANGE_ERRORS, BodyTooLargeError, read_body
 from radishtally.links.messages import CHAT, PREFILL, KvRef, Offer
-from radishtally.numbers import Count, Positive
+from radishtally.numbers import Count, NonNegative
 from radishtally.outcome import Fault, Ran
 from radishtally.tasks import AttemptTasks
 
@@ -56,8 +56,8 @@
     incarnation: str
     fencing: Count
     max_batch: Count
-    prefill_tokens_per_second: Positive
-    decode_seconds_per_token: Positive
+    prefill_tokens_per_second: NonNegative
+    decode_seconds_per_token: NonNegative
 
 
 class OrderReply(msgspec.Struct):
--- a/radishtally/connector.py
+++ b/radishtally/connector.py
@@ -14,7 +14,7 @@
 from aiohttp.streams import StreamReader
 from eliot import log_message
 
-INTERIM: Final = 100
+CONTINUE: Final = 100
 SWITCHING_PROTOCOLS: Final = 101
 OK: Final = 200
 HEAD_END: Final = b"\r\n\r\n"
@@ -127,9 +127,9 @@
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
-        """Take a parsed head and its body; skip interim answers."""
+        """Accept a parsed head and its body; skip interim answers."""
         message, body = data
-        if INTERIM <= message.code < OK and message.code != SWITCHING_PROTOCOLS:
+        if CONTINUE <= message.code < OK and message.code != SWITCHING_PROTOCOLS:
             return
         self._body = body
         super().feed_data(data, size)
--- a/radishtally/links/messages.py
+++ b/radishtally/links/messages.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from radishtally.numbers import Amount, Count, Integer, Positive, Seconds
+from radishtally.numbers import Amount, Count, Integer, NonNegative, Seconds
 
 CHAT: Final = "chat"
 COMPLETION: Final = "completion"
@@ -120,13 +120,13 @@
     running: Count
     slots: Count
     """Requests that the upstream runs concurrently."""
-    prefill_backlog: Positive
+    prefill_backlog: NonNegative
     """Seconds of prefill work that is accepted but not started."""
-    wait: Positive
+    wait: NonNegative
     """Seconds that new work of medium priority would wait now."""
-    prefill_rate: Positive
+    prefill_rate: NonNegative
     """Tokens per second."""
-    decode_seconds: Positive
+    decode_seconds: NonNegative
     """Seconds per token."""
     role: str
     model: str
@@ -138,7 +138,7 @@
     output_tokens: Count = 0
     requests: Count = 0
     refused: Count = 0
-    token_seconds: Positive = 0.0
+    token_seconds: NonNegative = 0.0
     """Seconds per token at the upstream's current load."""
 
 
@@ -147,7 +147,7 @@
 
     request: str
     attempt: Count
-    wait: Positive
+    wait: NonNegative
     """Predicted seconds until the first token."""
     attached: bool = False
     """Whether an answer for the same idempotency key already exists."""
@@ -159,7 +159,7 @@
     request: str
     attempt: Count
     reason: str
-    retry_after: Positive
+    retry_after: NonNegative
     load: Load | None = None
 
 
--- a/radishtally/numbers.py
+++ b/radishtally/numbers.py
@@ -17,6 +17,8 @@
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 UnixMs = Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)]
 Amount = Annotated[float, Meta(ge=-1e15, le=1e15)]
+"""Finite number, such as a rate or a sum of tokens."""
 Seconds = Annotated[float, Meta(ge=-1e9, le=1e9)]
-Positive = Annotated[float, Meta(ge=0)]
-"""Number that may be infinite."""
+"""Finite time, up to 30 years; a difference of two readings may be negative."""
+NonNegative = Annotated[float, Meta(ge=0)]
+"""Number that may be infinite, such as the rate of a service without a limit."""
--- a/tests/soak/test_takeover.py
+++ b/tests/soak/test_takeover.py
@@ -155,12 +155,12 @@
     return outcomes
 
 
-async def kill_all(fleet: Fleet) -> None:
-    """Kill all gateways at once."""
-    for gateway in fleet.gateways:
+async def kill_all(fleet: Fleet, gateways: list[Gateway]) -> None:
+    """Kill gateways at once."""
+    for gateway in gateways:
         gateway.is_ending = True
         fleet.signal_gateway(gateway, signal.SIGKILL)
-    for gateway in fleet.gateways:
+    for gateway in gateways:
         await wait_for(lambda g=gateway: g.process.poll() is not None)
 
 
@@ -207,7 +207,7 @@
             streams = await begin_streams(fleet.gateways)
             if is_released_before:
                 await release(fleet)
-            await kill_all(fleet)
+            await kill_all(fleet, fleet.gateways)
             if not is_released_before:
                 await release(fleet)
             await start_all(fleet)
@@ -226,9 +226,12 @@
     fleet.signal_gateway(gateway, signal.SIGSTOP)
 
 
-async def resume(fleet: Fleet, gateway: Gateway) -> None:
-    """Let a stopped gateway's process go on."""
+async def take_up_all_at(gateway: Gateway, streams: list[Stream], fleet: Fleet) -> None:
+    """Break streams off, and take them up at a gateway that may be stopped."""
+    for stream in streams:
+        stream.connection.close()
     fleet.signal_gateway(gateway, signal.SIGCONT)
+    await take_up_all(streams, [gateway])
 
 
 async def restart_as(fleet: Fleet, host: Host, version: str, keeps_name: bool) -> Host:
@@ -243,10 +246,9 @@
     return await fleet.add_host(host.phase, host.proxy, version)
 
 
+Disturb = Callable[[Fleet, Gateway], Awaitable[None]]
 OUT_OF_STEP = pytest.mark.parametrize(
-    ("disturb", "is_paused"),
-    [(cut_off, False), (pause, True)],
-    ids=["cut off", "stopped"],
+    "disturb", [cut_off, pause], ids=["cut off", "stopped"]
 )
 
 
@@ -255,7 +257,7 @@
 @OUT_OF_STEP
 @RELEASES
 def test_streams_of_a_version_unknown_to_a_gateway_do_not_go_on_at_another(
-    disturb: Callable, is_paused: bool, release: Release, tmp_path: Path
+    disturb: Disturb, release: Release, tmp_path: Path
 ) -> None:
     async def play() -> None:
         async with run_fleet(tmp_path) as fleet:
@@ -265,13 +267,8 @@
             await release(fleet)
             await asyncio.sleep(1.0)
             streams = await begin_streams([dying, other])
-            dying.is_ending = True
-            fleet.signal_gateway(dying, signal.SIGKILL)
-            for stream in streams:
-                stream.connection.close()
-            if is_paused:
-                await resume(fleet, behind)
-            await take_up_all(streams, [behind])
+            await kill_all(fleet, [dying])
+            await take_up_all_at(behind, streams, fleet)
 
     asyncio.run(play())
 
@@ -282,11 +279,7 @@
 @pytest.mark.parametrize("keeps_name", [True, False], ids=["name", "address"])
 @pytest.mark.parametrize("begins_before", [True, False], ids=["old", "new"])
 def test_streams_do_not_go_on_at_a_host_that_returns_at_another_version(
-    disturb: Callable,
-    is_paused: bool,
-    keeps_name: bool,
-    begins_before: bool,
-    tmp_path: Path,
+    disturb: Disturb, keeps_name: bool, begins_before: bool, tmp_path: Path
 ) -> None:
     async def play() -> None:
         async with run_fleet(tmp_path) as fleet:
@@ -299,13 +292,8 @@
             if not begins_before:
                 await asyncio.sleep(1.0)
                 streams = await begin_streams([dying, other])
-                dying.is_ending = True
-                fleet.signal_gateway(dying, signal.SIGKILL)
-            for stream in streams:
-                stream.connection.close()
-            if is_paused:
-                await resume(fleet, behind)
-            await take_up_all(streams, [behind])
+                await kill_all(fleet, [dying])
+            await take_up_all_at(behind, streams, fleet)
 
     asyncio.run(play())
 
@@ -318,7 +306,7 @@
     async def play() -> None:
         async with run_fleet(tmp_path) as fleet:
             streams = await begin_streams(fleet.gateways)
-            await kill_all(fleet)
+            await kill_all(fleet, fleet.gateways)
             await start_all(fleet)
             await asyncio.sleep(STABLE_SECONDS)
             outcomes = await take_up_all(streams, fleet.gateways)
