End no process that dials a connection which has just been closed

Limiting frames needs the request to be sent before the link runs; the library raises that if the connection has been closed since it was opened, and in the dialler nothing caught it.

Change: the error counts as the end of the stream, sending has the time limit of dialling, and the accepting end closes the transport, which keeps the library's state whole.

Evidence: test_connection_that_closes_before_the_request_is_dialled_again.

--- a/radishtally/links/frames.py
+++ b/radishtally/links/frames.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from grpclib.exceptions import ProtocolError
+from grpclib.exceptions import ProtocolError, StreamTerminatedError
 
 from radishtally.links.codec import MAX_FRAME_BYTES
 
@@ -26,4 +26,13 @@
 
 def close_connection(stream: Any) -> None:
     """Close the connection of an accepted stream."""
-    stream._stream.connection.close()
+    stream._stream._transport.close()
+
+
+async def send_request(stream: Any) -> None:
+    """Send the request of a client's stream."""
+    try:
+        await stream.send_request()
+    except AttributeError as error:
+        # The library drops the transport of a connection that has just been closed.
+        raise StreamTerminatedError("the connection has been closed") from error
--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -21,7 +21,11 @@
     METHOD_EXCHANGE,
     MIN_REDIAL_SECONDS,
 )
-from radishtally.links.frames import close_connection, limit_frames
+from radishtally.links.frames import (
+    close_connection,
+    limit_frames,
+    send_request,
+)
 from radishtally.links.kinds import Message
 from radishtally.links.link import Link
 from radishtally.links.messages import Hello
@@ -217,7 +221,8 @@
             async with asyncio.timeout(DIAL_TIMEOUT_SECONDS):
                 await channel.__connect__()
             async with method.open(metadata=metadata) as stream:
-                await stream.send_request()
+                async with asyncio.timeout(DIAL_TIMEOUT_SECONDS):
+                    await send_request(stream)
                 limit_frames(stream)
                 link = await self.run_link(stream, leads=True)
                 # Ending a stream properly waits for the peer, or at least for room to
--- a/tests/links/test_frames.py
+++ b/tests/links/test_frames.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from typing import Any
 
+import pytest
 from grpclib.client import Channel, StreamStreamMethod
 from grpclib.const import Cardinality, Handler
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -14,6 +15,7 @@
 from radishtally.links.auth import has_valid_token, make_metadata
 from radishtally.links.codec import MAX_FRAME_BYTES, FrameCodec
 from radishtally.links.const import METHOD_EXCHANGE
+from radishtally.links.frames import send_request
 from tests.common import run
 from tests.links.common import KEY, Peer, wait_for
 
@@ -149,3 +151,35 @@
 def test_token_with_other_characters_than_ascii_is_refused() -> None:
     metadata = {**make_metadata(KEY, "x", "1"), "radishtally-token": "\u20ac"}
     assert not has_valid_token(KEY, metadata)
+
+
+# Guards against a process that ends as it dials: its peer closes the connection before
+# the request is sent, and the library has dropped the transport by then.
+def test_connection_that_closes_before_the_request_is_dialled_again() -> None:
+    class Closed:
+        async def send_request(self) -> None:
+            return object()._transport
+
+    async def scenario() -> None:
+        with pytest.raises(StreamTerminatedError):
+            await send_request(Closed())
+        accepted = []
+
+        async def close(_: Any, writer: asyncio.StreamWriter) -> None:
+            accepted.append(writer)
+            writer.close()
+
+        server = await asyncio.start_server(close, "127.0.0.1", 0)
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        hub = Peer("entry-0")
+        await hub.start()
+        ip, port = server.sockets[0].getsockname()
+        hub.hub.dial("x", f"{ip}:{port}")
+        await wait_for(lambda: len(accepted) >= 5)
+        await hub.hub.stop()
+        server.close()
+        assert errors == []
+
+    run(scenario())
