Close connections in a bounded time when a gateway stops

Played in two loops beside each other, the first test of that file hung in the fourth play, and in each play in which an assertion was made to fail.

Cause: HttpFrontend.stop() gave the HTTP library a shutdown timeout of 0, which the library takes for no limit: it waits for the handler of an answer whose caller reads nothing. In production the stop's own limit of 0.4 s hid it. In tests any failing assertion beside such a caller became a hang in place of a failure.

Change: open requests get 0.1 s, then their connections are closed. A coroutine of a test is cancelled after 300 s, so that a hang fails and is named.

Evidence: test_stop_ends_beside_an_answer_that_nobody_reads fails before (TimeoutError after 5 s) and passes after. What made the test of slow readers fail in the first place is not part of this commit.

--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -31,6 +31,8 @@
 allowed as a margin."""
 SHUTDOWN_TIMEOUT_SECONDS: Final = 0.4
 """Limit on the time that a stopping gateway waits for its parts to stop."""
+CLOSE_SECONDS: Final = 0.1
+"""Limit on the time that open requests get once connections are closed."""
 LEAVE_POLL_SECONDS: Final = 0.05
 BODY_ROOM_SECONDS: Final = 1.0
 """Longest time for which a request waits for room for its body."""
--- a/radishtally/gateway/http_frontend.py
+++ b/radishtally/gateway/http_frontend.py
@@ -20,6 +20,7 @@
 from radishtally.gateway.const import (
     BAD_GATEWAY,
     BODY_ROOM_SECONDS,
+    CLOSE_SECONDS,
     CROWDED_CONNECTIONS,
     CROWDED_IDLE_SECONDS,
     DEFAULT_RETRY_AFTER,
@@ -156,7 +157,7 @@
         return [] if self._server is None else list(self._server.connections)
 
     async def _listen_to_callers(self, address: str) -> None:
-        runner = web.ServerRunner(self._server, shutdown_timeout=0)
+        runner = _make_runner(self._server)
         await runner.setup()
         self._runners.append(runner)
         loop = asyncio.get_running_loop()
@@ -170,7 +171,7 @@
         self._listener.start(ip, int(port), LISTEN_BACKLOG)
 
     async def _listen(self, server: web.Server, address: str) -> web.TCPSite:
-        runner = web.ServerRunner(server, shutdown_timeout=0)
+        runner = _make_runner(server)
         await runner.setup()
         ip, port = address.rsplit(":", 1)
         site = web.TCPSite(runner, ip, int(port), backlog=LISTEN_BACKLOG)
@@ -443,6 +444,11 @@
     return web.Server(handler, access_log=None, lingering_time=0)
 
 
+def _make_runner(server: web.Server) -> web.ServerRunner:
+    # The HTTP library would wait without a limit if the timeout were 0.
+    return web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
+
+
 def _find_status(refusal: Refusal) -> int:
     """Return a status that does not promise more than is known about the request.
 
--- a/tests/common.py
+++ b/tests/common.py
@@ -33,6 +33,8 @@
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 START_SECONDS: Final = 60.0
+RUN_SECONDS: Final = 300.0
+"""Time after which a coroutine is cancelled, so that one that hangs fails."""
 READ_SECONDS: Final = 0.02
 """Time in which written data has certainly been read."""
 ADDRESSES: Final = itertools.count()
@@ -68,8 +70,8 @@
 
 
 def run(coroutine: Coroutine[Any, Any, T]) -> T:
-    """Run a coroutine on a new event loop."""
-    return uvloop.run(coroutine)
+    """Run a coroutine on a new event loop, with a timeout."""
+    return uvloop.run(asyncio.wait_for(coroutine, RUN_SECONDS))
 
 
 def allocate_address() -> str:
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -83,6 +83,22 @@
     run(scenario())
 
 
+# Guards against a stop that never ends, as a caller doesn't read its answer.
+def test_stop_ends_beside_an_answer_that_nobody_reads() -> None:
+    async def scenario() -> None:
+        async with deployment() as env:
+            await env.serve_desk("d-1", Desk(answer_large))
+            frontend = env.gateway.frontend
+            with connect(env, SMALL_BUFFER) as caller:
+                caller.sendall(b"GET /read/a HTTP/1.1\r\n" + KEPT % 1)
+                await wait_until(lambda: len(env.gateway.replies) == 1)
+                await wait_until(lambda: len(env.gateway.core.requests) == 0)
+                async with asyncio.timeout(5):
+                    await frontend.stop()
+
+    run(scenario())
+
+
 # Guards against a caller that gets neither an answer nor a refusal: its host has not
 # answered when the gateway's grace period ends, and the connection is closed with the
 # process. The caller must be told that the outcome is unknown.
