Check the start of a host before a stream goes on there

Cause: a host's version is that of its entry. Behind a cut an engine that has started again under its id has the entry of its former start. A probe that another process answered counted as the end of the host, but not against the version of streams that had begun there; and a rest was offered to hosts by their entries, without asking which process listens there.

Change: such a probe makes the host's version unknown, and that of the streams that may have begun there; the peers are told at once. Before the first event of a rest is passed on, a probe has to find the start that the entry names. It runs after the answer's head has come, so no earlier process can have sent that.

--- a/radishtally/direct/answer_checks.py
+++ b/radishtally/direct/answer_checks.py
@@ -35,9 +35,16 @@
     OTHER_EVENT = "it goes on at another event than asked for"
     HOST_ENDED = "closed by a host that has ended"
     UNCONFIRMED = "closed by a host that gave no sign of life afterwards"
+    OTHER_START = "it goes on at a host that has started again"
+    UNCONFIRMED_START = "it goes on at a host that may have started again"
 
 
-PROBED_REASONS: Final = (IncompleteReason.HOST_ENDED, IncompleteReason.UNCONFIRMED)
+PROBED_REASONS: Final = (
+    IncompleteReason.HOST_ENDED,
+    IncompleteReason.UNCONFIRMED,
+    IncompleteReason.OTHER_START,
+    IncompleteReason.UNCONFIRMED_START,
+)
 
 
 class AnswerFault(StrEnum):
--- a/radishtally/direct/answers.py
+++ b/radishtally/direct/answers.py
@@ -60,6 +60,11 @@
     Liveness.ENDED: IncompleteReason.HOST_ENDED,
     Liveness.UNKNOWN: IncompleteReason.UNCONFIRMED,
 }
+START_LOSSES: Final = {
+    Liveness.ALIVE: None,
+    Liveness.ENDED: IncompleteReason.OTHER_START,
+    Liveness.UNKNOWN: IncompleteReason.UNCONFIRMED_START,
+}
 UNFRAMED_ENDS: Final = {
     None: UnframedEnd.WHOLE,
     IncompleteReason.UNCONFIRMED: UnframedEnd.UNKNOWN,
@@ -204,6 +209,20 @@
         evidence = await self._probes.probe(instance, UNFRAMED_END)
         return LIVENESS_LOSSES[evidence.liveness], evidence
 
+    async def _check_start(self, instance: Instance) -> None:
+        """Raise if a host that goes on with a stream may have started again.
+
+        The list shows a new start, which may have another software version, only with
+        a delay, and not while the store is out of reach. The answer has begun, so a
+        process that sent it can't have ended before the probe.
+        """
+        if not instance.started_ms:
+            return
+        evidence = await self._probes.probe(instance, UNFRAMED_END)
+        reason = START_LOSSES[evidence.liveness]
+        if reason is not None:
+            raise IncompleteAnswerError(reason)
+
     async def _read_handle(
         self, response: WatchedResponse, instance: Instance, offer: Offer
     ) -> None:
@@ -284,6 +303,8 @@
         """Pass on the events of a stream as they become complete."""
         host = instance.host
         attempt_id = offer.work.request, offer.attempt
+        if offer.done or terms.resumed_stream:
+            await self._check_start(instance)
         progress = _start_progress(offer)
         splitter = EventSplitter()
         room = self._open_room(offer, MAX_STREAM_BYTES)
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import aiohttp
@@ -75,6 +75,8 @@
         self._health_paths: dict[str, str] = {}
         self._probes = HostProbes(self._query_sign, self._count_open)
         self.answers = AnswerReader(dialect, receive, self._probes)
+        self.on_replaced: Callable[[Instance], None] = lambda instance: None
+        """Called with a host at whose address another process has answered a probe."""
 
     async def start(self) -> None:
         """Open the connection pools."""
@@ -220,6 +222,8 @@
         reply = self._dialect.read_probe(response.status, headers, body, instance)
         if reply == ProbeReply.SAME:
             self.answers.report_notice(response, instance)
+        if reply == ProbeReply.OTHER:
+            self.on_replaced(instance)
         if reply != ProbeReply.SAME or not response.usage.carried:
             # The answer may still be to come. A new connection would stay in the pool
             # and take the place of a call at a host at its limit of connections.
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -62,6 +62,7 @@
 from radishtally.runtime import Runtime, Waker, read_boot_clock
 from radishtally.serving import events
 from radishtally.serving.core import DispatchCore, handle_event
+from radishtally.serving.origins import UNKNOWN_VERSION
 from radishtally.serving.replies import Replies, Reply
 from radishtally.stages.role_controller import RoleController
 from radishtally.store.core import Table
@@ -129,6 +130,7 @@
         self.hosts.answers.on_mismatch = self.metrics.count_mismatch
         self.hosts.answers.on_unframed = self.metrics.count_unframed
         self.hosts.answers.on_notice = self.runtime.guard_call(self.handle_notice)
+        self.hosts.on_replaced = self.runtime.guard_call(self.handle_replaced)
         self.hosts.answers.is_limited = self.core.limits.is_limited
         self.buffers = Buffers(settings.memory_mb)
         self.hosts.answers.reserve = self.buffers.reserve_answer
@@ -441,6 +443,15 @@
         log_message("upstream:leaving", upstream_host=queried.host)
         self.apply_changes(changes)
 
+    def handle_replaced(self, queried: Instance) -> None:
+        """Doubt the software version of a host that has been seen to start again."""
+        if not self.members.is_present(queried):
+            return
+        log_message("upstream:replaced", upstream_host=queried.host)
+        self.handle(events.VersionChanged(queried.host, UNKNOWN_VERSION, False))
+        # Callers may take up streams that break off now at other gateways at once.
+        self.origin_exchange.send_changes(time.monotonic())
+
     def _handle_report(self, queried: Instance, report: EngineReport) -> None:
         changes = self.members.apply_report(queried, report, read_boot_clock())
         if not changes and report.started_ms != queried.started_ms:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -72,6 +72,8 @@
     reader: RunReader
     software: str
     """Version of its software."""
+    started_ms: int = 0
+    """Start that it names in all that it says of itself; 0 if it names none."""
     is_listed: bool = False
     sequence: int = 0
 
@@ -138,7 +140,11 @@
         await self._write("op", "config", value)
 
     async def add_host(
-        self, phase: str, proxy: FaultProxy | None = None, software: str = ""
+        self,
+        phase: str,
+        proxy: FaultProxy | None = None,
+        software: str = "",
+        started_ms: int = 0,
     ) -> Host:
         """Start a host; with a proxy, take over the address of an earlier host.
 
@@ -152,7 +158,7 @@
         if phase:
             args += ["--phase", phase, "--seconds", str(EVENT_SECONDS)]
             args += ["--events", str(EVENTS), "--version", software]
-            args += ["--crash-prefix", BAD_PREFIX]
+            args += ["--crash-prefix", BAD_PREFIX, "--started-ms", str(started_ms)]
         child = await self._launch(name, "staged" if phase else "desk", *args)
         if proxy is None:
             proxy = await self._add_proxy(child.address)
@@ -161,7 +167,7 @@
         service = "llm" if phase else "desk"
         reader = RunReader(log)
         self._readers.append(reader)
-        host = Host(name, service, phase, proxy, child, reader, software)
+        host = Host(name, service, phase, proxy, child, reader, software, started_ms)
         await self.announce(host)
         self.hosts.append(host)
         return host
@@ -178,6 +184,7 @@
         }
         more = {"phase": host.phase} if host.phase else {"slots": DESK_SLOTS}
         more |= {"state": state, "sequence": host.sequence, "version": host.software}
+        started_ms = started_ms or host.started_ms
         more |= {"born": started_ms} if started_ms else {}
         await self._write("servers", host.name, {**entry, **more})
 
--- a/standins/staged.py
+++ b/standins/staged.py
@@ -288,10 +288,12 @@
     parser.add_argument("--events", type=int, default=EVENTS)
     parser.add_argument("--log", default="")
     parser.add_argument("--version", default="", help="version of its software")
+    parser.add_argument("--started-ms", type=int, default=0, help="0 to name none")
     parser.add_argument("--crash-prefix", default="", help="parts to exit on")
     args = parser.parse_args()
     engine = StagedEngine(args.instance, args.phase, args.seconds, args.log)
     engine.crash_prefix = args.crash_prefix
+    engine.started_ms = args.started_ms
     engine.events, engine.version = args.events, args.version
     serve(engine.build_app(), args.address, args.port, cancel_on_disconnect=True)
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -44,11 +44,17 @@
 
 
 async def serve(
-    env: Deployment, name: str, phase: str, version: str, seconds: float = 0.0
+    env: Deployment,
+    name: str,
+    phase: str,
+    version: str,
+    seconds: float = 0.0,
+    started_ms: int = 0,
 ) -> StagedEngine:
     """Start an engine of a software version."""
     engine = StagedEngine(name, phase, seconds)
     engine.version = version
+    engine.started_ms = started_ms
     await env.serve_engine(engine)
     return engine
 
@@ -364,3 +370,79 @@
                 check_refusal(resumed, const.CODE_ROUTE_MOVED)
 
     run(scenario())
+
+
+def restart_unseen(engine: StagedEngine, version: str) -> None:
+    """Start an engine again at another version, behind a cut from the store."""
+    engine.restart(engine.started_ms + 1)
+    engine.version = version
+
+
+# Guards against a stream that goes on at an engine which has started again at another
+# version, while the gateway still has the entry of its former start.
+def test_stream_does_not_go_on_at_an_engine_that_restarted_unseen() -> None:
+    async def scenario() -> None:
+        async with deployment() as env:
+            await serve(env, "p-1", "prefill", "v1", started_ms=1)
+            engines = [
+                await serve(env, name, "decode", "v1", 0.1, 1)
+                for name in ("d-1", "d-2")
+            ]
+            for engine in engines:
+                engine.cut_after = 2
+            task = asyncio.create_task(ask(env.gateway, "r1"))
+            await wait_until(lambda: any(engine.runs["r1"] for engine in engines))
+            first, other = sorted(engines, key=lambda e: -e.runs["r1"])
+            restart_unseen(other, "v2")
+            other.cut_after = None
+            received = await task
+            assert received.body == make_events("r1", range(1, 3), "v1")
+            assert not received.is_whole
+            assert env.gateway.core.hosts[other.instance].version == ""
+
+    run(scenario())
+
+
+# Guards against a stream that goes on at the version of its engine's entry, although
+# the engine had started again at another one before it began the stream.
+def test_stream_of_an_engine_that_restarted_unseen_does_not_go_on() -> None:
+    async def scenario() -> None:
+        async with (
+            deployment() as env,
+            run_gateway(env.store, "gateway-2") as second,
+        ):
+            await wait_for_links(env.gateway, second)
+            await serve(env, "p-1", "prefill", "v1", started_ms=1)
+            first = await serve(env, "d-1", "decode", "v1", 0.1, 1)
+            restart_unseen(first, "v2")
+            first.cut_after = 2
+            task = asyncio.create_task(ask(env.gateway, "r1"))
+            await wait_until(lambda: first.runs["r1"] == 1)
+            await serve(env, "d-2", "decode", "v1", started_ms=1)
+            await wait_until(lambda: "d-2" in second.core.links)
+            received = await task
+            assert received.body == make_events("r1", range(1, 3), "v2")
+            assert not received.is_whole
+            resumed = await resume(second, "r2", "r1", 2)
+            check_refusal(resumed, const.CODE_VERSION_UNKNOWN)
+
+    run(scenario())
+
+
+# Guards against a stream that is broken off, though its next engine runs as listed.
+def test_stream_goes_on_at_an_engine_that_confirms_its_start() -> None:
+    async def scenario() -> None:
+        async with deployment() as env:
+            await serve(env, "p-1", "prefill", "v1", started_ms=1)
+            engines = [
+                await serve(env, name, "decode", "v1", 0.1, 1)
+                for name in ("d-1", "d-2")
+            ]
+            script = chain([RunFault(cut_after=2)], repeat(SOUND))
+            for engine in engines:
+                engine.faults = script
+            received = await ask(env.gateway, "r1")
+            assert received.body == make_events("r1", range(1, EVENTS + 1), "v1")
+            assert received.is_whole
+
+    run(scenario())
--- a/tests/soak/test_takeover.py
+++ b/tests/soak/test_takeover.py
@@ -68,11 +68,10 @@
 
 
 async def add_engines(fleet: Fleet, version: str) -> list[Host]:
-    """Start engines of a version."""
+    """Start engines of a version, which name their start."""
     phases = ["prefill", *["decode"] * DECODE_ENGINES]
-    return list(
-        await asyncio.gather(*(fleet.add_host(p, software=version) for p in phases))
-    )
+    starting = (fleet.add_host(p, software=version, started_ms=1) for p in phases)
+    return list(await asyncio.gather(*starting))
 
 
 async def wait_for(condition: Callable[[], object]) -> None:
@@ -239,11 +238,12 @@
     host.child.process.kill()
     host.child.process.wait()
     fleet.hosts.remove(host)
-    if not keeps_name:
+    if keeps_name:
+        fleet._names = iter([int(host.name.split("-")[1])])
+    else:
         await fleet.withdraw(host)
-        return await fleet.add_host(host.phase, host.proxy, version)
-    fleet._names = iter([int(host.name.split("-")[1])])
-    return await fleet.add_host(host.phase, host.proxy, version)
+    started_ms = host.started_ms + 1
+    return await fleet.add_host(host.phase, host.proxy, version, started_ms)
 
 
 Disturb = Callable[[Fleet, Gateway], Awaitable[None]]
