End the doubt about a host that confirms its start

Cause: a connection that can't be opened within 0.25 s puts the host's version in doubt, and only a later answer of the store ended that. Streams that began meanwhile were recorded with no version.

Change: a report that names the known start, asked for after the doubt arose, ends the doubt. It is asked for when an answer begins at such a host, before its first event: the answer's process is then the one that the list describes, since a host doesn't return to an ended start.

--- a/radishtally/direct/answers.py
+++ b/radishtally/direct/answers.py
@@ -31,7 +31,7 @@
 )
 from radishtally.direct.core import NO_NOTICE, Dialect, Head, Instance, Notice
 from radishtally.direct.pool import WatchedResponse
-from radishtally.direct.probes import HostProbes
+from radishtally.direct.probes import BROKEN_ANSWER, HostProbes
 from radishtally.direct.stream import EventSplitter, continues_stream
 from radishtally.exchange import BodyTooLargeError, decode_headers, read_body
 from radishtally.growth import GrowingRoom
@@ -98,6 +98,8 @@
         """Called with the time since which the host has reported its status."""
         self.is_limited: Callable[[str], bool] = lambda host: False
         """Returns whether a host has named a limit, which an answer may end."""
+        self.is_doubted: Callable[[str], bool] = lambda host: False
+        """Returns whether a host may have started again at another version."""
         self.reserve: Callable[[str, int], Awaitable[None]] = _reserve_nothing
         """Waits for room for an answer's bytes."""
         self.release: Callable[[str, int], None] = lambda request, size: None
@@ -305,6 +307,9 @@
         attempt_id = offer.work.request, offer.attempt
         if offer.done or terms.resumed_stream:
             await self._check_start(instance)
+        elif self.is_doubted(host):
+            # A host that has confirmed its start is doubted no longer.
+            await self._probes.probe(instance, BROKEN_ANSWER)
         progress = _start_progress(offer)
         splitter = EventSplitter()
         room = self._open_room(offer, MAX_STREAM_BYTES)
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -77,6 +77,8 @@
         self.answers = AnswerReader(dialect, receive, self._probes)
         self.on_replaced: Callable[[Instance], None] = lambda instance: None
         """Called with a host at whose address another process has answered a probe."""
+        self.on_confirmed: Callable[[Instance, float], None] = lambda *_: None
+        """Called with a host that has named its known start, and when it was asked."""
 
     async def start(self) -> None:
         """Open the connection pools."""
@@ -203,6 +205,7 @@
         # An answer may end after its upstream has been removed from the configuration.
         health_path = self._health_paths.get(instance.upstream, HEALTH_PATH)
         call = self._dialect.encode_probe(instance, health_path)
+        asked_at = time.monotonic()
         try:
             async with (
                 asyncio.timeout(patience.answer_seconds),
@@ -222,6 +225,8 @@
         reply = self._dialect.read_probe(response.status, headers, body, instance)
         if reply == ProbeReply.SAME:
             self.answers.report_notice(response, instance)
+            if self._names_start(body, instance):
+                self.on_confirmed(instance, asked_at)
         if reply == ProbeReply.OTHER:
             self.on_replaced(instance)
         if reply != ProbeReply.SAME or not response.usage.carried:
@@ -230,6 +235,13 @@
             response.abort()
         return PROBE_SIGNS[reply]
 
+    def _names_start(self, body: bytes, instance: Instance) -> bool:
+        """Return whether the answer to a probe names the known start of an engine."""
+        if not instance.role or not instance.started_ms:
+            return False
+        report = self._dialect.read_report(body)
+        return report.is_ok() and report.ok.started_ms == instance.started_ms
+
     def _count_open(
         self, instance: Instance, opened_before: float, received_after: float
     ) -> int:
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -131,6 +131,8 @@
         self.hosts.answers.on_unframed = self.metrics.count_unframed
         self.hosts.answers.on_notice = self.runtime.guard_call(self.handle_notice)
         self.hosts.on_replaced = self.runtime.guard_call(self.handle_replaced)
+        self.hosts.on_confirmed = self.runtime.guard_call(self.handle_confirmed)
+        self.hosts.answers.is_doubted = self.core.is_doubted
         self.hosts.answers.is_limited = self.core.limits.is_limited
         self.buffers = Buffers(settings.memory_mb)
         self.hosts.answers.reserve = self.buffers.reserve_answer
@@ -452,6 +454,11 @@
         # Callers may take up streams that break off now at other gateways at once.
         self.origin_exchange.send_changes(time.monotonic())
 
+    def handle_confirmed(self, queried: Instance, asked_at: float) -> None:
+        """Record that a host has still run its known start after a time."""
+        if self.members.is_present(queried):
+            self.core.confirm_host(queried.host, asked_at)
+
     def _handle_report(self, queried: Instance, report: EngineReport) -> None:
         changes = self.members.apply_report(queried, report, read_boot_clock())
         if not changes and report.started_ms != queried.started_ms:
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -106,6 +106,10 @@
         if known is not None and known.reports_start:
             self.doubted_since.setdefault(host, now - DOUBT_MARGIN_SECONDS)
 
+    def is_doubted(self, host: str) -> bool:
+        """Return whether a host may have begun again at another version."""
+        return host in self.doubted_since
+
     def confirm_hosts(self, asked_at: float) -> None:
         """Record that the host list was current at a time.
 
@@ -117,6 +121,12 @@
             if asked_at < since + DOUBT_MARGIN_SECONDS + VERSION_LAG_SECONDS
         }
 
+    def confirm_host(self, host: str, asked_at: float) -> None:
+        """Record that a host ran its listed start after a time."""
+        since = self.doubted_since.get(host)
+        if since is not None and asked_at >= since + DOUBT_MARGIN_SECONDS:
+            del self.doubted_since[host]
+
     def pause_host(self, host: str, seconds: float, now: float) -> None:
         """Record that a host has asked for no work for a while."""
         known = self.hosts.get(host)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Tests of streams whose engines run different versions of their software."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from itertools import chain, repeat
@@ -446,3 +447,26 @@
             assert received.is_whole
 
     run(scenario())
+
+
+# Guards against streams that can't be taken up for as long as they last: they began
+# just after a cut, during which their engines seemed to have ended.
+def test_stream_of_an_engine_that_was_out_of_reach_goes_on() -> None:
+    async def scenario() -> None:
+        async with (
+            deployment() as env,
+            run_gateway(env.store, "gateway-2") as second,
+        ):
+            await wait_for_links(env.gateway, second)
+            await serve(env, "p-1", "prefill", "v1", started_ms=1)
+            script = chain(BROKEN_OFF, repeat(SOUND))
+            for name in ("d-1", "d-2"):
+                engine = await serve(env, name, "decode", "v1", started_ms=1)
+                engine.faults = script
+                await wait_until(lambda n=name: n in second.core.links)
+                env.gateway.core.doubt_version(name, time.monotonic())
+            received = await ask(env.gateway, "r1")
+            assert received.body == make_events("r1", range(1, 3), "v1")
+            check_rest(await resume(second, "r2", "r1", 2), "v1")
+
+    run(scenario())
