Record in the store which routes have had a single source of streams

Cause: where streams began is known to gateways only. What nobody knows is refused, rightly: going by what serves at present would be a guess after a release.

Change: one row holds, by route, the only upstream and version at which its streams have begun, or none. A gateway has a version recorded before it lets resumable streams begin there, waits for that 1 s at most, and again after the store was restored. A stream that no gateway remembers goes on at the only source of its route, read from the store then; otherwise it is refused as before. Ten minutes after a release, longer than streams last, the new version is the only source again. Costs a gateway one read of the store when it starts and one at each new version, spread over 5 ms a gateway.

Two tests expected a refusal: of a gateway without peers, which is now asked for with one version (the stream goes on) and with two (refused); and after silence, which now lasts 0.8 s in place of 0.3 s.

--- a/radishtally/gateway/changes.py
+++ b/radishtally/gateway/changes.py
@@ -18,6 +18,7 @@
     HostVersionChanged,
     Members,
 )
+from radishtally.gateway.source_recorder import SourceRecorder
 from radishtally.gateway.starts import HostRestarted
 from radishtally.links.messages import Cancel, Hello
 from radishtally.serving import events
@@ -33,6 +34,7 @@
     placement: EnginePlacement
     core: DispatchCore
     stages: RoleController
+    source_recorder: SourceRecorder
 
     def handle(self, event: events.Event) -> None:
         """Handle an event and execute the resulting commands."""
@@ -58,6 +60,8 @@
         version=instance.version,
         is_draining=instance.is_draining,
     )
+    if instance.role:
+        targets.source_recorder.note_host(instance.upstream, instance.version)
     targets.hosts.set_instance(instance)
     targets.placement.set_instance(instance)
     live = not instance.is_draining
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -49,6 +49,7 @@
 from radishtally.gateway.origins import OriginExchange
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, RoutedRequest, Router
+from radishtally.gateway.source_recorder import SourceRecorder
 from radishtally.gateway.topology import Site
 from radishtally.limits.retries import RetryBudgets
 from radishtally.links.gateway_messages import (
@@ -64,6 +65,8 @@
 from radishtally.serving.core import DispatchCore, handle_event
 from radishtally.serving.origins import UNKNOWN_VERSION
 from radishtally.serving.replies import Replies, Reply
+from radishtally.serving.resumption import list_locating_routes
+from radishtally.serving.sources import UsableSources
 from radishtally.stages.role_controller import RoleController
 from radishtally.store.core import Table
 from radishtally.store.ids import WriteIds
@@ -124,7 +127,11 @@
         self.origin_exchange = OriginExchange(
             settings.host,
             self.core.origins,
-            lambda stream: self.handle(events.OriginSettled(stream)),
+            self._handle_settled,
+        )
+        self.core.sources = UsableSources()
+        self.source_recorder = SourceRecorder(
+            table, self.write_ids.make, self.core.sources
         )
         self.hosts = DirectHosts(host_dialect, self.runtime.guard_call(self._receive))
         self.hosts.answers.on_mismatch = self.metrics.count_mismatch
@@ -197,6 +204,7 @@
         self.runtime.spawn(self.peers.run())
         self.runtime.spawn(self.confirmer.run())
         self.runtime.spawn(self.origin_exchange.run())
+        self.runtime.spawn(self.source_recorder.run())
         for coroutine in self.meter.list_tasks():
             self.runtime.spawn(coroutine)
         log_message(
@@ -271,7 +279,7 @@
 
     def set_gateway_count(self, count: int) -> None:
         """Set how many gateways share the retry budget and the reads of the lease."""
-        self._gateway_count = count
+        self._gateway_count = self.source_recorder.gateway_count = count
         self.lease.set_contender_count(count)
         self._update_retry_budget()
 
@@ -346,6 +354,7 @@
         self.router.configure(configuration)
         self.placement.configure(configuration.upstreams.values())
         self.hosts.configure(configuration.upstreams.values())
+        self.source_recorder.configure(configuration.routes)
         self.metrics.set_configuration(configuration.version)
         log_message("configuration:in_force", version=configuration.version)
 
@@ -374,6 +383,7 @@
         self.members.enter_era(read_boot_clock())
         self.peers.enter_era()
         self.meter.enter_era()
+        self.source_recorder.enter_era()
 
     def list_served_hosts(self) -> list[Instance]:
         """List the hosts of the upstreams that are configured.
@@ -396,6 +406,7 @@
     def confirm_hosts(self, age: float) -> None:
         """Record that the host list was current so many seconds ago."""
         self.core.confirm_hosts(time.monotonic() - age)
+        self.source_recorder.review(self.members)
 
     def announce_hosts_read(self, version: int) -> None:
         """Tell the other gateways of the newest change of the host list read here."""
@@ -451,6 +462,7 @@
             return
         log_message("upstream:replaced", upstream_host=queried.host)
         self.handle(events.VersionChanged(queried.host, UNKNOWN_VERSION, False))
+        self.source_recorder.note_unknown(queried.upstream)
         # Callers may take up streams that break off now at other gateways at once.
         self.origin_exchange.send_changes(time.monotonic())
 
@@ -561,6 +573,22 @@
                 execute_command(command, self)
             self.waker.wake_at(self.core.next_wake())
 
+    def _handle_settled(self, stream: bytes) -> None:
+        """Go on with the requests that wait to learn where a stream began."""
+        if self.core.origins.find(stream) is not None:
+            self.handle(events.OriginSettled(stream))
+            return
+        routes = list_locating_routes(stream, self.core)
+        for route in routes:
+            self.runtime.spawn(self._find_source(stream, route))
+
+    async def _find_source(self, stream: bytes, route: str) -> None:
+        """Find where a stream began that no gateway remembers."""
+        source = await self.source_recorder.find_sole(route)
+        if source is not None:
+            self.handle(events.SourceFound(stream, source))
+        self.handle(events.OriginSettled(stream))
+
     def _receive(self, host: str, message: Message) -> None:
         self.handle(events.Received(host, message))
 
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -124,6 +124,7 @@
             tuple(split.upstream for split in route.splits if split.weight > 0),
             caller_request.timeout or 0.0,
             hash_content(method, caller_request.authority, target, body),
+            route.key,
         )
         timeout = min(route.timeout, caller_request.timeout or route.timeout)
         return Ok(RoutedRequest(work, terms, timeout, is_streamed))
--- a/radishtally/routes/core.py
+++ b/radishtally/routes/core.py
@@ -48,6 +48,11 @@
     is_anonymous: bool = False
     """Whether its requests need no key."""
 
+    @property
+    def key(self) -> str:
+        """Return what tells its requests from those of other routes."""
+        return self.authority + self.prefix
+
     @property
     def is_idempotent(self) -> bool:
         """Return whether a request that may have run can be run again."""
--- a/radishtally/serving/const.py
+++ b/radishtally/serving/const.py
@@ -17,6 +17,8 @@
 """Seconds between polls for the outcome of a call that another request has started."""
 ORIGIN_TIMEOUT_SECONDS: Final = 0.3
 """Longest wait for the peers' answers to where a stream began."""
+SOURCE_TIMEOUT_SECONDS: Final = 0.5
+"""Longest wait for the store's answer, if no peer knows it."""
 VERSION_LAG_SECONDS: Final = 3.0
 """Longest time from a host's start to its entry, while the store is available: its
 first heartbeat, and the delay until the change is read."""
--- a/radishtally/serving/core.py
+++ b/radishtally/serving/core.py
@@ -33,7 +33,12 @@
     WITHDRAWING,
     OpenRequest,
 )
-from radishtally.serving.resumption import locate, resume
+from radishtally.serving.resumption import (
+    list_locating,
+    locate,
+    record_source,
+    resume,
+)
 from radishtally.serving.state import DispatchCore
 from radishtally.serving.versions import find_stream, resumes_stream
 
@@ -81,9 +86,14 @@
 
 @_handle.register
 def _(event: events.OriginSettled, core: DispatchCore, now: float) -> Iterator[Command]:
-    for request in list(core.requests.values()):
-        if request.phase == LOCATING and request.stream == event.stream:
-            yield from resume(request, core, now)
+    for request in list_locating(event.stream, core):
+        yield from resume(request, core, now)
+
+
+@_handle.register
+def _(event: events.SourceFound, core: DispatchCore, now: float) -> Iterator[Command]:
+    record_source(event.stream, event.source, core, now)
+    yield from ()
 
 
 @_handle.register
--- a/radishtally/serving/events.py
+++ b/radishtally/serving/events.py
@@ -5,6 +5,7 @@
 from radishtally.links.kinds import Message
 from radishtally.links.messages import Finished, Hello, KvRef, Work
 from radishtally.outcome import Refusal
+from radishtally.serving.sources import Source
 from radishtally.serving.terms import DEFAULT_TERMS, Terms
 
 
@@ -70,6 +71,13 @@
     stream: bytes
 
 
+class SourceFound(NamedTuple):
+    """Event: a stream that no gateway remembers can only have begun at one source."""
+
+    stream: bytes
+    source: Source
+
+
 class VersionChanged(NamedTuple):
     """Event: a host has begun again under its name at another software version."""
 
@@ -108,6 +116,7 @@
     | Repeated
     | Denied
     | OriginSettled
+    | SourceFound
     | VersionChanged
     | PermitsReceived
     | PlacesChanged
--- a/radishtally/serving/offers.py
+++ b/radishtally/serving/offers.py
@@ -31,7 +31,11 @@
 from radishtally.serving.prompt_suspects import PartKeys
 from radishtally.serving.refusals import refuse, refuse_without_retry_after
 from radishtally.serving.requests import OFFERED, WAITING, OpenRequest
-from radishtally.serving.selection import list_live, list_run_hosts
+from radishtally.serving.selection import (
+    list_live,
+    list_run_hosts,
+    waits_for_source,
+)
 from radishtally.serving.state import DispatchCore
 from radishtally.serving.suspects import ENDS_TO_ISOLATE
 from radishtally.serving.versions import find_required_version
@@ -64,6 +68,9 @@
     if version is not None and not list_run_hosts(request, core):
         yield from _refuse_version(request, version, core)
         return
+    if version is None and waits_for_source(request, core):
+        yield from _hold(request, "its source is being recorded", core, now)
+        return
     pause = _find_common_pause(request, core, now)
     if pause > const.MAX_PAUSE_WAIT_SECONDS and not request.has_resumable_part:
         text = "all hosts that could run the request have asked for a pause"
--- a/radishtally/serving/resumption.py
+++ b/radishtally/serving/resumption.py
@@ -9,9 +9,10 @@
     refuse_unknown_origin,
     set_phase_end,
 )
-from radishtally.serving.origins import RETURN_SECONDS
+from radishtally.serving.origins import RETURN_SECONDS, Origin
 from radishtally.serving.refusals import refuse_without_retry_after
 from radishtally.serving.requests import LOCATING, OpenRequest
+from radishtally.serving.sources import Source
 from radishtally.serving.state import DispatchCore
 
 
@@ -22,10 +23,36 @@
         yield from resume(request, core, now)
         return
     request.phase = LOCATING
-    set_phase_end(request, now + const.ORIGIN_TIMEOUT_SECONDS, core)
+    wait = const.ORIGIN_TIMEOUT_SECONDS + const.SOURCE_TIMEOUT_SECONDS
+    set_phase_end(request, now + wait, core)
     yield FindOrigin(request.stream)
 
 
+def list_locating(stream: bytes, core: DispatchCore) -> list[OpenRequest]:
+    """List the requests that wait to learn where a stream began."""
+    return [
+        request
+        for request in core.requests.values()
+        if request.phase == LOCATING and request.stream == stream
+    ]
+
+
+def list_locating_routes(stream: bytes, core: DispatchCore) -> set[str]:
+    """List the routes of the requests that wait to learn where a stream began."""
+    return {request.terms.route for request in list_locating(stream, core)}
+
+
+def record_source(
+    stream: bytes, source: Source, core: DispatchCore, now: float
+) -> None:
+    """Record the only source at which a stream of a route can have begun."""
+    for request in list_locating(stream, core):
+        if request.terms.route == source.route:
+            origin = Origin(source.upstream, source.version, "")
+            until = request.deadline + RETURN_SECONDS
+            core.origins.record(stream, origin, until, now)
+
+
 def resume(request: OpenRequest, core: DispatchCore, now: float) -> Iterator[Command]:
     """Offer the rest of a stream to hosts of the version that began it, or refuse."""
     origin = core.origins.find(request.stream)
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -19,6 +19,7 @@
 from radishtally.serving.placement import Placement, RankedPlacement
 from radishtally.serving.prompt_suspects import PromptSuspects
 from radishtally.serving.requests import OpenRequest
+from radishtally.serving.sources import UsableSources
 from radishtally.serving.suspects import Suspects
 
 
@@ -42,6 +43,8 @@
     """Whether hosts run software versions whose streams can't be combined. Agents
     report no software version."""
     origins: StreamOrigins = field(default_factory=StreamOrigins)
+    sources: UsableSources | None = None
+    """Sources from which streams may begin; None if any may."""
     hosts: dict[str, KnownHost] = field(default_factory=dict)
     doubted_since: dict[str, float] = field(default_factory=dict)
     """Hosts that keep their name and may have begun again at another version, and the
--- a/radishtally/serving/terms.py
+++ b/radishtally/serving/terms.py
@@ -39,6 +39,8 @@
     """Seconds that the caller waits; 0 if it has not said."""
     content: str = ""
     """Digest of the request's content, equal in all repeats; empty if not computed."""
+    route: str = ""
+    """Authority and path prefix of the route; empty if sources aren't recorded."""
 
     @property
     def shared_tokens(self) -> int:
