Doubt a host's streams only if another start of the same host answers

Requests name the host that they are for, so another host can't have begun its streams; only a new start of the same one can.

The probe's reply tells the two apart now.

--- a/radishtally/direct/core.py
+++ b/radishtally/direct/core.py
@@ -97,7 +97,9 @@
 
     SAME = "same"
     OTHER = "other"
-    """Another host has the address, or the host was restarted."""
+    """Another host has the address."""
+    RESTARTED = "restarted"
+    """The host has it, but was started again."""
     UNCLEAR = "unclear"
     """An intermediary may have answered."""
 
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -60,6 +60,7 @@
 PROBE_SIGNS: Final = {
     ProbeReply.SAME: Sign.ANSWERED,
     ProbeReply.OTHER: Sign.REPLACED,
+    ProbeReply.RESTARTED: Sign.REPLACED,
     ProbeReply.UNCLEAR: Sign.UNCLEAR,
 }
 
@@ -75,8 +76,8 @@
         self._health_paths: dict[str, str] = {}
         self._probes = HostProbes(self._query_sign, self._count_open)
         self.answers = AnswerReader(dialect, receive, self._probes)
-        self.on_replaced: Callable[[Instance], None] = lambda instance: None
-        """Called with a host at whose address another process has answered a probe."""
+        self.on_restarted: Callable[[Instance], None] = lambda instance: None
+        """Called with a host of which another start has answered a probe."""
         self.on_confirmed: Callable[[Instance, float], None] = lambda *_: None
         """Called with a host that has named its known start, and when it was asked."""
 
@@ -227,8 +228,8 @@
             self.answers.report_notice(response, instance)
             if self._names_start(body, instance):
                 self.on_confirmed(instance, asked_at)
-        if reply == ProbeReply.OTHER:
-            self.on_replaced(instance)
+        if reply == ProbeReply.RESTARTED:
+            self.on_restarted(instance)
         if reply != ProbeReply.SAME or not response.usage.carried:
             # The answer may still be to come. A new connection would stay in the pool
             # and take the place of a call at a host at its limit of connections.
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -137,7 +137,7 @@
         self.hosts.answers.on_mismatch = self.metrics.count_mismatch
         self.hosts.answers.on_unframed = self.metrics.count_unframed
         self.hosts.answers.on_notice = self.runtime.guard_call(self.handle_notice)
-        self.hosts.on_replaced = self.runtime.guard_call(self.handle_replaced)
+        self.hosts.on_restarted = self.runtime.guard_call(self.handle_restarted)
         self.hosts.on_confirmed = self.runtime.guard_call(self.handle_confirmed)
         self.hosts.answers.is_doubted = self.core.is_doubted
         self.hosts.answers.is_limited = self.core.limits.is_limited
@@ -456,11 +456,11 @@
         log_message("upstream:leaving", upstream_host=queried.host)
         self.apply_changes(changes)
 
-    def handle_replaced(self, queried: Instance) -> None:
+    def handle_restarted(self, queried: Instance) -> None:
         """Doubt the software version of a host that has been seen to start again."""
         if not self.members.is_present(queried):
             return
-        log_message("upstream:replaced", upstream_host=queried.host)
+        log_message("upstream:restarted_unlisted", upstream_host=queried.host)
         self.handle(events.VersionChanged(queried.host, UNKNOWN_VERSION, False))
         self.source_recorder.note_unknown(queried.upstream)
         # Callers may take up streams that break off now at other gateways at once.
