Settle no route while another source comes up, and share reads of the sources

- A version that came up in the very moment in which another one was settled was let through, while the row showed the other one as the only source.
It is recorded now; a new test fails before.
- Each stream that was taken up after a kill of all gateways read the store by itself; those that come within 10 ms share a read (24 reads before in the new test, 1 now).
- Hosts without a role were not noted, so that streams on a plain service that names a version would have been held until their deadline.
All hosts with a version are noted.
- A host whose version a probe had put in doubt had it back only with its next entry.
One that confirms its listed start has it back at once, with a test.

--- a/radishtally/gateway/changes.py
+++ b/radishtally/gateway/changes.py
@@ -60,8 +60,7 @@
         version=instance.version,
         is_draining=instance.is_draining,
     )
-    if instance.role:
-        targets.source_recorder.note_host(instance.upstream, instance.version)
+    targets.source_recorder.note_host(instance.upstream, instance.version)
     targets.hosts.set_instance(instance)
     targets.placement.set_instance(instance)
     live = not instance.is_draining
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -458,7 +458,9 @@
 
     def handle_restarted(self, queried: Instance) -> None:
         """Doubt the software version of a host that has been seen to start again."""
-        if not self.members.is_present(queried):
+        known = self.core.hosts.get(queried.host)
+        is_doubted = known is None or known.version == UNKNOWN_VERSION
+        if is_doubted or not self.members.is_present(queried):
             return
         log_message("upstream:restarted_unlisted", upstream_host=queried.host)
         self.handle(events.VersionChanged(queried.host, UNKNOWN_VERSION, False))
@@ -469,7 +471,7 @@
     def handle_confirmed(self, queried: Instance, asked_at: float) -> None:
         """Record that a host has still run its known start after a time."""
         if self.members.is_present(queried):
-            self.core.confirm_host(queried.host, asked_at)
+            self.core.confirm_host(queried.host, queried.version, asked_at)
 
     def _handle_report(self, queried: Instance, report: EngineReport) -> None:
         changes = self.members.apply_report(queried, report, read_boot_clock())
--- a/radishtally/gateway/source_recorder.py
+++ b/radishtally/gateway/source_recorder.py
@@ -82,6 +82,8 @@
         """Sources that have been the only possible ones for longer than any stream."""
         self._due = asyncio.Event()
         self._is_new_era = False
+        self._next_read: asyncio.Task | None = None
+        """Read of the row that has not begun."""
         self.gateway_count = 1
 
     def configure(self, routes: Iterable[Route]) -> None:
@@ -118,8 +120,9 @@
         if now > self._reviewed_at + MAX_REVIEW_GAP_SECONDS:
             self._singles.clear()
         self._reviewed_at = now
-        engines = [host for host in hosts if host.role and host.version]
-        self._versions = {(host.upstream, host.version) for host in engines}
+        self._versions = {
+            (host.upstream, host.version) for host in hosts if host.version
+        }
         possible = self._list_possible()
         self._recorded &= possible
         self._pending &= possible
@@ -193,10 +196,12 @@
         if read.is_error():
             return read
         row, routes = read.ok
-        merged = merge_sources(routes, sorted(pending | self._recorded))
+        used = pending | self._recorded
+        merged = merge_sources(routes, sorted(used))
         for source in settled:
-            sole = {"upstream": source.upstream, "version": source.version}
-            merged[source.route] = sole
+            # Another source may have come up since.
+            if all(other == source for other in used if other.route == source.route):
+                merged[source.route] = source.describe()
         if merged != routes:
             put = Put(SOURCES_KEY, SourceRow(routes=merged), row.rev if row else ABSENT)
             deadline = time.monotonic() + WRITE_TIMEOUT_SECONDS
@@ -227,9 +232,16 @@
             log_message("sources:row_invalid")
             return Ok((row, {ANY_ROUTE: None}))
 
+    async def _read_soon(self) -> Result[tuple[Row | None, StoredRoutes], str]:
+        """Read the row for all that ask until then."""
+        await asyncio.sleep(BATCH_SECONDS)
+        self._next_read = None
+        return await self._read()
+
     async def find_sole(self, route: str) -> Source | None:
         """Return the only source that a route has had, None if that isn't certain."""
-        await asyncio.sleep(BATCH_SECONDS)
-        read = await self._read()
+        if self._next_read is None:
+            self._next_read = asyncio.create_task(self._read_soon())
+        read = await asyncio.shield(self._next_read)
         sole = None if read.is_error() else read.ok[1].get(route)
         return None if sole is None else Source(route, **sole)
--- a/radishtally/serving/sources.py
+++ b/radishtally/serving/sources.py
@@ -11,6 +11,13 @@
 from typing import NamedTuple, TypedDict
 
 
+class SoleSource(TypedDict):
+    """Describe the only source of a route, as stored."""
+
+    upstream: str
+    version: str
+
+
 class Source(NamedTuple):
     """Describe where streams begin."""
 
@@ -20,12 +27,9 @@
     version: str
     """Software version of the hosts."""
 
-
-class SoleSource(TypedDict):
-    """Describe the only source of a route, as stored."""
-
-    upstream: str
-    version: str
+    def describe(self) -> SoleSource:
+        """Return what is stored if it is the only source of its route."""
+        return SoleSource(upstream=self.upstream, version=self.version)
 
 
 StoredRoutes = dict[str, SoleSource | None]
@@ -72,7 +76,7 @@
     merged = dict(routes)
     for source in used:
         route = source.route
-        sole = SoleSource(upstream=source.upstream, version=source.version)
+        sole = source.describe()
         if route not in merged:
             merged[route] = None if _overlaps(route, routes) else sole
         elif merged[route] != sole:
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -15,7 +15,7 @@
 )
 from radishtally.serving.host_limits import HostLimits
 from radishtally.serving.hosts import KnownHost
-from radishtally.serving.origins import StreamOrigins
+from radishtally.serving.origins import UNKNOWN_VERSION, StreamOrigins
 from radishtally.serving.placement import Placement, RankedPlacement
 from radishtally.serving.prompt_suspects import PromptSuspects
 from radishtally.serving.requests import OpenRequest
@@ -124,8 +124,11 @@
             if asked_at < since + DOUBT_MARGIN_SECONDS + VERSION_LAG_SECONDS
         }
 
-    def confirm_host(self, host: str, asked_at: float) -> None:
-        """Record that a host ran its listed start after a time."""
+    def confirm_host(self, host: str, version: str, asked_at: float) -> None:
+        """Record that a host ran its listed start, of a version, after a time."""
+        known = self.hosts.get(host)
+        if known is not None and known.version == UNKNOWN_VERSION:
+            known.version = version
         since = self.doubted_since.get(host)
         if since is not None and asked_at >= since + DOUBT_MARGIN_SECONDS:
             del self.doubted_since[host]
--- a/tests/gateway/test_source_recorder.py
+++ b/tests/gateway/test_source_recorder.py
@@ -11,10 +11,11 @@
 from radishtally.direct.core import Instance
 from radishtally.gateway import source_recorder
 from radishtally.gateway.source_recorder import SOURCES_KEY, SourceRecorder
+from radishtally.outcome import Result
 from radishtally.routes.core import Route, RouteKind, Split
 from radishtally.serving.origins import CHANGE_RETENTION_SECONDS
 from radishtally.serving.sources import Source, UsableSources, merge_sources
-from radishtally.store.core import Put
+from radishtally.store.core import Key, Put, ReadError, Row
 from tests.common import MemoryTable, run
 
 ROUTE = "desk.example/draft/"
@@ -230,3 +231,41 @@
 )
 def test_merge_of_sources(stored: dict, used: list[Source], merged: object) -> None:
     assert merge_sources(stored, used) == {**stored, ROUTE: merged}
+
+
+# Guards against a version that comes up just as another one is settled: streams begin
+# at both, but the store shows one.
+def test_version_that_returns_as_another_is_settled_is_recorded() -> None:
+    async def scenario() -> None:
+        async with run_recorder() as scene:
+            scene.recorder.review([make_host("v1"), make_host("v2")])
+            await wait_for(lambda: scene.read_routes() == {ROUTE: None})
+            for now in range(0, int(CHANGE_RETENTION_SECONDS) + 30, 30):
+                scene.clock.now = float(now)
+                scene.recorder.review([make_host("v2")])
+            scene.recorder.note_host("llm", "v1")
+            await wait_for(lambda: scene.usable.allows(FIRST))
+            assert scene.read_routes() == {ROUTE: None}
+
+    run(scenario())
+
+
+# Guards against a call to the store for each of many streams that are taken up at once.
+def test_streams_that_are_taken_up_together_share_a_read() -> None:
+    class Counted(MemoryTable):
+        reads = 0
+
+        async def get(self, key: Key) -> Result[Row | None, ReadError]:
+            self.reads += 1
+            return await super().get(key)
+
+    async def scenario() -> None:
+        async with run_recorder(Counted()) as scene:
+            scene.recorder.note_host("llm", "v1")
+            await wait_for(lambda: scene.usable.allows(FIRST))
+            scene.table.reads = 0
+            found = [scene.recorder.find_sole(ROUTE) for _ in range(24)]
+            assert await asyncio.gather(*found) == [FIRST] * 24
+            assert scene.table.reads == 1
+
+    run(scenario())
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -475,3 +475,17 @@
             check_rest(await resume(second, "r2", "r1", 2), "v1")
 
     run(scenario())
+
+
+# Guards against a host whose version stays unknown after a probe was answered wrongly.
+def test_host_that_confirms_its_start_has_its_version_again() -> None:
+    async def scenario() -> None:
+        async with deployment() as env:
+            engine = await serve(env, "d-1", "decode", "v1", started_ms=1)
+            (instance,) = env.gateway.members
+            env.gateway.handle_restarted(instance)
+            assert env.gateway.core.hosts["d-1"].version == ""
+            env.gateway.handle_confirmed(instance, time.monotonic())
+            assert env.gateway.core.hosts["d-1"].version == engine.version
+
+    run(scenario())
