Name the lasting sources by what they are

"Settled" also says of a write that its outcome is known, in the module beside it. A source that has been the only possible one for longer than any stream is now a lasting one.

--- a/radishtally/gateway/source_recorder.py
+++ b/radishtally/gateway/source_recorder.py
@@ -78,7 +78,7 @@
         """Sources that must be recorded."""
         self._singles: dict[str, _Single] = {}
         self._reviewed_at = float("-inf")
-        self._settled: set[Source] = set()
+        self._lasting: set[Source] = set()
         """Sources that have been the only possible ones for longer than any stream."""
         self._due = asyncio.Event()
         self._is_new_era = False
@@ -128,9 +128,9 @@
         self._pending &= possible
         self._usable.retain(possible)
         self._require()
-        self._settle_singles(possible, now)
+        self._collect_lasting(possible, now)
 
-    def _settle_singles(self, possible: set[Source], now: float) -> None:
+    def _collect_lasting(self, possible: set[Source], now: float) -> None:
         for route in self._routes:
             sources = [source for source in possible if source.route == route]
             if len(sources) != 1:
@@ -142,7 +142,7 @@
                 self._singles[route] = _Single(source, now)
             elif now >= known.since + CHANGE_RETENTION_SECONDS:
                 self._singles[route] = _Single(source, now)
-                self._settled.add(source)
+                self._lasting.add(source)
                 self._due.set()
 
     def _list_possible(self) -> set[Source]:
@@ -176,7 +176,7 @@
             self._due.clear()
             await asyncio.sleep(random.uniform(0.0, self._find_spread_seconds()))
             pause = RETRY_SECONDS
-            while self._pending or self._settled:
+            while self._pending or self._lasting:
                 recorded = await self._record()
                 if recorded.is_error():
                     log_message("sources:unwritten", reason=recorded.error)
@@ -191,14 +191,14 @@
 
     async def _record(self) -> Result[None, str]:
         """Add the pending sources to the row."""
-        pending, settled = self._pending.copy(), self._settled.copy()
+        pending, lasting = self._pending.copy(), self._lasting.copy()
         read = await self._read()
         if read.is_error():
             return read
         row, routes = read.ok
         used = pending | self._recorded
         merged = merge_sources(routes, sorted(used))
-        for source in settled:
+        for source in lasting:
             # Another source may have come up since.
             if all(other == source for other in used if other.route == source.route):
                 merged[source.route] = source.describe()
@@ -212,7 +212,7 @@
                 return Error(str(written.error))
             log_message("sources:recorded", routes=merged)
         self._pending -= pending
-        self._settled -= settled
+        self._lasting -= lasting
         self._recorded |= pending
         for source in pending:
             self._usable.allow(source)
