Ignore SIGHUP from the first line of a process on

An entry or an agent never ignored it and ended at any time.

A gateway handles it once its loop runs, as before.

--- a/radishtally/daemon.py
+++ b/radishtally/daemon.py
@@ -1,5 +1,12 @@
 """Entry point of an agent or entry process: `radishtallyd --settings FILE`."""
 
+# Nothing of a running entry or agent can be reloaded, and the default action of SIGHUP
+# would end the process, during the imports too.
+import signal
+
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+# ruff: noqa: E402
 import asyncio
 import sys
 
