Wait for settings that are not written yet

Callers saw no service: a gateway whose settings file was absent, empty or half written as it started ended at once with exit 2, and did so again at each restart until the file was whole.

A process now reads its settings until they are valid, for 10 s at most, and reports each new fault at once on standard error; then it exits with 2 as before.

--- a/radishtally/daemon.py
+++ b/radishtally/daemon.py
@@ -16,21 +16,27 @@
 from radishtally.logs import start_logging
 from radishtally.settings.config import Settings
 from radishtally.settings.core import read_settings
+from radishtally.startup import wait_for_settings
 
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 3
 
 
-def run(path: str) -> None:
-    """Run until a graceful stop; exit with a code that identifies the error."""
-    outcome = read_settings(path)
+async def serve(path: str) -> None:
+    """Wait for the settings and run until a graceful stop."""
+    outcome = await wait_for_settings(lambda: read_settings(path))
     if outcome.is_error():
         print(f"radishtallyd: {outcome.error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     logs = start_logging(outcome.ok.host)
+    await logs.run_with_flushing(_make_daemon(outcome.ok).run())
+
+
+def run(path: str) -> None:
+    """Run until a graceful stop; exit with a code that identifies the error."""
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(logs.run_with_flushing(_make_daemon(outcome.ok).run()))
+            runner.run(serve(path))
     except OSError as error:
         print(f"radishtallyd: {error}", file=sys.stderr)
         sys.exit(EXIT_ADDRESS)
