Wait for addresses that are still taken, and serve without metrics

Callers saw no service: a gateway ended with exit 3 if the address of callers, of the readiness check or of the metrics was taken for a moment, as by a process that is just ending, and with 4, as a broken invariant, if that of the peers was.

The address of the readiness check is taken first, then that of callers; both are waited for, 10 s at most, after which the process exits with 3. Until callers can connect the gateway is not ready. It serves on while the metrics or the links to peers wait for theirs: without links it does not contend for the lease, and its row does not lead others to it. A stop ends the wait. Entries and agents wait in the same way; the address of an agent remains the lock against a second one on its host, which still exits with 3, 10 s later.

--- a/radishtally/agent/daemon.py
+++ b/radishtally/agent/daemon.py
@@ -52,7 +52,9 @@
             else Service(upstream.url, self.handle)
         )
         self.process.install_handlers()
-        await self.process.hub.start(self.settings.address)
+        starting = self.process.hub.start(self.settings.address)
+        if not await self.process.run_unless_stopping(starting):
+            return
         self.process.audit.start()
         self.process.spawn(self._watch_engine() if is_engine else self._watch_service())
         self.process.spawn(self.drains.run())
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import hashlib
 import random
-import socket
 import time
 from functools import singledispatchmethod
 from typing import Final
@@ -44,6 +43,7 @@
 from radishtally.serving.placement import RankedPlacement
 from radishtally.serving.replies import Replies, Reply
 from radishtally.settings.config import Settings
+from radishtally.startup import open_listener
 
 SHUTDOWN_POLL_SECONDS: Final = 0.02
 
@@ -92,7 +92,9 @@
     async def run(self) -> None:
         """Serve until the process is asked to stop, then shut down."""
         self.process.install_handlers()
-        await self.process.hub.start(self.settings.address)
+        starting = self.process.hub.start(self.settings.address)
+        if not await self.process.run_unless_stopping(starting):
+            return
         self.process.audit.start()
         self.claims.start()
         self.watcher.start()
@@ -113,10 +115,7 @@
         app.register_middleware(self._disable_keep_alive, "response")
         # sanic's runner would start more processes, so only its server is used, on the
         # running event loop.
-        ip, port = self.settings.http_address.rsplit(":", 1)
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((ip, int(port)))
+        listener = await open_listener(self.settings.http_address)
         server = await app.create_server(sock=listener, return_asyncio_server=True)
         await server.startup()
         await server.start_serving()
--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -10,9 +10,6 @@
 that counts from the last byte it sent never races with the close."""
 IDLE_SWEEP_SECONDS: Final = 1.0
 """Interval between checks for idle connections."""
-LISTEN_BACKLOG: Final = 1_024
-"""Length of the accept queue. Connection attempts beyond it are retried by the caller's
-kernel only after seconds."""
 CROWDED_CONNECTIONS: Final = 1_000
 """Callers' connections beyond which idle ones are closed early."""
 CROWDED_IDLE_SECONDS: Final = 1.0
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -194,9 +194,12 @@
         self.runtime.install_handlers()
         await self.hosts.start()
         settings = self.settings
-        await self.frontend.start(
+        starting = self.frontend.start(
             settings.address, settings.ready_address, settings.metrics_address
         )
+        if not await self.runtime.run_unless_stopping(starting):
+            log_message("gateway:stopped_before_start")
+            return
         # Other gateways may contend already; that is known once the links are up.
         self.lease.contend(False)
         self.lease.start()
@@ -328,7 +331,8 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send requests here."""
-        return self.router.configuration is not None and not self.is_stopping()
+        is_configured = self.router.configuration is not None
+        return is_configured and self.frontend.is_listening and not self.is_stopping()
 
     def is_stopping(self) -> bool:
         """Return whether connections should be closed after their answer."""
--- a/radishtally/gateway/http_frontend.py
+++ b/radishtally/gateway/http_frontend.py
@@ -28,7 +28,6 @@
     GATEWAY_TIMEOUT,
     IDLE_MARGIN_SECONDS,
     IDLE_SWEEP_SECONDS,
-    LISTEN_BACKLOG,
     MAX_DRAINED_BYTES,
     MAX_HEADER_BYTES,
     NOT_RUN_STATUSES,
@@ -46,6 +45,7 @@
 from radishtally.routes.config import CallerLimits
 from radishtally.serving.events import Begin, Deliver, EndStream, Refuse, SendFullAnswer
 from radishtally.serving.replies import Reply
+from radishtally.startup import LISTEN_BACKLOG, START_SECONDS, open_listener
 
 LIBRARY_KEEPALIVE_SECONDS: Final = 86_400.0
 """Keep-alive timeout of the HTTP library, long enough that it never applies: idle
@@ -106,6 +106,8 @@
         self._server: web.Server | None = None
         self._connections = Connections(self._list_connections)
         self._sweeper: asyncio.Task[None] | None = None
+        self._serving_metrics: asyncio.Task[None] | None = None
+        """Waits for the address of the metrics."""
 
     async def start(
         self, address: str, ready_address: str, metrics_address: str
@@ -122,10 +124,14 @@
             access_log=None,
             lingering_time=0,
         )
-        await self._listen_to_callers(address)
         await self._listen(_make_server(self._answer_ready), ready_address)
-        await self._listen(_make_server(self._answer_metrics), metrics_address)
+        await self._listen_to_callers(address)
         self._sweeper = asyncio.create_task(self._sweep())
+        metrics = _make_server(self._answer_metrics)
+        # Callers are served without metrics too.
+        self._serving_metrics = asyncio.create_task(
+            self._listen(metrics, metrics_address, float("inf"))
+        )
 
     def is_lagging(self) -> bool:
         """Return whether this process is short of processor time."""
@@ -140,6 +146,7 @@
         """Close all connections and stop listening."""
         if self._sweeper is not None:
             self._sweeper.cancel()
+            self._serving_metrics.cancel()
         await self.stop_listening()
         for runner in self._runners:
             await runner.cleanup()
@@ -167,17 +174,16 @@
             self._detector,
             self._backend.record_refused_connection,
         )
-        ip, port = address.rsplit(":", 1)
-        self._listener.start(ip, int(port), LISTEN_BACKLOG)
+        self._listener.start(await open_listener(address))
 
-    async def _listen(self, server: web.Server, address: str) -> web.TCPSite:
+    async def _listen(
+        self, server: web.Server, address: str, wait_seconds: float = START_SECONDS
+    ) -> None:
         runner = _make_runner(server)
         await runner.setup()
-        ip, port = address.rsplit(":", 1)
-        site = web.TCPSite(runner, ip, int(port), backlog=LISTEN_BACKLOG)
-        await site.start()
         self._runners.append(runner)
-        return site
+        listener = await open_listener(address, wait_seconds)
+        await web.SockSite(runner, listener, backlog=LISTEN_BACKLOG).start()
 
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         if request.path != self._dialect.ready_path:
--- a/radishtally/gateway/overload.py
+++ b/radishtally/gateway/overload.py
@@ -165,10 +165,9 @@
         self._socket: socket.socket | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
 
-    def start(self, ip: str, port: int, backlog: int) -> None:
-        """Listen and accept connections."""
-        self._socket = socket.create_server((ip, port), backlog=backlog)
-        self._socket.setblocking(False)
+    def start(self, listener: socket.socket) -> None:
+        """Accept connections."""
+        self._socket = listener
         asyncio.get_running_loop().add_reader(self._socket, self._accept_all)
 
     def stop(self) -> None:
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -138,7 +138,9 @@
         gateway.origin_exchange.attach(self._hub)
         gateway.meter.attach(self._hub)
         gateway.stages.on_ordered = self._loads.record_role_order
-        await self._hub.start(self._address)
+        # Callers are served without links too. The lease is not contended for until
+        # links are up, and no row leads other gateways here.
+        await self._hub.start(self._address, float("inf"))
         gateway.runtime.spawn(self._loads.run())
         gateway.runtime.spawn(self._loads.run_limits())
         had_row = await self._registry.write_own_row()
--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -29,6 +29,7 @@
 from radishtally.links.kinds import Message
 from radishtally.links.link import Link
 from radishtally.links.messages import Hello
+from radishtally.startup import START_SECONDS, open_listener
 
 DIAL_ERRORS: Final = (
     OSError,
@@ -68,14 +69,13 @@
         """Return the hosts to which a link is up."""
         return list(self._links)
 
-    async def start(self, address: str) -> None:
-        """Listen on the host's fixed address; fail if another process uses it."""
-        ip, port = address.rsplit(":", 1)
+    async def start(self, address: str, wait_seconds: float = START_SECONDS) -> None:
+        """Listen on the host's fixed address, once no other process uses it."""
         server = Server([_LinkService(self)], codec=FrameCodec())
         # Without SO_REUSEPORT only one process can bind the port, and the kernel
         # releases it when the process dies but not when it is paused: see DESIGN.md,
         # "One agent per host".
-        await server.start(ip, int(port), reuse_port=False)
+        await server.start(sock=await open_listener(address, wait_seconds))
         # Set only now: a server that has not started can't be closed, and a stop during
         # the start would raise an error.
         self._server = server
--- a/radishtally/runtime.py
+++ b/radishtally/runtime.py
@@ -64,6 +64,18 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    async def run_unless_stopping(self, coroutine: Coroutine[Any, Any, Any]) -> bool:
+        """Run a coroutine to its end; return whether no stop came before."""
+        work = asyncio.create_task(coroutine)
+        stop = asyncio.create_task(self.stopping.wait())
+        await asyncio.wait([work, stop], return_when=asyncio.FIRST_COMPLETED)
+        stop.cancel()
+        if not work.done():
+            work.cancel()
+            return False
+        work.result()
+        return True
+
     def _report_stall(self, stall: Stall) -> None:
         log_message("process:stalled", **stall._asdict(), **self.describe_state())
         self.on_stall(stall)
--- a/tests/soak/test_process_start.py
+++ b/tests/soak/test_process_start.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 import signal
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import aiohttp
 import pytest
 
 from soak.checks import Disturbances, Ledger
@@ -39,6 +41,22 @@
     assert gateway.was_ready
 
 
+async def read_metrics(fleet: Fleet, gateway: Gateway) -> int | None:
+    """Return the status of the metrics; None if none are served."""
+    url = f"http://{gateway.settings['metrics_address']}/metrics"
+    try:
+        async with fleet.session.get(url) as reply:
+            return reply.status
+    except aiohttp.ClientError:
+        return None
+
+
+def bind(address: str) -> socket.socket:
+    """Listen on an address as another process does."""
+    ip, port = address.rsplit(":", 1)
+    return socket.create_server((ip, int(port)))
+
+
 async def wait_logged(folder: Path, gateway: Gateway, kind: str) -> None:
     """Wait until the gateway has logged a line of a kind, and still runs."""
     async with asyncio.timeout(WAIT_SECONDS):
@@ -77,6 +95,52 @@
     asyncio.run(play())
 
 
+# Guards against a process that ends since one that has just ended, or another program,
+# still holds one of its addresses.
+@pytest.mark.parametrize(
+    "name", ["address", "ready_address", "metrics_address", "peer_address"]
+)
+def test_gateway_waits_for_an_address_that_is_still_taken(
+    name: str, tmp_path: Path
+) -> None:
+    async def play() -> None:
+        async with stopped_gateway(tmp_path) as (fleet, gateway):
+            with bind(gateway.settings[name]):
+                fleet.start_gateway(gateway)
+                await wait_logged(tmp_path, gateway, "listener:unavailable")
+            await check_served(fleet, gateway)
+            async with asyncio.timeout(WAIT_SECONDS):
+                while await read_metrics(fleet, gateway) != 200:
+                    await asyncio.sleep(0.05)
+                while not can_connect(gateway.settings["peer_address"]):
+                    await asyncio.sleep(0.05)
+
+    asyncio.run(play())
+
+
+def can_connect(address: str) -> bool:
+    """Return whether something listens on an address."""
+    ip, port = address.rsplit(":", 1)
+    try:
+        socket.create_connection((ip, int(port)), 1.0).close()
+    except OSError:
+        return False
+    return True
+
+
+# Guards against callers who are not served since the gateway can't serve its metrics.
+def test_gateway_serves_without_metrics_if_their_address_is_taken(
+    tmp_path: Path,
+) -> None:
+    async def play() -> None:
+        async with stopped_gateway(tmp_path) as (fleet, gateway):
+            with bind(gateway.settings["metrics_address"]):
+                fleet.start_gateway(gateway)
+                await check_served(fleet, gateway)
+
+    asyncio.run(play())
+
+
 async def cut(fleet: Fleet, gateway: Gateway) -> None:
     gateway.store_proxy.cut()
 
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 import sys
 from pathlib import Path
 
@@ -9,7 +10,8 @@
 
 from bench.fleet import ROOT, make_environment
 from radishtally.outcome import Error, Fault, Ok, Result
-from radishtally.startup import wait_for_settings
+from radishtally.runtime import Runtime
+from radishtally.startup import open_listener, wait_for_settings
 from tests.common import run
 
 SHORT_SECONDS = 0.3
@@ -45,6 +47,40 @@
     assert run(wait_for_settings(lambda: outcomes.pop(0), WAIT_SECONDS)) == Ok(7)
 
 
+# Guards against two processes on one address, and against one that waits for ever.
+def test_address_that_stays_taken_is_an_error_in_bounds() -> None:
+    async def scenario() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = "{}:{}".format(*taken.getsockname())
+            with pytest.raises(OSError, match="in use"):
+                await open_listener(address, SHORT_SECONDS)
+
+    run(scenario())
+
+
+def test_invalid_address_is_an_error_at_once() -> None:
+    async def scenario() -> None:
+        async with asyncio.timeout(SHORT_SECONDS):
+            with pytest.raises(OSError, match="."):
+                await open_listener("300.0.0.1:7", float("inf"))
+
+    run(scenario())
+
+
+# Guards against a stop that waits for an address first.
+def test_stop_ends_the_wait_for_an_address() -> None:
+    async def scenario() -> None:
+        runtime = Runtime()
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = "{}:{}".format(*taken.getsockname())
+            starting = runtime.run_unless_stopping(open_listener(address))
+            asyncio.get_running_loop().call_later(0.05, runtime.stopping.set)
+            async with asyncio.timeout(SHORT_SECONDS):
+                assert not await starting
+
+    run(scenario())
+
+
 SETTINGS = """{
   "role": "agent", "host": "gown-1", "place": "howrah", "peer_key": "k",
   "address": "127.0.0.1:0",
