Contain unexpected errors to a request, host, row, link or task

Callers lost all open requests of a gateway if any code raised an exception that nobody had thought of: Runtime.abort took each for a broken invariant and ended the process (exit 4), with a stop that waited for no request. One odd row, answer or message could so end gateways again and again.

An error now ends what it belongs to. A request whose step raises is answered 502, or 503 if it was never offered, with the truth on whether it has run; its attempt is cancelled, and the others of the same event go on (serving/containment.py). Each error is reported to the exception handler of the event loop, logged as error:contained with its scope and traceback, in bounds, and counted by scope (radishtally_contained_errors).

Only the cores that guard exclusiveness end a process: leases, claims and orders (driver.py). Such a core acts no more at once, and the process ends after a usual stop, so that its requests get their answers. Entries and agents share all of this.

Fixtures of the gateway check that no error was contained.

--- a/radishtally/agent/const.py
+++ b/radishtally/agent/const.py
@@ -44,4 +44,5 @@
 REASON_CANCELLED: Final = "cancelled"
 REASON_NOT_READY: Final = "upstream not ready"
 REASON_DEADLINE: Final = "deadline can't be met"
+REASON_UNEXPECTED: Final = "unexpected error"
 REFUSAL_RETRY_SECONDS: Final = 1.0
--- a/radishtally/agent/core.py
+++ b/radishtally/agent/core.py
@@ -20,6 +20,7 @@
     ORPHAN_GRACE_SECONDS,
     REASON_CANCELLED,
     REASON_DEADLINE,
+    REASON_UNEXPECTED,
 )
 from radishtally.agent.events import Command, Event, Send
 from radishtally.agent.retention import EndedAttempt
@@ -48,7 +49,7 @@
 
 def handle_event(event: Event, core: AgentCore, now: float) -> list[Command]:
     """Handle one event and return the resulting commands."""
-    commands = list(_handle(event, core, now))
+    commands = list(_contain_attempt(event, core, now))
     commands += _start_ready(core, now)
     commands += _flush(core, now)
     if core.drains and _is_empty(core, now):
@@ -56,6 +57,38 @@
     return commands
 
 
+def _contain_attempt(event: Event, core: AgentCore, now: float) -> Iterator[Command]:
+    """Handle an event; after an exception end the attempt that it is about."""
+    try:
+        yield from _handle(event, core, now)
+    except Exception as error:
+        subject = getattr(event, "message", event)
+        work = getattr(subject, "work", subject)
+        attempt_id = getattr(work, "request", ""), getattr(subject, "attempt", 0)
+        if core.on_error is None:
+            raise
+        core.on_error(error, attempt_id[0])
+        if attempt_id[0]:
+            yield from _end_attempt(attempt_id, getattr(event, "host", ""), core, now)
+
+
+def _end_attempt(
+    attempt_id: AttemptId, host: str, core: AgentCore, now: float
+) -> Iterator[Command]:
+    """Report an attempt in an unknown state as lost; it may have run."""
+    assignment = core.find(attempt_id)
+    if assignment is None or assignment.ended is not None:
+        core.ended_attempts.record(attempt_id, Ran.UNKNOWN, REASON_UNEXPECTED, now)
+        if host:
+            yield Send(host, Lost(*attempt_id, Ran.UNKNOWN, REASON_UNEXPECTED, 0))
+        return
+    # A call that may be half done is not interrupted.
+    if assignment.offer.work.idempotent and not core.queue.remove(*attempt_id):
+        yield events.Abort(*assignment.attempt_id)
+    assignment.answer.end = _make_lost(assignment, Ran.UNKNOWN, REASON_UNEXPECTED)
+    core.end(assignment, now)
+
+
 @singledispatch
 def _handle(event: Event, core: AgentCore, now: float) -> Iterator[Command]:
     raise TypeError(f"no handler for an event of type {type(event)}")
--- a/radishtally/agent/daemon.py
+++ b/radishtally/agent/daemon.py
@@ -16,6 +16,7 @@
 from radishtally.authority.plan import DRAIN, PLAN
 from radishtally.authority.plan_store import PlanStore
 from radishtally.configuration.config import Service as ServiceConfig
+from radishtally.containment import contain, report_error
 from radishtally.links.hub import LinkCallbacks
 from radishtally.links.kinds import Message
 from radishtally.links.messages import Hello, Hint, Offer
@@ -34,6 +35,9 @@
         self.process = Process(settings)
         self.settings = settings
         self.core = AgentCore(settings.host, settings.upstream.name)
+        self.core.on_error = lambda error, request: report_error(
+            error, "request", request=request
+        )
         self.waker = Waker(lambda: self.handle(events.Tick()))
         self.drained = asyncio.Event()
         self.drains = DrainFollower(settings.host, self.process.table, self)
@@ -56,8 +60,9 @@
         if not await self.process.run_unless_stopping(starting):
             return
         self.process.audit.start()
-        self.process.spawn(self._watch_engine() if is_engine else self._watch_service())
-        self.process.spawn(self.drains.run())
+        watch = self._watch_engine if is_engine else self._watch_service
+        self.process.keep_running("upstream", watch)
+        self.process.keep_running("drains", self.drains.run)
         if is_engine:
             self._start_orders()
         self.handle(events.Tick())
@@ -65,8 +70,7 @@
         await self.process.stopping.wait()
         if self.orders is not None:
             await self.orders.stop()
-        if not self.process.broken:
-            await self._drain_and_flush()
+        await self._drain_and_flush()
         self.waker.stop()
         await self.upstream.close()
         await self.process.unload()
@@ -88,10 +92,10 @@
 
     def handle(self, event: events.Event) -> None:
         """Handle an event in the core and execute the resulting commands."""
-        with self.process.guard():
-            for command in handle_event(event, self.core, time.monotonic()):
+        for command in handle_event(event, self.core, time.monotonic()):
+            with contain("request", command=type(command).__name__):
                 self._execute(command)
-            self.waker.wake_at(self.core.next_wake(time.monotonic()))
+        self.waker.wake_at(self.core.next_wake(time.monotonic()))
 
     async def _drain_and_flush(self) -> None:
         """Drain the agent for its stop and wait until the answers are delivered."""
--- a/radishtally/agent/engine.py
+++ b/radishtally/agent/engine.py
@@ -15,6 +15,7 @@
     FIRST_TOKEN_TIMEOUT_SECONDS,
     NEXT_TOKEN_TIMEOUT_SECONDS,
     PREFILL_TIMEOUT_FACTOR,
+    REASON_UNEXPECTED,
 )
 from radishtally.agent.sse import Done, read_parts
 from radishtally.connector import CheckedConnector
@@ -95,7 +96,7 @@
             read_bufsize=MAX_LINE_BYTES,
             connector=CheckedConnector("engine", limit=0, force_close=True),
         )
-        self._tasks = AttemptTasks()
+        self._tasks = AttemptTasks(self._report_fault)
         self._token_deadlines: dict[tuple[str, int], float] = {}
         """Time by which each running attempt must produce its next token."""
         self._prefill_rate = float("inf")
@@ -138,6 +139,10 @@
             return Error(Fault(read.error, self._url))
         return Ok((status, read.ok))
 
+    def _report_fault(self, request: str, attempt: int) -> None:
+        failed = events.Failed(request, attempt, Ran.UNKNOWN, REASON_UNEXPECTED)
+        self._report(failed)
+
     def run(self, offer: Offer) -> None:
         """Start work; its results are reported as events."""
         self._tasks.start(offer.work.request, offer.attempt, self._run(offer))
--- a/radishtally/agent/service.py
+++ b/radishtally/agent/service.py
@@ -11,7 +11,11 @@
 from yarl import URL
 
 from radishtally.agent import events
-from radishtally.agent.const import CALL_TIMEOUT_SECONDS, CONNECT_TIMEOUT_SECONDS
+from radishtally.agent.const import (
+    CALL_TIMEOUT_SECONDS,
+    CONNECT_TIMEOUT_SECONDS,
+    REASON_UNEXPECTED,
+)
 from radishtally.connector import CheckedConnector, CheckedHandler
 from radishtally.exchange import EXCHANGE_ERRORS, CheckedResponse, SendOnce
 from radishtally.links.messages import Offer
@@ -59,7 +63,7 @@
     def __init__(self, url: str, report: Callable[[events.Event], None]) -> None:
         self._url = url
         self._report = report
-        self._tasks = AttemptTasks()
+        self._tasks = AttemptTasks(self._report_fault)
         self._connector = CheckedConnector("service", limit=0, force_close=True)
         # The service may close a kept-open connection just as a call is sent on it, and
         # whether the call ran is then unknown. If a new connection can't be opened,
@@ -88,6 +92,10 @@
         writer.close()
         return True
 
+    def _report_fault(self, request: str, attempt: int) -> None:
+        failed = events.Failed(request, attempt, Ran.UNKNOWN, REASON_UNEXPECTED)
+        self._report(failed)
+
     def run(self, offer: Offer) -> None:
         """Start a call; its results are reported as events."""
         self._tasks.start(offer.work.request, offer.attempt, self._run(offer))
--- a/radishtally/agent/state.py
+++ b/radishtally/agent/state.py
@@ -1,5 +1,6 @@
 """State of the agent's core."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -52,6 +53,9 @@
     drains: dict[str, ActiveDrain] = field(default_factory=dict)
     """Active drains by reason."""
     counts: WorkCounters = WorkCounters(0, 0, 0, 0)
+    on_error: Callable[[Exception, str], None] | None = None
+    """Called with an unexpected error and the request that it has ended; None if it is
+    to be raised."""
 
     @property
     def is_stopping(self) -> bool:
--- a/radishtally/authority/lease_driver.py
+++ b/radishtally/authority/lease_driver.py
@@ -88,7 +88,7 @@
 
     def holds(self) -> bool:
         """Return whether the lease is held now; check this before each order."""
-        return self._core.holds(self._clock())
+        return not self.is_broken and self._core.holds(self._clock())
 
     def set_contender_count(self, contenders: int) -> None:
         """Scale the read interval with the contenders, to limit the load on the store.
@@ -107,7 +107,7 @@
     def describe(self) -> LeaseState:
         """Return this process's view of the lease, with its age."""
         now, row = self._clock(), self._core.row
-        holds = self._core.holds(now)
+        holds = self.holds()
         return LeaseState(
             holds_lease=holds,
             fencing=self._core.fencing if holds else None,
@@ -128,7 +128,7 @@
 
     def make_check(self) -> Check | None:
         """Build a check that fails a transaction if the lease row has changed."""
-        return self._core.make_check(self._clock())
+        return None if self.is_broken else self._core.make_check(self._clock())
 
     def give_up(self, fencing: int) -> None:
         """Abandon a refused fencing token and contend for the lease under a new one."""
--- a/radishtally/direct/hosts.py
+++ b/radishtally/direct/hosts.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 from yarl import URL
 
+from radishtally.containment import report_error
 from radishtally.direct.answer_checks import AnswerMismatch, describe_error
 from radishtally.direct.answers import AnswerReader, Receive
 from radishtally.direct.const import (
@@ -57,6 +58,8 @@
 )
 
 
+UNEXPECTED: Final = "unexpected error"
+"""Reason of an attempt that was lost as this process met an unexpected error."""
 PROBE_SIGNS: Final = {
     ProbeReply.SAME: Sign.ANSWERED,
     ProbeReply.OTHER: Sign.REPLACED,
@@ -183,7 +186,12 @@
     async def _run(self, instance: Instance, offer: Offer, terms: Terms) -> None:
         host = instance.host
         attempt_id = offer.work.request, offer.attempt
-        call = self._dialect.encode_offer(offer, terms, instance)
+        try:
+            call = self._dialect.encode_offer(offer, terms, instance)
+        except Exception as error:
+            report_error(error, "request", request=attempt_id[0], upstream_host=host)
+            self._receive(host, Lost(*attempt_id, Ran.NO, UNEXPECTED, 0))
+            return
         repeatable = offer.work.idempotent or offer.stage == PREFILL
         has_begun = False
         sent_at = time.monotonic()
@@ -200,6 +208,9 @@
             has_ended = await self._probes.has_ended(instance, error, has_begun)
             reason = ENDED if has_ended else describe_error(error)
             self._receive(host, Lost(*attempt_id, ran, reason, 0))
+        except Exception as error:
+            report_error(error, "request", request=attempt_id[0], upstream_host=host)
+            self._receive(host, Lost(*attempt_id, Ran.UNKNOWN, UNEXPECTED, 0))
 
     async def _query_sign(self, instance: Instance, patience: Patience) -> Sign:
         """Query whether a host answers."""
--- a/radishtally/driver.py
+++ b/radishtally/driver.py
@@ -1,9 +1,15 @@
-"""Driver for cores without I/O: deliver events, execute commands, set timers."""
+"""Driver for cores that guard exclusiveness: events, commands and timers.
+
+These cores decide whether this process may act alone: leases, claims, orders. After an
+unexpected error that isn't certain any longer.
+"""
 
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
-from typing import Any, Protocol
+from typing import Any, NoReturn, Protocol
+
+from radishtally.containment import BrokenInvariant
 
 
 class Core(Protocol):
@@ -22,6 +28,8 @@
         self._core = core
         self._tick = tick
         self._clock = clock
+        self.is_broken = False
+        """Whether an unexpected error has left the core in an unknown state."""
         self._timer: asyncio.TimerHandle | None = None
         self._calls: set[asyncio.Task[None]] = set()
 
@@ -30,8 +38,19 @@
         self._handle(self._tick)
 
     def _handle(self, event: Any) -> None:
-        for command in self._core.handle(event, self._clock()):
-            self._execute(command)
+        if self.is_broken:
+            return
+        try:
+            for command in self._core.handle(event, self._clock()):
+                self._execute(command)
+        except Exception as error:
+            self._break(error)
+
+    def _break(self, error: BaseException) -> NoReturn:
+        """Handle no further event, and have the process end."""
+        self.is_broken = True
+        self._cancel_timer()
+        raise BrokenInvariant(f"{type(self).__name__}: {error!r}") from error
 
     def _execute(self, command: Any) -> None:
         raise TypeError(f"unknown command {command!r}")
@@ -47,7 +66,16 @@
         """Run a call in a task; it delivers its outcome as an event."""
         call = asyncio.create_task(work)
         self._calls.add(call)
-        call.add_done_callback(self._calls.discard)
+        call.add_done_callback(self._on_call_done)
+
+    def _on_call_done(self, call: asyncio.Task[None]) -> None:
+        self._calls.discard(call)
+        if call.cancelled() or call.exception() is None:
+            return
+        if self.is_broken:
+            raise call.exception()
+        # The core would wait for the call's outcome for ever.
+        self._break(call.exception())
 
     async def _cancel_all(self) -> None:
         """Cancel the timer and the calls in flight."""
--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -22,6 +22,7 @@
 )
 from radishtally.claims.store import ClaimStore
 from radishtally.configuration.store import ConfigurationStore
+from radishtally.containment import BrokenInvariant, contain, report_error
 from radishtally.entry.callers import Directory, TokenRatio
 from radishtally.entry.explain import RequestSteps
 from radishtally.entry.http import make_app
@@ -39,6 +40,7 @@
 from radishtally.routing.core import POLICIES
 from radishtally.runtime import Waker
 from radishtally.serving import const, events
+from radishtally.serving.containment import end_request, find_request
 from radishtally.serving.core import DispatchCore, handle_event
 from radishtally.serving.placement import RankedPlacement
 from radishtally.serving.replies import Replies, Reply
@@ -59,7 +61,14 @@
         self.ratio = TokenRatio()
         self.steps = RequestSteps()
         self.replies = Replies()
-        self.core = DispatchCore(settings.host, settings.place, random.Random())
+        self.core = DispatchCore(
+            settings.host,
+            settings.place,
+            random.Random(),
+            on_error=lambda error, request: report_error(
+                error, "request", request=request
+            ),
+        )
         self.waker = Waker(lambda: self.handle(events.Tick()))
         hub = self.process.make_hub(
             LinkCallbacks(self._link_up, self._link_down, self._receive, self._is_busy)
@@ -102,8 +111,7 @@
         log_message("entry:ready", address=self.settings.http_address)
         await self.process.stopping.wait()
         await self.planners.stop()
-        if not self.process.broken:
-            await self._shut_down(server)
+        await self._shut_down(server)
         self.waker.stop()
         await self.watcher.stop()
         await self.claims.stop()
@@ -169,10 +177,25 @@
 
     def handle(self, event: events.Event) -> None:
         """Pass an event to the core and execute its commands."""
-        with self.process.guard():
-            for command in handle_event(event, self.core, time.monotonic()):
-                self._execute(command)
-            self.waker.wake_at(self.core.next_wake())
+        for command in handle_event(event, self.core, time.monotonic()):
+            self._execute_contained(command)
+        self.waker.wake_at(self.core.next_wake())
+
+    def _execute_contained(self, command: events.Command) -> None:
+        """Execute a command; if that fails, end the request that it is about."""
+        try:
+            self._execute(command)
+        except BrokenInvariant:
+            raise
+        except Exception as error:
+            request = find_request(command)
+            report_error(error, "request", request=request)
+            for more in end_request(request, self.core):
+                if isinstance(more, events.Refuse | events.AbortAnswer):
+                    self.replies.put(more)
+                    continue
+                with contain("request", request=request):
+                    self._execute(more)
 
     @singledispatchmethod
     def _execute(self, command: events.Command) -> None:
--- a/radishtally/entry/planning.py
+++ b/radishtally/entry/planning.py
@@ -12,6 +12,7 @@
 from radishtally.authority.plan import PLAN
 from radishtally.authority.plan_store import PlanStore
 from radishtally.configuration.config import Configuration, Engines
+from radishtally.containment import contain
 from radishtally.links.hub import LinkHub
 from radishtally.links.messages import Hint, Load
 from radishtally.planner import core as planner
@@ -136,7 +137,8 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             if self._lease.holds():
-                self._handle_event(planner.Tick())
+                with contain("place", place=self._place):
+                    self._handle_event(planner.Tick())
 
     def _on_lease_gained(self, fencing: int) -> None:
         log_message("lease:gained", place=self._place, fencing=fencing)
--- a/radishtally/entry/watch.py
+++ b/radishtally/entry/watch.py
@@ -30,11 +30,11 @@
 
     def start(self) -> None:
         """Start the periodic tasks."""
-        spawn = self._entry.process.spawn
+        keep_running = self._entry.process.keep_running
         self._tasks = [
-            spawn(self._poll_head()),
-            spawn(self._poll_list()),
-            spawn(self._tick()),
+            keep_running("head", self._poll_head),
+            keep_running("hosts", self._poll_list),
+            keep_running("members", self._tick),
         ]
 
     async def stop(self) -> None:
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -11,6 +11,7 @@
 from eliot import log_message
 
 from radishtally.authority.lease_driver import LeaseDriver
+from radishtally.containment import contain, contain_call, report_error
 from radishtally.direct.core import Dialect, EngineReport, Instance, Notice
 from radishtally.direct.hosts import DirectHosts
 from radishtally.engines.placement import EnginePlacement
@@ -62,6 +63,7 @@
 from radishtally.routes.config import CallerLimits, FleetConfiguration
 from radishtally.runtime import Runtime, Waker, read_boot_clock
 from radishtally.serving import events
+from radishtally.serving.containment import end_request, find_request
 from radishtally.serving.core import DispatchCore, handle_event
 from radishtally.serving.origins import UNKNOWN_VERSION
 from radishtally.serving.replies import Replies, Reply
@@ -103,6 +105,7 @@
         self.replies = Replies()
         self.metrics = GatewayMetrics()
         self.runtime.on_stall = self.metrics.count_stall
+        self.runtime.on_contained = self.metrics.count_contained_error
         self.runtime.describe_state = self._describe_state
         self._era = 0
         """Newest era of the store that was seen; 0 if it reports none."""
@@ -123,6 +126,9 @@
             refusals_cost_retries=True,
             prefill_counts_as_run=False,
             tracks_versions=True,
+            on_error=lambda error, request: report_error(
+                error, "request", request=request
+            ),
         )
         self.origin_exchange = OriginExchange(
             settings.host,
@@ -133,12 +139,12 @@
         self.source_recorder = SourceRecorder(
             table, self.write_ids.make, self.core.sources
         )
-        self.hosts = DirectHosts(host_dialect, self.runtime.guard_call(self._receive))
+        self.hosts = DirectHosts(host_dialect, self._receive)
         self.hosts.answers.on_mismatch = self.metrics.count_mismatch
         self.hosts.answers.on_unframed = self.metrics.count_unframed
-        self.hosts.answers.on_notice = self.runtime.guard_call(self.handle_notice)
-        self.hosts.on_restarted = self.runtime.guard_call(self.handle_restarted)
-        self.hosts.on_confirmed = self.runtime.guard_call(self.handle_confirmed)
+        self.hosts.answers.on_notice = contain_call("host", self.handle_notice)
+        self.hosts.on_restarted = contain_call("host", self.handle_restarted)
+        self.hosts.on_confirmed = contain_call("host", self.handle_confirmed)
         self.hosts.answers.is_doubted = self.core.is_doubted
         self.hosts.answers.is_limited = self.core.limits.is_limited
         self.buffers = Buffers(settings.memory_mb)
@@ -203,13 +209,16 @@
         # Other gateways may contend already; that is known once the links are up.
         self.lease.contend(False)
         self.lease.start()
-        self.runtime.spawn(self.stages.run())
-        self.runtime.spawn(self.peers.run())
-        self.runtime.spawn(self.confirmer.run())
-        self.runtime.spawn(self.origin_exchange.run())
-        self.runtime.spawn(self.source_recorder.run())
-        for coroutine in self.meter.list_tasks():
-            self.runtime.spawn(coroutine)
+        loops = {
+            "stages": self.stages.run,
+            "peers": self.peers.run,
+            "view": self.confirmer.run,
+            "origins": self.origin_exchange.run,
+            "sources": self.source_recorder.run,
+            **self.meter.list_loops(),
+        }
+        for name, loop in loops.items():
+            self.runtime.keep_running(name, loop)
         log_message(
             "gateway:started",
             address=self.settings.address,
@@ -236,7 +245,7 @@
         log_message("gateway:leaving", open=len(self.replies))
         self._stopping_since = time.monotonic()
         until = self._stopping_since + self._find_grace_seconds()
-        while time.monotonic() < until and not self.runtime.broken:
+        while time.monotonic() < until:
             await asyncio.sleep(LEAVE_POLL_SECONDS)
             if time.monotonic() < self._stopping_since + MIN_LEAVE_SECONDS:
                 continue
@@ -404,7 +413,8 @@
     def apply_changes(self, changes: list[HostChange]) -> None:
         """Apply changes of the upstreams' hosts."""
         for change in changes:
-            apply_change(change, self)
+            with contain("host", change=repr(change)):
+                apply_change(change, self)
         self.metrics.set_missing(self.members.count_missing())
 
     def confirm_hosts(self, age: float) -> None:
@@ -574,10 +584,23 @@
 
     def handle(self, event: events.Event) -> None:
         """Handle an event and execute the resulting commands."""
-        with self.runtime.guard():
-            for command in handle_event(event, self.core, time.monotonic()):
-                execute_command(command, self)
-            self.waker.wake_at(self.core.next_wake())
+        for command in handle_event(event, self.core, time.monotonic()):
+            self._execute(command)
+        self.waker.wake_at(self.core.next_wake())
+
+    def _execute(self, command: events.Command) -> None:
+        """Execute a command; if that fails, end the request that it is about."""
+        try:
+            execute_command(command, self)
+        except Exception as error:
+            request = find_request(command)
+            report_error(error, "request", request=request)
+            for more in end_request(request, self.core):
+                if isinstance(more, events.Refuse | events.AbortAnswer):
+                    self.replies.put(more)
+                    continue
+                with contain("request", request=request):
+                    execute_command(more, self)
 
     def _handle_settled(self, stream: bytes) -> None:
         """Go on with the requests that wait to learn where a stream began."""
--- a/radishtally/gateway/http_frontend.py
+++ b/radishtally/gateway/http_frontend.py
@@ -14,6 +14,7 @@
 from aiohttp.web_protocol import RequestHandler
 from eliot import log_message
 
+from radishtally.containment import report_error
 from radishtally.exchange import Headers, decode_headers
 from radishtally.gateway.buffers import FREE_BYTES, Buffers, Hold
 from radishtally.gateway.connections import Connections
@@ -197,7 +198,14 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self._detector.record_begun()
         with self._connections.track_request(request.protocol):
-            return await self._answer(request)
+            try:
+                return await self._answer(request)
+            except ConnectionError:
+                raise
+            except Exception as error:
+                # The HTTP library answers with 500, or closes a begun answer.
+                report_error(error, "request", path=request.path)
+                raise
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         hold = self._buffers.open()
--- a/radishtally/gateway/meter.py
+++ b/radishtally/gateway/meter.py
@@ -1,6 +1,7 @@
 """Connect a gateway to the parts that count, exchange and report usage."""
 
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 from radishtally.authority.lease_driver import LeaseDriver
@@ -16,6 +17,8 @@
 from radishtally.usage.core import Source, UsageLedger
 from radishtally.usage.reporter import PlatformApi, UsageReporter
 
+Loop = Callable[[], Coroutine[Any, Any, None]]
+
 
 class UsageMeter:
     """Ignore usage, for deployments that want no reports."""
@@ -53,9 +56,9 @@
     def flush(self) -> None:
         """Send all counts of this gateway, which is about to exit."""
 
-    def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        """Return what has to run for as long as the gateway does."""
-        return []
+    def list_loops(self) -> dict[str, Loop]:
+        """Return what has to run for as long as the gateway does, by name."""
+        return {}
 
 
 class ReportingMeter(UsageMeter):
@@ -98,6 +101,9 @@
         self.flush = self._exchange.flush
         self.enter_era = self._reporter.enter_era
 
-    def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        """Return what has to run for as long as the gateway does."""
-        return [self._exchange.run(self._clock.read), self._reporter.run()]
+    def list_loops(self) -> dict[str, Loop]:
+        """Return what has to run for as long as the gateway does, by name."""
+        return {
+            "usage exchange": partial(self._exchange.run, self._clock.read),
+            "usage reports": self._reporter.run,
+        }
--- a/radishtally/gateway/metrics.py
+++ b/radishtally/gateway/metrics.py
@@ -172,6 +172,12 @@
             "Seconds of these times",
             registry=self._registry,
         )
+        self._contained_errors = Counter(
+            "radishtally_contained_errors",
+            "Unexpected errors by what they were contained to",
+            ["scope"],
+            registry=self._registry,
+        )
         self._restores = Counter(
             "radishtally_store_restores",
             "Times that the store came back from an older copy",
@@ -256,6 +262,10 @@
         self._stalls.inc()
         self._stalled.inc(stall.seconds)
 
+    def count_contained_error(self, scope: str) -> None:
+        """Count an unexpected error that was contained."""
+        self._contained_errors.labels(scope).inc()
+
     def count_restore(self) -> None:
         """Count a restore of the store from an older backup."""
         self._restores.inc()
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -102,22 +102,40 @@
         self._dialled: set[str] = set()
         self._roster = Roster()
         self._unreachable_peers = UnreachablePeers()
+        self._is_joined = False
+        self._had_row = False
+        """Whether an earlier start of this gateway has left a row."""
+        self._reads = 0
         self._era_changed = asyncio.Event()
         """Set while the rows of a new era have not been read."""
 
     async def run(self) -> None:
         """Join the other gateways and follow their rows until cancelled."""
+        if not self._is_joined:
+            # An earlier attempt that failed holds the address.
+            await self.stop()
+            await self._join()
+            self._is_joined = True
+        while True:
+            names = await self._sync_peers()
+            self._reads += 1
+            if self._had_row and self._reads == 1:
+                self._gateway.runtime.spawn(self._gateway.cache_discovery.run(names))
+            is_joining = self._reads < STARTUP_PEER_READS
+            is_soon = is_joining or self._roster.is_read_pending
+            await self._wait_for_next_read(
+                JOIN_POLL_SECONDS if is_soon else PEER_READ_SECONDS
+            )
+
+    async def _join(self) -> None:
+        """Listen for the other gateways, and write the row that leads them here."""
         self._secret = await self._registry.read_or_create_secret()
         hello = Hello(
             self._host, self._site.data_centre, GATEWAYS_PARTITION, self._incarnation, 0
         )
         gateway = self._gateway
-        guard = gateway.runtime.guard_call
         callbacks = LinkCallbacks(
-            guard(self._link_up),
-            guard(self._link_down),
-            guard(self._receive),
-            _is_always_busy,
+            self._link_up, self._link_down, self._receive, _is_always_busy
         )
         self._hub = LinkHub(hello, self._secret, callbacks)
         self._loads = LoadExchange(
@@ -141,20 +159,9 @@
         # Callers are served without links too. The lease is not contended for until
         # links are up, and no row leads other gateways here.
         await self._hub.start(self._address, float("inf"))
-        gateway.runtime.spawn(self._loads.run())
-        gateway.runtime.spawn(self._loads.run_limits())
-        had_row = await self._registry.write_own_row()
-        reads = 0
-        while True:
-            names = await self._sync_peers()
-            reads += 1
-            if had_row and reads == 1:
-                gateway.runtime.spawn(gateway.cache_discovery.run(names))
-            is_joining = reads < STARTUP_PEER_READS
-            is_soon = is_joining or self._roster.is_read_pending
-            await self._wait_for_next_read(
-                JOIN_POLL_SECONDS if is_soon else PEER_READ_SECONDS
-            )
+        self._had_row = await self._registry.write_own_row()
+        gateway.runtime.keep_running("loads", self._loads.run)
+        gateway.runtime.keep_running("limits", self._loads.run_limits)
 
     def announce_table_read(self, read: TableRead) -> None:
         """Tell the other gateways of a change of a table that was read here."""
--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -12,6 +12,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Server
 
+from radishtally.containment import contain, report_error
 from radishtally.links.auth import has_valid_token, make_metadata
 from radishtally.links.codec import FrameCodec
 from radishtally.links.const import (
@@ -98,7 +99,6 @@
                 return
             self.stop_dialling(host)
         task = asyncio.create_task(self._dial_forever(host, address))
-        task.add_done_callback(_raise_task_error)
         self._dialers[host] = (address, task)
 
     def stop_dialling(self, host: str) -> None:
@@ -180,7 +180,12 @@
             return
         if self._links.get(host) is not link:
             return
-        self._callbacks.receive(host, message)
+        try:
+            self._callbacks.receive(host, message)
+        except Exception as error:
+            report_error(error, "link", peer=host, message=type(message).__name__)
+            # Messages may build on each other; a new link begins with the whole state.
+            link.close("a message could not be handled")
 
     def _register(self, link: Link) -> None:
         old = self._links.get(link.peer.host)
@@ -191,21 +196,31 @@
         link.announce_if_changed(self._hello.revision)
         if old is not None:
             old.close("replaced by a newer link")
-            self._callbacks.down(link.peer.host, old.reason)
+            self._report_down(link.peer.host, old.reason)
         log_message("link:up", peer=link.peer.host, incarnation=link.peer.incarnation)
-        self._callbacks.up(link.peer)
+        try:
+            self._callbacks.up(link.peer)
+        except Exception as error:
+            report_error(error, "link", peer=link.peer.host)
+            link.close("the link could not be set up")
 
     def _unregister(self, link: Link) -> None:
         if link.peer is None or self._links.get(link.peer.host) is not link:
             return
         del self._links[link.peer.host]
         log_message("link:down", peer=link.peer.host, reason=link.reason)
-        self._callbacks.down(link.peer.host, link.reason)
+        self._report_down(link.peer.host, link.reason)
+
+    def _report_down(self, host: str, reason: str) -> None:
+        with contain("link", peer=host):
+            self._callbacks.down(host, reason)
 
     async def _dial_forever(self, host: str, address: str) -> None:
         wait = MIN_REDIAL_SECONDS
         while True:
-            link = await self._dial_once(host, address)
+            link = None
+            with contain("link", peer=host):
+                link = await self._dial_once(host, address)
             wait = MIN_REDIAL_SECONDS if link else min(wait * 2, MAX_REDIAL_SECONDS)
             await asyncio.sleep(wait * random.uniform(0.5, 1.0))
 
@@ -237,15 +252,6 @@
         return link if link is not None and link.peer is not None else None
 
 
-def _raise_task_error(task: asyncio.Task) -> None:
-    """Raise the error of a failed dial task in the loop, which stops the process.
-
-    Kept in the task the error would go unnoticed, and the host would not be redialled.
-    """
-    if not task.cancelled():
-        task.result()
-
-
 class _LinkService:
     """Implement the gRPC service, whose only method runs a link."""
 
--- a/radishtally/logs.py
+++ b/radishtally/logs.py
@@ -37,6 +37,7 @@
 """Message kinds whose number grows with the load."""
 REFUSAL_KINDS: Final = (
     "request:refused",
+    "error:contained",
     "store:value_unreadable",
     "upstream:unreadable",
 )
--- a/radishtally/process.py
+++ b/radishtally/process.py
@@ -42,14 +42,14 @@
         self.audit = AuditLog(self.table)
         self.metrics = make_metrics(settings.statsd, settings.host)
         self.on_stall = self._count_stall
+        self.on_contained = self._count_contained
         self.on_configuration: Callable[[], None] = lambda: None
 
     def make_hub(self, callbacks: LinkCallbacks) -> LinkHub:
         """Create the link hub, which listens once it is started."""
         settings = self.settings
         hello = Hello(settings.host, settings.place, settings.role, self.incarnation, 0)
-        guarded = LinkCallbacks(*map(self.guard_call, callbacks))
-        self.hub = LinkHub(hello, settings.peer_key, guarded)
+        self.hub = LinkHub(hello, settings.peer_key, callbacks)
         return self.hub
 
     async def unload(self) -> None:
@@ -61,6 +61,9 @@
             await client.close()
         self.exit_if_broken()
 
+    def _count_contained(self, scope: str) -> None:
+        self.metrics.incr(f"contained_errors.{scope}")
+
     def _count_stall(self, stall: Stall) -> None:
         self.metrics.incr("stalls")
         self.metrics.timing("stalled", stall.seconds * 1000)
--- a/radishtally/runtime.py
+++ b/radishtally/runtime.py
@@ -1,21 +1,23 @@
-"""Runtime of a process: tasks, signals, and the stop after a broken invariant."""
+"""Runtime of a process: tasks, signals, contained errors and broken invariants."""
 
 import asyncio
 import signal
 import time
 import traceback
-from collections.abc import Callable, Coroutine, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, Final
 
 from eliot import log_message
 
+from radishtally.containment import BrokenInvariant, contain_call, report_error
 from radishtally.stalls import Stall, watch_stalls
 
 EXIT_BROKEN: Final = 4
 """Exit code after a broken invariant."""
 PACKAGE: Final = str(Path(__file__).parent)
+MIN_RESTART_SECONDS: Final = 0.1
+MAX_RESTART_SECONDS: Final = 5.0
 
 
 def read_boot_clock() -> float:
@@ -33,6 +35,9 @@
     def __init__(self) -> None:
         self.stopping = asyncio.Event()
         self.broken = False
+        self.contained_errors = 0
+        self.on_contained: Callable[[str], None] = lambda scope: None
+        """Called with the scope of each unexpected error that was contained."""
         self.on_stall: Callable[[Stall], None] = lambda _: None
         self.describe_state: Callable[[], dict[str, Any]] = dict
         """Returns state that may be stale after a stall, to be logged with it."""
@@ -47,16 +52,24 @@
         loop.set_exception_handler(self._handle_loop_error)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
-        self.spawn(watch_stalls(self._report_stall, read_boot_clock))
+        self.keep_running(
+            "stalls", lambda: watch_stalls(self._report_stall, read_boot_clock)
+        )
 
     def on_hangup(self, callback: Callable[[], None]) -> None:
         """Call back on SIGHUP, which asks for the settings to be reloaded."""
         loop = asyncio.get_running_loop()
-        call = self.guard_call(callback)
+        call = contain_call("signal", callback)
         # Removing a handler of the loop restores the signal's default action, and a
         # SIGHUP at that moment, on any thread, would end the process.
         signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(call))
 
+    def keep_running(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, Any]]
+    ) -> asyncio.Task:
+        """Run an endless task, and again after a pause if it raises an error."""
+        return self.spawn(_run_again_and_again(name, run))
+
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a coroutine in a task that is cancelled when the process shuts down."""
         task = asyncio.create_task(coroutine)
@@ -84,47 +97,47 @@
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
-        self.abort(task.exception())
+        self._handle_error(task.exception(), "task", {})
 
     def abort(self, error: BaseException) -> None:
         """Stop the process after a broken invariant.
 
-        Errors are returned as values, so an unhandled exception shows a state that
-        should be impossible. Wrong answers could follow, so the process exits with an
-        error code, and its peers take over.
+        It exits with an error code once its requests have their answers, and its peers
+        take over.
         """
         trace = "".join(traceback.format_exception(error))
         log_message("process:broken", error=repr(error), traceback=trace)
         self.broken = True
         self.stopping.set()
 
-    @contextmanager
-    def guard(self) -> Iterator[None]:
-        """Stop the process on an exception, even if a caller would suppress it."""
-        try:
-            yield
-        except Exception as error:
-            self.abort(error)
-            raise
-
-    def guard_call(self, callback: Callable[..., Any]) -> Callable[..., Any]:
-        """Wrap a callback so that an exception in it stops the process."""
-
-        def call(*args: Any) -> Any:
-            with self.guard():
-                return callback(*args)
-
-        return call
-
     def _handle_loop_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
     ) -> None:
         error = context.get("exception")
-        if error is not None and _is_from_package(error):
-            self.abort(error)
+        if error is not None and ("scope" in context or _is_from_package(error)):
+            scope, names = context.get("scope", "callback"), context.get("names", {})
+            self._handle_error(error, scope, names)
             return
         log_message("loop:error", error=repr(error), text=str(context.get("message")))
 
+    def _handle_error(
+        self, error: BaseException, scope: str, names: dict[str, Any]
+    ) -> None:
+        """Log and count an unexpected error; end the process if its kind asks for it.
+
+        Other requests, hosts and links are served on: ending them all would cost more
+        callers than any state that the error may have left behind.
+        """
+        if isinstance(error, BrokenInvariant):
+            self.abort(error)
+            return
+        trace = "".join(traceback.format_exception(error))
+        log_message(
+            "error:contained", scope=scope, error=repr(error), traceback=trace, **names
+        )
+        self.contained_errors += 1
+        self.on_contained(scope)
+
     def cancel_tasks(self) -> None:
         """Cancel all running tasks."""
         for task in list(self._tasks):
@@ -136,6 +149,25 @@
             raise SystemExit(EXIT_BROKEN)
 
 
+async def _run_again_and_again(
+    name: str, run: Callable[[], Coroutine[Any, Any, Any]]
+) -> None:
+    pause = MIN_RESTART_SECONDS
+    while True:
+        started_at = time.monotonic()
+        try:
+            await run()
+            return
+        except BrokenInvariant:
+            raise
+        except Exception as error:
+            report_error(error, "task", task=name)
+        if time.monotonic() > started_at + MAX_RESTART_SECONDS:
+            pause = MIN_RESTART_SECONDS
+        await asyncio.sleep(pause)
+        pause = min(2 * pause, MAX_RESTART_SECONDS)
+
+
 def _is_from_package(error: BaseException) -> bool:
     """Return whether an exception was raised in or through code of this package.
 
--- a/radishtally/serving/core.py
+++ b/radishtally/serving/core.py
@@ -8,6 +8,7 @@
 from radishtally.serving import const, events
 from radishtally.serving.attempts import receive
 from radishtally.serving.conclusions import reply_with_answer, reply_with_refusal
+from radishtally.serving.containment import contain_request, find_request
 from radishtally.serving.events import (
     Command,
     Event,
@@ -47,9 +48,10 @@
 
 def handle_event(event: Event, core: DispatchCore, now: float) -> list[Command]:
     """Handle one event and return the resulting commands."""
-    commands = list(_handle(event, core, now))
+    handled = _handle(event, core, now)
+    commands = list(contain_request(handled, find_request(event), core))
     if core.admission.list_waiting():
-        commands.extend(_start_waiting(core, now))
+        commands.extend(contain_request(_start_waiting(core, now), "", core))
     return commands
 
 
@@ -58,8 +60,9 @@
     yield from refuse_late(core, now)
     for request in pop_startable(core, now):
         waited = now - request.queued_at
-        yield RecordStep(request.work.request, f"has a place after {waited:.3f} s")
-        yield from offer(request, core, now)
+        name = request.work.request
+        yield RecordStep(name, f"has a place after {waited:.3f} s")
+        yield from contain_request(offer(request, core, now), name, core)
 
 
 @singledispatch
@@ -87,7 +90,8 @@
 @_handle.register
 def _(event: events.OriginSettled, core: DispatchCore, now: float) -> Iterator[Command]:
     for request in list_locating(event.stream, core):
-        yield from resume(request, core, now)
+        resumed = resume(request, core, now)
+        yield from contain_request(resumed, request.work.request, core)
 
 
 @_handle.register
@@ -111,9 +115,11 @@
         if not (is_affected and request.is_continuation):
             continue
         core.origins.doubt(request.stream)
-        yield Send(event.host, Cancel(request.work.request, request.attempt))
+        name = request.work.request
+        yield Send(event.host, Cancel(name, request.attempt))
         text = "its host began again at another version"
-        yield from handle_loss(request, Ran.UNKNOWN, text, core, now)
+        lost = handle_loss(request, Ran.UNKNOWN, text, core, now)
+        yield from contain_request(lost, name, core)
 
 
 @_handle.register
@@ -170,19 +176,27 @@
     host, incarnation = event.hello.host, event.hello.incarnation
     core.links[host] = incarnation
     for request in [r for r in core.requests.values() if r.host == host]:
-        name = request.work.request, request.attempt
-        if request.incarnation != incarnation:
-            prompt_only = request.stage == PREFILL and not core.prefill_counts_as_run
-            ran = Ran.NO if prompt_only else Ran.UNKNOWN
-            yield from handle_loss(request, ran, RESTARTED, core, now)
-        elif request.phase == WITHDRAWING:
-            yield Send(host, Cancel(*name))
-        else:
-            request.phase = ACCEPTED
-            request.resend_offset = -1
-            set_phase_end(request, float("inf"), core)
-            yield RecordStep(request.work.request, f"link to {host} restored")
-            yield Send(host, Attach(*name, len(request.received)))
+        attached = _attach(request, host, incarnation, core, now)
+        yield from contain_request(attached, request.work.request, core)
+
+
+def _attach(
+    request: OpenRequest, host: str, incarnation: str, core: DispatchCore, now: float
+) -> Iterator[Command]:
+    """Go on with a request at its host, or handle the loss of what it had run there."""
+    name = request.work.request, request.attempt
+    if request.incarnation != incarnation:
+        prompt_only = request.stage == PREFILL and not core.prefill_counts_as_run
+        ran = Ran.NO if prompt_only else Ran.UNKNOWN
+        yield from handle_loss(request, ran, RESTARTED, core, now)
+    elif request.phase == WITHDRAWING:
+        yield Send(host, Cancel(*name))
+    else:
+        request.phase = ACCEPTED
+        request.resend_offset = -1
+        set_phase_end(request, float("inf"), core)
+        yield RecordStep(request.work.request, f"link to {host} restored")
+        yield Send(host, Attach(*name, len(request.received)))
 
 
 @_handle.register
@@ -217,7 +231,8 @@
         if not core.limits.allows(event.host, now):
             return
         if request.phase == WAITING:
-            yield from offer(request, core, now)
+            offered = offer(request, core, now)
+            yield from contain_request(offered, request.work.request, core)
 
 
 @_handle.register
@@ -229,10 +244,10 @@
 @_handle.register
 def _(event: events.Tick, core: DispatchCore, now: float) -> Iterator[Command]:
     for request in core.pop_due(now):
-        if request.deadline <= now:
-            yield from _handle_deadline(request, core, now)
-        else:
-            yield from _handle_phase_timeout(request, core, now)
+        is_late = request.deadline <= now
+        handle = _handle_deadline if is_late else _handle_phase_timeout
+        due = handle(request, core, now)
+        yield from contain_request(due, request.work.request, core)
         if request.work.request in core.requests:
             core.schedule(request)
 
@@ -245,10 +260,16 @@
     for request in list(core.requests.values()):
         if request.answered:
             continue
-        yield from withdraw(request, core)
-        yield from refuse_without_retry_after(
-            request, 503, const.CODE_STOPPING, text, core
-        )
+        stopped = _refuse_open(request, 503, const.CODE_STOPPING, text, core)
+        yield from contain_request(stopped, request.work.request, core)
+
+
+def _refuse_open(
+    request: OpenRequest, status: int, code: str, text: str, core: DispatchCore
+) -> Iterator[Command]:
+    """Withdraw a request from its host and refuse it."""
+    yield from withdraw(request, core)
+    yield from refuse_without_retry_after(request, status, code, text, core)
 
 
 def _handle_phase_timeout(
@@ -300,5 +321,4 @@
     if request.is_claimed and request.host is not None and not request.answered:
         yield from answer_unknown(request, 504, const.CODE_DEADLINE, text, core, now)
         return
-    yield from withdraw(request, core)
-    yield from refuse_without_retry_after(request, 504, const.CODE_DEADLINE, text, core)
+    yield from _refuse_open(request, 504, const.CODE_DEADLINE, text, core)
--- a/radishtally/serving/state.py
+++ b/radishtally/serving/state.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from radishtally.admission.core import Admission
@@ -58,6 +59,9 @@
     part_suspects: PromptSuspects = field(default_factory=PromptSuspects)
     limits: HostLimits = field(default_factory=HostLimits)
     admission: Admission = field(default_factory=Admission)
+    on_error: Callable[[Exception, str], None] | None = None
+    """Called with an unexpected error and the request that it has ended; None if it is
+    to be raised."""
     paused_until: float = 0.0
     """Time at which the last pause of any host ends."""
     wake_heap: list[tuple[float, str]] = field(default_factory=list)
--- a/radishtally/tasks.py
+++ b/radishtally/tasks.py
@@ -1,10 +1,10 @@
 """Tasks that run attempts at upstreams."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
-from eliot import log_message
+from radishtally.containment import report_error
 
 Work = Coroutine[Any, Any, None]
 
@@ -12,7 +12,11 @@
 class AttemptTasks:
     """Run each attempt, and each follow-up of an attempt, as a task."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_fault: Callable[[str, int], None] = lambda request, attempt: None
+    ) -> None:
+        self._on_fault = on_fault
+        """Called with an attempt whose task has ended with an unexpected error."""
         self._running: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._detached: set[asyncio.Task[None]] = set()
 
@@ -48,20 +52,22 @@
 
     def _on_detached_done(self, ended: asyncio.Task[None]) -> None:
         self._detached.discard(ended)
-        _log_error(ended)
+        _report_error(ended)
 
     def _on_attempt_done(
         self, name: tuple[str, int], ended: asyncio.Task[None]
     ) -> None:
-        _log_error(ended, request=name[0], attempt=name[1])
+        if _report_error(ended, request=name[0], attempt=name[1]):
+            self._on_fault(*name)
         # A removed task ends later, when another task may be registered under the same
         # name. Deleting that entry would make the other task impossible to cancel.
         if self._running.get(name) is ended:
             del self._running[name]
 
 
-def _log_error(ended: asyncio.Task[None], **name: Any) -> None:
-    """Log an unexpected error of a task; its request gets no answer otherwise."""
+def _report_error(ended: asyncio.Task[None], **name: Any) -> bool:
+    """Report an unexpected error of a task; return whether there was one."""
     if ended.cancelled() or ended.exception() is None:
-        return
-    log_message("attempt:fault", error=type(ended.exception()).__name__, **name)
+        return False
+    report_error(ended.exception(), "request", **name)
+    return True
--- a/tests/adapter/test_outages.py
+++ b/tests/adapter/test_outages.py
@@ -201,6 +201,7 @@
             self._check()
         self._listener.runtime.cancel_tasks()
         assert not self._listener.runtime.broken
+        assert not self._listener.runtime.contained_errors
 
     def _step(self, host: str) -> None:
         now = self._loop.time()
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -176,6 +176,8 @@
         await wait_until(lambda: gateway.router.configuration is not None)
         await wait_until(lambda: gateway.frontend.is_listening)
         yield gateway
+        # An error that is contained would go unnoticed.
+        assert not gateway.runtime.contained_errors
     finally:
         gateway.runtime.broken |= running.done()
         running.cancel()
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -40,6 +40,7 @@
     await wait_until(lambda: host.asked and host.closed == host.asked)
     assert host.sent < MAX_SENT_BYTES
     assert not env.gateway.runtime.broken
+    assert not env.gateway.runtime.contained_errors
 
 
 async def serve_endless(env: Deployment, host: EndlessServer, **more: str) -> None:
--- a/tests/gateway/test_spoiled_streams.py
+++ b/tests/gateway/test_spoiled_streams.py
@@ -86,6 +86,7 @@
                 more["Resumes"] = begun_as
             received.append(await receive(env, path, **more))
             assert not env.gateway.runtime.broken
+            assert not env.gateway.runtime.contained_errors
 
     run(ask())
     return received[0]
