Check the report of an attempt's unexpected error

The test checks the report's error, scope and names for a running and a detached attempt, and besides that the attempt is named to its owner, who ends it: one check more than before.

--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -2,9 +2,6 @@
 
 import asyncio
 
-import pytest
-
-from radishtally import tasks as tasks_module
 from radishtally.tasks import AttemptTasks
 from tests.common import run
 
@@ -46,26 +43,32 @@
 
 # Guards against a caller that waits until its deadline without a log line about why: an
 # attempt failed with an unexpected error that only its task recorded.
-def test_unexpected_error_of_an_attempt_is_logged(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    lines: list[tuple[str, dict[str, object]]] = []
-    monkeypatch.setattr(
-        tasks_module, "log_message", lambda kind, **more: lines.append((kind, more))
-    )
+def test_unexpected_error_of_an_attempt_is_reported() -> None:
+    reports: list[tuple[str, str, dict[str, object]]] = []
+    failed: list[tuple[str, int]] = []
 
     async def fail() -> None:
         raise KeyError("unexpected")
 
     async def check() -> None:
-        tasks = AttemptTasks()
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: reports.append(
+                (
+                    type(context["exception"]).__name__,
+                    context["scope"],
+                    context["names"],
+                )
+            )
+        )
+        tasks = AttemptTasks(lambda *name: failed.append(name))
         tasks.start("r", 1, fail())
         tasks.spawn_detached(fail())
         for _ in range(3):
             await asyncio.sleep(0)
 
     run(check())
-    assert lines == [
-        ("attempt:fault", {"error": "KeyError", "request": "r", "attempt": 1}),
-        ("attempt:fault", {"error": "KeyError"}),
+    assert reports == [
+        ("KeyError", "request", {"request": "r", "attempt": 1}),
+        ("KeyError", "request", {}),
     ]
+    assert failed == [("r", 1)]
