Keep the origins of streams in the store around a release

Callers lost the rest of their streams (LOST): after a kill of all gateways with two software versions in service, or within ten minutes of a release, all that were taken up were refused. The row of the sources says only that a route has had several; where each stream began was known to gateways' memory alone.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -47,6 +47,7 @@
 from radishtally.gateway.members import HostChange, Members
 from radishtally.gateway.meter import ReportingMeter, UsageMeter
 from radishtally.gateway.metrics import GatewayMetrics
+from radishtally.gateway.origin_store import OriginStore
 from radishtally.gateway.origins import OriginExchange
 from radishtally.gateway.peers import Peers
 from radishtally.gateway.requests import NAME_IN_USE, STOPPING, RoutedRequest, Router
@@ -68,7 +69,7 @@
 from radishtally.serving.origins import UNKNOWN_VERSION
 from radishtally.serving.replies import Replies, Reply
 from radishtally.serving.resumption import list_locating_routes
-from radishtally.serving.sources import UsableSources
+from radishtally.serving.sources import Source, UsableSources
 from radishtally.stages.role_controller import RoleController
 from radishtally.store.core import Table
 from radishtally.store.ids import WriteIds
@@ -139,6 +140,13 @@
         self.source_recorder = SourceRecorder(
             table, self.write_ids.make, self.core.sources
         )
+        self.origin_store = OriginStore(
+            table,
+            self.write_ids.make,
+            self.source_recorder.is_ambiguous,
+            self.origin_exchange.is_first_of_data_centre,
+        )
+        self.origin_exchange.on_begun = self.origin_store.add
         self.hosts = DirectHosts(host_dialect, self._receive)
         self.hosts.answers.on_mismatch = self.metrics.count_mismatch
         self.hosts.answers.on_unframed = self.metrics.count_unframed
@@ -215,6 +223,7 @@
             "view": self.confirmer.run,
             "origins": self.origin_exchange.run,
             "sources": self.source_recorder.run,
+            "stored origins": self.origin_store.run,
             **self.meter.list_loops(),
         }
         for name, loop in loops.items():
@@ -397,6 +406,7 @@
         self.peers.enter_era()
         self.meter.enter_era()
         self.source_recorder.enter_era()
+        self.origin_store.enter_era()
 
     def list_served_hosts(self) -> list[Instance]:
         """List the hosts of the upstreams that are configured.
@@ -614,6 +624,9 @@
     async def _find_source(self, stream: bytes, route: str) -> None:
         """Find where a stream began that no gateway remembers."""
         source = await self.source_recorder.find_sole(route)
+        if source is None:
+            begin = await self.origin_store.find(stream)
+            source = None if begin is None else Source(route, *begin)
         if source is not None:
             self.handle(events.SourceFound(stream, source))
         self.handle(events.OriginSettled(stream))
--- a/radishtally/gateway/origins.py
+++ b/radishtally/gateway/origins.py
@@ -63,6 +63,8 @@
         self._origins = origins
         self._on_settled = on_settled
         """Called with a stream when no more replies to a query about it are due."""
+        self.on_begun: Callable[[StreamsBegun], None] = lambda message: None
+        """Called with the streams that have begun in this data centre."""
         self._hub: LinkHub | None = None
         self._sites: Sites = {own_name: Site()}
         self._is_alone = False
@@ -98,6 +100,8 @@
     def send_changes(self, now: float) -> None:
         """Send the streams that have begun since the last call."""
         own = self._origins.pop_changed(now)
+        for message in own:
+            self.on_begun(message)
         relayed, self._to_relay = self._to_relay, []
         if not own and not relayed:
             return
@@ -154,6 +158,8 @@
             self._record_reply(message.stream, peer)
             return
         self._merge(message, now)
+        if self._is_local(peer):
+            self.on_begun(message)
         self._update_group()
         if self._group.relay_targets and self._is_local(peer):
             self._to_relay.append(message)
@@ -181,6 +187,12 @@
         site, own_site = self._sites.get(peer), self._sites[self._own_name]
         return site is not None and site.data_centre == own_site.data_centre
 
+    def is_first_of_data_centre(self) -> bool:
+        """Return whether no reachable gateway of this data centre goes before."""
+        linked = [] if self._hub is None else self._hub.hosts
+        order = list_gateways_in(self._sites, self._sites[self._own_name].data_centre)
+        return find_first_reachable(order, self._own_name, linked) == self._own_name
+
     def _update_group(self) -> None:
         """Update the group from the links that are up."""
         linked = [] if self._hub is None else self._hub.hosts
@@ -196,8 +208,7 @@
             return _Group(tuple(linked), tuple(linked))
         candidates = list_collector_candidates(self._sites, self._own_name, linked)
         asked = tuple(name for name in linked if name in candidates)
-        order = list_gateways_in(self._sites, self._sites[self._own_name].data_centre)
-        if find_first_reachable(order, self._own_name, linked) == self._own_name:
+        if self.is_first_of_data_centre():
             remote = tuple(name for name in asked if not self._is_local(name))
             return _Group(asked, asked, remote)
         return _Group(asked, tuple(filter(self._is_local, asked)))
--- a/radishtally/gateway/source_recorder.py
+++ b/radishtally/gateway/source_recorder.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple, TypedDict
 
@@ -76,6 +77,8 @@
         self._recorded: set[Source] = set()
         self._pending: set[Source] = set()
         """Sources that must be recorded."""
+        self._stored: StoredRoutes = {}
+        """Routes in the store, as last read or written here."""
         self._singles: dict[str, _Single] = {}
         self._reviewed_at = float("-inf")
         self._lasting: set[Source] = set()
@@ -145,6 +148,15 @@
                 self._lasting.add(source)
                 self._due.set()
 
+    def is_ambiguous(self, upstream: str) -> bool:
+        """Return whether streams of an upstream may have begun at several versions."""
+        possible = Counter(source.route for source in self._list_possible())
+        return any(
+            possible[route] > 1 or (route in self._stored and not self._stored[route])
+            for route, upstreams in self._routes.items()
+            if upstream in upstreams
+        )
+
     def _list_possible(self) -> set[Source]:
         return {
             Source(route, upstream, version)
@@ -211,6 +223,7 @@
             if written.is_error():
                 return Error(str(written.error))
             log_message("sources:recorded", routes=merged)
+        self._stored = merged
         self._pending -= pending
         self._lasting -= lasting
         self._recorded |= pending
--- a/tests/soak/test_takeover.py
+++ b/tests/soak/test_takeover.py
@@ -25,6 +25,8 @@
 EVENTS = 40
 TRIES = 3
 WAIT_SECONDS = 30.0
+SETTLE_SECONDS = 1.0
+"""Time within which gateways see new engines and write where streams began."""
 NUMBERS = count(1)
 
 
@@ -313,3 +315,45 @@
             assert outcomes["v1"] >= STREAMS / 2, outcomes
 
     asyncio.run(play())
+
+
+async def begin_at_both(fleet: Fleet) -> list[Stream]:
+    """Begin streams while engines of two versions serve."""
+    await release_beside(fleet)
+    await asyncio.sleep(SETTLE_SECONDS)
+    return await begin_streams(fleet.gateways)
+
+
+async def begin_before(fleet: Fleet) -> list[Stream]:
+    """Begin streams just before engines of another version join."""
+    streams = await begin_streams(fleet.gateways)
+    await release_beside(fleet)
+    return streams
+
+
+async def begin_after(fleet: Fleet) -> list[Stream]:
+    """Begin streams at a version that has just replaced another one."""
+    await release_instead(fleet)
+    # No stream begins at a host of the former version any longer.
+    await asyncio.sleep(STABLE_SECONDS)
+    return await begin_streams(fleet.gateways)
+
+
+# Guards against callers whose streams are all refused around a release, although the
+# versions at which they began still serve: no gateway is left that remembers them.
+@pytest.mark.parametrize("begin", [begin_at_both, begin_before, begin_after])
+def test_streams_go_on_after_all_gateways_were_killed_around_a_release(
+    begin: Callable[[Fleet], Awaitable[list[Stream]]], tmp_path: Path
+) -> None:
+    async def play() -> None:
+        async with run_fleet(tmp_path) as fleet:
+            streams = await begin(fleet)
+            await asyncio.sleep(SETTLE_SECONDS)
+            await kill_all(fleet, fleet.gateways)
+            await start_all(fleet)
+            await asyncio.sleep(STABLE_SECONDS)
+            outcomes = await take_up_all(streams, fleet.gateways)
+            print(outcomes)
+            assert outcomes["refused"] <= STREAMS / 2, outcomes
+
+    asyncio.run(play())
