Refuse odd rows of plans, drains, claims and the audit trail

Entries and agents of the own interface ended if another writer had left an odd row in the place of a plan, drain, claim or audit entry: they were decoded without a check (KeyError, TypeError). An agent that read a plan so would end again at each start.

An agent keeps its last plan and drain; a planner leaves such a plan for an operator to remove; lists of drains and of audit entries leave the row out. A claim that can't be read may have replaced that of a call that has run: its outcome is unknown, as for a claim whose call is open.

--- a/radishtally/agent/orders.py
+++ b/radishtally/agent/orders.py
@@ -13,10 +13,11 @@
 from radishtally.authority import order_events as orders
 from radishtally.authority.order_events import OrderTimings
 from radishtally.authority.orders import OrderCore
-from radishtally.authority.plan import make_drain_key, read_drain_row
+from radishtally.authority.plan import Drain, make_drain_key, read_drain_row
 from radishtally.authority.plan_store import PlanStore
 from radishtally.driver import CoreDriver
-from radishtally.store.core import Table
+from radishtally.outcome import Ok, Result
+from radishtally.store.core import Invalid, Row, Table
 
 DRAIN_REASON: Final = "drained by an operator"
 CHANGE_REASON: Final = "change of the engine"
@@ -51,13 +52,13 @@
         self._hinted.set()
 
     async def run(self) -> None:
-        """Poll the drain row; while the store is unavailable, keep the last value."""
+        """Poll the drain row; while it can't be read, keep the last value."""
         while True:
             self._hinted.clear()
             read = await self._table.get(make_drain_key(self._host))
-            if read.is_ok():
-                drain = read_drain_row(read.ok) if read.ok is not None else None
-                self._apply(drain is not None and drain.drained)
+            drain = read.bind(_read_drain)
+            if drain.is_ok():
+                self._apply(drain.ok is not None and drain.ok.drained)
             try:
                 await asyncio.wait_for(self._hinted.wait(), DRAIN_POLL_SECONDS)
             except TimeoutError:
@@ -75,6 +76,10 @@
         self._agent.handle(events.Drain(DRAIN_REASON, seconds))
 
 
+def _read_drain(row: Row | None) -> Result[Drain | None, Invalid]:
+    return Ok(None) if row is None else read_drain_row(row)
+
+
 class OrderDriver(CoreDriver):
     """Run the order core of one engine."""
 
--- a/radishtally/audit/core.py
+++ b/radishtally/audit/core.py
@@ -1,8 +1,11 @@
 """Encode and decode the rows of the audit trail."""
 
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, TypedDict
 
-from radishtally.store.core import Key, Put, Row
+from radishtally.numbers import UnixMs
+from radishtally.outcome import Result
+from radishtally.store.core import Invalid, Key, Put, Row
+from radishtally.store.records import read_record
 
 AUDIT_PARTITION: Final = "audit"
 
@@ -38,6 +41,19 @@
     return Put(key, entry._asdict(), None)
 
 
-def read_entry(row: Row) -> AuditEntry:
-    """Decode an entry from its row."""
-    return AuditEntry(**row.value)
+class AuditValue(TypedDict):
+    """Describe an entry as stored."""
+
+    at_ms: UnixMs
+    who: str
+    what: str
+    subject: str
+    cause: str
+    before: dict[str, Any]
+    after: dict[str, Any]
+    number: str
+
+
+def read_entry(row: Row) -> Result[AuditEntry, Invalid]:
+    """Decode an entry from its row, which other software may have filled."""
+    return read_record(row, AuditValue).map(lambda value: AuditEntry(**value))
--- a/radishtally/audit/store.py
+++ b/radishtally/audit/store.py
@@ -165,7 +165,8 @@
 
 
 def _filter_by_subject(rows: list[Row], subject: str | None) -> list[AuditEntry]:
-    entries = [read_entry(row) for row in rows]
+    read = [read_entry(row) for row in rows]
+    entries = [entry.ok for entry in read if entry.is_ok()]
     if subject is None:
         return entries
     return [entry for entry in entries if entry.subject == subject]
--- a/radishtally/authority/plan.py
+++ b/radishtally/authority/plan.py
@@ -1,8 +1,11 @@
 """Plans and drains, and the table rows that store them."""
 
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, TypedDict
 
-from radishtally.store.core import ABSENT, Check, Key, Put, Row, Write
+from radishtally.numbers import Count
+from radishtally.outcome import Result
+from radishtally.store.core import ABSENT, Check, Invalid, Key, Put, Row, Write
+from radishtally.store.records import read_record
 
 PLAN: Final = "plan"
 DRAIN: Final = "drain"
@@ -39,6 +42,34 @@
     cause: str
 
 
+class WantedValue(TypedDict):
+    """Describe the state that the plan wants one engine to have, as stored."""
+
+    role: str
+    model: str
+    version: str
+    adapters: tuple[str, ...]
+
+
+class PlanValue(TypedDict):
+    """Describe a plan as stored."""
+
+    place: str
+    number: Count
+    fencing: Count
+    cause: str
+    wanted: dict[str, WantedValue]
+
+
+class DrainValue(TypedDict):
+    """Describe a drain as stored."""
+
+    host: str
+    drained: bool
+    who: str
+    cause: str
+
+
 def make_plan_key(place: str) -> Key:
     """Return the key of a place's plan row."""
     return Key(PLAN, place)
@@ -87,15 +118,18 @@
     return value
 
 
-def read_plan_row(row: Row) -> Plan:
-    """Decode a plan from its row."""
-    wanted = {
-        host: Wanted(**{**state, "adapters": tuple(state["adapters"])})
-        for host, state in row.value["wanted"].items()
-    }
-    return Plan(**{**row.value, "wanted": wanted})
+def read_plan_row(row: Row) -> Result[Plan, Invalid]:
+    """Decode a plan from its row, which other software may have filled."""
+    return read_record(row, PlanValue).map(
+        lambda value: Plan(
+            **{
+                **value,
+                "wanted": {h: Wanted(**state) for h, state in value["wanted"].items()},
+            }
+        )
+    )
 
 
-def read_drain_row(row: Row) -> Drain:
-    """Decode a drain from its row."""
-    return Drain(**row.value)
+def read_drain_row(row: Row) -> Result[Drain, Invalid]:
+    """Decode a drain from its row, which other software may have filled."""
+    return read_record(row, DrainValue).map(lambda value: Drain(**value))
--- a/radishtally/authority/plan_store.py
+++ b/radishtally/authority/plan_store.py
@@ -24,6 +24,7 @@
     ABSENT,
     Check,
     Conflict,
+    Invalid,
     Put,
     ReadError,
     Row,
@@ -90,7 +91,7 @@
     async def read_plan(self, place: str) -> Result[Plan | None, ReadError]:
         """Read the plan in force."""
         result = await self._table.get(make_plan_key(place))
-        return result.map(_read_plan)
+        return result.bind(_read_plan)
 
     async def write_plan(
         self,
@@ -139,7 +140,10 @@
         read = await self._table.get(make_plan_key(place))
         if read.is_error():
             return read
-        current = _read_plan(read.ok)
+        decoded = _read_plan(read.ok)
+        if decoded.is_error():
+            return decoded
+        current = decoded.ok
         if current != previous:
             return Error(Superseded(current))
         # Check the lease after the read, which may take long: this process may have
@@ -196,13 +200,14 @@
         )
 
 
-def _read_plan(row: Row | None) -> Plan | None:
-    return None if row is None else read_plan_row(row)
+def _read_plan(row: Row | None) -> Result[Plan | None, Invalid]:
+    return Ok(None) if row is None else read_plan_row(row)
 
 
 def _read_drains(rows: list[Row]) -> dict[str, Drain]:
+    """Return the drains by host, without the rows that can't be read."""
     drains = [read_drain_row(row) for row in rows]
-    return {drain.host: drain for drain in drains}
+    return {drain.ok.host: drain.ok for drain in drains if drain.is_ok()}
 
 
 def _list_changed_hosts(base: Plan | None, plan: Plan | None) -> dict[str, object]:
--- a/radishtally/claims/core.py
+++ b/radishtally/claims/core.py
@@ -46,6 +46,7 @@
     make_claim_value,
     make_done_value,
     read_answer,
+    read_claim,
 )
 from radishtally.store.core import (
     ABSENT,
@@ -317,11 +318,18 @@
         self, job: _PendingWrite, row: Row, now: float
     ) -> list[Command]:
         """Resolve a claim whose key has a row of another request."""
-        if row.value["body_hash"] != job.value["body_hash"]:
+        read = read_claim(row)
+        if read.is_error():
+            # What it replaced may have been the claim of a call that has run.
+            return self._finish_claim(job, UnknownOutcome())
+        stored = read.ok
+        if stored["body_hash"] != job.value["body_hash"]:
             return self._finish_claim(job, KeyReused())
-        if row.value["state"] == DONE:
-            return self._finish_claim(job, Repeated(read_answer(row)))
-        if row.value["state"] == CLAIMED:
+        if stored["state"] == DONE:
+            answer = read_answer(stored)
+            known = UnknownOutcome() if answer is None else Repeated(answer)
+            return self._finish_claim(job, known)
+        if stored["state"] != NOT_RUN:
             return self._finish_claim(job, UnknownOutcome())
         job.write_ids.clear()
         job.expect = row.rev
--- a/radishtally/claims/record.py
+++ b/radishtally/claims/record.py
@@ -1,9 +1,14 @@
 """Row format of claims on idempotency keys."""
 
 import base64
-from typing import Any, Final, NamedTuple, TypedDict
+from typing import Annotated, Any, Final, NamedTuple, TypedDict
 
-from radishtally.store.core import Key, Row
+from msgspec import Meta
+
+from radishtally.numbers import Count
+from radishtally.outcome import Result
+from radishtally.store.core import Invalid, Key, Row
+from radishtally.store.records import read_record
 
 CLAIM_PREFIX: Final = "claim#"
 CLAIMED: Final = "claimed"
@@ -42,12 +47,12 @@
     body_hash: str
     state: str
     """CLAIMED, DONE or NOT_RUN."""
-    status: int
+    status: Annotated[int, Meta(ge=0, le=599)]
     headers: list[list[str]]
     body: str
     """Base64."""
     body_kept: bool
-    expires: int
+    expires: Count
     """Unix time in seconds after which the platform may remove the row."""
 
 
@@ -87,11 +92,18 @@
     return answer._replace(body=b"", body_kept=False)
 
 
-def read_answer(row: Row) -> StoredAnswer:
-    """Decode the stored answer of a row."""
-    value = row.value
-    headers = tuple((name, text) for name, text in value["headers"])
-    body = base64.b64decode(value["body"])
+def read_claim(row: Row) -> Result[ClaimValue, Invalid]:
+    """Decode a claim from its row, which other software may have filled."""
+    return read_record(row, ClaimValue)
+
+
+def read_answer(value: ClaimValue) -> StoredAnswer | None:
+    """Decode the stored answer of a claim; None if it can't be read."""
+    try:
+        headers = tuple((name, text) for name, text in value["headers"])
+        body = base64.b64decode(value["body"], validate=True)
+    except ValueError:
+        return None
     return StoredAnswer(value["status"], headers, body, value["body_kept"])
 
 
--- a/tests/audit/test_audit.py
+++ b/tests/audit/test_audit.py
@@ -43,7 +43,7 @@
     put = make_audit_put(7, "ana", "drain", "h1", "disk", {"a": 1}, {"a": 2}, "n1")
     assert put.key.sk == "0000000000007-ana-n1"
     assert put.expect is None
-    entry = read_entry(Row(put.key, 1, "w", put.value))
+    entry = read_entry(Row(put.key, 1, "w", put.value)).ok
     assert entry._asdict() == put.value
 
 
--- a/tests/authority/test_plan_store.py
+++ b/tests/authority/test_plan_store.py
@@ -132,7 +132,7 @@
         assert (second.number, second.fencing) == (2, 1)
         assert (await plans.read_plan(PLACE)).ok == second
         rows = (await table.query(AUDIT_PARTITION)).ok
-        entry = read_entry(rows[-1])
+        entry = read_entry(rows[-1]).ok
         assert (entry.who, entry.what, entry.cause) == ("e1", "plan", "drain")
         assert entry.before["h1"]["role"] == "decode"
         assert entry.after["h2"]["role"] == "mixed"
@@ -213,7 +213,9 @@
         await plans.write_drain("h1", False, "ana", "mended")
         expected = {"h1": Drain("h1", False, "ana", "mended")}
         assert (await plans.read_drains()).ok == expected
-        entries = [read_entry(row) for row in (await table.query(AUDIT_PARTITION)).ok]
+        entries = [
+            read_entry(row).ok for row in (await table.query(AUDIT_PARTITION)).ok
+        ]
         assert [entry.what for entry in entries] == ["drain", "undrain"]
         assert entries[1].before["cause"] == "disk"
 
@@ -228,7 +230,9 @@
     async def play() -> None:
         assert (await plans.write_plan(PLACE, None, WANTED, "mix", lease)).is_ok()
         assert (await plans.write_plan("howrah", None, OTHER, "mix", lease)).is_ok()
-        entries = [read_entry(row) for row in (await table.query(AUDIT_PARTITION)).ok]
+        entries = [
+            read_entry(row).ok for row in (await table.query(AUDIT_PARTITION)).ok
+        ]
         assert {entry.subject for entry in entries} == {PLACE, "howrah"}
 
     run(play())
--- a/tests/store/test_foreign_rows.py
+++ b/tests/store/test_foreign_rows.py
@@ -8,7 +8,23 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from radishtally.audit.core import make_audit_put, read_entry
 from radishtally.authority.lease_value import parse_lease_value
+from radishtally.authority.plan import (
+    Drain,
+    Plan,
+    Wanted,
+    encode_record,
+    read_drain_row,
+    read_plan_row,
+)
+from radishtally.claims.record import (
+    Claim,
+    StoredAnswer,
+    make_done_value,
+    read_answer,
+    read_claim,
+)
 from radishtally.configuration.head import decode_head
 from radishtally.gateway.origin_store import OriginRow, merge_rows
 from radishtally.gateway.origin_store import _find_expiry as find_expiry
@@ -29,6 +45,8 @@
     "counter": 3,
     "era": 1,
 }
+PLAN = Plan("howrah", 3, 7, "mix", {"h-1": Wanted("decode", "m", "v1", ("a",))})
+ANSWER = StoredAnswer(200, (("a", "b"),), b"body")
 HEAD = {
     "revision": 3,
     "files": {"a": ["0", "ana", 3]},
@@ -45,6 +63,13 @@
     return Row(Key("p", "s"), 1, "w", value)
 
 
+def read_claim_row(row: Row) -> None:
+    """Read a claim, and its answer if there may be one."""
+    claim = read_claim(row)
+    if claim.is_ok():
+        read_answer(claim.ok)
+
+
 def read_sources(row: Row) -> None:
     """Read the row of the sources as a gateway that looks for a sole one."""
     table = MemoryTable()
@@ -61,6 +86,10 @@
 
 READERS: dict[str, tuple[dict[str, Any], Callable[[Row], object]]] = {
     "lease": (LEASE, lambda row: parse_lease_value(row.value)),
+    "plan": (encode_record(PLAN), read_plan_row),
+    "drain": (encode_record(Drain("h", True, "ana", "x")), read_drain_row),
+    "audit": (make_audit_put(5, "ana", "x", "h", "c", {}, {}, "1").value, read_entry),
+    "claim": (make_done_value(Claim("t", "k", "r", "h"), ANSWER, 9), read_claim_row),
     "head": (HEAD, lambda row: decode_head(row.value)),
     "sources": ({"routes": {"a/": None}}, read_sources),
     "origins": (
