Refuse entries and requests that lead back to a gateway

Another writer's entry with the address of a gateway gave callers 409, 404 or 502: the gateway took itself for a host, got its own request back, found its name in use, and passed that answer on as the host's. An entry with the address of the store, or of another gateway that has such an entry as well, did the same.

A request that comes back by another gateway names the host that it was meant for; it is refused with 421, which its sender takes for a wrong host: it has not run and is offered to another one.

--- a/radishtally/gateway/core.py
+++ b/radishtally/gateway/core.py
@@ -33,6 +33,8 @@
     """Headers to forward to the upstream, without the caller's credentials."""
     credentials: tuple[str, ...] = ()
     """Values of the Authorization headers, decoded byte by byte; never logged."""
+    expected_host: str = ""
+    """Host that the request is meant for, as gateways name it; empty if none."""
 
 
 class CallerDialect(Protocol):
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -50,7 +50,13 @@
 from radishtally.gateway.origin_store import OriginStore
 from radishtally.gateway.origins import OriginExchange
 from radishtally.gateway.peers import Peers
-from radishtally.gateway.requests import NAME_IN_USE, STOPPING, RoutedRequest, Router
+from radishtally.gateway.requests import (
+    NAME_IN_USE,
+    SENT_BACK,
+    STOPPING,
+    RoutedRequest,
+    Router,
+)
 from radishtally.gateway.source_recorder import SourceRecorder
 from radishtally.gateway.topology import Site
 from radishtally.limits.retries import RetryBudgets
@@ -453,6 +459,17 @@
         """Begin waiting calls for which peers have left places."""
         self.handle(events.PlacesChanged())
 
+    def is_own_address(self, address: str) -> bool:
+        """Return whether this process, or the store, listens on an address."""
+        settings = self.settings
+        return address in (
+            settings.address,
+            settings.ready_address,
+            settings.metrics_address,
+            settings.peer_address,
+            settings.store_address,
+        )
+
     def set_unreadable_count(self, count: int) -> None:
         """Set the number of host entries that can't be decoded."""
         self.metrics.set_unreadable(count)
@@ -513,7 +530,7 @@
     ) -> Result[RoutedRequest, Refusal]:
         """Route a request, or return why it is refused."""
         if caller_request.request in self.replies:
-            return Error(NAME_IN_USE)
+            return Error(SENT_BACK if caller_request.expected_host else NAME_IN_USE)
         routed = self.router.route(method, target, caller_request, body)
         if routed.is_ok() and not self._can_finish(routed.ok.timeout):
             return Error(STOPPING)
--- a/radishtally/gateway/requests.py
+++ b/radishtally/gateway/requests.py
@@ -26,6 +26,11 @@
 )
 """Answers are matched to callers by request id: a second request with the same id would
 replace the first, whose caller would then wait forever."""
+SENT_BACK: Final = Refusal(
+    421, "sent_back", "the request was sent on to a gateway instead of a host", Ran.NO
+)
+"""Refusal of an open request that comes back, as a host's entry leads to a gateway. The
+sender offers it to another host."""
 CONTENT_HASH_DIGITS: Final = 32
 """Length of the content hash in hex digits."""
 NO_ROUTE: Final = Refusal(404, "no_route", "no route leads from this path")
--- a/tests/adapter/test_restored.py
+++ b/tests/adapter/test_restored.py
@@ -194,6 +194,9 @@
     def announce_hosts_read(self, version: int) -> None:
         """Ignore the newest change, as there are no peers."""
 
+    def is_own_address(self, address: str) -> bool:
+        return False
+
     def set_unreadable_count(self, count: int) -> None:
         assert count == 0
 
