--- a/soak/core.py
+++ b/soak/core.py
@@ -73,6 +73,7 @@
     fleet.ledger.count_given_up()
     fleet.ledger.check_bad_parts()
     fleet.ledger.check_limits()
+    fleet.check_logs()
 
 
 async def _run_schedule(
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -36,6 +36,8 @@
 PROGRAM: Final = ROOT / "platform" / "radishtallyd.py"
 ORDER_ACCEPTED: Final = 202
 """Status with which an engine accepts a change of role."""
+CONTAINED_KIND: Final = "error:contained"
+"""Kind of the log lines on unexpected errors."""
 IP_NUMBERS: Final = itertools.count(1)
 
 
@@ -314,6 +316,16 @@
             self.ledger.report_finding(f"{gateway.name} ended by itself with {code}")
             self.start_gateway(gateway)
 
+    def check_logs(self) -> None:
+        """Check that no gateway has met an unexpected error, which it would survive."""
+        for gateway in self.gateways:
+            log = (self.folder / f"{gateway.name}.log").read_text(errors="replace")
+            count = log.count(f'"{CONTAINED_KIND}"')
+            if count:
+                self.ledger.report_finding(
+                    f"{gateway.name} met {count} unexpected errors; see its log"
+                )
+
     async def heal(self) -> None:
         """End all faults and resume paused processes."""
         for gateway in self.gateways:
