Bound what the origins in the store cost a gateway

The read-through: streams that can't be resumed any longer were looked for in each write, twice a second, among up to some 70,000 of a data centre at the planned size, and their number had no bound. They are looked for each 5 s now, and as many are held as the gateway remembers itself (200,000). The change of a host is formatted for the log only when its handling fails.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -429,7 +429,7 @@
     def apply_changes(self, changes: list[HostChange]) -> None:
         """Apply changes of the upstreams' hosts."""
         for change in changes:
-            with contain("host", change=repr(change)):
+            with contain("host", change=change):
                 apply_change(change, self)
         self.metrics.set_missing(self.members.count_missing())
 
--- a/radishtally/gateway/origin_store.py
+++ b/radishtally/gateway/origin_store.py
@@ -17,13 +17,15 @@
 
 from radishtally.links.gateway_messages import StreamsBegun
 from radishtally.outcome import Result
-from radishtally.serving.origins import UNKNOWN_VERSION
+from radishtally.serving.origins import MAX_STREAMS, UNKNOWN_VERSION
 from radishtally.store.core import Delete, Key, Put, Row, Table, TableError
 
 PARTITION: Final = "stream-origins"
 WRITE_SECONDS: Final = 0.5
 """Interval of the writes: a stream that is younger when all gateways end is refused."""
 MAX_RETRY_SECONDS: Final = 4.0
+EXPIRY_SECONDS: Final = 5.0
+"""Interval at which streams are forgotten that can't be resumed any longer."""
 READ_SECONDS: Final = 0.3
 """Shortest interval between two reads of all rows."""
 MAX_ROWS: Final = 1_000
@@ -89,7 +91,7 @@
         self._read_unix_time = read_unix_time
         self._streams: dict[bytes, _Known] = {}
         self._unwritten: dict[bytes, None] = {}
-        self._pruned_at = clock()
+        self._expired_at = self._pruned_at = clock()
         self._has_rows = True
         """Whether rows may be left to prune."""
         self._stored: dict[bytes, Begin] = {}
@@ -104,6 +106,8 @@
         for stream, left, _ in message.streams:
             known = self._streams.get(stream)
             until = now + left
+            if known is None and len(self._streams) >= MAX_STREAMS:
+                return
             if known is not None and known.begin == begin and until <= known.until:
                 continue
             self._streams[stream] = _Known(begin, until)
@@ -127,7 +131,8 @@
 
     async def write(self) -> bool:
         """Write what is not written yet; return whether that has succeeded."""
-        self._forget_expired()
+        if self._clock() >= self._expired_at + EXPIRY_SECONDS:
+            self._forget_expired()
         if not self._is_writer():
             return True
         needed: dict[str, bool] = {}
@@ -183,7 +188,7 @@
         )
 
     def _forget_expired(self) -> None:
-        now = self._clock()
+        now = self._expired_at = self._clock()
         for stream in [s for s, known in self._streams.items() if known.until <= now]:
             del self._streams[stream]
             self._unwritten.pop(stream, None)
--- a/radishtally/runtime.py
+++ b/radishtally/runtime.py
@@ -68,7 +68,7 @@
         self, name: str, run: Callable[[], Coroutine[Any, Any, Any]]
     ) -> asyncio.Task:
         """Run an endless task, and again after a pause if it raises an error."""
-        return self.spawn(_run_again_and_again(name, run))
+        return self.spawn(_run_with_restarts(name, run))
 
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a coroutine in a task that is cancelled when the process shuts down."""
@@ -149,7 +149,7 @@
             raise SystemExit(EXIT_BROKEN)
 
 
-async def _run_again_and_again(
+async def _run_with_restarts(
     name: str, run: Callable[[], Coroutine[Any, Any, Any]]
 ) -> None:
     pause = MIN_RESTART_SECONDS
