--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -22,7 +22,7 @@
 )
 from radishtally.claims.store import ClaimStore
 from radishtally.configuration.store import ConfigurationStore
-from radishtally.containment import BrokenInvariant, contain, report_error
+from radishtally.containment import report_error
 from radishtally.entry.callers import Directory, TokenRatio
 from radishtally.entry.explain import RequestSteps
 from radishtally.entry.http import make_app
@@ -40,7 +40,7 @@
 from radishtally.routing.core import POLICIES
 from radishtally.runtime import Waker
 from radishtally.serving import const, events
-from radishtally.serving.containment import end_request, find_request
+from radishtally.serving.containment import execute_contained
 from radishtally.serving.core import DispatchCore, handle_event
 from radishtally.serving.placement import RankedPlacement
 from radishtally.serving.replies import Replies, Reply
@@ -178,25 +178,9 @@
     def handle(self, event: events.Event) -> None:
         """Pass an event to the core and execute its commands."""
         for command in handle_event(event, self.core, time.monotonic()):
-            self._execute_contained(command)
+            execute_contained(command, self.core, self._execute, self.replies)
         self.waker.wake_at(self.core.next_wake())
 
-    def _execute_contained(self, command: events.Command) -> None:
-        """Execute a command; if that fails, end the request that it is about."""
-        try:
-            self._execute(command)
-        except BrokenInvariant:
-            raise
-        except Exception as error:
-            request = find_request(command)
-            report_error(error, "request", request=request)
-            for more in end_request(request, self.core):
-                if isinstance(more, events.Refuse | events.AbortAnswer):
-                    self.replies.put(more)
-                    continue
-                with contain("request", request=request):
-                    self._execute(more)
-
     @singledispatchmethod
     def _execute(self, command: events.Command) -> None:
         raise TypeError(f"no handler for a command of type {type(command)}")
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -70,7 +70,7 @@
 from radishtally.routes.config import CallerLimits, FleetConfiguration
 from radishtally.runtime import Runtime, Waker, read_boot_clock
 from radishtally.serving import events
-from radishtally.serving.containment import end_request, find_request
+from radishtally.serving.containment import execute_contained
 from radishtally.serving.core import DispatchCore, handle_event
 from radishtally.serving.origins import UNKNOWN_VERSION
 from radishtally.serving.replies import Replies, Reply
@@ -612,22 +612,11 @@
     def handle(self, event: events.Event) -> None:
         """Handle an event and execute the resulting commands."""
         for command in handle_event(event, self.core, time.monotonic()):
-            self._execute(command)
+            execute_contained(command, self.core, self._execute, self.replies)
         self.waker.wake_at(self.core.next_wake())
 
     def _execute(self, command: events.Command) -> None:
-        """Execute a command; if that fails, end the request that it is about."""
-        try:
-            execute_command(command, self)
-        except Exception as error:
-            request = find_request(command)
-            report_error(error, "request", request=request)
-            for more in end_request(request, self.core):
-                if isinstance(more, events.Refuse | events.AbortAnswer):
-                    self.replies.put(more)
-                    continue
-                with contain("request", request=request):
-                    execute_command(more, self)
+        execute_command(command, self)
 
     def _handle_settled(self, stream: bytes) -> None:
         """Go on with the requests that wait to learn where a stream began."""
