Read the origins in the store again for a stream that was read before

Found by reading: a gateway kept what it had read of all streams, and a doubt about one of them that was written later was not seen by a gateway without links. Callers could have got a text joined from two versions, if a host had started again unseen in between.

test_doubt_after_a_read_is_seen fails without the change (1 failed, 14 passed) and passes with it.

--- a/radishtally/gateway/origin_store.py
+++ b/radishtally/gateway/origin_store.py
@@ -211,7 +211,9 @@
 
     async def find(self, stream: bytes) -> Begin | None:
         """Return where a stream began; None if the store does not tell."""
-        if stream not in self._stored and not await self._read():
+        # A later row may have brought a doubt about the stream.
+        is_recent = self._clock() < self._read_at + READ_SECONDS
+        if not (is_recent and stream in self._stored) and not await self._read():
             return None
         begin = self._stored.get(stream)
         return None if begin is None or begin.version == UNKNOWN_VERSION else begin
--- a/tests/gateway/test_origin_store.py
+++ b/tests/gateway/test_origin_store.py
@@ -10,6 +10,7 @@
     MAX_STREAMS_PER_ROW,
     PARTITION,
     PRUNE_MARGIN_SECONDS,
+    READ_SECONDS,
     Begin,
     OriginStore,
 )
@@ -119,6 +120,23 @@
     run(scenario())
 
 
+# Guards against a doubt about a stream that comes after all rows were read.
+def test_doubt_after_a_read_is_seen() -> None:
+    async def scenario() -> None:
+        scene = make_scene()
+        scene.begin("a", "b")
+        await scene.origins.write()
+        other = make_scene(scene.table, "g-2")
+        assert await find(other, "a") == Begin("llm", "v1")
+        scene.begin("b", version="")
+        await scene.origins.write()
+        other.clock.now += READ_SECONDS
+        assert await find(other, "b") is None
+        assert await find(other, "a") == Begin("llm", "v1")
+
+    run(scenario())
+
+
 # Guards against a row of another writer that hides all origins, or ends its reader.
 @pytest.mark.parametrize(
     "value",
