Send a removed host nothing when several of its writes come late

What such a host is sent is lost once it exits.

Cause: the entry of a removed host was held until its heartbeat count grew. Two heartbeats whose answers were lost, and that the store performs 1 to 6 s later, show a growing count too. A test and the model of a leaving host allowed one late write and asked for the host after the second.

Change: as long as writes from before the removal may be on their way (8 s), what is written of the removed start only renews the hold; a higher count after that is a proof. Another start is in service after two writes, as before. An upstream without another ready host, and entries that are back after an outage, are treated as before.

The test that asked for the host after the second write is replaced: it asks that no write within 8 s brings it back, and that the first one after that does. The model allows any number of late writes where it allowed one.

Price: a live host whose entry was deleted without an outage is back after 8 to 9.5 s, not 2 to 4 s, unless it is needed.

--- a/radishtally/gateway/members.py
+++ b/radishtally/gateway/members.py
@@ -129,7 +129,8 @@
     An entry may also be written seconds late: after one of a later start, after a newer
     one of the same start, or after the host's removal. No single observation therefore
     rules out another start for good. What contradicts a newer observation is ignored
-    until the same start has written again, which only a running host does.
+    until the same start has written again, which only a running host does; that of a
+    removed host, until writes from before its removal can't be on their way any more.
     """
 
     def __init__(self) -> None:
@@ -221,7 +222,11 @@
         host, unconfirmed = instance.host, self._unconfirmed
         if unconfirmed.is_unchanged(instance, heartbeats, now):
             return []
-        is_doubtful = self._is_doubtful(instance, heartbeats, after_outage, now)
+        if not after_outage and self._may_be_late(instance, heartbeats, now):
+            until = self._gone_hosts[host].at + LATE_WRITE_SECONDS
+            unconfirmed.hold_until(instance, heartbeats, now, until)
+            return []
+        is_doubtful = self._is_doubtful(instance, heartbeats)
         if is_doubtful and not unconfirmed.is_confirmed(instance, heartbeats, now):
             unconfirmed.hold(instance, heartbeats, now)
             return []
@@ -242,9 +247,21 @@
         self._gone_hosts.pop(host, None)
         return changes
 
-    def _is_doubtful(
-        self, instance: Instance, heartbeats: int, after_outage: bool, now: float
-    ) -> bool:
+    def _may_be_late(self, instance: Instance, heartbeats: int, now: float) -> bool:
+        """Return whether an entry may have been written before its host's removal.
+
+        Several writes of the removed start may be late, so that a higher heartbeat
+        count proves nothing; another start is in service once it has written twice.
+        """
+        is_recent = self._is_removal_recent(instance.host, now)
+        if not is_recent or not self._has_ready_host(instance.upstream):
+            return False
+        gone = self._gone_hosts[instance.host].instance
+        if is_same_start(gone.started_ms, instance.started_ms):
+            return True
+        return not self._unconfirmed.is_confirmed(instance, heartbeats, now)
+
+    def _is_doubtful(self, instance: Instance, heartbeats: int) -> bool:
         """Return whether an entry may have been written before what is known."""
         host, started_ms = instance.host, instance.started_ms
         if self.starts.is_ended(host, started_ms):
@@ -257,9 +274,6 @@
         gone = self._gone_hosts.get(host)
         if gone is None:
             return False
-        if self._is_removal_recent(host, now) and not after_outage:
-            # Entries that lapsed in an outage are written again just after it.
-            return self._has_ready_host(instance.upstream)
         is_same = is_same_start(gone.instance.started_ms, started_ms)
         return is_same and heartbeats < gone.heartbeats
 
--- a/radishtally/gateway/unconfirmed.py
+++ b/radishtally/gateway/unconfirmed.py
@@ -63,6 +63,17 @@
         self._entries[instance.host] = entry
         self._review_at = min(self._review_at, now + REVIEW_INTERVAL_SECONDS)
 
+    def hold_until(
+        self, instance: Instance, heartbeats: int, now: float, until: float
+    ) -> None:
+        """Hold an entry; only what is written after this count and time confirms it."""
+        held = self._entries.get(instance.host)
+        self.discard(instance.host)
+        self.hold(instance, heartbeats, now, held is not None and held.is_restored)
+        entry = self._entries[instance.host]
+        until += MAX_UNCONFIRMED_SECONDS
+        self._entries[instance.host] = entry._replace(until=until)
+
     def is_unchanged(self, instance: Instance, heartbeats: int, now: float) -> bool:
         """Return whether an entry is held and was not written since."""
         held = self._entries.get(instance.host)
--- a/tests/gateway/leaving_model.py
+++ b/tests/gateway/leaving_model.py
@@ -70,8 +70,6 @@
         self.beats = 0
         self.is_leaving = False
         self.has_left = False
-        self.has_late_write = False
-        """Whether a write of the host was performed after it had left."""
         self.left_at = float("inf")
         """Time at which the store has accepted that the host leaves."""
         self.row: Row | None = None
@@ -183,11 +181,8 @@
         getattr(self, f"_{kind.name.lower()}")()
 
     def _is_write_late(self) -> bool:
-        """Return whether a write may be on its way, one at most of a host that left."""
-        if not self.has_left or self.left_at == float("inf"):
-            return True
-        is_first, self.has_late_write = not self.has_late_write, True
-        return is_first and self.now <= self.left_at + MAX_WRITE_DELAY_SECONDS
+        """Return whether a write may be on its way."""
+        return self.now <= self.left_at + MAX_WRITE_DELAY_SECONDS or not self.has_left
 
     def _late_start(self) -> None:
         if not self._is_write_late():
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -305,19 +305,36 @@
     ]
 
 
-# Guards against requests to a removed host: an entry of it is written late. It is back
-# once its host writes again, and after an outage, in which it may only have lapsed.
-def test_entry_of_a_removed_host_is_applied_once_it_is_written_again() -> None:
+# Guards against requests to a removed host: several entries of it are written late. It
+# is back once it writes when none can be late any more, and after an outage, in which
+# it may only have lapsed.
+def test_entry_of_a_removed_host_is_applied_once_no_write_can_be_late() -> None:
     members = Members()
     members.replace([A, B], 0.0, False, {"a": 3, "b": 3})
     members.remove(["a"], 2.0, False)
     assert members.update(A, 4, now=3.0) == []
     assert members.replace([A, B], 4.5, False, {"a": 4, "b": 4}) == []
-    assert members.replace([A, B], 6.0, False, {"a": 5, "b": 5}) == [HostUpdated(A)]
-    members.remove(["a"], 7.0, False)
-    assert members.update(A, 6, after_outage=True, now=8.0) == [HostUpdated(A)]
-    members.remove(["a"], 9.0, False)
-    assert members.update(A, 7, now=9.0 + LATE_WRITE_SECONDS) == [HostUpdated(A)]
+    assert members.replace([A, B], 6.0, False, {"a": 5, "b": 5}) == []
+    last = 2.0 + LATE_WRITE_SECONDS - 0.1
+    assert members.replace([A, B], last, False, {"a": 6, "b": 6}) == []
+    assert members.replace([A, B], last + 1.0, False, {"a": 6, "b": 7}) == []
+    assert members.replace([A, B], last + 2.0, False, {"a": 7, "b": 8}) == [
+        HostUpdated(A)
+    ]
+    members.remove(["a"], 20.0, False)
+    assert members.update(A, 8, after_outage=True, now=21.0) == [HostUpdated(A)]
+    members.remove(["a"], 22.0, False)
+    assert members.update(A, 9, now=22.0 + LATE_WRITE_SECONDS) == [HostUpdated(A)]
+
+
+# Guards against seconds without a host that was removed and has begun again.
+def test_new_start_of_a_removed_host_is_applied_once_it_is_written_again() -> None:
+    first, second = (A._replace(started_ms=started_ms) for started_ms in (5, 9))
+    members = Members()
+    members.replace([first, B], 0.0, False, {"a": 3, "b": 3})
+    members.remove(["a"], 2.0, False)
+    assert members.update(second, 1, now=3.0) == []
+    assert HostUpdated(second) in members.replace([second, B], 4.5, False, {"a": 2})
 
 
 # Guards against refusals by an upstream whose last host is gone: the entry of another
--- a/tests/gateway/test_members_machine.py
+++ b/tests/gateway/test_members_machine.py
@@ -102,7 +102,7 @@
         self.listed = {}
         for host in hosts:
             self._write(host, is_draining)
-        back = {host for host in hosts if self._is_back_too_soon(host)}
+        back = {host for host in hosts if self._may_be_late(host)}
         self.unconfirmed.clear()
         self._hold(back)
         self._read_all()
@@ -127,9 +127,11 @@
         changes = self.members.update(*entry, self.after_outage, self.now)
         if is_too_soon and not changes:
             self._hold({host})
-        elif changes or host not in self.held_removed:
+        elif changes or not self._may_be_late(host):
             self.unconfirmed.pop(host, None)
             self.set_beats[host] = self.beats[host]
+        else:
+            self._renew_hold(host)
         self._apply(changes)
 
     @rule(hosts=SETS_OF_HOSTS)
@@ -179,11 +181,18 @@
         """Read the list again, after entries without heartbeats have been deleted."""
         self.now = max(self.now, self.members.next_review())
         self._delete_unrenewed()
-        grown = [host for host in self.unconfirmed if self._has_written(host)]
-        for host in grown:
-            del self.unconfirmed[host]
+        for host in [host for host in self.unconfirmed if self._has_written(host)]:
+            if self._may_be_late(host):
+                self._renew_hold(host)
+            else:
+                del self.unconfirmed[host]
         self._read_all()
 
+    def _renew_hold(self, host: str) -> None:
+        """Expect that an entry is held that has been written, as it may be late."""
+        self.first_beats[host] = self.beats[host]
+        self.restored_at = self.now
+
     def _has_written(self, host: str) -> bool:
         return self.listed[host].beats > self.first_beats[host]
 
@@ -277,10 +286,13 @@
 
     def _is_back_too_soon(self, host: str) -> bool:
         """Return whether a removed host's first entry may have been written late."""
-        if self.after_outage or host in self.unconfirmed:
-            return False
+        return host not in self.unconfirmed and self._may_be_late(host)
+
+    def _may_be_late(self, host: str) -> bool:
+        """Return whether what is written of a removed host may be from before."""
         deleted_at = self.deleted_at.get(host, float("-inf"))
-        return self.now < deleted_at + LATE_WRITE_SECONDS
+        is_recent = self.now < deleted_at + LATE_WRITE_SECONDS
+        return is_recent and not self.after_outage
 
     def _hold(self, hosts: set[str]) -> None:
         """Expect that entries are held, of removed hosts that others can replace."""
