Spread calls over hosts by what the peers may have begun unseen

Cause: each gateway chooses the host with the fewest calls by its peers' last reports. Differences of two calls didn't count, so that not all choose the same host, whatever the number of calls that peers begin between two reports. Twelve gateways begin about four in that time.

Change: differences below the calls that peers begin between two reports, estimated by their open calls and the mean duration, don't count; below two as before.

--- a/radishtally/admission/queue.py
+++ b/radishtally/admission/queue.py
@@ -101,6 +101,11 @@
         """Return whether the gateways want more places than there are."""
         return self.demand.total > self.places
 
+    def count_unseen(self) -> float:
+        """Estimate how many calls the peers begin before their next reports."""
+        ended_per_second = self.demand.count_open_at_peers() / self.durations.mean
+        return ended_per_second * self.report_seconds
+
     @property
     def next_check(self) -> float:
         """Return when waiting calls may begin without any other event."""
--- a/radishtally/engines/choice.py
+++ b/radishtally/engines/choice.py
@@ -44,9 +44,9 @@
 prompt: each chunk delays all of its answers, whose events must not pause for long."""
 REMOTE_CALL_PENALTY: Final = 0.5
 """Penalty, in open calls, of a service host in another data centre: it breaks ties."""
-STALE_CALLS: Final = 2.0
-"""Difference in open calls that doesn't count if peers have reported some: all entries
-would choose the same host until the next reports."""
+MIN_STALE_CALLS: Final = 2.0
+"""Least difference in open calls that doesn't count if peers have reported some: all
+entries would choose the same host until the next reports."""
 CALLER_TIMEOUT_FACTOR: Final = 4.0
 """Multiple of its latency objective that a caller waits for the first event."""
 MIN_CALLER_TIMEOUT_SECONDS: Final = 2.0
@@ -257,7 +257,9 @@
     if not hosts:
         return Declined(None, "no untried host is left")
 
-    spread = STALE_CALLS if any(host.peer_calls for host in hosts) else 0.0
+    spread = 0.0
+    if any(host.peer_calls for host in hosts):
+        spread = max(MIN_STALE_CALLS, hosts[0].unseen_calls)
 
     def score(host: KnownHost) -> float:
         is_remote = host.data_centre != data_centre
--- a/radishtally/serving/hosts.py
+++ b/radishtally/serving/hosts.py
@@ -33,6 +33,8 @@
     in_flight: int = 0
     peer_calls: int = 0
     """Calls that other gateways have open, as last reported."""
+    unseen_calls: float = 0.0
+    """Calls to all hosts of the upstream that other gateways begin between reports."""
     reported_in_flight: int = 0
     refusals: int = 0
     """Refusals since the host last accepted an offer."""
--- a/radishtally/serving/places.py
+++ b/radishtally/serving/places.py
@@ -48,9 +48,11 @@
     if not hosts or not all(known.slots for known in hosts):
         return None
     queue = core.admission.get_queue(upstream)
+    queue.report_seconds = core.admission.report_seconds
+    unseen = queue.count_unseen()
     for known in hosts:
         known.peer_calls = queue.demand.count_peer_calls(known.host)
-    queue.report_seconds = core.admission.report_seconds
+        known.unseen_calls = unseen
     queue.places = sum(_find_places(known, queue, core) for known in hosts)
     if core.admission.is_lagging():
         queue.places *= LAG_FACTOR
