Link gateways again whose shared secret another writer has replaced

Callers: gateways that share no links don't know where streams began, which requests end hosts or how full hosts are. A stream that is taken up at another gateway is refused, and a request that ends hosts goes on at each gateway by itself.

Cause: the row with the gateways' secret was taken for lost only after a restore of the store. If another writer replaced it by bytes that can't be decoded, a gateway that starts waited for them to go; after another value, or none, it drew a new secret while those that run kept theirs.

Change: the store's table keeps the version of bytes that it can't decode, so that a write can replace exactly these. A gateway from which a listed peer is out of reach for 5 s reads the secret again, with each read of the peers' rows, and adopts the stored one. Cost: one read in 10 s for each gateway, while a peer is out of reach.

--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -71,6 +71,9 @@
 """Interval between calls to the store while this gateway or others are starting."""
 PEER_READ_SECONDS: Final = 10.0
 """Interval between reads of the gateways' rows; each read is a call to the store."""
+SECRET_CHECK_SECONDS: Final = 5.0
+"""Time for which a peer is out of reach until the shared secret is read again: it may
+have started with another one."""
 ERA_READ_SPREAD_SECONDS: Final = 2.0
 """Time over which gateways spread their reads in a new era of the store. With three
 calls each, 330 gateways make 500 calls a second, half of their allowance."""
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -17,6 +17,7 @@
     ERA_READ_SPREAD_SECONDS,
     JOIN_POLL_SECONDS,
     PEER_READ_SECONDS,
+    SECRET_CHECK_SECONDS,
     STARTUP_PEER_READS,
 )
 from radishtally.gateway.freshness import ViewExchange
@@ -118,6 +119,10 @@
             self._is_joined = True
         while True:
             names = await self._sync_peers()
+            if self._unreachable_peers.list_unreachable_for(
+                SECRET_CHECK_SECONDS, time.monotonic()
+            ):
+                await self._sync_secret()
             self._reads += 1
             if self._had_row and self._reads == 1:
                 self._gateway.runtime.spawn(self._gateway.cache_discovery.run(names))
@@ -190,9 +195,9 @@
     async def _sync_secret(self) -> None:
         """Make sure that the secret in use is the one in the store.
 
-        The secret may have been lost there. A gateway that starts then generates a new
-        one, and the two groups would never link to each other. A stored secret is never
-        changed, so all gateways adopt it.
+        The secret may have been lost there, or replaced by another writer. A gateway
+        that starts then generates a new one, and the two groups would never link to
+        each other. A valid secret is never changed, so all gateways adopt it.
         """
         secret = await self._registry.read_or_create_secret(self._secret)
         if secret == self._secret:
--- a/radishtally/gateway/registry.py
+++ b/radishtally/gateway/registry.py
@@ -13,8 +13,10 @@
 from radishtally.settings.core import is_address
 from radishtally.store.core import (
     ABSENT,
+    UNREADABLE,
     Conflict,
     Delete,
+    Invalid,
     Key,
     Put,
     ReadError,
@@ -47,19 +49,19 @@
         """Return the stored secret; if none is valid, store the known or a new one."""
         while True:
             read = await self._table.get(PEER_SECRET_KEY)
+            if read.is_error() and not isinstance(read.error, Invalid):
+                await _wait_for_store(str(read.error))
+                continue
             stored = _read_secret(read.ok) if read.is_ok() else None
             if stored is not None:
                 return stored
-            if read.is_ok():
-                value = {"secret": known or secrets.token_hex(16)}
-                rev = ABSENT if read.ok is None else read.ok.rev
-                written = await self._write(Put(PEER_SECRET_KEY, value, rev))
-                # Either this secret or another gateway's is stored now.
-                if written.is_ok() or isinstance(written.error, Conflict):
-                    continue
+            value = {"secret": known or secrets.token_hex(16)}
+            put = Put(PEER_SECRET_KEY, value, _find_revision(read))
+            written = await self._write(put)
+            # After a conflict another gateway's secret may be stored.
+            is_lost = written.is_error() and isinstance(written.error, Conflict)
+            if written.is_error() and not (is_lost and read.is_ok()):
                 await _wait_for_store(str(written.error))
-                continue
-            await _wait_for_store(str(read.error))
 
     async def write_own_row(self) -> bool:
         """Write this gateway's row; return whether one existed from an earlier start.
@@ -118,6 +120,13 @@
     return Site(data_centre, cores)
 
 
+def _find_revision(read: Result[Row | None, ReadError]) -> int:
+    """Return the revision that a write of a row expects that was read."""
+    if read.is_error():
+        return UNREADABLE
+    return ABSENT if read.ok is None else read.ok.rev
+
+
 def _read_secret(row: Row | None) -> str | None:
     """Return the secret of a row; None if another writer has replaced it."""
     secret = None if row is None else row.value.get("secret")
--- a/radishtally/store/core.py
+++ b/radishtally/store/core.py
@@ -6,6 +6,8 @@
 
 ABSENT: Final = 0
 """Expected revision of a row that must not exist yet."""
+UNREADABLE: Final = -1
+"""Expected revision of a row that was last read as bytes that can't be decoded."""
 
 MAX_WRITES: Final = 100
 """Maximum number of rows in one transaction, a limit of DynamoDB."""
@@ -35,7 +37,8 @@
     key: Key
     value: dict[str, Any]
     expect: int | None
-    """Required current revision; ABSENT for a new row, None for no condition."""
+    """Required current revision; ABSENT for a new row, UNREADABLE for one of another
+    writer's bytes, None for no condition."""
 
 
 class Delete(NamedTuple):
@@ -55,6 +58,11 @@
 Write = Put | Delete | Check
 
 
+def find_next_revision(expect: int | None) -> int:
+    """Return the revision that a row has after a write that expects one."""
+    return max(expect or ABSENT, ABSENT) + 1
+
+
 class Conflict(NamedTuple):
     """Error: the conditions of these writes failed; no write took effect."""
 
--- a/radishtally/store/settle.py
+++ b/radishtally/store/settle.py
@@ -8,7 +8,6 @@
 
 from radishtally.outcome import Error, Ok, Result
 from radishtally.store.core import (
-    ABSENT,
     Conflict,
     Delete,
     Put,
@@ -18,6 +17,7 @@
     Unavailable,
     Unclear,
     Write,
+    find_next_revision,
 )
 
 INITIAL_BACKOFF_SECONDS: Final = 0.05
@@ -132,4 +132,4 @@
     # process's own write.
     if row is None or write.expect is None:
         return False
-    return row.rev == (1 if write.expect == ABSENT else write.expect + 1)
+    return row.rev == find_next_revision(write.expect)
--- a/tests/adapter/test_table.py
+++ b/tests/adapter/test_table.py
@@ -10,6 +10,7 @@
 
 from radishtally.store.core import (
     ABSENT,
+    UNREADABLE,
     Check,
     Conflict,
     Delete,
@@ -92,6 +93,26 @@
     run(play())
 
 
+# Guards against a row that nobody can replace, and against replacing what was written
+# since another writer's bytes were read.
+def test_bytes_of_another_writer_are_replaced_as_long_as_they_stand() -> None:
+    async def play() -> None:
+        rows = Rows()
+        async with table(rows) as store, table(rows) as other:
+            rows.write(name(KEY), "eA==")
+            unread = await store.transact([Put(KEY, {}, UNREADABLE)], "w1")
+            assert unread.error == Conflict((0,))
+            for reader in (store, other):
+                assert isinstance((await reader.get(KEY)).error, Invalid)
+            put = [Put(KEY, {"a": 1}, UNREADABLE)]
+            assert (await store.transact(put, "w2")).is_ok()
+            assert (await other.transact(put, "w3")).error == Conflict((0,))
+            assert (await other.get(KEY)).ok.write_id == "w2"
+            assert (await store.transact([Put(KEY, {}, 1)], "w4")).is_ok()
+
+    run(play())
+
+
 # Guards against repeating a write over a later one. The store applied the write, its
 # reply was lost, and the write was taken for one without effect.
 def test_lost_reply_makes_the_outcome_unclear() -> None:
