Read the gateways' secret again only where a link is missing

In a deployment with collectors most gateways have links to two peers only, so that all others counted as out of reach, and each gateway would have read the shared secret every 10 s for good.

Change: a gateway expects links to those that it dials, and, in a mesh or as a collector, to all of its data centre. test_peers_without_their_link_are_missed: with 1 to 330 gateways in 1 to 8 data centres nobody misses a peer while all links are up, and one that has none is missed by some gateway.

--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -32,6 +32,7 @@
     choose_dialled,
     find_first_reachable,
     is_mesh,
+    list_expected_links,
     list_gateways_in,
 )
 from radishtally.gateway.unreachable import UnreachablePeers
@@ -103,6 +104,8 @@
         self._dialled: set[str] = set()
         self._roster = Roster()
         self._unreachable_peers = UnreachablePeers()
+        self._unlinked_peers = UnreachablePeers()
+        """Listed peers without the link that they should have."""
         self._is_joined = False
         self._had_row = False
         """Whether an earlier start of this gateway has left a row."""
@@ -119,7 +122,7 @@
             self._is_joined = True
         while True:
             names = await self._sync_peers()
-            if self._unreachable_peers.list_unreachable_for(
+            if self._unlinked_peers.list_unreachable_for(
                 SECRET_CHECK_SECONDS, time.monotonic()
             ):
                 await self._sync_secret()
@@ -242,6 +245,9 @@
         for name in dialled:
             self._hub.dial(name, rows[name].value["address"])
         self._dialled = dialled
+        linked = self._hub.hosts
+        expected = list_expected_links(sites, self._host, dialled, linked)
+        self._unlinked_peers.update(expected, linked, time.monotonic())
 
     async def _remove_gone(
         self, rows: Mapping[str, Row], stored: Mapping[str, Row]
--- a/radishtally/gateway/topology.py
+++ b/radishtally/gateway/topology.py
@@ -109,6 +109,19 @@
     return sum(name in linked for name in before) < COLLECTOR_CANDIDATES
 
 
+def list_expected_links(
+    sites: Sites, own_name: str, dialled: Collection[str], linked: Collection[str]
+) -> set[str]:
+    """List the gateways that should have a link to this one if all can be reached."""
+    if not is_collector_candidate(sites, own_name, linked):
+        return set(dialled)
+    # The others of a collector's data centre dial it.
+    near = sites
+    if not is_mesh(sites):
+        near = list_gateways_in(sites, sites[own_name].data_centre)
+    return {*dialled, *near} - {own_name}
+
+
 def list_collector_candidates(
     sites: Sites, own_name: str, linked: Collection[str]
 ) -> set[str]:
--- a/tests/gateway/test_topology.py
+++ b/tests/gateway/test_topology.py
@@ -11,6 +11,7 @@
     choose_dialled,
     find_exchange_group,
     is_collector_candidate,
+    list_expected_links,
 )
 
 COUNTS = [1, 2, MAX_MESH_GATEWAYS, MAX_MESH_GATEWAYS + 1, 31, 330]
@@ -49,6 +50,23 @@
     assert len({frozenset(pair) for pair in pairs}) == len(pairs)
 
 
+# Guards against reads of the shared secret by gateways that miss no peer, and against a
+# peer with another secret that none of those with links misses.
+@pytest.mark.parametrize("data_centres", DATA_CENTRES)
+@pytest.mark.parametrize("count", COUNTS)
+@pytest.mark.parametrize("apart", [set(), {"front-0"}], ids=["none", "one"])
+def test_peers_without_their_link_are_missed(
+    count: int, data_centres: int, apart: set[str]
+) -> None:
+    sites = make_sites(count, data_centres)
+    links = list_links(sites, apart)
+    missed = set()
+    for own in sites.keys() - apart:
+        linked, dialled = list_linked(links, own), choose_dialled(sites, own, apart)
+        missed |= list_expected_links(sites, own, dialled, linked) - {*linked}
+    assert missed == (apart if count > 1 else set())
+
+
 @pytest.mark.parametrize("data_centres", DATA_CENTRES)
 @pytest.mark.parametrize("count", COUNTS)
 def test_number_of_links_grows_linearly(count: int, data_centres: int) -> None:
