Store and relay streams of gateways that are not listed yet

Callers whose streams began at a new gateway were refused after a kill of all gateways around a release (version_unknown), or in another data centre.

Cause: the gateway that writes the origins of its data centre, and the collector that relays them, took a peer for one of their own data centre only if its row had been read: up to 1 s after a start, up to 10 s later. Its link is up at once, and what it sent over it was dropped for good.

Change: the data centre in the first message of the link decides.

--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -139,6 +139,7 @@
         )
         self.origin_exchange = OriginExchange(
             settings.host,
+            settings.data_centre,
             self.core.origins,
             self._handle_settled,
         )
--- a/radishtally/gateway/origins.py
+++ b/radishtally/gateway/origins.py
@@ -57,18 +57,25 @@
     """Send the origins of streams to peers, and ask them for those of others."""
 
     def __init__(
-        self, own_name: str, origins: StreamOrigins, on_settled: Callable[[bytes], None]
+        self,
+        own_name: str,
+        data_centre: str,
+        origins: StreamOrigins,
+        on_settled: Callable[[bytes], None],
     ) -> None:
         self._own_name = own_name
+        self._data_centre = data_centre
         self._origins = origins
         self._on_settled = on_settled
         """Called with a stream when no more replies to a query about it are due."""
         self.on_begun: Callable[[StreamsBegun], None] = lambda message: None
         """Called with the streams that have begun in this data centre."""
         self._hub: LinkHub | None = None
-        self._sites: Sites = {own_name: Site()}
+        self._sites: Sites = {own_name: Site(data_centre)}
         self._is_alone = False
         """Whether no other gateway is listed; False until the list was read."""
+        self._data_centres: dict[str, str] = {}
+        """Data centres of the linked peers, which need not be listed yet."""
         self._linked: list[str] | None = None
         """Linked peers for which the group was computed; None to compute it again."""
         self._group = _Group()
@@ -127,8 +134,9 @@
         for peer in self._group.asked:
             self._hub.send(peer, OriginQuery(stream))
 
-    def handle_link_up(self, peer: str) -> None:
+    def handle_link_up(self, peer: str, data_centre: str) -> None:
         """Send the own streams to a peer that may have lost them, or missed some."""
+        self._data_centres[peer] = data_centre
         self._update_group()
         if peer in self._group.informed:
             for message in self._origins.list_own(time.monotonic()):
@@ -140,6 +148,7 @@
 
     def handle_link_down(self, peer: str) -> None:
         """Expect no more replies from a peer."""
+        self._data_centres.pop(peer, None)
         for stream in list(self._queries):
             self._record_reply(stream, peer)
 
@@ -158,10 +167,11 @@
             self._record_reply(message.stream, peer)
             return
         self._merge(message, now)
-        if self._is_local(peer):
-            self.on_begun(message)
+        if not self._is_local(peer):
+            return
+        self.on_begun(message)
         self._update_group()
-        if self._group.relay_targets and self._is_local(peer):
+        if self._group.relay_targets:
             self._to_relay.append(message)
 
     def _merge(self, message: StreamsBegun, now: float) -> None:
@@ -183,14 +193,13 @@
         self._on_settled(stream)
 
     def _is_local(self, peer: str) -> bool:
-        """Return whether a peer is in this gateway's data centre."""
-        site, own_site = self._sites.get(peer), self._sites[self._own_name]
-        return site is not None and site.data_centre == own_site.data_centre
+        """Return whether a linked peer is in this gateway's data centre."""
+        return self._data_centres.get(peer) == self._data_centre
 
     def is_first_of_data_centre(self) -> bool:
         """Return whether no reachable gateway of this data centre goes before."""
         linked = [] if self._hub is None else self._hub.hosts
-        order = list_gateways_in(self._sites, self._sites[self._own_name].data_centre)
+        order = list_gateways_in(self._sites, self._data_centre)
         return find_first_reachable(order, self._own_name, linked) == self._own_name
 
     def _update_group(self) -> None:
--- a/radishtally/gateway/peers.py
+++ b/radishtally/gateway/peers.py
@@ -280,7 +280,7 @@
 
     def _link_up(self, hello: Hello) -> None:
         self._loads.handle_link_up(hello.host)
-        self._gateway.origin_exchange.handle_link_up(hello.host)
+        self._gateway.origin_exchange.handle_link_up(hello.host, hello.place)
 
     def _link_down(self, host: str, reason: str) -> None:
         self._loads.forget_peer(host)
--- a/tests/gateway/test_origins.py
+++ b/tests/gateway/test_origins.py
@@ -33,7 +33,10 @@
         self.hosts: list[str] = []
         self.origins = StreamOrigins()
         self.settled: list[bytes] = []
-        self.exchange = OriginExchange(name, self.origins, self.settled.append)
+        data_centre = network.sites[name].data_centre
+        self.exchange = OriginExchange(
+            name, data_centre, self.origins, self.settled.append
+        )
         self.exchange.attach(self)
 
     def send(self, peer: str, message: Message) -> bool:
@@ -58,6 +61,9 @@
     def link(self, one: str, other: str) -> None:
         self.nodes[one].hosts = [*self.nodes[one].hosts, other]
         self.nodes[other].hosts = [*self.nodes[other].hosts, one]
+        for name, peer in [(other, one), (one, other)]:
+            data_centre = self.sites[peer].data_centre
+            self.nodes[name].exchange.handle_link_up(peer, data_centre)
 
     def send(self, sender: str, peer: str, message: Message) -> bool:
         if peer not in self.nodes[sender].hosts:
@@ -81,12 +87,9 @@
         linked = self.nodes[name].hosts
         self.kill(name)
         self.nodes[name] = Node(name, self)
-        for peer in linked:
-            self.link(name, peer)
         self.nodes[name].exchange.set_sites(self.sites)
         for peer in linked:
-            self.nodes[peer].exchange.handle_link_up(name)
-            self.nodes[name].exchange.handle_link_up(peer)
+            self.link(name, peer)
 
     def begin(self, name: str, stream: bytes = STREAM) -> None:
         """Let a stream begin at a gateway, and all gateways send their news."""
@@ -165,6 +168,33 @@
         assert ask(network.nodes[name], hash_stream("r2"))
 
 
+# Guards against streams that are refused after a kill of all gateways, or in another
+# data centre: a new gateway sent their origins before its peers had read its row.
+@SIZES
+def test_streams_of_a_peer_that_is_not_listed_yet_are_stored_and_relayed(
+    size: tuple[int, int],
+) -> None:
+    first = "g-0-1"
+    network = make_network(*size)
+    stored: dict[str, list[bytes]] = {}
+    for name, node in network.nodes.items():
+        streams = stored[name] = []
+        node.exchange.on_begun = lambda message, streams=streams: streams.extend(
+            begun.stream for begun in message.streams
+        )
+    unaware = {name: site for name, site in network.sites.items() if name != first}
+    informed = network.nodes[first].hosts
+    for name in informed:
+        network.nodes[name].exchange.set_sites(unaware)
+    network.begin(first)
+    for name in informed:
+        is_local = network.sites[name] == network.sites[first]
+        is_informed = name in network.nodes[first].exchange._group.informed
+        assert stored[name] == [STREAM] * (is_local and is_informed), name
+    network.kill(first)
+    assert all(ask(node) for node in network.nodes.values())
+
+
 def test_gateway_that_is_cut_off_settles_without_an_origin() -> None:
     network = make_network()
     network.begin("g-0-0")
@@ -193,7 +223,6 @@
         assert not node.settled
         network.nodes["g-0-0"] = node
         network.link("g-0-0", "g-0-1")
-        node.exchange.handle_link_up("g-0-1")
 
     run(scenario())
     assert node.settled == [STREAM]
