Relay the counts of gateways that are not listed yet

The holder of the lease in another data centre missed requests of a new gateway if more than 12 gateways run: the collector took the sender for one of another data centre until its row was read, up to 10 s later, and counts of windows that closed meanwhile are not sent again.

Only counts that come from their own gateway are relayed, so an unlisted peer can be taken for a local one without a loop.

--- a/radishtally/gateway/usage.py
+++ b/radishtally/gateway/usage.py
@@ -136,11 +136,10 @@
             self._hub.send(peer, message)
 
     def _is_local(self, peer: str) -> bool:
-        site = self._sites.get(peer)
-        return (
-            site is not None
-            and site.data_centre == self._sites[self._own_name].data_centre
-        )
+        """Return whether a peer may be in this gateway's data centre."""
+        site, own_site = self._sites.get(peer), self._sites[self._own_name]
+        # A new gateway has links seconds before its row is read.
+        return site is None or site.data_centre == own_site.data_centre
 
     def _is_collector(self) -> bool:
         if is_mesh(self._sites):
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -76,6 +76,20 @@
     assert all(counts == {"silk": 28} for counts in net.sum_counts())
 
 
+# Guards against counts that are missing in other data centres: a new gateway sent them
+# before its peers had read its row.
+def test_counts_of_a_gateway_that_is_not_listed_yet_reach_every_candidate() -> None:
+    net = UsageNetwork(28)
+    new = max(net.sites.keys() - net.list_candidates())
+    listed = {name: site for name, site in net.sites.items() if name != new}
+    for name in listed:
+        net.exchanges[name].set_sites(listed)
+    net.run_rounds(START)
+    net.ledgers[new].count("silk", START)
+    net.run_rounds(START)
+    assert all(counts == {"silk": 1} for counts in net.sum_counts())
+
+
 # Guards against counts that are missing because a gateway was cut off from its peers
 # while it went on serving.
 def test_counts_arrive_after_a_cut() -> None:
