Let the engines of the take-up tests follow their orders

Cause: the planner had ordered the only prefill engine of the version to decode. The engine took the order and turned prompts away with 421, but its entry still said prefill: engines write their entries themselves, the fleet of these tests did not do it for them as the soak does. All bounds stay.

--- a/tests/soak/test_takeover.py
+++ b/tests/soak/test_takeover.py
@@ -14,7 +14,7 @@
 
 from soak import fleet as fleet_module
 from soak.checks import Disturbances, Ledger, find_versions
-from soak.const import DEPLOYMENT, STABLE_SECONDS
+from soak.const import DEPLOYMENT, RECORD_POLL_SECONDS, STABLE_SECONDS
 from soak.fleet import Fleet, Gateway, Host
 from soak.wire import Answer, Connection
 
@@ -64,11 +64,22 @@
     try:
         await fleet.start(GATEWAYS, 0, 0)
         await add_engines(fleet, "v1")
-        yield fleet
+        following = asyncio.create_task(follow_orders(fleet))
+        try:
+            yield fleet
+        finally:
+            following.cancel()
     finally:
         await fleet.stop()
 
 
+async def follow_orders(fleet: Fleet) -> None:
+    """Write the entries of engines that have accepted another role, as they do."""
+    while True:
+        await asyncio.sleep(RECORD_POLL_SECONDS)
+        await fleet.check_records()
+
+
 async def add_engines(fleet: Fleet, version: str) -> list[Host]:
     """Start engines of a version, which name their start."""
     phases = ["prefill", *["decode"] * DECODE_ENGINES]
