Bound heads before they are parsed, and read no more after an error

What callers saw: 60 clients with 16 MB each of one long line, binary bytes, bytes behind an upgrade or lines over the limit took a gateway to 200 to 1,300 MB, on the callers', readiness and metrics addresses; where the memory ends, the process does, with all requests on it.

Cause: after its first error the HTTP library's data_received parses on and queues an error for each read, with all of the read's bytes as text; the limit on heads was checked on parsed requests only; the loop reads up to 256 KB at a time, which the parser copies several times.

Change: all HTTP listeners of a gateway stand behind radishtally/inbound. A body with bad framing is refused with 400 at once; its request waited until the idle timeout. The readiness and metrics addresses keep 64 connections.

--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -2,9 +2,6 @@
 
 from typing import Final
 
-MAX_HEADER_BYTES: Final = 65_536
-"""Hard limit on the size of a request head. The configured limit is checked after
-parsing, since it may change while connections are open."""
 IDLE_MARGIN_SECONDS: Final = 1.0
 """Added to the configured idle timeout before a connection is closed, so that a caller
 that counts from the last byte it sent never races with the close."""
@@ -16,6 +13,8 @@
 MAX_CONNECTIONS: Final = 2_000
 """Callers' connections beyond which new ones are refused: half of the 4,096 file
 descriptors of a machine. Calls to hosts and the store need the others."""
+MAX_PROBE_CONNECTIONS: Final = 64
+"""Connections to the readiness or metrics address beyond which the oldest is closed."""
 MIN_LEAVE_SECONDS: Final = 3.0
 """Time for which a stopping gateway keeps accepting connections: the balancer checks
 readiness once a second and stops sending after two answers other than 200."""
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -59,6 +59,7 @@
 )
 from radishtally.gateway.source_recorder import SourceRecorder
 from radishtally.gateway.topology import Site
+from radishtally.inbound.core import UnparsedBytes
 from radishtally.limits.retries import RetryBudgets
 from radishtally.links.gateway_messages import (
     ConfigurationRead,
@@ -165,7 +166,9 @@
         self.buffers = Buffers(settings.memory_mb)
         self.hosts.answers.reserve = self.buffers.reserve_answer
         self.hosts.answers.release = self.buffers.release_answer
-        self.frontend = HttpFrontend(self, caller_dialect, self.buffers)
+        self.frontend = HttpFrontend(
+            self, caller_dialect, self.buffers, UnparsedBytes(settings.memory_mb)
+        )
         self.core.admission.is_lagging = self.frontend.is_lagging
         self._stopping_since: float | None = None
         self.lease = make_lease(self)
--- a/radishtally/gateway/http_frontend.py
+++ b/radishtally/gateway/http_frontend.py
@@ -11,7 +11,7 @@
 
 import msgspec
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 from eliot import log_message
 
 from radishtally.containment import report_error
@@ -30,7 +30,7 @@
     IDLE_MARGIN_SECONDS,
     IDLE_SWEEP_SECONDS,
     MAX_DRAINED_BYTES,
-    MAX_HEADER_BYTES,
+    MAX_PROBE_CONNECTIONS,
     NOT_RUN_STATUSES,
     PIECE_BYTES,
     SLOW_READER_SECONDS,
@@ -42,6 +42,8 @@
 from radishtally.gateway.overload import GuardedListener, OverloadDetector
 from radishtally.gateway.requests import RoutedRequest
 from radishtally.growth import GrowingRoom
+from radishtally.inbound.core import UnparsedBytes
+from radishtally.inbound.http import BoundedServer
 from radishtally.outcome import Error, Ok, Ran, Refusal, Result
 from radishtally.routes.config import CallerLimits
 from radishtally.serving.events import Begin, Deliver, EndStream, Refuse, SendFullAnswer
@@ -51,6 +53,9 @@
 LIBRARY_KEEPALIVE_SECONDS: Final = 86_400.0
 """Keep-alive timeout of the HTTP library, long enough that it never applies: idle
 connections are closed here, since the library can't follow configuration changes."""
+INVALID_BODY: Final = Refusal(
+    400, "invalid_body", "the framing of the request's body is not valid"
+)
 
 NO_ROOM: Final = Refusal(
     503, "no_room", "too many large bodies are in transit", Ran.NO, retry_after=1.0
@@ -93,11 +98,16 @@
     """Serve callers, the balancer's readiness check and the metrics over HTTP."""
 
     def __init__(
-        self, backend: FrontendBackend, dialect: CallerDialect, buffers: Buffers
+        self,
+        backend: FrontendBackend,
+        dialect: CallerDialect,
+        buffers: Buffers,
+        unparsed: UnparsedBytes,
     ) -> None:
         self._backend = backend
         self._dialect = dialect
         self._buffers = buffers
+        self._unparsed = unparsed
         self._large: dict[str, tuple[Delivery, asyncio.Transport]] = {}
         """Connections to which large answers are being sent."""
         self._detector: OverloadDetector | None = None
@@ -115,20 +125,17 @@
     ) -> None:
         """Start listening on all addresses."""
         logging.getLogger("aiohttp.server").addHandler(_EliotHandler())
-        self._server = web.Server(
+        self._server = BoundedServer(
             self._handle,
+            self._unparsed,
+            find_head_limit=self._find_head_limit,
             handler_cancellation=True,
             keepalive_timeout=LIBRARY_KEEPALIVE_SECONDS,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            auto_decompress=False,
-            access_log=None,
-            lingering_time=0,
         )
-        await self._listen(_make_server(self._answer_ready), ready_address)
+        await self._listen(self._make_server(self._answer_ready), ready_address)
         await self._listen_to_callers(address)
         self._sweeper = asyncio.create_task(self._sweep())
-        metrics = _make_server(self._answer_metrics)
+        metrics = self._make_server(self._answer_metrics)
         # Callers are served without metrics too.
         self._serving_metrics = asyncio.create_task(
             self._listen(metrics, metrics_address, float("inf"))
@@ -161,6 +168,17 @@
         """Close connections without a request; return how many remain in use."""
         return await self._connections.close_idle()
 
+    def _make_server(
+        self, handler: Callable[..., Awaitable[web.Response]]
+    ) -> BoundedServer:
+        return BoundedServer(
+            handler, self._unparsed, max_connections=MAX_PROBE_CONNECTIONS
+        )
+
+    def _find_head_limit(self) -> int:
+        limits = self._backend.limits
+        return 0 if limits is None else limits.header_bytes
+
     def _list_connections(self) -> list[RequestHandler]:
         return [] if self._server is None else list(self._server.connections)
 
@@ -284,6 +302,8 @@
         except TimeoutError:
             text = "the request's body did not arrive in time"
             return Error(Refusal(408, "body_too_slow", text))
+        except RequestPayloadError:
+            return Error(INVALID_BODY)
 
     async def _deliver(
         self, request: web.BaseRequest, parts: asyncio.Queue[Reply], delivery: Delivery
@@ -387,7 +407,7 @@
         await response.prepare(request)
         await response.write_eof()
         drained = 0
-        with suppress(TimeoutError):
+        with suppress(TimeoutError, RequestPayloadError):
             async with asyncio.timeout(DRAIN_SECONDS):
                 async for data in request.content.iter_any():
                     drained += len(data)
@@ -457,10 +477,6 @@
     return True
 
 
-def _make_server(handler: Callable[..., Awaitable[web.Response]]) -> web.Server:
-    return web.Server(handler, access_log=None, lingering_time=0)
-
-
 def _make_runner(server: web.Server) -> web.ServerRunner:
     # The HTTP library would wait without a limit if the timeout were 0.
     return web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
--- /dev/null
+++ b/radishtally/inbound/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what clients send to the listeners of a process."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,7 +11,7 @@
 
 ROOT: Final = Path(radishtally.__file__).parent
 LAYERS: Final = (
-    {"teams"},
+    {"inbound", "teams"},
     {"limits", "links", "routes", "store"},
     {"routing", "usage"},
     {"serving"},
