Bound small bodies too, and cut off slow ones while others wait

What callers saw: bodies announced over the limit took a gateway to +90 MB while their rest was read and dropped (60 clients), and 1,500 clients who stop within bodies of 60 or 90 KB to more than 160 MB in all; ordinary bodies found no room beside them for as long as the idle timeout.

Cause: bodies up to 64 KB never wait for room, whatever their number, and a body that waits, or is refused, was still read ahead by up to 512 KB. Room that an unfinished body holds came back only with its timeout.

Change: small bodies may take 0.15 of the memory besides the fifth of the large ones, and wait then (a second, then 503 as not run); a request's head counts as well. If a body has to wait, those that have arrived at less than 64 KB a second after half a second are ended with 408; time in which they waited for room themselves does not count. Buffers and the reception of bodies move to radishtally/inbound, where entries can use them.

Evidence: tests/clients/test_bodies.py, written before the change, with 160 MB.

--- a/radishtally/gateway/const.py
+++ b/radishtally/gateway/const.py
@@ -30,8 +30,6 @@
 CLOSE_SECONDS: Final = 0.1
 """Limit on the time that open requests get once connections are closed."""
 LEAVE_POLL_SECONDS: Final = 0.05
-BODY_ROOM_SECONDS: Final = 1.0
-"""Longest time for which a request waits for room for its body."""
 DRAIN_SECONDS: Final = 2.0
 """Longest time for which the rest of a refused request's body is read."""
 MAX_DRAINED_BYTES: Final = 8 * 1024 * 1024
--- a/radishtally/gateway/daemon.py
+++ b/radishtally/gateway/daemon.py
@@ -21,7 +21,6 @@
     hash_bounds,
     make_lease_terms,
 )
-from radishtally.gateway.buffers import Buffers
 from radishtally.gateway.cache_discovery import CacheDiscovery
 from radishtally.gateway.changes import apply_change
 from radishtally.gateway.commands import execute_command
@@ -59,6 +58,7 @@
 )
 from radishtally.gateway.source_recorder import SourceRecorder
 from radishtally.gateway.topology import Site
+from radishtally.inbound.buffers import Buffers
 from radishtally.inbound.core import UnparsedBytes
 from radishtally.limits.retries import RetryBudgets
 from radishtally.links.gateway_messages import (
--- a/radishtally/gateway/http_frontend.py
+++ b/radishtally/gateway/http_frontend.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from functools import partial
 from typing import Final, Protocol
 
 import msgspec
@@ -16,11 +15,9 @@
 
 from radishtally.containment import report_error
 from radishtally.exchange import Headers, decode_headers
-from radishtally.gateway.buffers import FREE_BYTES, Buffers, Hold
 from radishtally.gateway.connections import Connections
 from radishtally.gateway.const import (
     BAD_GATEWAY,
-    BODY_ROOM_SECONDS,
     CLOSE_SECONDS,
     CROWDED_CONNECTIONS,
     CROWDED_IDLE_SECONDS,
@@ -41,7 +38,9 @@
 from radishtally.gateway.metrics import CONTENT_TYPE
 from radishtally.gateway.overload import GuardedListener, OverloadDetector
 from radishtally.gateway.requests import RoutedRequest
-from radishtally.growth import GrowingRoom
+from radishtally.inbound.bodies import NO_ROOM, BodyReceiver, describe_excess
+from radishtally.inbound.buffers import Buffers, Hold
+from radishtally.inbound.const import FREE_BYTES
 from radishtally.inbound.core import UnparsedBytes
 from radishtally.inbound.http import BoundedServer
 from radishtally.outcome import Error, Ok, Ran, Refusal, Result
@@ -57,10 +56,6 @@
     400, "invalid_body", "the framing of the request's body is not valid"
 )
 
-NO_ROOM: Final = Refusal(
-    503, "no_room", "too many large bodies are in transit", Ran.NO, retry_after=1.0
-)
-
 
 class FrontendBackend(Protocol):
     """Define what the HTTP frontend needs from the gateway."""
@@ -107,6 +102,7 @@
         self._backend = backend
         self._dialect = dialect
         self._buffers = buffers
+        self._bodies = BodyReceiver(buffers)
         self._unparsed = unparsed
         self._large: dict[str, tuple[Delivery, asyncio.Transport]] = {}
         """Connections to which large answers are being sent."""
@@ -256,9 +252,11 @@
         self, request: web.BaseRequest, hold: Hold
     ) -> Result[RoutedRequest, Refusal]:
         limits = self._backend.limits
-        if limits is not None and (request.content_length or 0) > limits.body_bytes:
-            return Error(_describe_excess(limits.body_bytes))
-        if not await self._reserve_body(request, hold):
+        size = request.content_length or 0
+        if limits is not None and size > limits.body_bytes:
+            return Error(describe_excess(limits.body_bytes))
+        head_size = sum(len(name) + len(value) for name, value in request.raw_headers)
+        if not await self._bodies.reserve(hold, head_size + size):
             return Error(NO_ROOM)
         body = await self._read_body(request, hold)
         if body.is_error():
@@ -269,39 +267,20 @@
             return parsed
         return self._backend.route(request.method, target, parsed.ok, body.ok)
 
-    async def _reserve_body(self, request: web.BaseRequest, hold: Hold) -> bool:
-        """Wait for room for a body before it is read; return whether there is."""
-        limits = self._backend.limits
-        size = request.content_length or 0
-        if limits is None:
-            return True
-        try:
-            async with asyncio.timeout(BODY_ROOM_SECONDS):
-                await self._buffers.reserve(hold, size)
-        except TimeoutError:
-            return False
-        return True
-
     async def _read_body(
         self, request: web.BaseRequest, hold: Hold
     ) -> Result[bytes, Refusal]:
         limits = self._backend.limits
         if limits is None or not request.can_read_body:
             return Ok(b"")
-        room = None
-        if request.content_length is None:
-            room = GrowingRoom(
-                partial(self._buffers.reserve, hold),
-                partial(self._buffers.release, hold),
+        try:
+            return await self._bodies.receive(
+                request.content.iter_any(),
+                hold,
+                request.content_length is not None,
                 limits.body_bytes,
-                BODY_ROOM_SECONDS,
+                limits.idle_seconds,
             )
-        try:
-            async with asyncio.timeout(limits.idle_seconds):
-                return await _read_within(request, room, limits.body_bytes)
-        except TimeoutError:
-            text = "the request's body did not arrive in time"
-            return Error(Refusal(408, "body_too_slow", text))
         except RequestPayloadError:
             return Error(INVALID_BODY)
 
@@ -384,9 +363,7 @@
         return response
 
     def _cut_off_slow_readers(self) -> None:
-        """Free what callers hold who read nothing, if others wait for room."""
-        if not self._buffers.is_short:
-            return
+        """Free what callers hold who read nothing."""
         oldest = time.monotonic() - SLOW_READER_SECONDS
         for name, (delivery, transport) in list(self._large.items()):
             if delivery.read_at < oldest:
@@ -440,7 +417,9 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(IDLE_SWEEP_SECONDS)
-            self._cut_off_slow_readers()
+            if self._buffers.is_short:
+                self._cut_off_slow_readers()
+                self._bodies.cut_off_slow()
             limits = self._backend.limits
             if limits is not None:
                 longest = limits.idle_seconds + IDLE_MARGIN_SECONDS
@@ -449,34 +428,6 @@
                 await self._connections.close_long_idle(longest)
 
 
-async def _read_within(
-    request: web.BaseRequest, room: GrowingRoom | None, max_bytes: int
-) -> Result[bytes, Refusal]:
-    """Read a body; one whose length is not known waits for room as it grows."""
-    body = bytearray()
-    async for data in request.content.iter_any():
-        body += data
-        if len(body) > max_bytes:
-            return Error(_describe_excess(max_bytes))
-        if room is not None and not await _has_room(room, len(body)):
-            return Error(NO_ROOM)
-    if room is not None:
-        room.shrink(len(body))
-    return Ok(bytes(body))
-
-
-def _describe_excess(max_bytes: int) -> Refusal:
-    return Refusal(413, "body_too_large", f"the body is over {max_bytes} bytes")
-
-
-async def _has_room(room: GrowingRoom, size: int) -> bool:
-    try:
-        await room.fit(size)
-    except TimeoutError:
-        return False
-    return True
-
-
 def _make_runner(server: web.Server) -> web.ServerRunner:
     # The HTTP library would wait without a limit if the timeout were 0.
     return web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
--- a/radishtally/inbound/const.py
+++ b/radishtally/inbound/const.py
@@ -19,3 +19,26 @@
 UNPARSED_SHARE: Final = 0.05
 """Share of a process's memory for the bytes that belong to no request yet."""
 MIN_UNPARSED_BYTES: Final = 4 * 1024 * 1024
+CHECK_SECONDS: Final = 1.0
+"""Interval between checks for clients who have left while nothing is read from them."""
+FREE_BYTES: Final = 65_536
+"""Size up to which a body is small: most are, and slow readers of large ones must not
+hold them up."""
+LARGE_SHARE: Final = 0.2
+"""Share of a process's memory for large bodies. Each may be copied once on its way."""
+MIN_LARGE_BYTES: Final = 16 * 1024 * 1024
+"""Lower bound of the room for large bodies: the largest answer must fit."""
+SMALL_SHARE: Final = 0.15
+"""Share for small bodies when large ones have taken theirs."""
+BODY_ROOM_SECONDS: Final = 1.0
+"""Longest time for which a request waits for room for its body."""
+BODY_GRACE_SECONDS: Final = 0.5
+MIN_BODY_RATE: Final = 65_536
+"""Bytes a second below which a body is cut off after that time, if others wait."""
+CUT_OFF_SECONDS: Final = 0.1
+"""Shortest interval between checks for slow bodies."""
+FREE_CHUNKS: Final = 4_096
+MIN_CHUNK_BYTES: Final = 16
+"""Mean size of a body's chunks below which it is refused, once it has that many."""
+CHUNKS_AT_A_TIME: Final = 256
+"""Chunks after which other connections are served."""
