Give back connections of clients who leave within a pipeline

What callers saw: 60 clients who send many requests ahead and close their connections kept 60 descriptors of a gateway (and as many at hosts) until their requests had been answered.

Cause: a client's end is noticed as its connection is read, and reading pauses while as many requests are parsed as may wait.

Change: each second connections that are not being read are asked for the state of their TCP connection; those that their clients have closed are aborted, which ends their requests as for clients who leave otherwise (radishtally/inbound/departures.py). Where the system does not tell the state, nothing changes.

--- a/radishtally/inbound/http.py
+++ b/radishtally/inbound/http.py
@@ -12,6 +12,7 @@
 
 from radishtally.inbound.const import (
     BODY_READ_AHEAD_BYTES,
+    CHECK_SECONDS,
     ERROR_TEXT_BYTES,
     FIELD_BYTES,
     MAX_FIELDS,
@@ -19,6 +20,7 @@
     PARSED_REQUESTS,
 )
 from radishtally.inbound.core import UnparsedBytes
+from radishtally.inbound.departures import close_departed
 from radishtally.inbound.protocol import PiecewiseProtocol
 
 NOTHING: Final = ((), False, b"")
@@ -43,6 +45,7 @@
         self.unparsed = unparsed
         self._find_head_limit = find_head_limit
         self._max_connections = max_connections
+        self._departures: asyncio.Task[None] | None = None
 
     def __call__(self) -> PiecewiseProtocol:
         """Make the protocol of a new connection."""
@@ -59,10 +62,23 @@
     ) -> None:
         """Count a new connection; close the oldest one at the limit."""
         super().connection_made(handler, transport)
+        if self._departures is None:
+            self._departures = self._loop.create_task(self._close_departed())
         limit = self._max_connections
         if limit is not None and len(self._connections) > limit:
             next(iter(self._connections.values())).abort()
 
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Close all connections."""
+        if self._departures is not None:
+            self._departures.cancel()
+        await super().shutdown(timeout)
+
+    async def _close_departed(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            close_departed(list(self._connections.values()))
+
 
 class BoundedHandler(RequestHandler):
     """Handle the requests of a connection whose parser is bounded."""
