Bound links until their peer has shown the shared key

What callers saw: with 180 clients who send settings of HTTP/2 without end to a gateway's peer address, no ordinary request was answered for 60 s; unfinished header blocks took it to 112 MB, calls without a key to 88 MB (60 MB without a crowd).

Cause: the gRPC library reads on, and answers control frames whether or not they are read, before any call has shown the key.

Change: the links' listener reads in pieces, too. Until the key has been shown a connection may send 64 KB and last 5 s, and 512 such connections may be open; beyond that the oldest is closed. Entries and agents have the same listener.

--- a/radishtally/links/const.py
+++ b/radishtally/links/const.py
@@ -19,6 +19,12 @@
 docs/CAPACITY.md."""
 DIAL_TIMEOUT_SECONDS: Final = 1.0
 """Timeout for setting up a link."""
+MAX_STRANGERS: Final = 512
+"""Accepted connections without the shared key beyond which the oldest is closed. All
+processes of a fleet may dial at the same time."""
+MAX_STRANGER_BYTES: Final = 65_536
+STRANGER_SECONDS: Final = 5.0
+"""Limits on what a connection sends, and how long it lasts, without the shared key."""
 MIN_REDIAL_SECONDS: Final = 0.1
 MAX_REDIAL_SECONDS: Final = 2.0
 TARGET_FRAME_BYTES: Final = 1024 * 1024
--- a/radishtally/links/frames.py
+++ b/radishtally/links/frames.py
@@ -24,6 +24,14 @@
     transport_stream.recv_data = receive_limited
 
 
+def accept_peer(stream: Any) -> None:
+    """Lift the bounds on the connection of an accepted stream."""
+    protocol = stream._stream._transport.get_protocol()
+    # A connection that has just been closed has no protocol any more.
+    if protocol is not None:
+        protocol.accept()
+
+
 def close_connection(stream: Any) -> None:
     """Close the connection of an accepted stream."""
     stream._stream._transport.close()
--- a/radishtally/links/hub.py
+++ b/radishtally/links/hub.py
@@ -10,7 +10,6 @@
 from grpclib.client import Channel, StreamStreamMethod
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
-from grpclib.server import Server
 
 from radishtally.containment import contain, report_error
 from radishtally.links.auth import has_valid_token, make_metadata
@@ -23,12 +22,14 @@
     MIN_REDIAL_SECONDS,
 )
 from radishtally.links.frames import (
+    accept_peer,
     close_connection,
     limit_frames,
     send_request,
 )
 from radishtally.links.kinds import Message
 from radishtally.links.link import Link
+from radishtally.links.listener import LinkServer
 from radishtally.links.messages import Hello
 from radishtally.startup import START_SECONDS, open_listener
 
@@ -63,7 +64,7 @@
         self._callbacks = callbacks
         self._links: dict[str, Link] = {}
         self._dialers: dict[str, tuple[str, asyncio.Task]] = {}
-        self._server: Server | None = None
+        self._server: LinkServer | None = None
 
     @property
     def hosts(self) -> list[str]:
@@ -72,7 +73,7 @@
 
     async def start(self, address: str, wait_seconds: float = START_SECONDS) -> None:
         """Listen on the host's fixed address, once no other process uses it."""
-        server = Server([_LinkService(self)], codec=FrameCodec())
+        server = LinkServer([_LinkService(self)], codec=FrameCodec())
         # Without SO_REUSEPORT only one process can bind the port, and the kernel
         # releases it when the process dies but not when it is paused: see DESIGN.md,
         # "One agent per host".
@@ -265,6 +266,7 @@
             loop = asyncio.get_running_loop()
             loop.call_later(DIAL_TIMEOUT_SECONDS, close_connection, stream)
             raise GRPCError(Status.UNAUTHENTICATED, "the shared key is wrong")
+        accept_peer(stream)
         limit_frames(stream)
         try:
             await self._hub.run_link(stream, leads=False)
