Receive bodies at entries within bounds on chunks, bytes and time

Cause: a body was collected as a list of its chunks and then joined, which takes some 80 bytes for each, and what is buffered is read without a pause, so one client's chunks held up all others. Nothing counted the bodies of all callers together.

Change: entries use the bounds of gateways. Bodies wait for room within shares of the new setting memory_mb (300 by default); slow ones are cut off while others wait. After 256 chunks others are served; a body whose chunks hold less than 16 bytes on average is refused with 413 beyond 4,096 chunks. Connections are read in pieces of 16 KB, 32 KB ahead (64 KB and a read before); what belongs to no request counts in one sum; clients who have left are noticed within a second.

--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -4,7 +4,7 @@
 import hashlib
 import random
 import time
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import Final
 
 from eliot import log_message
@@ -24,6 +24,7 @@
 from radishtally.configuration.store import ConfigurationStore
 from radishtally.containment import report_error
 from radishtally.entry.callers import Directory, TokenRatio
+from radishtally.entry.connections import serve, watch_departures
 from radishtally.entry.explain import RequestSteps
 from radishtally.entry.http import make_app
 from radishtally.entry.members import MembershipDriver
@@ -118,15 +119,12 @@
         await self.process.unload()
 
     async def _serve_http(self) -> AsyncioServer:
-        app = make_app(self, self.settings.host, self.settings.caller_seconds)
+        settings = self.settings
+        app = make_app(self, settings.host, settings.caller_seconds, settings.memory_mb)
         add_operator_routes(app, self)
         app.register_middleware(self._disable_keep_alive, "response")
-        # sanic's runner would start more processes, so only its server is used, on the
-        # running event loop.
-        listener = await open_listener(self.settings.http_address)
-        server = await app.create_server(sock=listener, return_asyncio_server=True)
-        await server.startup()
-        await server.start_serving()
+        server = await serve(app, await open_listener(settings.http_address))
+        self.process.keep_running("departures", partial(watch_departures, server))
         return server
 
     def _disable_keep_alive(self, request: Request, response: HTTPResponse) -> None:
--- a/radishtally/entry/http.py
+++ b/radishtally/entry/http.py
@@ -10,7 +10,7 @@
 import msgspec
 from eliot import log_message
 from sanic import Request, Sanic
-from sanic.exceptions import RequestCancelled, RequestTimeout, SanicException
+from sanic.exceptions import RequestCancelled, SanicException
 from sanic.response import BaseHTTPResponse, HTTPResponse, raw
 
 from radishtally.entry.callers import (
@@ -23,6 +23,11 @@
     make_generation_work,
     read_options,
 )
+from radishtally.entry.connections import (
+    BodyRefused,
+    BoundedRequest,
+    bound_requests,
+)
 from radishtally.entry.openai import (
     AnswerMetadata,
     Generation,
@@ -43,9 +48,8 @@
     SendFullAnswer,
 )
 from radishtally.serving.replies import Reply
+from radishtally.settings.config import DEFAULT_MEMORY_MB
 
-MAX_REQUEST_BYTES: Final = 16 * 1024 * 1024
-MAX_HEADER_BYTES: Final = 16 * 1024
 CALLER_TIMEOUT_SECONDS: Final = 20.0
 KEEP_ALIVE_SECONDS: Final = 75
 SERVICE_METHODS: Final = ("GET", "POST", "PUT", "PATCH", "DELETE")
@@ -81,27 +85,11 @@
         """Return whether new requests are refused because the process is stopping."""
 
 
-class BoundedRequest(Request):
-    """Limit the time that a caller may take to send the body of its request."""
-
-    async def receive_body(self) -> None:
-        """Receive the whole body or refuse the request."""
-        # sanic limits the idle time before a request but not within a body. A caller
-        # that sends its body in tiny pieces or stops would hold its connection and
-        # memory for an hour, so one timeout covers the whole body.
-        try:
-            async with asyncio.timeout(self.app.config.CALLER_SECONDS):
-                await super().receive_body()
-        except TimeoutError:
-            # Otherwise sanic waits for the rest once more before it closes the
-            # connection.
-            self.stream.request_body = None
-            self.stream.keep_alive = False
-            raise RequestTimeout("the request's body did not arrive in time") from None
-
-
 def make_app(
-    backend: Backend, host: str, caller_seconds: float = CALLER_TIMEOUT_SECONDS
+    backend: Backend,
+    host: str,
+    caller_seconds: float = CALLER_TIMEOUT_SECONDS,
+    memory_mb: float = DEFAULT_MEMORY_MB,
 ) -> Sanic:
     """Create the sanic application with the callers' routes."""
     app = Sanic(
@@ -114,12 +102,12 @@
     app.config.REQUEST_TIMEOUT = caller_seconds
     app.config.RESPONSE_TIMEOUT = MAX_TIMEOUT_SECONDS + caller_seconds
     app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_SECONDS
-    app.config.REQUEST_MAX_SIZE = MAX_REQUEST_BYTES
-    app.config.REQUEST_MAX_HEADER_SIZE = MAX_HEADER_BYTES
     app.config.GRACEFUL_SHUTDOWN_TIMEOUT = 1.0
     app.config.ACCESS_LOG = False
     app.config.FALLBACK_ERROR_FORMAT = "json"
+    bound_requests(app, memory_mb)
     app.ctx.backend = backend
+    app.error_handler.add(BodyRefused, _respond_body_refused)
     app.error_handler.add(SanicException, _respond_sanic_error)
     app.error_handler.add(Exception, _respond_internal_error)
     app.add_route(_live, "/healthz")
@@ -161,6 +149,10 @@
     return respond_refusal(Refusal(status, CODE_INTERNAL, str(error), Ran.UNKNOWN))
 
 
+async def _respond_body_refused(request: Request, error: BodyRefused) -> HTTPResponse:
+    return respond_refusal(error.refusal)
+
+
 async def _respond_internal_error(request: Request, error: Exception) -> HTTPResponse:
     # The error's text may contain the caller's data, so it is not logged.
     where = traceback.extract_tb(error.__traceback__)[-1]
--- a/radishtally/settings/config.py
+++ b/radishtally/settings/config.py
@@ -1,12 +1,13 @@
 """Schema of a daemon's settings file."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Final, Literal
 
 import msgspec
 from msgspec import Meta
 
 Text = Annotated[str, Meta(min_length=1)]
 Seconds = Annotated[float, Meta(ge=0, le=86_400)]
+DEFAULT_MEMORY_MB: Final = 300.0
 
 
 class SettingsSection(
@@ -70,6 +71,9 @@
     caller_seconds: Annotated[float, Meta(gt=0, le=3_600)] = 20.0
     """Timeout in seconds for a caller to send a request, or to receive a part of its
     answer; entries only."""
+    memory_mb: Annotated[float, Meta(gt=0, le=10_000_000)] = DEFAULT_MEMORY_MB
+    """Memory of the process in megabytes, of which shares bound what callers send;
+    entries only."""
     ready_delay: Seconds = 0.5
     """Seconds for which a stopping entry accepts requests after it reports that it is
     not ready."""
--- a/tests/entry/http_backend.py
+++ b/tests/entry/http_backend.py
@@ -12,6 +12,7 @@
 
 from bench.fleet import read_sample
 from radishtally.configuration.core import merge_files
+from radishtally.entry import connections
 from radishtally.entry.callers import Directory, TokenRatio
 from radishtally.entry.http import make_app
 from radishtally.links.messages import Finished, Work
@@ -196,12 +197,10 @@
     backend = FakeBackend()
     app = make_app(backend, f"test-{next(NUMBERS)}", caller_seconds)
     listener = socket.create_server(("127.0.0.1", 0))
-    server = await app.create_server(sock=listener, return_asyncio_server=True)
     # sanic starts a second application in one process only in test mode.
     Sanic.test_mode = True
-    await server.startup()
+    server = await connections.serve(app, listener)
     Sanic.test_mode = False
-    await server.start_serving()
     try:
         yield Wire(*listener.getsockname(), backend)
     finally:
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -5,12 +5,8 @@
 
 import pytest
 
-from radishtally.entry.http import (
-    MAX_HEADER_BYTES,
-    MAX_REQUEST_BYTES,
-    Backend,
-    Utf8StreamDecoder,
-)
+from radishtally.entry.connections import MAX_HEADER_BYTES, MAX_REQUEST_BYTES
+from radishtally.entry.http import Backend, Utf8StreamDecoder
 from radishtally.outcome import Ran, Refusal
 from tests.common import run
 from tests.entry.http_backend import (
