--- a/radishtally/inbound/http.py
+++ b/radishtally/inbound/http.py
@@ -49,9 +49,7 @@
 
     def __call__(self) -> PiecewiseProtocol:
         """Make the protocol of a new connection."""
-        return PiecewiseProtocol(
-            BoundedHandler(self, loop=self._loop, **self._kwargs)  # type: ignore[arg-type]
-        )
+        return PiecewiseProtocol(BoundedHandler(self, loop=self._loop, **self._kwargs))
 
     def compute_head_limit(self) -> int:
         """Return the largest size of a head, in bytes."""
--- /dev/null
+++ b/tests/inbound/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bounds on what clients send."""
