Read no more of a body that is refused for its tiny chunks

What callers saw: beside a crowd with chunks of one byte an entry gave no ordinary answer for 60 s when the machine was busy, and took 33 s for the test when it was not.

Cause: the refusal is raised within the body, and sanic then reads the rest before it closes the connection, chunk by chunk and without a pause.

Change: such a refusal ends the reading, as the others do.

--- a/radishtally/entry/connections.py
+++ b/radishtally/entry/connections.py
@@ -47,9 +47,7 @@
             return
         received = await self._receive_within()
         if received.is_error():
-            # Otherwise sanic waits for the rest before it closes the connection.
-            self.stream.request_body = None
-            self.stream.keep_alive = False
+            self._stop_reading()
             if received.error is TOO_SLOW:
                 raise RequestTimeout(TOO_SLOW.message)
             raise BodyRefused(received.error)
@@ -61,6 +59,11 @@
         if hold is not None:
             self.app.ctx.buffers.close(hold)
 
+    def _stop_reading(self) -> None:
+        """Let sanic close the connection after its answer without reading the rest."""
+        self.stream.request_body = None
+        self.stream.keep_alive = False
+
     async def _receive_within(self) -> Result[bytes, Refusal]:
         receiver: BodyReceiver = self.app.ctx.bodies
         hold = self.ctx.hold = self.app.ctx.buffers.open()
@@ -88,6 +91,7 @@
             yield piece
             count, size = count + 1, size + len(piece)
             if is_in_chunks and size < (count - FREE_CHUNKS) * MIN_CHUNK_BYTES:
+                self._stop_reading()
                 raise PayloadTooLarge("the chunks of the request's body are too small")
             if count % CHUNKS_AT_A_TIME == 0:
                 # What is buffered is read without a pause.
