Serve other connections between the requests of a pipeline

What callers saw: beside 60 clients with pipelines that nobody reads an entry gave no ordinary answer for 60 s on a busy machine.

Cause: requests that are buffered are handled one after the other without a pause, so that each connection holds up all others for as many as fit into its buffer.

Change: the event loop runs between two requests of a pipeline.

--- a/radishtally/entry/connections.py
+++ b/radishtally/entry/connections.py
@@ -123,6 +123,9 @@
         finally:
             request.release_body()
             self._record(len(self.recv_buffer))
+        if self.recv_buffer:
+            # The rest of a pipeline would be handled without a pause.
+            await asyncio.sleep(0)
 
     def _record(self, size: int) -> None:
         self.app.ctx.unparsed.record(self, size, self._close_if_unparsed)
