Reject answers whose status is out of range

What callers saw: a host in trouble sent an answer with the status 000, and the caller got it as an answer (`HTTP/1.1 0 `). 001, 099, 600 and 999 were passed on likewise, and so was 101, after which the caller takes the bytes for another protocol. An agent's clients completed work with such statuses; the store's clients returned them as replies, and a probe counted them as a sign of life.

Cause: the HTTP library takes any three digits, and no reader checked them.

Change: the connector, through which all answers come, checks each parsed head once. A status outside 100 to 599, or a switch of protocol (no request asks for one), fails the attempt and closes the connection before anything of the answer is used. The attempt counts as broken off: it is retried where the route allows it, else the caller gets 502.

Statuses that are not three digits were answered 502 before (held), as were sound answers that few hosts send; their tests are kept with these.

--- a/radishtally/connector.py
+++ b/radishtally/connector.py
@@ -14,8 +14,9 @@
 from aiohttp.streams import StreamReader
 from eliot import log_message
 
+from radishtally.answer_syntax import SyntaxFault, find_fault
+
 CONTINUE: Final = 100
-SWITCHING_PROTOCOLS: Final = 101
 OK: Final = 200
 HEAD_END: Final = b"\r\n\r\n"
 MAX_HEAD_BYTES: Final = 64 * 1024
@@ -24,6 +25,13 @@
 """Most bytes that may have come beyond twice those of the body."""
 
 
+class AnswerSyntaxError(aiohttp.ClientPayloadError):
+    """Raised when an answer does not keep to the protocol."""
+
+    def __init__(self, fault: SyntaxFault) -> None:
+        super().__init__(f"invalid answer: {fault}")
+
+
 class ConnectionUsage(NamedTuple):
     """Describe a connection at the time at which a request acquires it."""
 
@@ -127,9 +135,13 @@
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
-        """Accept a parsed head and its body; skip interim answers."""
+        """Check a parsed head and accept it with its body; skip interim answers."""
         message, body = data
-        if CONTINUE <= message.code < OK and message.code != SWITCHING_PROTOCOLS:
+        fault = find_fault(message.code)
+        if fault is not None:
+            self._fail(AnswerSyntaxError(fault))
+            return
+        if CONTINUE <= message.code < OK:
             return
         self._body = body
         super().feed_data(data, size)
@@ -142,13 +154,14 @@
             max_bytes = MAX_FRAMING_BYTES + 2 * self._body.total_bytes
         if self._received_bytes <= max_bytes:
             return
-        error = aiohttp.ClientPayloadError("the head or the framing is too large")
-        if self._body is not None:
+        self._fail(aiohttp.ClientPayloadError("the head or the framing is too large"))
+
+    def _fail(self, error: aiohttp.ClientPayloadError) -> None:
+        """Close the connection, and fail the answer unless it is complete."""
+        if self._body is not None and not self._body.is_eof():
             self._body.set_exception(error)
-        transport = self.transport
+        self.abort()
         self.set_exception(error)
-        if transport is not None:
-            transport.abort()
 
     def _split_head(self, data: bytes) -> tuple[bytes, ...]:
         """Split off the head of an answer from the data behind it.
--- a/radishtally/direct/answer_checks.py
+++ b/radishtally/direct/answer_checks.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from radishtally.connector import ConnectionUsage
+from radishtally.connector import AnswerSyntaxError, ConnectionUsage
 from radishtally.exchange import BodyTooLargeError
 
 
@@ -83,6 +83,7 @@
 
 
 DESCRIBED_ERRORS: Final = (
+    AnswerSyntaxError,
     BodyTooLargeError,
     IncompleteAnswerError,
     InvalidAnswerError,
--- a/tests/agent/test_engine.py
+++ b/tests/agent/test_engine.py
@@ -17,6 +17,7 @@
 from radishtally.outcome import Ran
 from tests.agent.upstream import Answer, EventRecorder, reply, serve, stream
 from tests.common import run
+from tests.gateway.broken import BROKEN, AnsweringHost, make_broken
 from tests.gateway.common import wait_until
 from tests.gateway.endless import MAX_SENT_BYTES, OK, REPORTS, EndlessServer
 
@@ -141,6 +142,17 @@
         assert isinstance(last, events.Failed) and last.ran == end
 
 
+# Guards against an answer that reaches the caller though it is none in the protocol.
+@pytest.mark.parametrize("name", BROKEN)
+def test_outcome_of_work_with_a_broken_answer_is_unknown(name: str) -> None:
+    async def check() -> EventRecorder:
+        host = AnsweringHost("engine", make_broken(make_event("a") + FINISH)[name])
+        return await run_work(f"http://{host.listen()}", make_offer())
+
+    last = run(check()).events[-1]
+    assert isinstance(last, events.Failed) and last.ran == Ran.UNKNOWN
+
+
 @pytest.mark.parametrize(
     ("body", "message"),
     [
--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -22,6 +22,7 @@
 from standins.desk import reset
 from tests.agent.upstream import Answer, EventRecorder, reply, serve, stream
 from tests.common import READ_SECONDS, run
+from tests.gateway.broken import BROKEN, AnsweringHost, make_broken
 
 
 def make_offer(**more: object) -> Offer:
@@ -90,6 +91,17 @@
     assert b"".join(recorder.parts) == b"all of it"
 
 
+# Guards against an answer that reaches the caller though it is none in the protocol.
+@pytest.mark.parametrize("name", BROKEN)
+def test_outcome_of_a_call_with_a_broken_answer_is_unknown(name: str) -> None:
+    async def check() -> EventRecorder:
+        host = AnsweringHost("service", make_broken()[name])
+        return await run_call(f"http://{host.listen()}", make_offer())
+
+    last = run(check()).events[-1]
+    assert isinstance(last, events.Failed) and last.ran == Ran.UNKNOWN
+
+
 def test_call_to_unreachable_service_did_not_run() -> None:
     async def check() -> EventRecorder:
         async with serve(reply(200, b"")) as url:
--- /dev/null
+++ b/tests/gateway/broken.py
@@ -0,0 +1,115 @@
+"""A host whose answers are given as bytes; answers that break the protocol."""
+
+import asyncio
+import socket
+from typing import Final
+
+from standins.staged import EVENTS
+from tests.gateway.common import Deployment
+from tests.gateway.raw_hosts import RawHost
+from tests.gateway.test_spoiled_streams import make_events
+
+BODY: Final = make_events(EVENTS)
+HOST_PATHS: Final = {"desk": ("/read/a", "/book/a"), "llm": ("/draft/a", "/sheet/a")}
+"""Paths of the requests that may and that may not run again, by service."""
+OK: Final = b"HTTP/1.1 200 OK\r\n"
+NAMED: Final = b"X-Request-Id: %(id)s\r\nX-Server-Signature: by-raw\r\n"
+CHUNKED: Final = b"Transfer-Encoding: chunked\r\n"
+LAST_CHUNK: Final = b"0\r\n\r\n"
+
+
+def make_chunk(body: bytes) -> bytes:
+    """Make a chunk."""
+    return b"%x\r\n%s\r\n" % (len(body), body)
+
+
+def make_answer(
+    body: bytes = BODY,
+    start: bytes = OK,
+    more: bytes = b"",
+    fields: bytes | None = None,
+) -> bytes:
+    """Make an answer that names its request, at `%(id)s`, and is signed.
+
+    It has a length, unless other fields are given for its framing.
+    """
+    if fields is None:
+        fields = b"Content-Length: %d\r\n" % len(body)
+    return start + NAMED + more + fields + b"\r\n" + body
+
+
+def make_chunked(
+    body: bytes, fields: bytes = CHUNKED, end: bytes = LAST_CHUNK
+) -> bytes:
+    """Make an answer whose body is one chunk."""
+    return make_answer(make_chunk(body) + end, fields=fields)
+
+
+def make_sound(body: bytes = BODY) -> dict[str, bytes]:
+    """Make answers that are sound, though few hosts send some of them."""
+    small = b"".join(make_chunk(b"%c" % byte) for byte in body)
+    extended = make_chunk(body).replace(b"\r\n", b";a=b\r\n", 1)
+    interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"
+    return {
+        "length": make_answer(body),
+        "chunks": make_chunked(body),
+        "no length": make_answer(body, fields=b""),
+        "version 1.0": make_answer(body, b"HTTP/1.0 200 OK\r\n"),
+        "no reason": make_answer(body, b"HTTP/1.1 200 \r\n"),
+        "interim answers": interim + make_answer(body),
+        "folded line": make_answer(body, more=b"X-A: a\r\n b\r\n"),
+        "bytes above ASCII, tab": make_answer(body, more=b"X-A: \xe9\tb\r\n"),
+        "coding in capitals": make_chunked(body, b"Transfer-Encoding: Chunked\r\n"),
+        "chunk extension": make_answer(extended + LAST_CHUNK, fields=CHUNKED),
+        "small chunks": make_answer(small + LAST_CHUNK, fields=CHUNKED),
+        "trailers": make_chunked(body, end=b"0\r\nX-A: a\r\n\r\n"),
+    }
+
+
+def make_broken(body: bytes = BODY) -> dict[str, bytes]:
+    """Make answers that are none in the protocol."""
+    answers = {}
+    for status in (b"000", b"001", b"099", b"101", b"600", b"999"):
+        start = b"HTTP/1.1 %s Any\r\n" % status
+        answers[f"status {status.decode()}"] = make_answer(body, start)
+    for text in (b"20", b"2000", b"-20", b"2x0", b""):
+        start = b"HTTP/1.1 %s Any\r\n" % text
+        answers[f"status {text.decode()!r}"] = make_answer(body, start)
+    return answers
+
+
+SOUND: Final = tuple(make_sound())
+BROKEN: Final = tuple(make_broken())
+"""Names of the answers."""
+
+
+class AnsweringHost(RawHost):
+    """Answer all requests by the same bytes, and keep connections."""
+
+    def __init__(self, name: str, sent: bytes) -> None:
+        super().__init__(name, b"")
+        self.sent = sent
+        """The answer; it may contain the request's id, at `%(id)s`."""
+        self.own_paths = (b"/health", b"/api/")
+        """Beginnings of the paths of queries that it answers as it should."""
+
+    async def _handle(self, connection: socket.socket, head: bytes) -> bool:
+        if head.split()[1].startswith(self.own_paths):
+            return await super()._handle(connection, head)
+        self.calls += 1
+        lines = (line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:])
+        sent = self.sent.replace(b"%(id)s", dict(lines).get(b"x-request-id", b""))
+        await asyncio.get_running_loop().sock_sendall(connection, sent)
+        if self.closes_by_itself:
+            self._connections.remove(connection)
+            connection.close()
+        return not self.closes_by_itself
+
+
+async def serve_answering(env: Deployment, service: str, sent: bytes) -> AnsweringHost:
+    """Start a host of a service and wait until it is discovered."""
+    host = AnsweringHost(f"raw-{service}", sent)
+    more = {"phase": "decode"} if service == "llm" else {}
+    env.announce(host.name, host.listen(), service, **more)
+    await env.wait_for(host.name)
+    return host
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
-from radishtally.store.client import HttpClient, Reply
+import pytest
+
+from radishtally.store.client import HttpClient, NoReply, Reply
 from tests.common import READ_SECONDS, answer_twice, run
+from tests.gateway.broken import BROKEN, AnsweringHost, make_broken
 
 
 # Guards against a reply that is taken for that of another call: the platform answers a
@@ -20,3 +23,16 @@
             await client.close()
 
     run(play())
+
+
+# Guards against replies that the platform did not send.
+@pytest.mark.parametrize("name", BROKEN)
+def test_broken_reply_is_none(name: str) -> None:
+    async def play() -> None:
+        host = AnsweringHost("platform", make_broken()[name])
+        client = HttpClient(timeout=5.0)
+        reply = await client.call("GET", f"http://{host.listen()}/")
+        assert isinstance(reply.error, NoReply)
+        await client.close()
+
+    run(play())
