Reject answers with a blank behind a field's name

What callers saw: `Content-Length : 5` or `Transfer-Encoding : chunked` reached them, with that line and 200. Who reads the line as another field's takes the body for one of another length.

Cause: the HTTP library parses answers leniently. It refuses other characters in names, but not a blank before the colon of the fields that it knows itself, and keeps the blank in the name.

Change: the connector's check of a head also takes only the characters of a field's name.

Other characters in names, control bytes and a tab before the colon were answered 502 before (held). A folded line is sound, and is passed on as before.

--- a/radishtally/answer_syntax.py
+++ b/radishtally/answer_syntax.py
@@ -1,12 +1,15 @@
 """Checks whether the head of an answer keeps to HTTP/1.1."""
 
+import re
 from collections.abc import Iterable
 from enum import StrEnum
 from typing import Final
 
 STATUSES: Final = range(100, 600)
 SWITCHING_PROTOCOLS: Final = 101
+FIELD_NAME: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 Fields = Iterable[tuple[bytes, bytes]]
+"""Names and values of a head's fields, as received."""
 
 
 class SyntaxFault(StrEnum):
@@ -14,13 +17,17 @@
 
     STATUS = "its status is out of range"
     SWITCH = "it switches to another protocol"
+    NAME = "a field's name has other characters"
 
 
-def find_fault(status: int) -> SyntaxFault | None:
+def find_fault(status: int, fields: Fields) -> SyntaxFault | None:
     """Return why a head can't be that of an answer to one of our requests."""
     if status not in STATUSES:
         return SyntaxFault.STATUS
     # No request asks for another protocol.
     if status == SWITCHING_PROTOCOLS:
         return SyntaxFault.SWITCH
+    for name, _ in fields:
+        if not FIELD_NAME.fullmatch(name):
+            return SyntaxFault.NAME
     return None
--- a/tests/gateway/broken.py
+++ b/tests/gateway/broken.py
@@ -75,6 +75,13 @@
     for text in (b"20", b"2000", b"-20", b"2x0", b""):
         start = b"HTTP/1.1 %s Any\r\n" % text
         answers[f"status {text.decode()!r}"] = make_answer(body, start)
+    for blank in (b" ", b"\t"):
+        length = b"Content-Length%s: %d\r\n" % (blank, len(body))
+        answers[f"length{blank.decode()!r}"] = make_answer(body, fields=length)
+    spaced = CHUNKED.replace(b":", b" :")
+    answers["coding' '"] = make_chunked(body, spaced)
+    for name in (b"X-A ", b"X A", b"X\x01A", b"X\x1bA", b"", b"X-\xe9", b"X(A)"):
+        answers[f"name {name!r}"] = make_answer(body, more=name + b": a\r\n")
     return answers
 
 
