Reject answers with control bytes in a field's value

What callers saw: a host's answer with the byte 0x01 or 0x1b in a value cost them their connection, which ended without an answer (LOST); a stream got a 500 without a body of ours. The answer itself had run.

Cause: the HTTP library passes such values when it reads, and refuses them when it writes: the gateway found out only as it wrote the answer's head, where nothing handles that.

Change: the connector's check of a head takes no control byte but a tab in a value. The attempt is retried where the route allows it, else the caller gets 502.

--- a/radishtally/answer_syntax.py
+++ b/radishtally/answer_syntax.py
@@ -8,6 +8,8 @@
 STATUSES: Final = range(100, 600)
 SWITCHING_PROTOCOLS: Final = 101
 FIELD_NAME: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+CONTROL: Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+"""Control bytes other than a tab, which a value may contain."""
 Fields = Iterable[tuple[bytes, bytes]]
 """Names and values of a head's fields, as received."""
 
@@ -18,6 +20,7 @@
     STATUS = "its status is out of range"
     SWITCH = "it switches to another protocol"
     NAME = "a field's name has other characters"
+    VALUE = "a field's value has control bytes"
 
 
 def find_fault(status: int, fields: Fields) -> SyntaxFault | None:
@@ -27,7 +30,9 @@
     # No request asks for another protocol.
     if status == SWITCHING_PROTOCOLS:
         return SyntaxFault.SWITCH
-    for name, _ in fields:
+    for name, value in fields:
         if not FIELD_NAME.fullmatch(name):
             return SyntaxFault.NAME
+        if CONTROL.search(value):
+            return SyntaxFault.VALUE
     return None
--- a/tests/gateway/broken.py
+++ b/tests/gateway/broken.py
@@ -82,6 +82,9 @@
     answers["coding' '"] = make_chunked(body, spaced)
     for name in (b"X-A ", b"X A", b"X\x01A", b"X\x1bA", b"", b"X-\xe9", b"X(A)"):
         answers[f"name {name!r}"] = make_answer(body, more=name + b": a\r\n")
+    for value in (b"\x00", b"\x01", b"\x08", b"\x0b", b"\x1b", b"\x7f", b"\r"):
+        more = b"X-A: a%sb\r\n" % value
+        answers[f"value {value!r}"] = make_answer(body, more=more)
     return answers
 
 
