Reject answers in a transfer coding other than chunked

What callers saw: answers whose `Transfer-Encoding` was `gzip`, `identity`, `xchunked` or several codings got 200, mostly with the lines of the chunks within the body, or 504 at the route's timeout.

Cause: the HTTP library reads an answer in a coding that it doesn't know to the end of its connection, and drops the codings before a last `chunked`; the check for truncated answers took `xchunked` for a frame.

Change: the connector's check of a head takes one `chunked` field or none. `CheckedResponse.is_framed` so sees no other coding any more.

Lengths that are not one number, and a length beside chunks, were answered 502 before (held).

--- a/radishtally/answer_syntax.py
+++ b/radishtally/answer_syntax.py
@@ -1,16 +1,18 @@
 """Checks whether the head of an answer keeps to HTTP/1.1."""
 
 import re
-from collections.abc import Iterable
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import Final
 
 STATUSES: Final = range(100, 600)
 SWITCHING_PROTOCOLS: Final = 101
 FIELD_NAME: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+TRANSFER: Final = b"transfer-encoding"
+CHUNKED: Final = b"chunked"
 CONTROL: Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 """Control bytes other than a tab, which a value may contain."""
-Fields = Iterable[tuple[bytes, bytes]]
+Fields = Sequence[tuple[bytes, bytes]]
 """Names and values of a head's fields, as received."""
 
 
@@ -21,6 +23,7 @@
     SWITCH = "it switches to another protocol"
     NAME = "a field's name has other characters"
     VALUE = "a field's value has control bytes"
+    CODING = "its transfer coding is not just chunked"
 
 
 def find_fault(status: int, fields: Fields) -> SyntaxFault | None:
@@ -35,4 +38,7 @@
             return SyntaxFault.NAME
         if CONTROL.search(value):
             return SyntaxFault.VALUE
+    codings = [value.lower() for name, value in fields if name.lower() == TRANSFER]
+    if codings not in ([], [CHUNKED]):
+        return SyntaxFault.CODING
     return None
--- a/tests/gateway/broken.py
+++ b/tests/gateway/broken.py
@@ -16,6 +16,34 @@
 NAMED: Final = b"X-Request-Id: %(id)s\r\nX-Server-Signature: by-raw\r\n"
 CHUNKED: Final = b"Transfer-Encoding: chunked\r\n"
 LAST_CHUNK: Final = b"0\r\n\r\n"
+CODINGS: Final = (
+    b"gzip",
+    b"identity",
+    b"xchunked",
+    b"chunked, gzip",
+    b"gzip, chunked",
+    b"chunked, chunked",
+    b"chunked;q=1",
+    b'"chunked"',
+    b"",
+    b"chunked\r\nTransfer-Encoding: chunked",
+    b"gzip\r\nTransfer-Encoding: chunked",
+    b"chunked\r\nContent-Length: 5",
+)
+"""Values, and further fields, of transfer codings other than one `chunked`."""
+LENGTHS: Final = (
+    b"",
+    b"+5",
+    b"-5",
+    b"0x5",
+    b"5a",
+    b"5, 5",
+    b"5 5",
+    30 * b"9",
+    b"5\r\nContent-Length: 5",
+    b"5\r\nContent-Length: 6",
+)
+"""Values, and further fields, of lengths that are not one number."""
 
 
 def make_chunk(body: bytes) -> bytes:
@@ -85,6 +113,12 @@
     for value in (b"\x00", b"\x01", b"\x08", b"\x0b", b"\x1b", b"\x7f", b"\r"):
         more = b"X-A: a%sb\r\n" % value
         answers[f"value {value!r}"] = make_answer(body, more=more)
+    for coding in CODINGS:
+        fields = b"Transfer-Encoding: %s\r\n" % coding
+        answers[f"coding {coding!r}"] = make_chunked(body, fields)
+    for length in LENGTHS:
+        fields = b"Content-Length: %s\r\n" % length
+        answers[f"length {length!r}"] = make_answer(body, fields=fields)
     return answers
 
 
