Fail answers whose chunks can't be parsed at once

What callers saw: 504 at the route's timeout, though the host's broken chunks had come at once and the connection had been closed.

Cause: on an error of its parser the HTTP library fails the queue of answers, but not the body of the one that is being read. The reader of the body waited on a closed connection. It went unnoticed, as an error within a head fails the queue, which is read then.

Change: the handler of a connection fails the body too, unless it is complete. The attempt is retried where the route allows it, else the caller gets 502; a stream is resumed or broken off.

An answer whose last chunk has come is delivered whatever follows it, as before. The answer to an order has no body that is read: its outcome is its status, as before.

--- a/radishtally/answer_syntax.py
+++ b/radishtally/answer_syntax.py
@@ -23,6 +23,7 @@
     SWITCH = "it switches to another protocol"
     NAME = "a field's name has other characters"
     VALUE = "a field's value has control bytes"
+    UNPARSED = "its head or its chunks can't be parsed"
     CODING = "its transfer coding is not just chunked"
 
 
--- a/radishtally/connector.py
+++ b/radishtally/connector.py
@@ -146,6 +146,13 @@
         self._body = body
         super().feed_data(data, size)
 
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Fail the answer, and its body if that can't be parsed."""
+        if isinstance(exc, HttpProcessingError):
+            exc = AnswerSyntaxError(SyntaxFault.UNPARSED)
+            self._fail_body(exc)
+        super().set_exception(exc, *cause)
+
     def _check_overhead(self) -> None:
         """Fail an answer whose head or framing goes on without end."""
         if self._body is None:
@@ -158,11 +165,14 @@
 
     def _fail(self, error: aiohttp.ClientPayloadError) -> None:
         """Close the connection, and fail the answer unless it is complete."""
-        if self._body is not None and not self._body.is_eof():
-            self._body.set_exception(error)
+        self._fail_body(error)
         self.abort()
         self.set_exception(error)
 
+    def _fail_body(self, error: aiohttp.ClientPayloadError) -> None:
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(error)
+
     def _split_head(self, data: bytes) -> tuple[bytes, ...]:
         """Split off the head of an answer from the data behind it.
 
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -6,6 +6,7 @@
 from tests.gateway.broken import (
     BODY,
     BROKEN,
+    BROKEN_ENDS,
     HOST_PATHS,
     SOUND,
     make_answer,
@@ -35,6 +36,10 @@
         async with deployment() as env:
             await serve_answering(env, service, make_broken()[name])
             for path, received in (await receive_all(env, service)).items():
+                if received.status == 200 and name in BROKEN_ENDS:
+                    # A stream whose events have been passed on is broken off.
+                    assert service == "llm" and not received.is_whole
+                    continue
                 assert received.status == 502, path
                 assert received.is_whole and not received.signature
                 assert BODY not in received.body
