Reject answers of another version of HTTP

What callers saw: an answer that began with HTTP/2.0 or HTTP/0.9 was passed on with 200.

Cause: the HTTP library parses such a head like one of version 1.1, though the framing of those versions is another.

Change: the connector's check of a head takes the versions 1.0 and 1.1.

Evidence: tests of versions and of sound answers at all readers: 160; on the commit before 28 fail (2.0, 0.9), with the change none. 1.2, 3.0 and what is no version were answered 502 before (held).

--- a/radishtally/answer_syntax.py
+++ b/radishtally/answer_syntax.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import Final
 
+VERSIONS: Final = ((1, 0), (1, 1))
 STATUSES: Final = range(100, 600)
 SWITCHING_PROTOCOLS: Final = 101
 FIELD_NAME: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
@@ -19,6 +20,7 @@
 class SyntaxFault(StrEnum):
     """Reasons why an answer is none in the protocol."""
 
+    VERSION = "its version is not 1.0 or 1.1"
     STATUS = "its status is out of range"
     SWITCH = "it switches to another protocol"
     REASON = "its reason has control bytes"
@@ -28,8 +30,12 @@
     CODING = "its transfer coding is not just chunked"
 
 
-def find_fault(status: int, reason: bytes, fields: Fields) -> SyntaxFault | None:
+def find_fault(
+    version: tuple[int, int], status: int, reason: bytes, fields: Fields
+) -> SyntaxFault | None:
     """Return why a head can't be that of an answer to one of our requests."""
+    if version not in VERSIONS:
+        return SyntaxFault.VERSION
     if status not in STATUSES:
         return SyntaxFault.STATUS
     # No request asks for another protocol.
--- a/radishtally/connector.py
+++ b/radishtally/connector.py
@@ -138,7 +138,9 @@
         """Check a parsed head and accept it with its body; skip interim answers."""
         message, body = data
         reason = message.reason.encode("utf-8", "surrogateescape")
-        fault = find_fault(message.code, reason, message.raw_headers)
+        fault = find_fault(
+            tuple(message.version), message.code, reason, message.raw_headers
+        )
         if fault is not None:
             self._fail(AnswerSyntaxError(fault))
             return
--- a/tests/gateway/broken.py
+++ b/tests/gateway/broken.py
@@ -16,6 +16,17 @@
 NAMED: Final = b"X-Request-Id: %(id)s\r\nX-Server-Signature: by-raw\r\n"
 CHUNKED: Final = b"Transfer-Encoding: chunked\r\n"
 LAST_CHUNK: Final = b"0\r\n\r\n"
+VERSIONS: Final = (
+    b"HTTP/2.0",
+    b"HTTP/0.9",
+    b"HTTP/1.2",
+    b"HTTP/3.0",
+    b"HTTP/11",
+    b"HTTP/1",
+    b"http/1.1",
+    b"ICY",
+)
+"""Versions other than 1.0 and 1.1."""
 CODINGS: Final = (
     b"gzip",
     b"identity",
@@ -120,6 +131,9 @@
     for text in (b"20", b"2000", b"-20", b"2x0", b""):
         start = b"HTTP/1.1 %s Any\r\n" % text
         answers[f"status {text.decode()!r}"] = make_answer(body, start)
+    for version in VERSIONS:
+        start = version + b" 200 OK\r\n"
+        answers[f"version {version.decode()}"] = make_answer(body, start)
     for byte in (b"\x00", b"\x01", b"\x1b", b"\x7f", b"\r"):
         start = b"HTTP/1.1 200 O%sK\r\n" % byte
         answers[f"reason {byte!r}"] = make_answer(body, start)
