Test answers that break off while their request is still being sent

The report: a host answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is still being written; the part reaches the caller as the whole.

--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -23,6 +23,7 @@
 from tests.agent.upstream import Answer, EventRecorder, reply, serve, stream
 from tests.common import READ_SECONDS, run
 from tests.gateway.broken import BROKEN, AnsweringHost, make_broken
+from tests.gateway.test_early_answers import FRAMINGS, UPLOAD, EarlyHost
 
 
 def make_offer(**more: object) -> Offer:
@@ -79,6 +80,19 @@
     assert isinstance(last, events.Failed) and last.ran == Ran.UNKNOWN
 
 
+# Guards against taking a part for the whole: the service answers a long upload at once
+# and resets the connection while the upload is still being written.
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_part_of_an_answer_to_an_upload_is_lost(framing: str) -> None:
+    async def check() -> EventRecorder:
+        host = EarlyHost(framing, "reset", 0.0)
+        work = Work("r", "team", "desk", CALL, UPLOAD, path="/remind")
+        return await run_call(f"http://{host.listen()}", Offer(work, 1, 30.0))
+
+    last = run(check()).events[-1]
+    assert isinstance(last, events.Failed) and last.ran == Ran.UNKNOWN
+
+
 def test_closed_answer_without_length_is_whole() -> None:
     async def answer(request: web.Request) -> web.StreamResponse:
         await request.read()
