Parse no more than the answer that is waited for

Cause: the HTTP library parses all heads in the bytes of a read (up to 256 KB, some 6,900 heads) and queues each of them with its headers, though one answer is waited for. The queue was looked at after the whole read.

Change: the handler of a connection hands the parser a head, then no more than the body by its length, or pieces of 16 KB where only the parser knows the end, and stops at the end of the answer or at the first error. What is behind the answer is dropped unparsed with its connection, also while the answer has not been picked up; it is counted and logged by its bytes, not by answers. A reader that has not caught up holds back the rest of one read at most, as before.

Sound answers cut into reads at any place, and followed by anything, are read as one.

--- a/radishtally/connector.py
+++ b/radishtally/connector.py
@@ -1,6 +1,7 @@
 """Connection pool that drops connections on which unsolicited data arrives."""
 
 import asyncio
+import re
 import select
 import time
 from collections.abc import Callable
@@ -18,11 +19,14 @@
 
 CONTINUE: Final = 100
 OK: Final = 200
-HEAD_END: Final = b"\r\n\r\n"
+BLANK_LINE: Final = re.compile(rb"\n\r?\n")
+BLANK_LINE_BYTES: Final = 3
 MAX_HEAD_BYTES: Final = 64 * 1024
 """Largest head of an answer, with any interim answers before it."""
 MAX_FRAMING_BYTES: Final = 512 * 1024  # data that is not parsed yet counts as framing
 """Most bytes that may have come beyond twice those of the body."""
+PIECE_BYTES: Final = 16 * 1024
+"""Most bytes of a body without a length that are parsed before its end is noticed."""
 
 
 class AnswerSyntaxError(aiohttp.ClientPayloadError):
@@ -65,11 +69,7 @@
         self._received_at = 0.0
         self._requests = 0
         self._is_idle = False
-        self._head_seen = False
-        self._received_bytes = 0
-        """Bytes received since the request began."""
-        self._body: StreamReader | None = None
-        """Body of the answer; None before its head has been parsed."""
+        self._reset()
 
     @property
     def is_reused(self) -> bool:
@@ -109,34 +109,92 @@
         self.usage = self._measure_usage()
         self._requests += 1
         self._is_idle = False
-        self._head_seen = False
-        self._received_bytes = 0
-        self._body = None
+        self._reset()
+
+    def _reset(self) -> None:
+        """Expect the answer to another request."""
+        self._parsed_bytes = 0
+        self._unparsed = b""
+        """Received data that is parsed when the reader of the body has caught up."""
+        self._head_tail = b""
+        """Last bytes of a head that is incomplete."""
+        self._body: StreamReader | None = None
+        """Body of the answer; None before its head has been parsed."""
+        self._bytes_left = 0
+        """Bytes of the body that are to come, if it has a length."""
+        self._has_second_answer = False
 
     def end_request(self) -> None:
         """Record that the request has been answered."""
         self._is_idle = True
 
     def data_received(self, data: bytes) -> None:
-        """Process received data."""
-        # The library passes no data when it resumes parsing what it has buffered.
+        """Parse received data up to the end of the answer, and close on any other."""
         self._received_at = time.monotonic()
-        is_unsolicited = self._is_idle and data
-        self._received_bytes += len(data)
-        for part in self._split_head(data):
-            super().data_received(part)
+        if self._parser is None:
+            # The library keeps the data until the request is sent.
+            super().data_received(data)
+            return
+        if self._is_idle and data:
+            self._drop_unsolicited(len(data))
+            return
+        if not data:
+            # The library resumes the parsing of what it has buffered.
+            super().data_received(data)
+        rest = memoryview(self._unparsed + data)
+        while rest and self._can_parse():
+            size = self._measure_piece(rest)
+            self._parse(bytes(rest[:size]))
+            rest = rest[size:]
+        self._unparsed = bytes(rest) if self._reading_paused else b""
+        if self._has_second_answer or (rest and self._is_complete()):
+            self._drop_unsolicited(len(rest))
+
+    def _can_parse(self) -> bool:
+        """Return whether the answer goes on, and its reader has caught up."""
+        is_open = self.transport is not None
+        return is_open and not self._reading_paused and not self._is_complete()
+
+    def _is_complete(self) -> bool:
+        return self._body is not None and self._body.is_eof()
+
+    def _measure_piece(self, data: memoryview) -> int:
+        """Return how many bytes to parse next: none from behind a head or the answer.
+
+        The library parses all answers in the bytes that it gets, and discards a
+        complete one if it can't parse what follows.
+        """
+        if self._body is None:
+            return self._find_head_end(data[: MAX_HEAD_BYTES + 1 - self._parsed_bytes])
+        return min(len(data), self._bytes_left or PIECE_BYTES)
+
+    def _find_head_end(self, data: memoryview) -> int:
+        """Return the number of bytes up to the end of a head, or of all."""
+        start = self._head_tail + data[:BLANK_LINE_BYTES]
+        found = BLANK_LINE.search(start)
+        if found is not None:
+            return found.end() - len(self._head_tail)
+        found = BLANK_LINE.search(data)
+        return len(data) if found is None else found.end()
+
+    def _parse(self, piece: bytes) -> None:
+        if self._body is None:
+            tail = (self._head_tail + piece)[-BLANK_LINE_BYTES:]
+            self._head_tail = b"" if BLANK_LINE.search(tail) else tail
+        elif self._bytes_left:
+            self._bytes_left -= len(piece)
+        self._parsed_bytes += len(piece)
+        super().data_received(piece)
         self._check_overhead()
-        # The library releases the connection as soon as it has found an answer's end,
-        # and then continues with the rest of the same bytes.
-        if is_unsolicited or (self._is_idle and len(self)):
-            self._on_unsolicited()
-            self.drop()
 
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         """Check a parsed head and accept it with its body; skip interim answers."""
         message, body = data
+        if self._body is not None:
+            self._has_second_answer = True
+            return
         reason = message.reason.encode("utf-8", "surrogateescape")
         fault = find_fault(
             tuple(message.version), message.code, reason, message.raw_headers
@@ -147,13 +205,14 @@
         if CONTINUE <= message.code < OK:
             return
         self._body = body
+        self._bytes_left = int(message.headers.get("Content-Length", 0))
         super().feed_data(data, size)
 
     def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
-        """Fail the answer, and its body if that can't be parsed."""
+        """Fail the answer; at an error of the parser, close the connection too."""
         if isinstance(exc, HttpProcessingError):
-            exc = AnswerSyntaxError(SyntaxFault.UNPARSED)
-            self._fail_body(exc)
+            self._fail(AnswerSyntaxError(SyntaxFault.UNPARSED))
+            return
         super().set_exception(exc, *cause)
 
     def _check_overhead(self) -> None:
@@ -162,35 +221,16 @@
             max_bytes = MAX_HEAD_BYTES
         else:
             max_bytes = MAX_FRAMING_BYTES + 2 * self._body.total_bytes
-        if self._received_bytes <= max_bytes:
+        if self._parsed_bytes <= max_bytes:
             return
         self._fail(aiohttp.ClientPayloadError("the head or the framing is too large"))
 
     def _fail(self, error: aiohttp.ClientPayloadError) -> None:
         """Close the connection, and fail the answer unless it is complete."""
-        self._fail_body(error)
-        self.abort()
-        self.set_exception(error)
-
-    def _fail_body(self, error: aiohttp.ClientPayloadError) -> None:
         if self._body is not None and not self._body.is_eof():
             self._body.set_exception(error)
-
-    def _split_head(self, data: bytes) -> tuple[bytes, ...]:
-        """Split off the head of an answer from the data behind it.
-
-        The library discards a complete answer if it can't parse what follows in the
-        same bytes, such as a second answer after the last one of a connection. If the
-        head was parsed before, the answer is delivered.
-        """
-        if self._head_seen:
-            return (data,)
-        end = data.find(HEAD_END)
-        if end < 0:
-            return (data,)
-        self._head_seen = True
-        end += len(HEAD_END)
-        return (data[:end], data[end:]) if end < len(data) else (data,)
+        self.abort()
+        self.set_exception(error)
 
     def has_unread_data(self) -> bool:
         """Return whether data has arrived that belongs to no request.
@@ -215,8 +255,12 @@
         except HttpProcessingError:
             return True
 
-    def drop(self) -> None:
-        """Close the connection after unsolicited data, and log that."""
+    def _drop_unsolicited(self, size: int) -> None:
+        self._on_unsolicited()
+        self.drop(size)
+
+    def drop(self, size: int = 0) -> None:
+        """Close the connection after unsolicited data or its end, and log that."""
         if self.transport is None:
             return
         usage = self._measure_usage()
@@ -227,7 +271,7 @@
             address=f"{peer[0]}:{peer[1]}",
             connection_age=round(usage.age, 4),
             carried=usage.carried,
-            answers=len(self),
+            bytes=size,
         )
         self.abort()
 
