Check the answers that the command-line tool reads

What operators saw: of an answer that was none in the protocol, the tool showed what it could read of it. A change with such an answer was reported as made, or as refused, though it may have been made; a chunk of a negative size ended the tool with a traceback; a body was read without a bound.

Cause: the tool reads answers by another library, past the connector. That library ends the fields of a head at a line that it can't parse, and takes any status from 100 to 999 and any coding.

Change: the tool checks heads by the same function as the connector, which now also takes one length that is a number and none beside chunks (the connector's parser refused those before). What is broken counts as no answer: reads go to the next entry, and a change is reported as one that may have been made. So is a change that is answered 200 without JSON.

What the library hides: HTTP/0.9 and 1.2 (read like 1.0 and 1.1), and interim answers other than 100, which count as no answer.

--- a/radishtally/answer_syntax.py
+++ b/radishtally/answer_syntax.py
@@ -10,6 +10,7 @@
 SWITCHING_PROTOCOLS: Final = 101
 FIELD_NAME: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 TRANSFER: Final = b"transfer-encoding"
+LENGTH: Final = b"content-length"
 CHUNKED: Final = b"chunked"
 CONTROL: Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 """Control bytes other than a tab, which a value may contain."""
@@ -26,6 +27,7 @@
     REASON = "its reason has control bytes"
     NAME = "a field's name has other characters"
     VALUE = "a field's value has control bytes"
+    LENGTH = "its length is not one number"
     UNPARSED = "its head or its chunks can't be parsed"
     CODING = "its transfer coding is not just chunked"
 
@@ -51,4 +53,7 @@
     codings = [value.lower() for name, value in fields if name.lower() == TRANSFER]
     if codings not in ([], [CHUNKED]):
         return SyntaxFault.CODING
+    lengths = [value for name, value in fields if name.lower() == LENGTH]
+    if not all(map(bytes.isdigit, lengths)) or len(lengths) + len(codings) > 1:
+        return SyntaxFault.LENGTH
     return None
--- a/radishtally/command/client.py
+++ b/radishtally/command/client.py
@@ -1,13 +1,15 @@
 """HTTP client for the operators' API of the entries."""
 
 import json
+import re
 from collections.abc import Mapping
-from http.client import HTTPConnection, HTTPException, HTTPSConnection
+from http.client import HTTPConnection, HTTPException, HTTPResponse, HTTPSConnection
 from typing import Any, Final, NamedTuple, TypeVar
 from urllib.parse import quote, urlencode, urlsplit
 
 import msgspec
 
+from radishtally.answer_syntax import SyntaxFault, find_fault
 from radishtally.command import const
 from radishtally.command.answer import Failure
 from radishtally.outcome import Error, Ok, Result
@@ -25,6 +27,9 @@
     504: const.EXIT_UNAVAILABLE,
 }
 """Exit code by the HTTP status of an entry's error response."""
+OK: Final = 200
+VERSIONS: Final = {10: (1, 0), 11: (1, 1)}
+FOLD: Final = re.compile(rb"\r?\n[ \t]+")
 CONNECTION_TYPES: Final = {"http": HTTPConnection, "https": HTTPSConnection}
 
 
@@ -42,7 +47,7 @@
 
 
 class Unanswered(NamedTuple):
-    """Error: the request may have arrived, but there was no answer."""
+    """Error: the request may have arrived, but there was no answer to be read."""
 
     failure: Failure
 
@@ -153,8 +158,10 @@
             full_path = f"{parts.path}{const.BASE_PATH}{path}"
             connection.request(method, full_path, _encode(body), self._make_headers())
             reply = connection.getresponse()
-            text = reply.read()
-        except (OSError, HTTPException) as error:
+            _check_reply(reply)
+            text = _read_body(reply)
+        # The library raises a ValueError for the size of a chunk below 0.
+        except (OSError, HTTPException, ValueError) as error:
             message = f"{url}: no answer: {error or type(error).__name__}"
             return Error(Unanswered(Failure(const.EXIT_UNAVAILABLE, message)))
         finally:
@@ -194,6 +201,36 @@
     return None if body is None else json.dumps(body).encode()
 
 
+def _check_reply(reply: HTTPResponse) -> None:
+    """Raise if a reply's head is none in the protocol."""
+    # The library ends the fields at a line that it can't parse.
+    fault = SyntaxFault.UNPARSED if reply.msg.defects else _find_fault(reply)
+    if reply.status < OK:
+        fault = SyntaxFault.STATUS
+    if fault is not None:
+        raise HTTPException(f"invalid answer: {fault}")
+
+
+def _find_fault(reply: HTTPResponse) -> SyntaxFault | None:
+    fields = [
+        (name.encode("latin-1"), FOLD.sub(b" ", value.encode("latin-1")).strip(b" \t"))
+        for name, value in reply.msg.items()
+    ]
+    reason = reply.reason.encode("latin-1")
+    return find_fault(VERSIONS[reply.version], reply.status, reason, fields)
+
+
+def _read_body(reply: HTTPResponse) -> bytes:
+    """Read a whole body; raise if it is over the limit."""
+    has_length = reply.length is not None
+    if has_length and reply.length <= const.MAX_REPLY_BYTES:
+        return reply.read()
+    body = b"" if has_length else reply.read(const.MAX_REPLY_BYTES + 1)
+    if has_length or len(body) > const.MAX_REPLY_BYTES:
+        raise HTTPException(f"more than {const.MAX_REPLY_BYTES} bytes")
+    return body
+
+
 def _read_reply(url: str, status: int, text: bytes) -> Result[Any, RequestError]:
     try:
         value = json.loads(text)
@@ -201,8 +238,9 @@
         message = (
             f"{url}: answered {status} without JSON; is this the address of an entry?"
         )
-        return Error(Refused(Failure(const.EXIT_FAILED, message)))
-    if status == 200:
+        failure = Failure(const.EXIT_FAILED, message)
+        return Error(Unanswered(failure) if status == OK else Refused(failure))
+    if status == OK:
         return Ok(value)
     error = value.get("error") if isinstance(value, dict) else None
     reason = error.get("message") if isinstance(error, dict) else None
