Refuse requests that outlast the stop of an entry

What callers saw: 500, an error page of the HTTP library, for a request that was open when an entry's `stop_seconds` ended. It does not say whether the request has run, which each refusal does.

Cause: the entry counted its open requests, and ended; the library then cancelled their handlers. A gateway passes the end of its stop to the core, which refuses what is open; the entry did not.

Change: so does the entry, and waits up to half a second until the refusals are sent.

--- a/radishtally/entry/daemon.py
+++ b/radishtally/entry/daemon.py
@@ -49,6 +49,8 @@
 from radishtally.startup import open_listener
 
 SHUTDOWN_POLL_SECONDS: Final = 0.02
+REFUSAL_SECONDS: Final = 0.5
+"""Longest time that a stop waits until callers have been told of its end."""
 
 
 class EntryDaemon:
@@ -138,11 +140,11 @@
         await asyncio.sleep(self.settings.ready_delay)
         self._closed = True
         server.close()
-        until = time.monotonic() + self.settings.stop_seconds
-        while _close_idle_connections(server) and time.monotonic() < until:
-            await asyncio.sleep(SHUTDOWN_POLL_SECONDS)
+        await _wait_until_idle(server, self.settings.stop_seconds)
         if server.connections:
             log_message("entry:stopped_with_work", open=len(self.replies))
+            self.handle(events.Shutdown())
+            await _wait_until_idle(server, REFUSAL_SECONDS)
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send requests here."""
@@ -288,6 +290,13 @@
         return self.core.is_busy(host)
 
 
+async def _wait_until_idle(server: AsyncioServer, seconds: float) -> None:
+    """Wait until no connection carries a request, for a limited time."""
+    until = time.monotonic() + seconds
+    while _close_idle_connections(server) and time.monotonic() < until:
+        await asyncio.sleep(SHUTDOWN_POLL_SECONDS)
+
+
 def _close_idle_connections(server: AsyncioServer) -> bool:
     """Close idle connections and return whether any others are left.
 
--- a/tests/clients/test_planned_stop.py
+++ b/tests/clients/test_planned_stop.py
@@ -10,13 +10,18 @@
 import pytest
 from aiohttp import web
 
+from bench.fleet import Fleet
 from soak.const import DEPLOYMENT, GRACE_SECONDS
 from tests.clients.common import GatewayDeployment, Process, connect, make_head, write
+from tests.clients.test_entry import KEY, POST
 from tests.gateway.common import add_health_check, serve
+from tests.integration.common import set_fault
 
 CALLERS = 24
 PAUSE_SECONDS = 0.02
 WARM_UP_SECONDS = 1.0
+STOP_SECONDS = 2.0
+LONG_MS = 60_000
 ANSWER_SECONDS = (0.01, 0.1, 0.5, 1.0, 2.0, 5.0, 9.0)
 DEADLINES_MS = (400, 1500, 4000, 20_000)
 PROMISES = (408, 421, 429, 503)
@@ -145,3 +150,37 @@
         assert not [name for name in host.run if answered[name] in PROMISES]
 
     asyncio.run(play())
+
+
+# Guards against callers who learn nothing of a call that may have run, as their entry
+# stops before it ends.
+def test_calls_that_outlast_the_stop_of_an_entry_are_refused(
+    small_fleet: Fleet,
+) -> None:
+    service = small_fleet.upstreams["booking-1"].url
+    small_fleet.kill("entry-1")
+    small_fleet.settings["entry-1"]["stop_seconds"] = STOP_SECONDS
+    entry = small_fleet.start_daemon("entry-1")
+    small_fleet.wait_until(small_fleet.is_ready, "the fleet to be ready")
+    head = make_head(POST, "POST", f"{KEY}Content-Length: 2\r\n", LONG_MS)
+
+    async def call() -> bytes:
+        reader, writer = await connect(entry.address)
+        writer.write(head + b"ok")
+        answer = await reader.read()
+        writer.close()
+        return answer.lower()
+
+    async def play() -> None:
+        calling = [asyncio.create_task(call()) for _ in range(CALLERS)]
+        await asyncio.sleep(WARM_UP_SECONDS)
+        entry.process.send_signal(signal.SIGTERM)
+        for answer in await asyncio.gather(*calling):
+            assert answer.startswith(b"http/1.1 503 "), answer
+            assert b"x-ran: unknown\r\n" in answer or b"x-ran: no\r\n" in answer
+
+    set_fault(service, mode="slow", seconds=LONG_MS / 1000)
+    try:
+        asyncio.run(play())
+    finally:
+        set_fault(service, mode="up")
