Cancel a test gateway's tasks before its store client is closed

Traced: the fixture closed the store's client while the watcher of the table went on; its error, "Session is closed", is contained and reported, and was counted for the next gateway that the test starts in the same loop, whose fixture checks that there was none.

The fixture now cancels the gateway's tasks first, as the daemon does.

--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -185,6 +185,8 @@
         await gateway.frontend.stop()
         await gateway.peers.stop()
         await gateway.hosts.stop()
+        # A task that goes on without its client is reported to the next gateway.
+        gateway.runtime.cancel_tasks()
         await client.stop()
 
 
