--- a/radishtally/command/client.py
+++ b/radishtally/command/client.py
@@ -29,7 +29,9 @@
 """Exit code by the HTTP status of an entry's error response."""
 OK: Final = 200
 VERSIONS: Final = {10: (1, 0), 11: (1, 1)}
+"""Versions of HTTP by the library's numbers for them."""
 FOLD: Final = re.compile(rb"\r?\n[ \t]+")
+"""End of a line whose field goes on in the next one."""
 CONNECTION_TYPES: Final = {"http": HTTPConnection, "https": HTTPSConnection}
 
 
@@ -222,13 +224,12 @@
 
 def _read_body(reply: HTTPResponse) -> bytes:
     """Read a whole body; raise if it is over the limit."""
-    has_length = reply.length is not None
-    if has_length and reply.length <= const.MAX_REPLY_BYTES:
-        return reply.read()
-    body = b"" if has_length else reply.read(const.MAX_REPLY_BYTES + 1)
-    if has_length or len(body) > const.MAX_REPLY_BYTES:
+    length = reply.length
+    body = reply.read(const.MAX_REPLY_BYTES + 1) if length is None else b""
+    if max(len(body), length or 0) > const.MAX_REPLY_BYTES:
         raise HTTPException(f"more than {const.MAX_REPLY_BYTES} bytes")
-    return body
+    # The library finds a body cut short only if it is asked for all of it.
+    return body if length is None else reply.read()
 
 
 def _read_reply(url: str, status: int, text: bytes) -> Result[Any, RequestError]:
--- a/radishtally/connector.py
+++ b/radishtally/connector.py
@@ -1,4 +1,4 @@
-"""Connection pool that drops connections on which unsolicited data arrives."""
+"""Connection pool that checks answers as they come in, and drops unsolicited data."""
 
 import asyncio
 import re
@@ -21,12 +21,13 @@
 OK: Final = 200
 BLANK_LINE: Final = re.compile(rb"\n\r?\n")
 BLANK_LINE_BYTES: Final = 3
+"""Length of the longest match of a blank line."""
 MAX_HEAD_BYTES: Final = 64 * 1024
 """Largest head of an answer, with any interim answers before it."""
 MAX_FRAMING_BYTES: Final = 512 * 1024  # data that is not parsed yet counts as framing
 """Most bytes that may have come beyond twice those of the body."""
 PIECE_BYTES: Final = 16 * 1024
-"""Most bytes of a body without a length that are parsed before its end is noticed."""
+"""Most bytes that are parsed at once of a body whose end only the parser finds."""
 
 
 class AnswerSyntaxError(aiohttp.ClientPayloadError):
@@ -123,6 +124,7 @@
         self._bytes_left = 0
         """Bytes of the body that are to come, if it has a length."""
         self._has_second_answer = False
+        """Whether another answer has been parsed behind the one that is awaited."""
 
     def end_request(self) -> None:
         """Record that the request has been answered."""
@@ -159,7 +161,7 @@
         return self._body is not None and self._body.is_eof()
 
     def _measure_piece(self, data: memoryview) -> int:
-        """Return how many bytes to parse next: none from behind a head or the answer.
+        """Return how many bytes to parse next: those of a head, or some of the body.
 
         The library parses all answers in the bytes that it gets, and discards a
         complete one if it can't parse what follows.
