--- a/tests/direct/test_broken_answers.py
+++ b/tests/direct/test_broken_answers.py
@@ -11,7 +11,14 @@
 from radishtally.direct.probes import BROKEN_ANSWER
 from radishtally.liveness import Sign
 from tests.common import run
-from tests.gateway.broken import BROKEN, BROKEN_HEADS, AnsweringHost, make_broken
+from tests.gateway.broken import (
+    BROKEN,
+    BROKEN_HEADS,
+    SOUND,
+    AnsweringHost,
+    make_broken,
+    make_sound,
+)
 
 REPORT = json.dumps({"phase": "decode", "busy": False, "sequence": 0}).encode()
 PARTS = json.dumps({"epoch": 1, "next": 1, "held": []}).encode()
@@ -22,6 +29,7 @@
     """Query an engine that answers so."""
     host = AnsweringHost("e-1", answer)
     host.own_paths = ()
+    host.closes_by_itself = True
     address = host.listen()
     hosts = DirectHosts(PlatformUpstreams(), lambda *_: None)
     await hosts.start()
@@ -35,6 +43,13 @@
     return hosts.order_role(instance, "prefill", "g", 1, 0)
 
 
+@pytest.mark.parametrize("name", SOUND)
+def test_sound_answer_of_an_engine_is_read(name: str) -> None:
+    report, parts = make_sound(REPORT)[name], make_sound(PARTS)[name]
+    assert run(query(report, DirectHosts.read_report)).is_ok()
+    assert run(query(parts, DirectHosts.read_cached_parts)).is_ok()
+
+
 # Guards against roles and cached parts that an engine did not report.
 @pytest.mark.parametrize("name", BROKEN)
 def test_report_in_a_broken_answer_is_an_error(name: str) -> None:
